--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/fair/src/message.rs
@@ -0,0 +1,107 @@
+//! Messages between the routers and the owner of a shard.
+
+use serde::{Deserialize, Serialize};
+use span_types::{FailureDomain, Member, ShardId, UpstreamName, WorkspaceName};
+
+/// What a router did with its slots of one shard, and what waits there.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShardReport {
+    /// Shard the report is about.
+    pub shard: ShardId,
+    /// Router that reports.
+    pub router: Member,
+    /// Owner whose allocation the router applied last.
+    pub applied_owner: Option<Member>,
+    /// Sequence number of that allocation; 0 if none.
+    pub applied_seq: u64,
+    /// One row per workspace with work or with service not yet reported.
+    pub workspaces: Vec<WorkspaceRow>,
+    /// One row per upstream on which the router holds or uses slots.
+    pub slots: Vec<SlotRow>,
+    /// Last standings known to the router; empty unless the owner changed.
+    pub standings: Vec<Standing>,
+}
+
+/// The state of one workspace at one router for one shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkspaceRow {
+    /// Workspace of the row.
+    pub workspace: WorkspaceName,
+    /// Cost served since the router started; never falls.
+    pub served_cost: u64,
+    /// Estimated cost still to come of the requests in flight.
+    pub reserved_cost: u64,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+/// The slots of one upstream at one router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotRow {
+    /// Upstream of the row.
+    pub upstream: UpstreamName,
+    /// Slots that the router may use.
+    pub held: u32,
+    /// Slots in use; may pass `held` after the allocation shrank.
+    pub in_flight: u32,
+}
+
+/// The virtual time of a workspace as the owner sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Workspace of the row.
+    pub workspace: WorkspaceName,
+    /// Cost served and reserved fleet-wide, divided by the share.
+    pub virtual_time: f64,
+    /// Cost of the receiving router that `virtual_time` already contains.
+    pub included_cost: u64,
+}
+
+/// Slots that an owner lets a router use until the next allocation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Allocation {
+    /// Shard whose slots are allocated.
+    pub shard: ShardId,
+    /// Router process that owns the shard.
+    pub owner: Member,
+    /// Sequence number, growing per owner, shard and receiving router.
+    pub seq: u64,
+    /// Time after which unconfirmed slots may not be used, in milliseconds.
+    pub valid_for_ms: u64,
+    /// Time until the next periodic report is due, in milliseconds.
+    pub next_report_ms: u64,
+    /// Every slot of the shard is wanted by waiting work.
+    pub saturated: bool,
+    /// Slots per upstream; an upstream without a row has none.
+    pub slots: Vec<SlotRow>,
+    /// Virtual times of the active workspaces.
+    pub standings: Vec<Standing>,
+}
+
+/// An upstream of a shard, with the most slots that it may have.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamSlots {
+    /// Name of the upstream.
+    pub upstream: UpstreamName,
+    /// Failure domain it stands in.
+    pub failure_domain: FailureDomain,
+    /// Configured ceiling on concurrent requests.
+    pub max_concurrency: u32,
+    /// No new work may go to it.
+    pub leaving: bool,
+}
+
+/// What an upstream said of its load, late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that the upstream executes.
+    pub running: u32,
+    /// Requests queued at the upstream.
+    pub waiting: u32,
+    /// Concurrent requests that the upstream says it can execute.
+    pub slots: u32,
+    /// Time since the reported state was true, in milliseconds.
+    pub age_ms: u64,
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP plumbing over hyper shared by the programs: a bounded server, a pooled
+//! client and body helpers.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{Body, BodyError, ReadError, collect, empty, full, json, read_json};
+pub use client::{Client, ClientError, client};
+pub use server::{Limits, Server, bind};
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,171 @@
+//! HTTP server with bounds on connections and headers.
+
+use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{Request, Response, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    task::JoinHandle,
+};
+
+use crate::{Body, json};
+
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest request head, in bytes.
+    pub header_bytes: usize,
+    /// Open connections; further ones are answered with status 503.
+    pub connections: usize,
+    /// Time to read a request head, in milliseconds.
+    pub header_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 64 * 1024,
+            connections: 4096,
+            header_timeout_ms: 10_000,
+        }
+    }
+}
+
+/// A running server; dropping it leaves the accept loop running until the
+/// runtime ends.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Address the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets open requests finish, then returns.
+    pub async fn shutdown(self) {
+        self.stop.send_replace(true);
+        // The accept loop only fails if it panicked; nothing is left to stop then.
+        let _ = self.task.await;
+    }
+
+    /// Stops accepting at once and drops all connections.
+    pub fn abort(self) {
+        self.task.abort();
+    }
+}
+
+/// Binds `address` and serves it with `handler`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn bind<F, Fut>(address: SocketAddr, limits: Limits, handler: F) -> io::Result<Server>
+where
+    F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(accept_loop(listener, limits, handler, stopped));
+    Ok(Server {
+        address,
+        stop,
+        task,
+    })
+}
+
+async fn accept_loop<F, Fut>(
+    listener: TcpListener,
+    limits: Limits,
+    handler: F,
+    mut stopped: watch::Receiver<bool>,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                serve(stream, peer, limits, &permits, &graceful, handler.clone());
+            }
+            // Out of file descriptors, most often: wait for some to be closed.
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve<F, Fut>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: Limits,
+    permits: &Arc<Semaphore>,
+    graceful: &GracefulShutdown,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let permit = Arc::clone(permits).try_acquire_owned().ok();
+    let admitted = permit.is_some();
+    // Only fails on a socket that is already closed.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move {
+            let response = if admitted {
+                handler(request, peer).await
+            } else {
+                too_many_connections()
+            };
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
+        .max_buf_size(limits.header_bytes)
+        .keep_alive(admitted)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        // A caller that breaks its connection is no fault of the server.
+        let _ = connection.await;
+        drop(permit);
+    });
+}
+
+fn too_many_connections() -> Response<Body> {
+    let error = serde_json::json!({
+        "error": { "type": "too_many_connections", "message": "too many connections; retry later" }
+    });
+    let mut response = json(StatusCode::SERVICE_UNAVAILABLE, &error);
+    response
+        .headers_mut()
+        .insert("retry-after", http::HeaderValue::from_static("1"));
+    response
+        .headers_mut()
+        .insert("x-span-outcome", http::HeaderValue::from_static("not_run"));
+    response
+}
--- /dev/null
+++ b/crates/standin/src/engine/api.rs
@@ -0,0 +1,228 @@
+//! HTTP interface of the engine.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt, stream};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use serde_json::json;
+use span_http::{Body, json as json_response, read_json};
+use span_types::{REQUEST_ID_HEADER, RESUME_OFFSET_HEADER};
+use tokio::time::Instant;
+
+use super::{
+    ChatRequest, State,
+    generation::{self, Reader},
+};
+use crate::sign::{answer_text, chunk_text};
+
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Answers one request.
+pub(super) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, "/v1/chat/completions") => chat(state, request).await,
+        (&Method::GET, "/load") => load(&state),
+        (&Method::GET, "/ledger") => json_response(StatusCode::OK, &state.ledger.rows()),
+        (&Method::DELETE, path) if path.starts_with("/v1/requests/") => cancel(&state, path),
+        _ => error(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn error(status: StatusCode, message: &str) -> Response<Body> {
+    json_response(status, &json!({ "error": { "message": message } }))
+}
+
+fn load(state: &State) -> Response<Body> {
+    let lag = Duration::from_millis(state.settings.load_lag_ms);
+    let load = state
+        .load
+        .reported(Instant::now(), lag, state.settings.slots);
+    json_response(StatusCode::OK, &load)
+}
+
+fn cancel(state: &State, path: &str) -> Response<Body> {
+    let id = path.trim_start_matches("/v1/requests/");
+    match state.generations.get(id) {
+        Some(generation) => {
+            generation.cancel();
+            json_response(StatusCode::OK, &json!({ "cancelled": id }))
+        }
+        None => error(StatusCode::NOT_FOUND, "no such request"),
+    }
+}
+
+fn header<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+}
+
+async fn chat(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let Some(id) = header(&request, REQUEST_ID_HEADER).map(str::to_owned) else {
+        return error(StatusCode::BAD_REQUEST, "x-request-id is missing");
+    };
+    let offset = header(&request, RESUME_OFFSET_HEADER).and_then(|text| text.parse::<u64>().ok());
+    let chat: ChatRequest = match read_json(request.into_body(), MAX_BODY_BYTES).await {
+        Ok(chat) => chat,
+        Err(err) => return error(StatusCode::BAD_REQUEST, &err.to_string()),
+    };
+    let reader = match (offset, state.generations.get(&id)) {
+        (Some(_), Some(generation)) => generation.read(),
+        (Some(_), None) => return error(StatusCode::GONE, "no such stream to resume"),
+        (None, Some(_)) => return error(StatusCode::CONFLICT, "the request id was used before"),
+        (None, None) => generation::start(&state, &id, &chat),
+    };
+    if chat.stream {
+        streamed(reader, &chat.model, &id, offset.unwrap_or(0))
+    } else {
+        whole(reader, &chat.model, &id).await
+    }
+}
+
+async fn whole(mut reader: Reader, model: &str, id: &str) -> Response<Body> {
+    let ended = reader
+        .progress
+        .wait_for(|progress| progress.ended)
+        .await
+        .map(|progress| *progress);
+    match ended {
+        Ok(progress) if !progress.cancelled => {}
+        _ => return error(StatusCode::SERVICE_UNAVAILABLE, "the request was cancelled"),
+    }
+    let generation = &reader.generation;
+    let text = answer_text(&generation.nonce, generation.output_tokens);
+    json_response(
+        StatusCode::OK,
+        &json!({
+            "id": id,
+            "object": "chat.completion",
+            "created": 0,
+            "model": model,
+            "choices": [{
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": "stop",
+            }],
+            "usage": usage(generation.prompt_tokens, generation.output_tokens),
+        }),
+    )
+}
+
+fn usage(prompt_tokens: u64, completion_tokens: u64) -> serde_json::Value {
+    json!({
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": completion_tokens,
+        "total_tokens": prompt_tokens + completion_tokens,
+    })
+}
+
+fn streamed(reader: Reader, model: &str, id: &str, offset: u64) -> Response<Body> {
+    let events = events(reader, model.to_owned(), id.to_owned(), offset)
+        .map(|event| Ok::<_, Infallible>(Frame::data(event)));
+    let body = StreamBody::new(events)
+        .map_err(|never| match never {})
+        .boxed();
+    let mut response = Response::new(body);
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    response
+}
+
+struct Cursor {
+    reader: Reader,
+    model: String,
+    id: String,
+    next: u64,
+    stage: Stage,
+}
+
+enum Stage {
+    Tokens,
+    Done,
+    Closed,
+}
+
+/// One event per token, then one with the usage, then `[DONE]`. A cancelled
+/// generation ends without the last two.
+fn events(
+    reader: Reader,
+    model: String,
+    id: String,
+    offset: u64,
+) -> impl Stream<Item = Bytes> + Send + Sync {
+    let cursor = Cursor {
+        reader,
+        model,
+        id,
+        next: offset,
+        stage: Stage::Tokens,
+    };
+    stream::unfold(cursor, |mut cursor| async move {
+        match cursor.stage {
+            Stage::Tokens => cursor.token().await.map(|event| (event, cursor)),
+            Stage::Done => {
+                cursor.stage = Stage::Closed;
+                Some((Bytes::from_static(b"data: [DONE]\n\n"), cursor))
+            }
+            Stage::Closed => None,
+        }
+    })
+}
+
+impl Cursor {
+    async fn token(&mut self) -> Option<Bytes> {
+        let next = self.next;
+        let progress = {
+            let ready = self
+                .reader
+                .progress
+                .wait_for(|p| p.tokens > next || p.ended);
+            *ready.await.ok()?
+        };
+        if progress.tokens > next {
+            self.next += 1;
+            return Some(self.token_event(next));
+        }
+        if progress.cancelled {
+            return None;
+        }
+        self.stage = Stage::Done;
+        Some(self.usage_event())
+    }
+
+    fn token_event(&self, offset: u64) -> Bytes {
+        let text = chunk_text(&self.reader.generation.nonce, offset);
+        self.event(
+            json!([{ "index": 0, "delta": { "role": "assistant", "content": text } }]),
+            None,
+        )
+    }
+
+    fn usage_event(&self) -> Bytes {
+        let generation = &self.reader.generation;
+        let choices = json!([{ "index": 0, "delta": {}, "finish_reason": "stop" }]);
+        self.event(
+            choices,
+            Some(usage(generation.prompt_tokens, generation.output_tokens)),
+        )
+    }
+
+    fn event(&self, choices: serde_json::Value, usage: Option<serde_json::Value>) -> Bytes {
+        let chunk = json!({
+            "id": self.id,
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": self.model,
+            "choices": choices,
+            "usage": usage,
+        });
+        Bytes::from(format!("data: {chunk}\n\n"))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,96 @@
+//! Stand-in for a model engine: continuous batching over a fixed number of
+//! slots, admission in arrival order, streams that can be resumed.
+
+mod api;
+mod generation;
+mod load;
+mod request;
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use span_http::{Limits, Server};
+use tokio::sync::Semaphore;
+
+use crate::Ledger;
+
+pub use request::{ChatRequest, Message};
+
+/// How an engine behaves.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Requests executed at the same time.
+    pub slots: u32,
+    /// Time per generated token, in microseconds.
+    pub token_us: u64,
+    /// Time per prompt token, in microseconds.
+    pub prefill_us: u64,
+    /// Age of the state that load reports tell, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Time that a generation goes on without a reader, in milliseconds.
+    pub linger_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            token_us: 5_000,
+            prefill_us: 50,
+            load_lag_ms: 200,
+            linger_ms: 5_000,
+        }
+    }
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct Engine {
+    server: Server,
+    ledger: Ledger,
+}
+
+impl Engine {
+    /// Address the engine listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// What the engine executed.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Drops all connections and stops.
+    pub fn abort(self) {
+        self.server.abort();
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    settings: Settings,
+    slots: Arc<Semaphore>,
+    ledger: Ledger,
+    generations: generation::Generations,
+    load: load::LoadHistory,
+}
+
+/// Binds an engine to `address`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn bind(address: SocketAddr, settings: Settings) -> io::Result<Engine> {
+    let ledger = Ledger::default();
+    let state = Arc::new(State {
+        slots: Arc::new(Semaphore::new(settings.slots as usize)),
+        ledger: ledger.clone(),
+        generations: generation::Generations::default(),
+        load: load::LoadHistory::default(),
+        settings,
+    });
+    tokio::spawn(load::sample(Arc::downgrade(&state)));
+    let handler = move |request, _peer| api::handle(Arc::clone(&state), request);
+    let server = span_http::bind(address, Limits::default(), handler).await?;
+    Ok(Engine { server, ledger })
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,154 @@
+//! Stand-in for a plain service: executes each call once it has a slot and
+//! answers with what it received.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde_json::json;
+use span_http::{Body, Limits, Server, collect, json as json_response};
+use span_types::{PLAIN_CALL_COST, REQUEST_ID_HEADER};
+use tokio::sync::Semaphore;
+
+use crate::{Ledger, unix_us};
+
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Header whose value the caller finds again in the ledger and the answer.
+pub const NONCE_HEADER: &str = "x-nonce";
+
+/// How a service behaves.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Calls executed at the same time.
+    pub slots: u32,
+    /// Time of one call, in milliseconds.
+    pub call_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            call_ms: 20,
+        }
+    }
+}
+
+/// A running service.
+#[derive(Debug)]
+pub struct Service {
+    server: Server,
+    ledger: Ledger,
+}
+
+impl Service {
+    /// Address the service listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// What the service executed.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Drops all connections and stops.
+    pub fn abort(self) {
+        self.server.abort();
+    }
+}
+
+struct State {
+    settings: Settings,
+    slots: Semaphore,
+    queued: AtomicU32,
+    ledger: Ledger,
+}
+
+/// Binds a service to `address`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn bind(address: SocketAddr, settings: Settings) -> io::Result<Service> {
+    let ledger = Ledger::default();
+    let state = Arc::new(State {
+        slots: Semaphore::new(settings.slots as usize),
+        queued: AtomicU32::new(0),
+        ledger: ledger.clone(),
+        settings,
+    });
+    let handler = move |request, _peer| handle(Arc::clone(&state), request);
+    let server = span_http::bind(address, Limits::default(), handler).await?;
+    Ok(Service { server, ledger })
+}
+
+async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/load") => load(&state),
+        (&Method::GET, "/ledger") => json_response(StatusCode::OK, &state.ledger.rows()),
+        _ => call(state, request).await,
+    }
+}
+
+fn load(state: &State) -> Response<Body> {
+    let free = state.slots.available_permits() as u32;
+    let load = json!({
+        "running": state.settings.slots - free,
+        "waiting": state.queued.load(Ordering::Relaxed),
+        "slots": state.settings.slots,
+        "age_ms": 0,
+    });
+    json_response(StatusCode::OK, &load)
+}
+
+async fn call(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let header = |name| {
+        let value = request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (id, nonce) = (header(REQUEST_ID_HEADER), header(NONCE_HEADER));
+    let (method, uri) = (request.method().to_string(), request.uri().to_string());
+    let body = match collect(request.into_body(), MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(error) => {
+            let error = json!({ "error": { "message": error.to_string() } });
+            return json_response(StatusCode::BAD_REQUEST, &error);
+        }
+    };
+    // A call that has arrived runs to its end even if the connection breaks.
+    let worker = tokio::spawn(execute(state, id, nonce.clone()));
+    let _ = worker.await;
+    json_response(
+        StatusCode::OK,
+        &json!({
+            "nonce": nonce,
+            "method": method,
+            "uri": uri,
+            "body": String::from_utf8_lossy(&body),
+        }),
+    )
+}
+
+async fn execute(state: Arc<State>, id: String, nonce: String) {
+    let row = state.ledger.arrive(&id, &nonce, PLAIN_CALL_COST);
+    state.queued.fetch_add(1, Ordering::Relaxed);
+    // The semaphore is never closed; it admits in arrival order.
+    let slot = state.slots.acquire().await;
+    state.queued.fetch_sub(1, Ordering::Relaxed);
+    state.ledger.update(row, |row| row.started_us = unix_us());
+    tokio::time::sleep(Duration::from_millis(state.settings.call_ms)).await;
+    state.ledger.update(row, |row| row.ended_us = unix_us());
+    drop(slot);
+}
--- /dev/null
+++ b/crates/types/src/name.rs
@@ -0,0 +1,83 @@
+//! Names as shared immutable strings.
+
+use std::{borrow::Borrow, fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Makes a name from a string.
+            pub fn new(name: impl Into<Arc<str>>) -> Self {
+                Self(name.into())
+            }
+
+            /// The name as a string slice.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self(name.into())
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(name: String) -> Self {
+                Self(name.into())
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&*self.0, f)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A workspace: the group of callers that owns a share.
+    WorkspaceName
+);
+name_type!(
+    /// A service: the set of interchangeable upstreams that callers address.
+    ServiceName
+);
+name_type!(
+    /// An upstream: one model engine or plain service endpoint.
+    UpstreamName
+);
+name_type!(
+    /// An instance that runs a router.
+    InstanceName
+);
+name_type!(
+    /// A failure domain of a region.
+    FailureDomain
+);
