Define the messages between traffic and control threads

Cause: the caller side and the control thread are written apart and need one interface. Change: admission requests carry prompt cost, hint, prefix and upstreams to avoid; permits say how the attempt ended; addresses, minted ids and leaving have commands. The thin queue answers them plainly.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -34,25 +34,18 @@
 
 /// A body of known bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
 }
 
 /// An answer with a JSON body; status 500 if `value` cannot be serialised.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
     let (status, bytes) = match serde_json::to_vec(value) {
         Ok(bytes) => (status, bytes),
-        Err(error) => (
-            StatusCode::INTERNAL_SERVER_ERROR,
-            error.to_string().into_bytes(),
-        ),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes()),
     };
     let mut response = Response::new(full(bytes));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -31,11 +31,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            header_bytes: 64 * 1024,
-            connections: 4096,
-            header_timeout_ms: 10_000,
-        }
+        Self { header_bytes: 64 * 1024, connections: 4096, header_timeout_ms: 10_000 }
     }
 }
 
@@ -81,11 +77,7 @@
     let address = listener.local_addr()?;
     let (stop, stopped) = watch::channel(false);
     let task = tokio::spawn(accept_loop(listener, limits, handler, stopped));
-    Ok(Server {
-        address,
-        stop,
-        task,
-    })
+    Ok(Server { address, stop, task })
 }
 
 async fn accept_loop<F, Fut>(
@@ -134,11 +126,8 @@
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move {
-            let response = if admitted {
-                handler(request, peer).await
-            } else {
-                too_many_connections()
-            };
+            let response =
+                if admitted { handler(request, peer).await } else { too_many_connections() };
             Ok::<_, Infallible>(response)
         }
     });
@@ -161,11 +150,7 @@
         "error": { "type": "too_many_connections", "message": "too many connections; retry later" }
     });
     let mut response = json(StatusCode::SERVICE_UNAVAILABLE, &error);
-    response
-        .headers_mut()
-        .insert("retry-after", http::HeaderValue::from_static("1"));
-    response
-        .headers_mut()
-        .insert("x-span-outcome", http::HeaderValue::from_static("not_run"));
+    response.headers_mut().insert("retry-after", http::HeaderValue::from_static("1"));
+    response.headers_mut().insert("x-span-outcome", http::HeaderValue::from_static("not_run"));
     response
 }
--- a/crates/load/src/call.rs
+++ b/crates/load/src/call.rs
@@ -65,23 +65,14 @@
     output_tokens: u64,
 ) -> Result<CallResult, CallError> {
     let started = Instant::now();
-    let response = client
-        .request(request(target, nonce, output_tokens)?)
-        .await?;
+    let response = client.request(request(target, nonce, output_tokens)?).await?;
     let status = response.status().as_u16();
     let outcome = response.headers().get(OUTCOME_HEADER);
-    let outcome = outcome
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse().ok());
+    let outcome = outcome.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
     let body = collect(response.into_body(), MAX_ANSWER_BYTES).await?;
     let whole = stream_text(&body) == Some(answer_text(nonce, output_tokens));
     let latency_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
-    Ok(CallResult {
-        outcome,
-        status,
-        whole,
-        latency_us,
-    })
+    Ok(CallResult { outcome, status, whole, latency_us })
 }
 
 fn request(
@@ -91,39 +82,28 @@
 ) -> Result<Request<span_http::Body>, CallError> {
     let body = ChatRequest {
         model: target.model.clone(),
-        messages: vec![Message {
-            role: "user".into(),
-            content: "Draft a ticket.".into(),
-        }],
+        messages: vec![Message { role: "user".into(), content: "Draft a ticket.".into() }],
         stream: true,
         max_tokens: None,
         user: Some(nonce.to_owned()),
         metadata: BTreeMap::from([("output_tokens".into(), output_tokens.to_string())]),
     };
-    Ok(
-        Request::post(format!("http://{}/v1/chat/completions", target.router))
-            .header(AUTHORIZATION, format!("Bearer {}", target.key))
-            .body(full(serde_json::to_vec(&body)?))?,
-    )
+    Ok(Request::post(format!("http://{}/v1/chat/completions", target.router))
+        .header(AUTHORIZATION, format!("Bearer {}", target.key))
+        .body(full(serde_json::to_vec(&body)?))?)
 }
 
 /// Text of an event stream that ended with `[DONE]`.
 fn stream_text(body: &[u8]) -> Option<String> {
     let body = std::str::from_utf8(body).ok()?;
-    let events = body
-        .split("\n\n")
-        .filter_map(|event| event.strip_prefix("data: "));
+    let events = body.split("\n\n").filter_map(|event| event.strip_prefix("data: "));
     let mut text = String::new();
     for event in events {
         if event == "[DONE]" {
             return Some(text);
         }
         let event: serde_json::Value = serde_json::from_str(event).ok()?;
-        text.push_str(
-            event["choices"][0]["delta"]["content"]
-                .as_str()
-                .unwrap_or_default(),
-        );
+        text.push_str(event["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
     }
     None
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -24,13 +24,7 @@
         async move { chat(&client, &target, &format!("load-{number}"), 20).await }
     });
     let results = join_all(calls).await;
-    let whole = results
-        .iter()
-        .filter(|r| r.as_ref().is_ok_and(|r| r.whole))
-        .count();
-    println!(
-        "{}",
-        serde_json::json!({ "requests": requests, "whole": whole })
-    );
+    let whole = results.iter().filter(|r| r.as_ref().is_ok_and(|r| r.whole)).count();
+    println!("{}", serde_json::json!({ "requests": requests, "whole": whole }));
     Ok(())
 }
--- a/crates/router/src/args.rs
+++ b/crates/router/src/args.rs
@@ -29,10 +29,6 @@
     pub fn parse(mut raw: pico_args::Arguments) -> Result<Self, ArgsError> {
         let settings = raw.value_from_str("--settings")?;
         let left = raw.finish();
-        if left.is_empty() {
-            Ok(Self { settings })
-        } else {
-            Err(ArgsError::Unknown(left))
-        }
+        if left.is_empty() { Ok(Self { settings }) } else { Err(ArgsError::Unknown(left)) }
     }
 }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -6,11 +6,11 @@
 use std::{net::SocketAddr, sync::Arc, thread};
 
 use span_config::Document;
-use span_types::{ServiceName, UpstreamName, WorkspaceName};
+use span_types::{RequestId, ServiceName, UpstreamName, WorkspaceName};
 use tokio::sync::{mpsc, oneshot};
 
 use command::Command;
-pub use command::{AdmitRequest, Rejection};
+pub use command::{AdmitRequest, AttemptEnd, EntryAddress, EntryAddresses, MintedState, Rejection};
 
 /// Connection of the traffic threads to the control thread.
 #[derive(Clone, Debug)]
@@ -28,6 +28,7 @@
     service: ServiceName,
     workspace: WorkspaceName,
     cost: u64,
+    end: AttemptEnd,
     commands: mpsc::UnboundedSender<Command>,
 }
 
@@ -36,6 +37,11 @@
     pub fn add_cost(&mut self, cost: u64) {
         self.cost += cost;
     }
+
+    /// States how the attempt ended; without it, the upstream answered.
+    pub fn set_end(&mut self, end: AttemptEnd) {
+        self.end = end;
+    }
 }
 
 impl Drop for Permit {
@@ -46,6 +52,7 @@
             workspace: self.workspace.clone(),
             upstream: self.upstream.clone(),
             cost: self.cost,
+            end: self.end,
         });
     }
 }
@@ -63,6 +70,26 @@
         answer.await.unwrap_or(Err(Rejection::ShuttingDown))
     }
 
+    /// Addresses that a caller of `workspace` may use.
+    pub async fn addresses(&self, workspace: WorkspaceName) -> EntryAddresses {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.commands.send(Command::Addresses { workspace, reply });
+        answer.await.unwrap_or(EntryAddresses { addresses: Vec::new(), lifetime_ms: 0 })
+    }
+
+    /// Asks the router that minted `id` what became of it.
+    pub async fn ask_minted(&self, id: RequestId) -> MintedState {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.commands.send(Command::AskMinted { id, reply });
+        answer.await.unwrap_or(MintedState::Unknown)
+    }
+
+    /// Announces to peers and callers that this router is leaving. Requests
+    /// that wait or run go on.
+    pub fn leave(&self) {
+        let _ = self.commands.send(Command::Leave);
+    }
+
     /// Replaces the configuration.
     pub fn configure(&self, document: Arc<Document>) {
         let _ = self.commands.send(Command::Configure(document));
@@ -76,17 +103,13 @@
 /// Fails if the thread cannot be started.
 pub fn spawn() -> std::io::Result<Handle> {
     let (commands, received) = mpsc::unbounded_channel();
-    let handle = Handle {
-        commands: commands.clone(),
-    };
-    thread::Builder::new()
-        .name("control".into())
-        .spawn(move || {
-            let mut state = queue::State::new(commands);
-            let mut received = received;
-            while let Some(command) = received.blocking_recv() {
-                state.handle(command);
-            }
-        })?;
+    let handle = Handle { commands: commands.clone() };
+    thread::Builder::new().name("control".into()).spawn(move || {
+        let mut state = queue::State::new(commands);
+        let mut received = received;
+        while let Some(command) = received.blocking_recv() {
+            state.handle(command);
+        }
+    })?;
     Ok(handle)
 }
--- a/crates/router/src/control/queue.rs
+++ b/crates/router/src/control/queue.rs
@@ -9,7 +9,9 @@
 use span_types::{ServiceName, UpstreamName};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{AdmitRequest, Permit, Rejection, command::Command};
+use super::{
+    AdmitRequest, AttemptEnd, EntryAddresses, MintedState, Permit, Rejection, command::Command,
+};
 
 type Reply = oneshot::Sender<Result<Permit, Rejection>>;
 
@@ -19,6 +21,7 @@
     document: Arc<Document>,
     waiting: HashMap<ServiceName, VecDeque<(AdmitRequest, Reply)>>,
     in_flight: HashMap<UpstreamName, u32>,
+    leaving: bool,
 }
 
 impl State {
@@ -28,31 +31,34 @@
             document: Arc::default(),
             waiting: HashMap::new(),
             in_flight: HashMap::new(),
+            leaving: false,
         }
     }
 
     pub(super) fn handle(&mut self, command: Command) {
         match command {
+            Command::Admit { reply, .. } if self.leaving => {
+                let _ = reply.send(Err(Rejection::ShuttingDown));
+            }
             Command::Admit { request, reply } => {
                 let service = request.service.clone();
-                self.waiting
-                    .entry(service.clone())
-                    .or_default()
-                    .push_back((request, reply));
+                self.waiting.entry(service.clone()).or_default().push_back((request, reply));
                 self.dispatch(&service);
             }
-            Command::Finish {
-                service,
-                workspace,
-                upstream,
-                cost,
-            } => {
-                tracing::trace!(%workspace, cost, "request finished");
+            Command::Finish { service, workspace, upstream, cost, end } => {
+                tracing::trace!(%workspace, cost, ?end, "request finished");
                 if let Some(in_flight) = self.in_flight.get_mut(&upstream) {
                     *in_flight -= 1;
                 }
                 self.dispatch(&service);
             }
+            Command::Addresses { reply, .. } => {
+                let _ = reply.send(EntryAddresses { addresses: Vec::new(), lifetime_ms: 0 });
+            }
+            Command::AskMinted { reply, .. } => {
+                let _ = reply.send(MintedState::Unknown);
+            }
+            Command::Leave => self.leaving = true,
             Command::Configure(document) => {
                 self.document = document;
                 for service in self.waiting.keys().cloned().collect::<Vec<_>>() {
@@ -68,10 +74,7 @@
         };
         let document = Arc::clone(&self.document);
         while let Some((request, reply)) = waiting.pop_front() {
-            let all = document
-                .upstreams
-                .iter()
-                .filter(|(_, up)| up.service == *service);
+            let all = document.upstreams.iter().filter(|(_, up)| up.service == *service);
             let Some((name, upstream)) =
                 all.min_by_key(|(name, _)| self.in_flight.get(*name).copied().unwrap_or(0))
             else {
@@ -90,6 +93,7 @@
                 service: service.clone(),
                 workspace: request.workspace,
                 cost: 0,
+                end: AttemptEnd::default(),
                 commands: self.commands.clone(),
             };
             // A caller that is gone drops the permit, which frees the slot.
--- a/crates/router/src/front/answer.rs
+++ b/crates/router/src/front/answer.rs
@@ -28,21 +28,12 @@
     pub fn not_run(status: StatusCode, kind: &'static str, message: impl Into<String>) -> Self {
         let outcome = Outcome::NotRun;
         let retry_after_s = DEFAULT_RETRY_AFTER_S;
-        Self {
-            status,
-            outcome,
-            kind,
-            message: message.into(),
-            retry_after_s,
-        }
+        Self { status, outcome, kind, message: message.into(), retry_after_s }
     }
 
     /// The request may have run.
     pub fn unknown(status: StatusCode, kind: &'static str, message: impl Into<String>) -> Self {
-        Self {
-            outcome: Outcome::Unknown,
-            ..Self::not_run(status, kind, message)
-        }
+        Self { outcome: Outcome::Unknown, ..Self::not_run(status, kind, message) }
     }
 }
 
@@ -69,9 +60,7 @@
     let mut response = json_response(error.status, &body);
     stamp(&mut response, id, error.outcome);
     if error.outcome == Outcome::NotRun {
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(error.retry_after_s));
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(error.retry_after_s));
     }
     response
 }
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -35,13 +35,13 @@
     let admit = AdmitRequest {
         workspace: caller.workspace,
         service,
+        prompt_cost: 0,
+        cost_hint: None,
+        prefix: None,
+        avoid: Vec::new(),
     };
     let permit = front.control.admit(admit).await.map_err(|rejection| {
-        Failure::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "rejected",
-            rejection.to_string(),
-        )
+        Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, "rejected", rejection.to_string())
     })?;
     let request = upstream_request(&permit, id, body)?;
     let answer = upstream::send(&front.client, request).await?;
@@ -51,21 +51,13 @@
 async fn read(request: Request<Incoming>) -> Result<Bytes, Failure> {
     let body = collect(request.into_body(), MAX_BODY_BYTES).await;
     body.map_err(|error| {
-        Failure::not_run(
-            StatusCode::BAD_REQUEST,
-            "invalid_request",
-            error.to_string(),
-        )
+        Failure::not_run(StatusCode::BAD_REQUEST, "invalid_request", error.to_string())
     })
 }
 
 fn service(document: &Document, body: &Bytes) -> Result<ServiceName, Failure> {
     let head: Head = serde_json::from_slice(body).map_err(|error| {
-        Failure::not_run(
-            StatusCode::BAD_REQUEST,
-            "invalid_request",
-            error.to_string(),
-        )
+        Failure::not_run(StatusCode::BAD_REQUEST, "invalid_request", error.to_string())
     })?;
     let mut services = document.services.iter();
     let found = services.find(|(_, service)| service.models.contains(head.model.as_str()));
--- a/crates/router/src/front/mod.rs
+++ b/crates/router/src/front/mod.rs
@@ -67,10 +67,6 @@
         (_, path) if path.starts_with("/svc/") => {
             plain::call(front, &document, id, caller, request).await
         }
-        _ => Err(Failure::not_run(
-            StatusCode::NOT_FOUND,
-            "no_such_path",
-            "no such path",
-        )),
+        _ => Err(Failure::not_run(StatusCode::NOT_FOUND, "no_such_path", "no such path")),
     }
 }
--- a/crates/router/src/front/plain.rs
+++ b/crates/router/src/front/plain.rs
@@ -23,23 +23,19 @@
     let (service, target) = target(request.uri())?;
     if !document.services.contains_key(&service) {
         let message = format!("no service has the name {service}");
-        return Err(Failure::not_run(
-            StatusCode::NOT_FOUND,
-            "service_not_found",
-            message,
-        ));
+        return Err(Failure::not_run(StatusCode::NOT_FOUND, "service_not_found", message));
     }
     caller.may_reach(&service)?;
     let admit = AdmitRequest {
         workspace: caller.workspace,
         service,
+        prompt_cost: PLAIN_CALL_COST,
+        cost_hint: None,
+        prefix: None,
+        avoid: Vec::new(),
     };
     let mut permit = front.control.admit(admit).await.map_err(|rejection| {
-        Failure::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "rejected",
-            rejection.to_string(),
-        )
+        Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, "rejected", rejection.to_string())
     })?;
     permit.add_cost(PLAIN_CALL_COST);
     let request = upstream_request(&permit, id, &target, request)?;
@@ -53,11 +49,7 @@
     let rest = path.strip_prefix("/svc/").unwrap_or_default();
     let (service, target) = rest.split_once('/').unwrap_or((rest, ""));
     if service.is_empty() {
-        return Err(Failure::not_run(
-            StatusCode::NOT_FOUND,
-            "no_such_path",
-            "no service named",
-        ));
+        return Err(Failure::not_run(StatusCode::NOT_FOUND, "no_such_path", "no service named"));
     }
     Ok((service.into(), format!("/{target}")))
 }
--- a/crates/router/src/front/upstream.rs
+++ b/crates/router/src/front/upstream.rs
@@ -14,11 +14,7 @@
     client.request(request).await.map_err(|error| {
         let message = format!("the upstream failed: {error}");
         if error.is_connect() {
-            Failure::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "upstream_unreachable",
-                message,
-            )
+            Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, "upstream_unreachable", message)
         } else {
             Failure::unknown(StatusCode::BAD_GATEWAY, "upstream_failed", message)
         }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -5,10 +5,7 @@
 
 #[tokio::main]
 async fn main() -> Result<()> {
-    tracing_subscriber::fmt()
-        .json()
-        .with_writer(std::io::stderr)
-        .init();
+    tracing_subscriber::fmt().json().with_writer(std::io::stderr).init();
     let args = Args::parse(pico_args::Arguments::from_env())?;
     let settings = settings::load(&args.settings)?;
     let router = span_router::spawn(settings).await?;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -55,27 +55,17 @@
 ///
 /// Fails if an address cannot be bound or a thread cannot be started.
 pub async fn spawn(settings: Settings) -> Result<Router, SpawnError> {
-    let incarnation = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = Incarnation(u64::try_from(incarnation.as_micros()).unwrap_or(u64::MAX));
     let front = Arc::new(Front {
-        member: Member {
-            instance: settings.instance.clone(),
-            incarnation,
-        },
+        member: Member { instance: settings.instance.clone(), incarnation },
         document: Arc::default(),
         control: control::spawn()?,
         client: span_http::client(CONNECT_TIMEOUT),
         last_seq: AtomicU64::new(0),
     });
     let document = Arc::clone(&front.document);
-    tokio::spawn(follow(
-        front.client.clone(),
-        settings.clone(),
-        document,
-        front.control.clone(),
-    ));
+    tokio::spawn(follow(front.client.clone(), settings.clone(), document, front.control.clone()));
     let handler = move |request, _peer| front::handle(Arc::clone(&front), request);
     let server = span_http::bind(settings.http_address, Limits::default(), handler).await?;
     Ok(Router { server })
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -49,12 +49,8 @@
 /// Fails if the file cannot be read or is not valid.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
     let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-        path: name.clone(),
-        source,
-    })?;
-    serde_saphyr::from_str(&text).map_err(|error| SettingsError::Invalid {
-        path: name,
-        message: error.to_string(),
-    })
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| SettingsError::Read { path: name.clone(), source })?;
+    serde_saphyr::from_str(&text)
+        .map_err(|error| SettingsError::Invalid { path: name, message: error.to_string() })
 }
--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -52,10 +52,6 @@
     /// Fails if arguments are left.
     pub fn finish(self) -> Result<(), ArgsError> {
         let left = self.0.finish();
-        if left.is_empty() {
-            Ok(())
-        } else {
-            Err(ArgsError::Unknown(left))
-        }
+        if left.is_empty() { Ok(()) } else { Err(ArgsError::Unknown(left)) }
     }
 }
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -39,9 +39,7 @@
 
 fn load(state: &State) -> Response<Body> {
     let lag = Duration::from_millis(state.settings.load_lag_ms);
-    let load = state
-        .load
-        .reported(Instant::now(), lag, state.settings.slots);
+    let load = state.load.reported(Instant::now(), lag, state.settings.slots);
     json_response(StatusCode::OK, &load)
 }
 
@@ -57,10 +55,7 @@
 }
 
 fn header<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
-    request
-        .headers()
-        .get(name)
-        .and_then(|value| value.to_str().ok())
+    request.headers().get(name).and_then(|value| value.to_str().ok())
 }
 
 async fn chat(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
@@ -86,11 +81,7 @@
 }
 
 async fn whole(mut reader: Reader, model: &str, id: &str) -> Response<Body> {
-    let ended = reader
-        .progress
-        .wait_for(|progress| progress.ended)
-        .await
-        .map(|progress| *progress);
+    let ended = reader.progress.wait_for(|progress| progress.ended).await.map(|progress| *progress);
     match ended {
         Ok(progress) if !progress.cancelled => {}
         _ => return error(StatusCode::SERVICE_UNAVAILABLE, "the request was cancelled"),
@@ -125,13 +116,9 @@
 fn streamed(reader: Reader, model: &str, id: &str, offset: u64) -> Response<Body> {
     let events = events(reader, model.to_owned(), id.to_owned(), offset)
         .map(|event| Ok::<_, Infallible>(Frame::data(event)));
-    let body = StreamBody::new(events)
-        .map_err(|never| match never {})
-        .boxed();
+    let body = StreamBody::new(events).map_err(|never| match never {}).boxed();
     let mut response = Response::new(body);
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     response
 }
 
@@ -157,13 +144,7 @@
     id: String,
     offset: u64,
 ) -> impl Stream<Item = Bytes> + Send + Sync {
-    let cursor = Cursor {
-        reader,
-        model,
-        id,
-        next: offset,
-        stage: Stage::Tokens,
-    };
+    let cursor = Cursor { reader, model, id, next: offset, stage: Stage::Tokens };
     stream::unfold(cursor, |mut cursor| async move {
         match cursor.stage {
             Stage::Tokens => cursor.token().await.map(|event| (event, cursor)),
@@ -180,10 +161,7 @@
     async fn token(&mut self) -> Option<Bytes> {
         let next = self.next;
         let progress = {
-            let ready = self
-                .reader
-                .progress
-                .wait_for(|p| p.tokens > next || p.ended);
+            let ready = self.reader.progress.wait_for(|p| p.tokens > next || p.ended);
             *ready.await.ok()?
         };
         if progress.tokens > next {
@@ -199,19 +177,13 @@
 
     fn token_event(&self, offset: u64) -> Bytes {
         let text = chunk_text(&self.reader.generation.nonce, offset);
-        self.event(
-            json!([{ "index": 0, "delta": { "role": "assistant", "content": text } }]),
-            None,
-        )
+        self.event(json!([{ "index": 0, "delta": { "role": "assistant", "content": text } }]), None)
     }
 
     fn usage_event(&self) -> Bytes {
         let generation = &self.reader.generation;
         let choices = json!([{ "index": 0, "delta": {}, "finish_reason": "stop" }]);
-        self.event(
-            choices,
-            Some(usage(generation.prompt_tokens, generation.output_tokens)),
-        )
+        self.event(choices, Some(usage(generation.prompt_tokens, generation.output_tokens)))
     }
 
     fn event(&self, choices: serde_json::Value, usage: Option<serde_json::Value>) -> Bytes {
--- a/crates/standin/src/engine/generation.rs
+++ b/crates/standin/src/engine/generation.rs
@@ -48,10 +48,7 @@
     /// reader left.
     pub fn read(self: &Arc<Self>) -> Reader {
         self.readers.fetch_add(1, Ordering::SeqCst);
-        Reader {
-            progress: self.progress.subscribe(),
-            generation: Arc::clone(self),
-        }
+        Reader { progress: self.progress.subscribe(), generation: Arc::clone(self) }
     }
 
     /// Ends the generation early.
@@ -98,11 +95,7 @@
 impl Generations {
     /// The generation with this id, if it is known.
     pub fn get(&self, id: &str) -> Option<Arc<Generation>> {
-        self.by_id
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(id)
-            .cloned()
+        self.by_id.lock().unwrap_or_else(PoisonError::into_inner).get(id).cloned()
     }
 
     fn insert(&self, id: &str, generation: &Arc<Generation>) {
@@ -111,10 +104,7 @@
     }
 
     fn remove(&self, id: &str) {
-        self.by_id
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(id);
+        self.by_id.lock().unwrap_or_else(PoisonError::into_inner).remove(id);
     }
 }
 
@@ -136,9 +126,7 @@
 }
 
 async fn run(state: Arc<State>, id: String, generation: Arc<Generation>) {
-    let row = state
-        .ledger
-        .arrive(&id, &generation.nonce, generation.prompt_tokens);
+    let row = state.ledger.arrive(&id, &generation.nonce, generation.prompt_tokens);
     let linger = Duration::from_millis(state.settings.linger_ms);
     let cancelled = tokio::select! {
         () = execute(&state, row, &generation) => false,
@@ -173,9 +161,7 @@
     for token in 1..=generation.output_tokens {
         due += Duration::from_micros(state.settings.token_us);
         tokio::time::sleep_until(due).await;
-        generation
-            .progress
-            .send_modify(|progress| progress.tokens = token);
+        generation.progress.send_modify(|progress| progress.tokens = token);
         state.ledger.update(row, |row| row.output_cost = token);
     }
 }
--- a/crates/standin/src/engine/load.rs
+++ b/crates/standin/src/engine/load.rs
@@ -46,19 +46,13 @@
     /// The newest sample that is at least `lag` old.
     pub fn reported(&self, now: Instant, lag: Duration, slots: u32) -> Load {
         let samples = self.samples.lock().unwrap_or_else(PoisonError::into_inner);
-        let old = samples
-            .iter()
-            .rev()
-            .find(|(at, _)| now.duration_since(*at) >= lag);
+        let old = samples.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
         match old {
             Some((at, load)) => {
                 let age_ms = now.duration_since(*at).as_millis() as u64;
                 Load { age_ms, ..*load }
             }
-            None => Load {
-                slots,
-                ..Load::default()
-            },
+            None => Load { slots, ..Load::default() },
         }
     }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -32,13 +32,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self {
-            slots: 8,
-            token_us: 5_000,
-            prefill_us: 50,
-            load_lag_ms: 200,
-            linger_ms: 5_000,
-        }
+        Self { slots: 8, token_us: 5_000, prefill_us: 50, load_lag_ms: 200, linger_ms: 5_000 }
     }
 }
 
--- a/crates/standin/src/engine/request.rs
+++ b/crates/standin/src/engine/request.rs
@@ -43,24 +43,14 @@
 impl ChatRequest {
     /// Tokens of the prompt.
     pub fn prompt_tokens(&self) -> u64 {
-        let bytes: usize = self
-            .messages
-            .iter()
-            .map(|message| text_len(&message.content))
-            .sum();
+        let bytes: usize = self.messages.iter().map(|message| text_len(&message.content)).sum();
         (bytes / BYTES_PER_TOKEN) as u64 + 1
     }
 
     /// Tokens that the answer will have.
     pub fn output_tokens(&self) -> u64 {
-        let wanted = self
-            .metadata
-            .get("output_tokens")
-            .and_then(|text| text.parse().ok());
-        let limit = self
-            .max_tokens
-            .unwrap_or(MAX_OUTPUT_TOKENS)
-            .min(MAX_OUTPUT_TOKENS);
+        let wanted = self.metadata.get("output_tokens").and_then(|text| text.parse().ok());
+        let limit = self.max_tokens.unwrap_or(MAX_OUTPUT_TOKENS).min(MAX_OUTPUT_TOKENS);
         wanted.unwrap_or(DEFAULT_OUTPUT_TOKENS).min(limit)
     }
 }
--- a/crates/standin/src/objects/api.rs
+++ b/crates/standin/src/objects/api.rs
@@ -92,11 +92,7 @@
 }
 
 fn deleted(existed: bool) -> Response<Body> {
-    let status = if existed {
-        StatusCode::NO_CONTENT
-    } else {
-        StatusCode::NOT_FOUND
-    };
+    let status = if existed { StatusCode::NO_CONTENT } else { StatusCode::NOT_FOUND };
     let mut response = Response::new(span_http::empty());
     *response.status_mut() = status;
     response
@@ -105,9 +101,7 @@
 fn query(request: &Request<Incoming>, name: &str) -> Option<String> {
     let pairs = request.uri().query()?.split('&');
     let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
-    pairs
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value.to_owned())
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
 }
 
 /// `after` and `wait_ms` make the read a watch: it waits for a version above
@@ -147,9 +141,7 @@
 
 fn found(object: Object) -> Response<Body> {
     let mut response = Response::new(full(object.value));
-    response
-        .headers_mut()
-        .insert(ETAG, HeaderValue::from(object.version));
+    response.headers_mut().insert(ETAG, HeaderValue::from(object.version));
     response
 }
 
@@ -167,9 +159,7 @@
         Ok(version) => {
             state.changed.notify_waiters();
             let mut response = status(StatusCode::OK);
-            response
-                .headers_mut()
-                .insert(ETAG, HeaderValue::from(version));
+            response.headers_mut().insert(ETAG, HeaderValue::from(version));
             response
         }
         Err(err @ PutError::Conflict { .. }) => {
@@ -180,12 +170,7 @@
 }
 
 fn condition(request: &Request<Incoming>) -> Result<Precondition, &'static str> {
-    let header = |name| {
-        request
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-    };
+    let header = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
     match (header(IF_MATCH.as_str()), header(IF_NONE_MATCH.as_str())) {
         (None, None) => Ok(Precondition::None),
         (None, Some("*")) => Ok(Precondition::Absent),
@@ -210,10 +195,7 @@
 async fn set_faults(state: &State, request: Request<Incoming>) -> Response<Body> {
     match read_json(request.into_body(), MAX_VALUE_BYTES).await {
         Ok(faults) => {
-            *state
-                .faults
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner) = faults;
+            *state.faults.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = faults;
             state.changed.notify_waiters();
             status(StatusCode::OK)
         }
--- a/crates/standin/src/objects/mod.rs
+++ b/crates/standin/src/objects/mod.rs
@@ -37,10 +37,7 @@
     }
 
     fn faults(&self) -> Faults {
-        self.faults
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
@@ -52,11 +49,7 @@
 
     /// Replaces the faults in force.
     pub fn set_faults(&self, faults: Faults) {
-        *self
-            .state
-            .faults
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = faults;
+        *self.state.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
         self.state.changed.notify_waiters();
     }
 
--- a/crates/standin/src/objects/store.rs
+++ b/crates/standin/src/objects/store.rs
@@ -86,9 +86,7 @@
     /// Keys that start with `prefix`, in order.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let keys = self.objects.range(prefix.to_owned()..).map(|(key, _)| key);
-        keys.take_while(|key| key.starts_with(prefix))
-            .cloned()
-            .collect()
+        keys.take_while(|key| key.starts_with(prefix)).cloned().collect()
     }
 
     /// Writes an object and returns its new version.
@@ -116,8 +114,7 @@
         }
         self.next_version += 1;
         let version = self.next_version;
-        self.objects
-            .insert(key.to_owned(), Object { version, value });
+        self.objects.insert(key.to_owned(), Object { version, value });
         Ok(version)
     }
 
@@ -144,11 +141,7 @@
         if lag_ms == 0 {
             return self.instances.values().cloned().collect();
         }
-        let old = self
-            .list_history
-            .iter()
-            .rev()
-            .find(|(at_ms, _)| now_ms - at_ms >= lag_ms);
+        let old = self.list_history.iter().rev().find(|(at_ms, _)| now_ms - at_ms >= lag_ms);
         old.map(|(_, list)| list.clone()).unwrap_or_default()
     }
 
@@ -156,7 +149,6 @@
         if self.list_history.len() == LIST_HISTORY {
             self.list_history.pop_front();
         }
-        self.list_history
-            .push_back((now_ms, self.instances.values().cloned().collect()));
+        self.list_history.push_back((now_ms, self.instances.values().cloned().collect()));
     }
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -35,10 +35,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self {
-            slots: 8,
-            call_ms: 20,
-        }
+        Self { slots: 8, call_ms: 20 }
     }
 }
 
@@ -112,10 +109,7 @@
 
 async fn call(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
     let header = |name| {
-        let value = request
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok());
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
     let (id, nonce) = (header(REQUEST_ID_HEADER), header(NONCE_HEADER));
--- a/crates/standin/src/sign.rs
+++ b/crates/standin/src/sign.rs
@@ -4,15 +4,10 @@
 
 /// Text of chunk number `offset` of the answer to the request with `nonce`.
 pub fn chunk_text(nonce: &str, offset: u64) -> String {
-    format!(
-        "{:08x} ",
-        xxh3_64_with_seed(nonce.as_bytes(), offset) as u32
-    )
+    format!("{:08x} ", xxh3_64_with_seed(nonce.as_bytes(), offset) as u32)
 }
 
 /// Text of a whole answer of `chunks` chunks.
 pub fn answer_text(nonce: &str, chunks: u64) -> String {
-    (0..chunks)
-        .map(|offset| chunk_text(nonce, offset))
-        .collect()
+    (0..chunks).map(|offset| chunk_text(nonce, offset)).collect()
 }
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -64,11 +64,7 @@
 
 impl fmt::Display for RequestId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}.{:x}.{:x}",
-            self.instance, self.incarnation.0, self.seq
-        )
+        write!(f, "{}.{:x}.{:x}", self.instance, self.incarnation.0, self.seq)
     }
 }
 
--- a/crates/types/tests/request_id.rs
+++ b/crates/types/tests/request_id.rs
@@ -10,21 +10,9 @@
         seq: u64,
     }
     let cases = [
-        Case {
-            instance: "r1",
-            incarnation: 0,
-            seq: 0,
-        },
-        Case {
-            instance: "hall-atl.r1",
-            incarnation: u64::MAX,
-            seq: 7,
-        },
-        Case {
-            instance: "10.0.0.1",
-            incarnation: 12,
-            seq: u64::MAX,
-        },
+        Case { instance: "r1", incarnation: 0, seq: 0 },
+        Case { instance: "hall-atl.r1", incarnation: u64::MAX, seq: 7 },
+        Case { instance: "10.0.0.1", incarnation: 12, seq: u64::MAX },
     ];
     for case in cases {
         let id = RequestId {
