--- /dev/null
+++ b/crates/platform/src/resolve.rs
@@ -0,0 +1,102 @@
+//! Writes whose answer may be lost.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::{Backoff, Condition, Error, Object, Platform};
+
+const ATTEMPTS: u32 = 4;
+const BACKOFF_BASE_MS: u64 = 20;
+const BACKOFF_MAX_MS: u64 = 200;
+
+/// What became of a write whose answer was lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Resolution {
+    /// It took effect; the object is at least as new as the write.
+    Applied(Object),
+    /// It did not and cannot take effect any more: its condition no longer
+    /// holds. `None` if there is no object.
+    Lost(Option<Object>),
+    /// The object is as before. The write may still arrive.
+    Pending,
+}
+
+impl Platform {
+    /// Reads back a write whose answer was lost. `mine` recognises the effect
+    /// of the write in the stored object, also after later writes by others.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] or [`Error::Refused`] if it cannot be read.
+    pub async fn resolve(
+        &self,
+        key: &str,
+        condition: Condition,
+        mine: impl Fn(&Object) -> bool,
+    ) -> Result<Resolution, Error> {
+        let found = self.get(key).await?;
+        Ok(classify(found, condition, mine))
+    }
+
+    /// Writes under a condition; if the answer is lost, reads back and writes
+    /// again only while the condition still holds, so that the write takes
+    /// effect at most once. Returns the object's version once it holds the
+    /// write.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] if another write came first, [`Error::EffectUnknown`]
+    /// if reading back fails too, otherwise as [`Platform::put`].
+    pub async fn put_resolving(
+        &self,
+        key: &str,
+        value: Bytes,
+        condition: Condition,
+        mine: impl Fn(&Object) -> bool,
+    ) -> Result<u64, Error> {
+        let mut backoff = Backoff::new(BACKOFF_BASE_MS, BACKOFF_MAX_MS);
+        let mut unknown = match self.put(key, value.clone(), condition).await {
+            Err(error @ Error::EffectUnknown { .. }) => error,
+            result => return result,
+        };
+        for _ in 1..ATTEMPTS {
+            match self.resolve(key, condition, &mine).await {
+                Ok(Resolution::Applied(object)) => return Ok(object.version),
+                Ok(Resolution::Lost(_)) => return Err(Error::Conflict { key: key.to_owned() }),
+                Ok(Resolution::Pending) => match self.put(key, value.clone(), condition).await {
+                    // A conflict may be the first write arriving: read again.
+                    Err(Error::Conflict { .. }) => {}
+                    Err(error) => unknown = effect_unknown(error),
+                    Ok(version) => return Ok(version),
+                },
+                Err(error) => unknown = effect_unknown(error),
+            }
+            let delay_ms = backoff.delay_ms(rand::random());
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        Err(unknown)
+    }
+}
+
+/// After a first write without an answer, a failure of any kind leaves the
+/// effect of the first open.
+fn effect_unknown(error: Error) -> Error {
+    Error::EffectUnknown { reason: error.to_string() }
+}
+
+fn classify(
+    found: Option<Object>,
+    condition: Condition,
+    mine: impl Fn(&Object) -> bool,
+) -> Resolution {
+    if let Some(object) = found.as_ref().filter(|object| mine(object)) {
+        return Resolution::Applied(object.clone());
+    }
+    let holds = match (condition, &found) {
+        (Condition::Any, _) | (Condition::Absent, None) => true,
+        (Condition::Version(version), Some(object)) => object.version == version,
+        (Condition::Absent, Some(_)) | (Condition::Version(_), None) => false,
+    };
+    if holds { Resolution::Pending } else { Resolution::Lost(found) }
+}
