Read, check, compare and store configuration documents

Cause: operators need every fault of their YAML at once with its place, and routers need small deltas between revisions. Change: YAML to located values to items to the document; export; changes, effects on the fleet, plans and their ids; the stored form with the last 256 confirmations; deltas with a digest of the result. Text nested deeper than 64 levels is refused before the YAML parser sees it. Conclusion: revisions can be passed on as deltas and are checked on arrival.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -10,6 +10,8 @@
 use sha2::{Digest, Sha256};
 use span_types::{FailureDomain, ServiceKind, ServiceName, UpstreamName, WorkspaceName};
 
+const ABBREVIATED_DIGITS: usize = 8;
+
 /// SHA-256 of an API key, in lower-case hexadecimal digits.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -22,21 +24,40 @@
         let text: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
         Self(text.into())
     }
+
+    /// The first digits, enough to tell keys apart in messages.
+    pub fn abbreviated(&self) -> &str {
+        self.0.get(..ABBREVIATED_DIGITS).unwrap_or(&self.0)
+    }
 }
 
 /// Everything that operators declare.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
     /// Groups of callers and their shares.
+    #[serde(default)]
     pub workspaces: BTreeMap<WorkspaceName, Workspace>,
     /// Services that callers address.
+    #[serde(default)]
     pub services: BTreeMap<ServiceName, Service>,
     /// Endpoints that serve the services.
+    #[serde(default)]
     pub upstreams: BTreeMap<UpstreamName, Upstream>,
     /// People and programs that may change the configuration.
+    #[serde(default)]
     pub operators: BTreeMap<Arc<str>, Operator>,
 }
 
+impl Document {
+    /// Digest over the whole content. Equal documents have equal digests on all
+    /// instances, because items are kept in order.
+    pub fn digest(&self) -> String {
+        // A document consists of strings and integers, which always serialise.
+        let bytes = serde_json::to_vec(self).unwrap_or_default();
+        format!("{:032x}", xxhash_rust::xxh3::xxh3_128(&bytes))
+    }
+}
+
 /// A group of callers with a share of each service it may reach.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
@@ -75,8 +96,10 @@
     /// Ceiling on concurrent requests.
     pub max_concurrency: u32,
     /// Refuses orders that carry an old fencing number.
+    #[serde(default)]
     pub checks_fencing: bool,
     /// No new work may go to it.
+    #[serde(default)]
     pub leaving: bool,
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,5 +1,25 @@
 //! The configuration document: what operators declare and routers follow.
+//!
+//! Operators write YAML ([`parse`]); the object API holds a [`Stored`] document;
+//! a change is shown as a [`Plan`] before it is confirmed; routers pass each
+//! other a [`Delta`] instead of whole documents.
 
+mod change;
+mod delta;
 mod document;
+mod effect;
+mod export;
+mod plan;
+mod problem;
+mod stored;
+mod yaml;
 
+pub use change::{Change, Field, ItemKind, changes};
+pub use delta::{Delta, DeltaError};
 pub use document::{Document, KeyHash, Operator, Service, Upstream, Workspace};
+pub use effect::{Effects, ServiceEffect, ShareChange, WorkspaceLoss};
+pub use export::export;
+pub use plan::{Plan, PlanId};
+pub use problem::{Problem, Problems};
+pub use stored::{CURRENT_KEY, Confirmation, Current, HISTORY_LIMIT, Stored, StoredError};
+pub use yaml::{Source, parse};
--- /dev/null
+++ b/crates/config/tests/yaml.rs
@@ -0,0 +1,108 @@
+//! Reading what operators write.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use proptest::{prelude::*, test_runner::Config};
+use support::{BASE, parse, source};
+
+/// Guards against an error text that hides a fault or its place. Each case is
+/// one file with several faults; all have to be in the same report.
+#[test]
+fn every_fault_is_reported_with_its_place() {
+    let cases = [
+        (
+            "units",
+            "workspaces:\n  - name: a\n    share: 1\n    deadline: 20\n  - name: b\n    share: 1\n    \
+             deadline_ms: 20s\n  - name: c\n    share: 1\n    deadline_s: 3\n  - name: d\n    \
+             share: 1\n    deadline_ms: 5\n",
+        ),
+        (
+            "shares",
+            "workspaces:\n  - {name: a, share: 0}\n  - {name: b, share: 9000000}\n  - {name: c}\n  \
+             - {name: d, share: -1}\n  - {name: e, share: 1.5}\n  - {name: f, share: lots}\n",
+        ),
+        (
+            "names",
+            "workspaces:\n  - {name: a, share: 1}\n  - {name: a, share: 1}\n  - {name: A b, share: \
+             1}\n  - {share: 1}\n  - plain\nservices: nothing\n",
+        ),
+        (
+            "references",
+            "workspaces:\n  - {name: a, share: 1, services: [x, y, y]}\nservices:\n  - {name: y, \
+             kind: model, models: [m]}\n  - {name: z, kind: model, models: [m]}\n  - {name: p, \
+             kind: plain, models: [n]}\n  - {name: q, kind: model}\n  - {name: r, kind: odd}\n\
+             upstreams:\n  - {name: u, service: w, address: here, failure_domain: d, \
+             max_concurrency: 0, leaving: maybe}\n",
+        ),
+        (
+            "unknown keys",
+            "worskpaces: []\nworkspaces:\n  - name: a\n    share: 1\n    colour: red\n    share: 2\n",
+        ),
+        ("secret in clear text", "workspaces:\n  - {name: a, share: 1, keys: [hunter2]}\n"),
+        ("syntax", "workspaces:\n  - name: [a\n"),
+        ("anchors", "workspaces: &all\n  - *all\n"),
+        ("no mapping", "- a\n- b\n"),
+    ];
+    for (name, text) in cases {
+        let problems = span_config::parse(&[source("fleet.yaml", text)]).unwrap_err();
+        insta::assert_snapshot!(format!("faults_{}", name.replace(' ', "_")), problems);
+    }
+}
+
+/// Guards against checks that look at one file at a time.
+#[test]
+fn faults_between_files_are_found() {
+    let other = BASE.replace("name: big", "name: other");
+    let files = [source("a.yaml", BASE), source("b.yaml", &other), source("c.yaml", "]")];
+    insta::assert_snapshot!(span_config::parse(&files).unwrap_err());
+}
+
+/// Guards against an export that loses or changes a field.
+#[test]
+fn export_reads_back_as_the_same_document() {
+    let document = parse(BASE);
+    let text = span_config::export(&document).unwrap();
+    insta::assert_snapshot!(text);
+    assert_eq!(parse(&text), document);
+}
+
+/// Guards against the order of files and items changing the document.
+#[test]
+fn splitting_a_file_changes_nothing() {
+    let (first, second) = BASE.split_at(BASE.find("services:\n").unwrap());
+    let files = [source("b.yaml", second), source("a.yaml", first)];
+    assert_eq!(span_config::parse(&files).unwrap(), parse(BASE));
+}
+
+/// Guards against a stack overflow in the YAML parser.
+#[test]
+fn deep_nesting_is_refused() {
+    let long = 200_000;
+    let cases = ["[".repeat(long), "- ".repeat(long), "{a: ".repeat(long), "? ".repeat(long)];
+    for text in cases {
+        assert!(span_config::parse(&[source("deep.yaml", &text)]).is_err());
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 512, failure_persistence: None, ..Config::default() })]
+
+    /// Guards against a panic on malformed input, and against faults without
+    /// a file name.
+    #[test]
+    fn malformed_text_never_panics(text in r"[\[\]{}:,&*!|>'%@`#a-z0-9\n \t\-?]{0,200}") {
+        if let Err(problems) = span_config::parse(&[source("x.yaml", &text)]) {
+            prop_assert!(!problems.0.is_empty());
+            prop_assert!(problems.0.iter().all(|problem| problem.file == "x.yaml"));
+        }
+    }
+
+    /// As above, with damage to a valid file, which reaches the later stages.
+    #[test]
+    fn damaged_file_never_panics(at in 0..BASE.len(), cut in 0..40usize, insert in ".{0,6}") {
+        let mut text = BASE.to_owned();
+        text.replace_range(at..(at + cut).min(BASE.len()), &insert);
+        let _ = span_config::parse(&[source("x.yaml", &text)]);
+    }
+}
