Let the engine stand-in take orders, with or without fencing checks

Cause: orders to engines need something to arrive at. Change: POST /orders and GET /orders with a ledger that marks stale orders; put_resolving tells an acknowledged write from one that was read back, because the version read back may belong to a later write.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,5 +20,5 @@
 pub use error::Error;
 pub use instance::Instance;
 pub use object::{Condition, MAX_VALUE_BYTES, Object};
-pub use resolve::Resolution;
+pub use resolve::{Resolution, Written};
 pub use watch::Watch;
--- a/crates/platform/src/resolve.rs
+++ b/crates/platform/src/resolve.rs
@@ -22,6 +22,16 @@
     Pending,
 }
 
+/// A write that took effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// The platform acknowledged it with this version.
+    Acknowledged(u64),
+    /// The answer was lost and the object that was read back contains the
+    /// write. Later writes by others may be in it too.
+    ReadBack(Object),
+}
+
 impl Platform {
     /// Reads back a write whose answer was lost. `mine` recognises the effect
     /// of the write in the stored object, also after later writes by others.
@@ -41,8 +51,7 @@
 
     /// Writes under a condition; if the answer is lost, reads back and writes
     /// again only while the condition still holds, so that the write takes
-    /// effect at most once. Returns the object's version once it holds the
-    /// write.
+    /// effect at most once.
     ///
     /// # Errors
     ///
@@ -54,21 +63,21 @@
         value: Bytes,
         condition: Condition,
         mine: impl Fn(&Object) -> bool,
-    ) -> Result<u64, Error> {
+    ) -> Result<Written, Error> {
         let mut backoff = Backoff::new(BACKOFF_BASE_MS, BACKOFF_MAX_MS);
         let mut unknown = match self.put(key, value.clone(), condition).await {
             Err(error @ Error::EffectUnknown { .. }) => error,
-            result => return result,
+            result => return result.map(Written::Acknowledged),
         };
         for _ in 1..ATTEMPTS {
             match self.resolve(key, condition, &mine).await {
-                Ok(Resolution::Applied(object)) => return Ok(object.version),
+                Ok(Resolution::Applied(object)) => return Ok(Written::ReadBack(object)),
                 Ok(Resolution::Lost(_)) => return Err(Error::Conflict { key: key.to_owned() }),
                 Ok(Resolution::Pending) => match self.put(key, value.clone(), condition).await {
                     // A conflict may be the first write arriving: read again.
                     Err(Error::Conflict { .. }) => {}
                     Err(error) => unknown = effect_unknown(error),
-                    Ok(version) => return Ok(version),
+                    Ok(version) => return Ok(Written::Acknowledged(version)),
                 },
                 Err(error) => unknown = effect_unknown(error),
             }
--- a/crates/platform/tests/calls.rs
+++ b/crates/platform/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Calls against the stand-in, with its faults switched on one by one.
 #![allow(clippy::unwrap_used)]
 
-use span_platform::{Condition, Error, Instance, Platform, Settings};
+use span_platform::{Condition, Error, Instance, Platform, Settings, Written};
 use span_standin::objects::{self, Faults, Platform as Standin, Precondition};
 
 async fn start() -> (Standin, Platform) {
@@ -106,10 +106,12 @@
     let (standin, platform) = start().await;
     standin.set_faults(Faults { lose_write_answers: true, ..Faults::default() });
     let mine = |object: &span_platform::Object| object.value == "mine";
-    let version =
+    let written =
         platform.put_resolving("a", "mine".into(), Condition::Absent, mine).await.unwrap();
     let stored = platform.get("a").await.unwrap().unwrap();
-    assert_eq!((stored.version, &stored.value[..]), (version, &b"mine"[..]));
+    let version = stored.version;
+    assert_eq!(&stored.value[..], b"mine");
+    assert_eq!(written, Written::ReadBack(stored));
     assert_eq!(platform.counts().writes, 1);
 
     let late = Condition::Version(version);
--- a/crates/standin/src/bin/standin-engine.rs
+++ b/crates/standin/src/bin/standin-engine.rs
@@ -17,6 +17,8 @@
         prefill_us: args.option("--prefill-us", defaults.prefill_us)?,
         load_lag_ms: args.option("--load-lag-ms", defaults.load_lag_ms)?,
         linger_ms: args.option("--linger-ms", defaults.linger_ms)?,
+        checks_fencing: args.option("--checks-fencing", defaults.checks_fencing)?,
+        lose_order_answers: args.option("--lose-order-answers", defaults.lose_order_answers)?,
     };
     args.finish()?;
     let engine = engine::bind(address, settings).await?;
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::{
-    ChatRequest, State,
+    ChatRequest, Order, State,
     generation::{self, Reader},
 };
 use crate::sign::{answer_text, chunk_text};
@@ -28,6 +28,8 @@
         (&Method::POST, "/v1/chat/completions") => chat(state, request).await,
         (&Method::GET, "/load") => load(&state),
         (&Method::GET, "/ledger") => json_response(StatusCode::OK, &state.ledger.rows()),
+        (&Method::POST, "/orders") => order(&state, request).await,
+        (&Method::GET, "/orders") => json_response(StatusCode::OK, &state.orders.rows()),
         (&Method::DELETE, path) if path.starts_with("/v1/requests/") => cancel(&state, path),
         _ => error(StatusCode::NOT_FOUND, "no such path"),
     }
@@ -54,6 +56,21 @@
     }
 }
 
+async fn order(state: &State, request: Request<Incoming>) -> Response<Body> {
+    let order: Order = match read_json(request.into_body(), MAX_BODY_BYTES).await {
+        Ok(order) => order,
+        Err(err) => return error(StatusCode::BAD_REQUEST, &err.to_string()),
+    };
+    let id = order.id.clone();
+    match state.orders.carry_out(order) {
+        Err(err) => error(StatusCode::CONFLICT, &err.to_string()),
+        Ok(()) if state.settings.lose_order_answers => {
+            error(StatusCode::SERVICE_UNAVAILABLE, "the answer was lost")
+        }
+        Ok(()) => json_response(StatusCode::OK, &json!({ "done": id })),
+    }
+}
+
 fn header<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
     request.headers().get(name).and_then(|value| value.to_str().ok())
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod api;
 mod generation;
 mod load;
+mod orders;
 mod request;
 
 use std::{io, net::SocketAddr, sync::Arc};
@@ -13,6 +14,7 @@
 
 use crate::Ledger;
 
+pub use orders::{Order, OrderRow, Orders, StaleFencing};
 pub use request::{ChatRequest, Message};
 
 /// How an engine behaves.
@@ -28,11 +30,24 @@
     pub load_lag_ms: u64,
     /// Time that a generation goes on without a reader, in milliseconds.
     pub linger_ms: u64,
+    /// Orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// Orders are carried out, then their answer is withheld and the call ends
+    /// with status 503.
+    pub lose_order_answers: bool,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { slots: 8, token_us: 5_000, prefill_us: 50, load_lag_ms: 200, linger_ms: 5_000 }
+        Self {
+            slots: 8,
+            token_us: 5_000,
+            prefill_us: 50,
+            load_lag_ms: 200,
+            linger_ms: 5_000,
+            checks_fencing: false,
+            lose_order_answers: false,
+        }
     }
 }
 
@@ -41,6 +56,7 @@
 pub struct Engine {
     server: Server,
     ledger: Ledger,
+    orders: Arc<Orders>,
 }
 
 impl Engine {
@@ -54,6 +70,11 @@
         &self.ledger
     }
 
+    /// Orders the engine carried out.
+    pub fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
     /// Drops all connections and stops.
     pub fn abort(self) {
         self.server.abort();
@@ -67,6 +88,7 @@
     ledger: Ledger,
     generations: generation::Generations,
     load: load::LoadHistory,
+    orders: Arc<Orders>,
 }
 
 /// Binds an engine to `address`.
@@ -76,9 +98,11 @@
 /// Fails if the address cannot be bound.
 pub async fn bind(address: SocketAddr, settings: Settings) -> io::Result<Engine> {
     let ledger = Ledger::default();
+    let orders = Arc::new(Orders::new(settings.checks_fencing));
     let state = Arc::new(State {
         slots: Arc::new(Semaphore::new(settings.slots as usize)),
         ledger: ledger.clone(),
+        orders: Arc::clone(&orders),
         generations: generation::Generations::default(),
         load: load::LoadHistory::default(),
         settings,
@@ -86,5 +110,5 @@
     tokio::spawn(load::sample(Arc::downgrade(&state)));
     let handler = move |request, _peer| api::handle(Arc::clone(&state), request);
     let server = span_http::bind(address, Limits::default(), handler).await?;
-    Ok(Engine { server, ledger })
+    Ok(Engine { server, ledger, orders })
 }
