Add the intent API: plans, confirmations, status and orders

Cause: operators need to change the fleet through any instance, also while they race, answers get lost or the object API is down. Change: a stateless HTTP service. The conditional write of config/current is the commit point; its history recognises a plan that is confirmed again; lost answers are read back.

--- /dev/null
+++ b/crates/intent/src/args.rs
@@ -0,0 +1,34 @@
+//! Command-line arguments.
+
+use std::{ffi::OsString, path::PathBuf};
+
+/// The arguments cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ArgsError {
+    /// An option is missing or its value is wrong.
+    #[error(transparent)]
+    Option(#[from] pico_args::Error),
+    /// Arguments that the program does not know.
+    #[error("unknown arguments: {0:?}")]
+    Unknown(Vec<OsString>),
+}
+
+/// Arguments of the intent process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Args {
+    /// Settings file, YAML.
+    pub settings: PathBuf,
+}
+
+impl Args {
+    /// Reads the arguments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `--settings` is missing or further arguments are given.
+    pub fn parse(mut raw: pico_args::Arguments) -> Result<Self, ArgsError> {
+        let settings = raw.value_from_str("--settings")?;
+        let left = raw.finish();
+        if left.is_empty() { Ok(Self { settings }) } else { Err(ArgsError::Unknown(left)) }
+    }
+}
--- /dev/null
+++ b/crates/intent/src/store.rs
@@ -0,0 +1,33 @@
+//! Reads the accepted document and plans.
+
+use span_config::{CURRENT_KEY, Current, Plan, PlanId};
+use span_platform::Platform;
+
+use crate::{IntentError, message::HistoryEntry};
+
+/// The accepted document; empty before the first confirmation.
+pub(crate) async fn current(platform: &Platform) -> Result<Current, IntentError> {
+    let Some(object) = platform.get(CURRENT_KEY).await? else { return Ok(Current::default()) };
+    Ok(Current::decode(object.version, &object.value)?)
+}
+
+/// A stored plan.
+pub(crate) async fn plan(platform: &Platform, id: &PlanId) -> Result<Plan, IntentError> {
+    let object = platform.get(&id.key()).await?;
+    let object = object.ok_or_else(|| IntentError::NoSuchPlan(id.to_string()))?;
+    serde_json::from_slice(&object.value).map_err(|error| IntentError::Corrupt(error.to_string()))
+}
+
+/// Confirmed plans as operators see them.
+pub(crate) fn entries<'a>(
+    confirmations: impl Iterator<Item = (span_types::Revision, &'a span_config::Confirmation)>,
+) -> Vec<HistoryEntry> {
+    let entries = confirmations.map(|(revision, entry)| HistoryEntry {
+        revision,
+        plan: entry.plan.clone(),
+        operator: entry.operator.clone(),
+        at_ms: entry.at_ms,
+        summary: entry.summary.clone(),
+    });
+    entries.collect()
+}
