Decide claims, minted ids, retries and delays in span-once

Cause: nothing decided whether a request may run, run again or be repeated. Change: a bounded registry of minted ids with expiry, claim buckets whose changes are idempotent, the decision after a failed attempt, a retry budget of 10% and delays with full jitter. Conclusion: the router can use these without own rules.

--- /dev/null
+++ b/crates/once/src/backoff.rs
@@ -0,0 +1,31 @@
+//! Jittered exponential delays between attempts.
+
+use rand::{Rng, RngExt};
+
+/// Delays between attempts, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backoff {
+    /// Upper bound of the first delay, in milliseconds.
+    pub base_ms: u64,
+    /// Upper bound of every delay, in milliseconds.
+    pub max_ms: u64,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self { base_ms: 20, max_ms: 1_000 }
+    }
+}
+
+impl Backoff {
+    /// Delay before attempt number `attempt`, counted from 0 for the first
+    /// retry, in milliseconds.
+    ///
+    /// The delay is drawn from the whole range (full jitter), so that requests
+    /// that failed together do not return together.
+    pub fn delay_ms(&self, attempt: u32, rng: &mut impl Rng) -> u64 {
+        let factor = 1_u64.checked_shl(attempt).unwrap_or(u64::MAX);
+        let bound_ms = self.base_ms.saturating_mul(factor).min(self.max_ms);
+        rng.random_range(0..=bound_ms)
+    }
+}
--- /dev/null
+++ b/crates/once/src/decision.rs
@@ -0,0 +1,45 @@
+//! What to do after an attempt at an upstream failed.
+
+use span_types::Outcome;
+
+/// How much of a request may have reached the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// No connection was made; no byte was sent.
+    Refused,
+    /// A byte may have been sent.
+    MaybeSent,
+}
+
+/// A failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// How much of the request may have reached the upstream.
+    pub delivery: Delivery,
+    /// An earlier attempt may have reached another upstream.
+    pub sent_before: bool,
+    /// The request may run more than once.
+    pub idempotent: bool,
+    /// A byte of the answer was passed on.
+    pub answer_begun: bool,
+    /// The request can be sent again from its first byte.
+    pub replayable: bool,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it to another upstream if the budget allows; end with the outcome
+    /// otherwise.
+    Retry(Outcome),
+    /// End the request with this outcome.
+    End(Outcome),
+}
+
+/// Decides what follows a failed attempt.
+pub fn decide(attempt: Attempt) -> Decision {
+    let sent = attempt.sent_before || attempt.delivery == Delivery::MaybeSent;
+    let outcome = if sent { Outcome::Unknown } else { Outcome::NotRun };
+    let safe = !attempt.answer_begun && attempt.replayable && (attempt.idempotent || !sent);
+    if safe { Decision::Retry(outcome) } else { Decision::End(outcome) }
+}
--- /dev/null
+++ b/crates/once/tests/decisions.rs
@@ -0,0 +1,121 @@
+//! Guards against requests that run twice and outcomes that claim too much.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use span_once::{
+    Attempt, Backoff, Begin, Bucket, Change, ClaimKey, ClaimResult, Decision, Delivery, Registry,
+    RegistryLimits, RetryBudget, RunState, decide,
+};
+use span_types::{Outcome, WorkspaceName};
+
+#[test]
+fn failed_attempts_are_repeated_only_where_safe() {
+    struct Case {
+        name: &'static str,
+        attempt: Attempt,
+        decision: Decision,
+    }
+    let base = Attempt {
+        delivery: Delivery::MaybeSent,
+        sent_before: false,
+        idempotent: false,
+        answer_begun: false,
+        replayable: true,
+    };
+    let refused = Attempt { delivery: Delivery::Refused, ..base };
+    let cases = [
+        Case { name: "sent once", attempt: base, decision: Decision::End(Outcome::Unknown) },
+        Case {
+            name: "idempotent",
+            attempt: Attempt { idempotent: true, ..base },
+            decision: Decision::Retry(Outcome::Unknown),
+        },
+        Case { name: "refused", attempt: refused, decision: Decision::Retry(Outcome::NotRun) },
+        Case {
+            name: "refused after another upstream may have run it",
+            attempt: Attempt { sent_before: true, idempotent: true, ..refused },
+            decision: Decision::Retry(Outcome::Unknown),
+        },
+        Case {
+            name: "refused and the body is gone",
+            attempt: Attempt { replayable: false, ..refused },
+            decision: Decision::End(Outcome::NotRun),
+        },
+        Case {
+            name: "answer begun",
+            attempt: Attempt { idempotent: true, answer_begun: true, ..base },
+            decision: Decision::End(Outcome::Unknown),
+        },
+    ];
+    for case in cases {
+        assert_eq!(decide(case.attempt), case.decision, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_minted_id_runs_once() {
+    let ws = WorkspaceName::from("shop");
+    let mut registry = Registry::new(RegistryLimits { entries: 2, lifetime_ms: 100 });
+    registry.mint(0, 1, ws.clone()).expect("there is room");
+    assert_eq!(registry.begin(1, 1, &"other".into()), Begin::Refused(RunState::Unknown));
+    assert_eq!(registry.begin(1, 1, &ws), Begin::Run);
+    assert_eq!(registry.begin(2, 1, &ws), Begin::Refused(RunState::Active));
+    registry.end(3, 1, Outcome::NotRun);
+    assert_eq!(registry.begin(4, 1, &ws), Begin::Run, "it did not run before");
+    assert_eq!(registry.state(500, 1), RunState::Active, "a running id is not forgotten");
+    registry.end(500, 1, Outcome::Completed);
+    assert_eq!(registry.begin(501, 1, &ws), Begin::Refused(RunState::Completed));
+    assert_eq!(registry.begin(700, 1, &ws), Begin::Refused(RunState::Unknown), "forgotten");
+}
+
+#[test]
+fn the_registry_is_bounded() {
+    let mut registry = Registry::new(RegistryLimits { entries: 2, lifetime_ms: 100 });
+    for seq in 1..=2 {
+        registry.mint(10, seq, "shop".into()).expect("there is room");
+    }
+    let error = registry.mint(20, 3, "shop".into()).expect_err("it is full");
+    assert_eq!(error.retry_after_ms, 90);
+    registry.mint(111, 3, "shop".into()).expect("the others expired");
+    assert_eq!(registry.len(), 1);
+}
+
+#[test]
+fn one_owner_holds_a_claim() {
+    let key = ClaimKey::new(&"shop".into(), "order-7");
+    let take = |owner: &str, replaces: Option<&str>| Change::Take {
+        key: key.clone(),
+        owner: owner.into(),
+        replaces: replaces.map(Into::into),
+    };
+    let mut bucket = Bucket::default();
+    assert_eq!(bucket.apply(0, &take("a", None)), ClaimResult::Applied);
+    assert_eq!(bucket.apply(1, &take("a", None)), ClaimResult::Applied, "lost answer");
+    assert!(matches!(bucket.apply(1, &take("b", None)), ClaimResult::Held(_)));
+    assert!(matches!(bucket.apply(1, &take("b", Some("c"))), ClaimResult::Held(_)));
+    assert_eq!(bucket.apply(2, &take("b", Some("a"))), ClaimResult::Applied);
+    bucket.apply(3, &Change::Release { key: key.clone(), owner: "a".into() });
+    assert!(bucket.get(&key).is_some(), "only the owner releases its claim");
+    assert_ne!(ClaimKey::new(&"a".into(), "b:c"), ClaimKey::new(&"a:b".into(), "c"));
+}
+
+#[test]
+fn retries_stay_within_a_tenth_of_the_requests() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        retries += u32::from(budget.spend());
+    }
+    assert!((1_000..=1_020).contains(&retries), "{retries}");
+}
+
+#[test]
+fn delays_grow_to_their_bound() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let backoff = Backoff { base_ms: 10, max_ms: 100 };
+    for attempt in 0..80 {
+        let bound_ms = if attempt < 4 { 10 << attempt } else { 100 };
+        assert!(backoff.delay_ms(attempt, &mut rng) <= bound_ms, "attempt {attempt}");
+    }
+}
