--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -19,15 +19,29 @@
 
 /// Makes a client that gives up connecting after `connect_timeout`.
 pub fn client(connect_timeout: Duration) -> Client {
+    builder().pool_idle_timeout(POOL_IDLE).build(connector(connect_timeout))
+}
+
+/// As [`client`], with a new connection for each request.
+///
+/// A pooled connection may have gone silent or be closing, and an error on it
+/// leaves open whether the request was received.
+pub fn fresh_client(connect_timeout: Duration) -> Client {
+    builder().pool_max_idle_per_host(0).build(connector(connect_timeout))
+}
+
+fn connector(connect_timeout: Duration) -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_keepalive(Some(KEEP_ALIVE));
     connector.set_connect_timeout(Some(connect_timeout));
-    legacy::Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(POOL_IDLE)
-        // A request whose connection closed before it was sent may be sent
-        // again; whether it may run again is for the caller to decide.
-        .retry_canceled_requests(false)
-        .build(connector)
+    connector
+}
+
+fn builder() -> legacy::Builder {
+    let mut builder = legacy::Client::builder(TokioExecutor::new());
+    // A request whose connection closed before it was sent may be sent again;
+    // whether it may run again is for the caller to decide.
+    builder.pool_timer(TokioTimer::new()).retry_canceled_requests(false);
+    builder
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,7 +4,8 @@
 mod body;
 mod client;
 mod server;
+mod stall;
 
 pub use body::{Body, BodyError, ReadError, collect, empty, full, json, read_json};
-pub use client::{Client, ClientError, client};
-pub use server::{Limits, Server, bind};
+pub use client::{Client, ClientError, client, fresh_client};
+pub use server::{Limits, Server, bind, bind_with};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -10,11 +10,11 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
     task::JoinHandle,
 };
 
-use crate::{Body, json};
+use crate::{Body, json, stall::StallGuard};
 
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
@@ -27,11 +27,19 @@
     pub connections: usize,
     /// Time to read a request head, in milliseconds.
     pub header_timeout_ms: u64,
+    /// Time for which a peer may take nothing that is written to it, in
+    /// milliseconds.
+    pub write_timeout_ms: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { header_bytes: 64 * 1024, connections: 4096, header_timeout_ms: 10_000 }
+        Self {
+            header_bytes: 64 * 1024,
+            connections: 4096,
+            header_timeout_ms: 10_000,
+            write_timeout_ms: 10_000,
+        }
     }
 }
 
@@ -72,22 +80,44 @@
 where
     F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    bind_with(address, limits, handler, too_many_connections).await
+}
+
+/// As [`bind`]; requests on connections past the limit are answered with
+/// `refuse`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn bind_with<F, Fut, R>(
+    address: SocketAddr,
+    limits: Limits,
+    handler: F,
+    refuse: R,
+) -> io::Result<Server>
+where
+    F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+    R: Fn() -> Response<Body> + Clone + Send + Sync + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let (stop, stopped) = watch::channel(false);
-    let task = tokio::spawn(accept_loop(listener, limits, handler, stopped));
+    let task = tokio::spawn(accept_loop(listener, limits, handler, refuse, stopped));
     Ok(Server { address, stop, task })
 }
 
-async fn accept_loop<F, Fut>(
+async fn accept_loop<F, Fut, R>(
     listener: TcpListener,
     limits: Limits,
     handler: F,
+    refuse: R,
     mut stopped: watch::Receiver<bool>,
 ) where
     F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
+    R: Fn() -> Response<Body> + Clone + Send + Sync + 'static,
 {
     let graceful = GracefulShutdown::new();
     let permits = Arc::new(Semaphore::new(limits.connections));
@@ -98,7 +128,19 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                serve(stream, peer, limits, &permits, &graceful, handler.clone());
+                let permit = Arc::clone(&permits).try_acquire_owned().ok();
+                let (handler, refuse) = (handler.clone(), refuse.clone());
+                let answer = move |request: Request<Incoming>, admitted: bool| {
+                    let handler = handler.clone();
+                    let refused = (!admitted).then(&refuse);
+                    async move {
+                        match refused {
+                            Some(response) => response,
+                            None => handler(request, peer).await,
+                        }
+                    }
+                };
+                serve(stream, limits, permit, &graceful, answer);
             }
             // Out of file descriptors, most often: wait for some to be closed.
             Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
@@ -110,27 +152,22 @@
 
 fn serve<F, Fut>(
     stream: TcpStream,
-    peer: SocketAddr,
     limits: Limits,
-    permits: &Arc<Semaphore>,
+    permit: Option<OwnedSemaphorePermit>,
     graceful: &GracefulShutdown,
-    handler: F,
+    answer: F,
 ) where
-    F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
+    F: Fn(Request<Incoming>, bool) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
-    let permit = Arc::clone(permits).try_acquire_owned().ok();
     let admitted = permit.is_some();
     // Only fails on a socket that is already closed.
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move {
-            let response =
-                if admitted { handler(request, peer).await } else { too_many_connections() };
-            Ok::<_, Infallible>(response)
-        }
+        let response = answer(request, admitted);
+        async move { Ok::<_, Infallible>(response.await) }
     });
+    let stream = StallGuard::new(stream, Duration::from_millis(limits.write_timeout_ms));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
--- a/crates/router/src/args.rs
+++ b/crates/router/src/args.rs
@@ -18,6 +18,8 @@
 pub struct Args {
     /// Settings file, YAML.
     pub settings: PathBuf,
+    /// Only check the settings.
+    pub check: bool,
 }
 
 impl Args {
@@ -27,8 +29,9 @@
     ///
     /// Fails if `--settings` is missing or further arguments are given.
     pub fn parse(mut raw: pico_args::Arguments) -> Result<Self, ArgsError> {
+        let check = raw.contains("--check");
         let settings = raw.value_from_str("--settings")?;
         let left = raw.finish();
-        if left.is_empty() { Ok(Self { settings }) } else { Err(ArgsError::Unknown(left)) }
+        if left.is_empty() { Ok(Self { settings, check }) } else { Err(ArgsError::Unknown(left)) }
     }
 }
--- a/crates/router/src/control/queue.rs
+++ b/crates/router/src/control/queue.rs
@@ -75,9 +75,10 @@
         let document = Arc::clone(&self.document);
         while let Some((request, reply)) = waiting.pop_front() {
             let all = document.upstreams.iter().filter(|(_, up)| up.service == *service);
-            let Some((name, upstream)) =
-                all.min_by_key(|(name, _)| self.in_flight.get(*name).copied().unwrap_or(0))
-            else {
+            let Some((name, upstream)) = all.min_by_key(|(name, _)| {
+                let avoided = request.avoid.contains(name);
+                (avoided, self.in_flight.get(*name).copied().unwrap_or(0))
+            }) else {
                 let _ = reply.send(Err(Rejection::NoUpstream));
                 continue;
             };
--- a/crates/router/src/front/auth.rs
+++ b/crates/router/src/front/auth.rs
@@ -1,10 +1,10 @@
 //! Which workspace a caller belongs to.
 
 use http::{HeaderMap, StatusCode, header::AUTHORIZATION};
-use span_config::{Document, KeyHash, Workspace};
+use span_config::{KeyHash, Workspace};
 use span_types::{ServiceName, WorkspaceName};
 
-use super::Failure;
+use super::{Failure, index::Index};
 
 /// An authenticated caller.
 #[derive(Clone, Debug)]
@@ -16,16 +16,25 @@
 }
 
 /// Finds the workspace of the bearer key.
-pub(super) fn authenticate(document: &Document, headers: &HeaderMap) -> Result<Caller, Failure> {
+pub(super) fn authenticate(index: &Index, headers: &HeaderMap) -> Result<Caller, Failure> {
     let refused = |message| Failure::not_run(StatusCode::UNAUTHORIZED, "unauthorized", message);
     let header = headers.get(AUTHORIZATION).ok_or_else(|| refused("a bearer key is needed"))?;
     let text = header.to_str().map_err(|_| refused("the key is not text"))?;
-    let key = text.strip_prefix("Bearer ").ok_or_else(|| refused("a bearer key is needed"))?;
-    let hash = KeyHash::of(key);
-    let mut workspaces = document.workspaces.iter();
-    let found = workspaces.find(|(_, workspace)| workspace.keys.contains(&hash));
-    let (workspace, settings) = found.ok_or_else(|| refused("the key is not known"))?;
-    Ok(Caller { workspace: workspace.clone(), settings: settings.clone() })
+    let key = bearer(text).ok_or_else(|| refused("a bearer key is needed"))?;
+    let workspace = index.workspace(&KeyHash::of(key));
+    let settings = workspace.and_then(|name| index.document.workspaces.get(name));
+    match (workspace, settings) {
+        (Some(workspace), Some(settings)) => {
+            Ok(Caller { workspace: workspace.clone(), settings: settings.clone() })
+        }
+        _ => Err(refused("the key is not known")),
+    }
+}
+
+/// The scheme's name has no case (RFC 9110, section 11.1).
+fn bearer(text: &str) -> Option<&str> {
+    let (scheme, key) = text.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
 }
 
 impl Caller {
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -1,101 +1,149 @@
-//! Chat completions.
+//! Chat completions and the list of models.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, Uri, header::CONTENT_TYPE};
-use http_body_util::BodyExt;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
+    header::{ACCEPT, CONTENT_TYPE},
+};
 use hyper::body::Incoming;
 use serde::Deserialize;
-use span_config::Document;
-use span_http::{Body, collect, full};
-use span_types::{Outcome, REQUEST_ID_HEADER, RequestId, ServiceName};
+use serde_json::{json, value::RawValue};
+use span_http::{Body, json as json_response};
+use span_types::{COST_HINT_HEADER, Outcome, PREFIX_HEADER, RequestId, ServiceName};
 
-use super::{Failure, Front, answer::stamp, auth::Caller, upstream};
-use crate::control::{AdmitRequest, Permit};
+use super::{
+    Failure, Front,
+    answer::stamp,
+    auth::Caller,
+    body::{self, Source},
+    dispatch::dispatch,
+    index::Index,
+    once, stream,
+    upstream::Outgoing,
+    whole,
+};
+use crate::control::AdmitRequest;
 
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+const BYTES_PER_TOKEN: usize = 4;
+/// Headers of the caller that an engine receives.
+const PASSED_HEADERS: [HeaderName; 3] = [
+    HeaderName::from_static("traceparent"),
+    HeaderName::from_static("tracestate"),
+    HeaderName::from_static("baggage"),
+];
 
 #[derive(Deserialize)]
-struct Head {
+struct Head<'a> {
     model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(borrow)]
+    messages: Vec<&'a RawValue>,
 }
 
 /// Runs one chat completion.
 pub(super) async fn complete(
     front: &Arc<Front>,
-    document: &Document,
+    index: &Index,
     id: &RequestId,
     caller: Caller,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
-    let body = read(request).await?;
-    let service = service(document, &body)?;
-    caller.may_reach(&service)?;
-    let admit = AdmitRequest {
-        workspace: caller.workspace,
-        service,
-        prompt_cost: 0,
-        cost_hint: None,
-        prefix: None,
-        avoid: Vec::new(),
-    };
-    let permit = front.control.admit(admit).await.map_err(|rejection| {
-        Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, "rejected", rejection.to_string())
-    })?;
-    let request = upstream_request(&permit, id, body)?;
-    let answer = upstream::send(&front.client, request).await?;
-    Ok(pass_on(answer, id, permit))
+    let (parts, body) = request.into_parts();
+    let limits = &front.settings.limits;
+    let pace_ms = front.settings.timeouts.body_ms;
+    let body = body::read(&parts.headers, body, limits.body_bytes, pace_ms).await?;
+    let head: Head<'_> = serde_json::from_slice(&body).map_err(|error| invalid(&error))?;
+    let (name, service) = service(index, &head.model)?;
+    caller.may_reach(name)?;
+    let prompt_cost = prompt_cost(&head);
+    let admit = admit(&caller, name, prompt_cost, &parts.headers);
+    let mut run = once::begin(front, id, &caller, service, &parts.headers).await?;
+    let streamed = head.stream;
+    let outgoing = outgoing(front, &parts.headers, body.clone(), streamed);
+    let (answer, live) = dispatch(front, &mut run, admit, &outgoing).await?;
+    if streamed && answer.status().is_success() {
+        let relay = stream::Relay { front: Arc::clone(front), run, outgoing, live, prompt_cost };
+        return Ok(stream::answer(relay, answer));
+    }
+    whole::answer(front, &mut run, &outgoing, live, answer, prompt_cost).await
 }
 
-async fn read(request: Request<Incoming>) -> Result<Bytes, Failure> {
-    let body = collect(request.into_body(), MAX_BODY_BYTES).await;
-    body.map_err(|error| {
-        Failure::not_run(StatusCode::BAD_REQUEST, "invalid_request", error.to_string())
-    })
+fn invalid(error: &serde_json::Error) -> Failure {
+    let message = format!("the body is not a chat completion request: {error}");
+    Failure::not_run(StatusCode::BAD_REQUEST, "invalid_request", message)
 }
 
-fn service(document: &Document, body: &Bytes) -> Result<ServiceName, Failure> {
-    let head: Head = serde_json::from_slice(body).map_err(|error| {
-        Failure::not_run(StatusCode::BAD_REQUEST, "invalid_request", error.to_string())
-    })?;
-    let mut services = document.services.iter();
-    let found = services.find(|(_, service)| service.models.contains(head.model.as_str()));
-    found.map(|(name, _)| name.clone()).ok_or_else(|| {
-        let message = format!("no service has the model {:?}", head.model);
+fn service<'a>(
+    index: &'a Index,
+    model: &str,
+) -> Result<(&'a ServiceName, &'a span_config::Service), Failure> {
+    let name = index.service_of(model);
+    let found = name.and_then(|name| index.document.services.get_key_value(name));
+    found.ok_or_else(|| {
+        let message = format!("no service has the model {model:?}");
         Failure::not_run(StatusCode::NOT_FOUND, "model_not_found", message)
     })
 }
 
-fn upstream_request(
-    permit: &Permit,
-    id: &RequestId,
-    body: Bytes,
-) -> Result<Request<Body>, Failure> {
-    let uri: Uri = format!("http://{}/v1/chat/completions", permit.address)
-        .parse()
-        .map_err(|_| Failure::not_run(StatusCode::BAD_GATEWAY, "bad_upstream", "bad address"))?;
-    let mut request = Request::post(uri).body(full(body)).map_err(|error| {
-        Failure::not_run(StatusCode::BAD_GATEWAY, "bad_request", error.to_string())
-    })?;
-    let headers = request.headers_mut();
+/// An estimate of the prompt's tokens; the engine tells the number at the end.
+fn prompt_cost(head: &Head<'_>) -> u64 {
+    let bytes: usize = head.messages.iter().map(|message| message.get().len()).sum();
+    (bytes / BYTES_PER_TOKEN) as u64 + 1
+}
+
+pub(super) fn admit(
+    caller: &Caller,
+    service: &ServiceName,
+    prompt_cost: u64,
+    headers: &HeaderMap,
+) -> AdmitRequest {
+    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    AdmitRequest {
+        workspace: caller.workspace.clone(),
+        service: service.clone(),
+        prompt_cost,
+        cost_hint: text(COST_HINT_HEADER).and_then(|text| text.parse().ok()),
+        prefix: text(PREFIX_HEADER).and_then(|text| u64::from_str_radix(text, 16).ok()),
+        avoid: Vec::new(),
+    }
+}
+
+fn outgoing(front: &Front, caller: &HeaderMap, body: Bytes, streamed: bool) -> Outgoing {
+    let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
-        headers.insert(REQUEST_ID_HEADER, value);
+    for name in PASSED_HEADERS.iter().chain([&ACCEPT]) {
+        if let Some(value) = caller.get(name) {
+            headers.insert(name, value.clone());
+        }
+    }
+    Outgoing {
+        method: Method::POST,
+        target: "/v1/chat/completions".into(),
+        headers,
+        body: Source::Whole(body),
+        engine: true,
+        streamed,
+        silence_ms: front.settings.timeouts.silence_ms,
+        answer_ms: front.settings.timeouts.answer_ms,
     }
-    Ok(request)
 }
 
-fn pass_on(answer: Response<Incoming>, id: &RequestId, mut permit: Permit) -> Response<Body> {
-    let (head, body) = answer.into_parts();
-    let body = body
-        .map_frame(move |frame| {
-            permit.add_cost(1);
-            frame
-        })
-        .map_err(Into::into)
-        .boxed();
-    let mut response = Response::from_parts(head, body);
+/// Lists the models that the caller may use: `GET /v1/models`.
+pub(super) fn models(index: &Index, id: &RequestId, caller: &Caller) -> Response<Body> {
+    let services = index.document.services.iter();
+    let reached = services.filter(|(name, _)| caller.settings.services.contains(*name));
+    let models = reached.flat_map(|(name, service)| {
+        let owner = name.clone();
+        let model = move |model| {
+            json!({ "id": model, "object": "model", "created": 0, "owned_by": owner.as_str() })
+        };
+        service.models.iter().map(model)
+    });
+    let list = json!({ "object": "list", "data": models.collect::<Vec<_>>() });
+    let mut response = json_response(StatusCode::OK, &list);
     stamp(&mut response, id, Outcome::Completed);
     response
 }
--- a/crates/router/src/front/plain.rs
+++ b/crates/router/src/front/plain.rs
@@ -1,89 +1,193 @@
-//! Calls to plain services.
+//! Calls to plain services, passed through in both directions.
 
-use std::sync::Arc;
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
 
-use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri,
+    header::{AUTHORIZATION, CONTENT_LENGTH, EXPECT, HOST, TRAILER},
+};
+use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use span_config::Document;
-use span_http::Body;
-use span_types::{Outcome, PLAIN_CALL_COST, REQUEST_ID_HEADER, RequestId, ServiceName};
+use span_http::{Body, BodyError};
+use span_types::{OUTCOME_HEADER, Outcome, PLAIN_CALL_COST, RequestId, ServiceKind, ServiceName};
 
-use super::{Failure, Front, answer::stamp, auth::Caller, upstream};
-use crate::control::{AdmitRequest, Permit};
+use super::{
+    Failure, Front,
+    answer::{stamp, stamp_id},
+    auth::Caller,
+    body::{Paced, Silence, Source},
+    chat::admit,
+    dispatch::dispatch,
+    headers::remove_hop_by_hop,
+    index::Index,
+    once::{self, Run},
+    upstream::{Live, Outgoing, SendError},
+};
+use crate::control::AttemptEnd;
 
 /// Runs one call of a plain service.
 pub(super) async fn call(
     front: &Arc<Front>,
-    document: &Document,
+    index: &Index,
     id: &RequestId,
     caller: Caller,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
-    let (service, target) = target(request.uri())?;
-    if !document.services.contains_key(&service) {
-        let message = format!("no service has the name {service}");
-        return Err(Failure::not_run(StatusCode::NOT_FOUND, "service_not_found", message));
-    }
-    caller.may_reach(&service)?;
-    let admit = AdmitRequest {
-        workspace: caller.workspace,
-        service,
-        prompt_cost: PLAIN_CALL_COST,
-        cost_hint: None,
-        prefix: None,
-        avoid: Vec::new(),
+    let (name, target) = target(request.uri())?;
+    let service = index.document.services.get(&name);
+    let service =
+        service.filter(|service| service.kind == ServiceKind::Plain).ok_or_else(|| {
+            let message = format!("no plain service has the name {name}");
+            Failure::not_run(StatusCode::NOT_FOUND, "service_not_found", message)
+        })?;
+    caller.may_reach(&name)?;
+    let (parts, body) = request.into_parts();
+    let limit_bytes = front.settings.limits.body_bytes;
+    let pace_ms = front.settings.timeouts.body_ms;
+    let body = Source::take(&parts.headers, body, limit_bytes, pace_ms).await?;
+    let mut run = once::begin(front, id, &caller, service, &parts.headers).await?;
+    let admit = admit(&caller, &name, PLAIN_CALL_COST, &parts.headers);
+    let outgoing = Outgoing {
+        method: parts.method,
+        target,
+        headers: passed(parts.headers),
+        body,
+        engine: false,
+        streamed: true,
+        silence_ms: front.settings.timeouts.answer_ms,
+        answer_ms: front.settings.timeouts.answer_ms,
     };
-    let mut permit = front.control.admit(admit).await.map_err(|rejection| {
-        Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, "rejected", rejection.to_string())
-    })?;
-    permit.add_cost(PLAIN_CALL_COST);
-    let request = upstream_request(&permit, id, &target, request)?;
-    let answer = upstream::send(&front.client, request).await?;
-    Ok(pass_on(answer, id, permit))
+    let (answer, mut live) = dispatch(front, &mut run, admit, &outgoing).await?;
+    live.permit.add_cost(PLAIN_CALL_COST);
+    Ok(pass_on(answer, run, live, outgoing.silence_ms))
 }
 
 /// Splits `/svc/<service>/<path>?<query>`.
 fn target(uri: &Uri) -> Result<(ServiceName, String), Failure> {
-    let path = uri.path_and_query().map_or("", |path| path.as_str());
-    let rest = path.strip_prefix("/svc/").unwrap_or_default();
-    let (service, target) = rest.split_once('/').unwrap_or((rest, ""));
+    let rest = uri.path().strip_prefix("/svc/").unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
     if service.is_empty() {
         return Err(Failure::not_run(StatusCode::NOT_FOUND, "no_such_path", "no service named"));
     }
-    Ok((service.into(), format!("/{target}")))
+    let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    Ok((service.into(), format!("/{path}{query}")))
 }
 
-fn upstream_request(
-    permit: &Permit,
-    id: &RequestId,
-    target: &str,
-    request: Request<Incoming>,
-) -> Result<Request<Body>, Failure> {
-    let (mut head, body) = request.into_parts();
-    head.uri = format!("http://{}{target}", permit.address)
-        .parse()
-        .map_err(|_| Failure::not_run(StatusCode::BAD_REQUEST, "invalid_request", "bad path"))?;
-    head.headers.remove(header::AUTHORIZATION);
-    head.headers.remove(header::HOST);
-    head.headers.remove(header::CONNECTION);
-    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
-        head.headers.insert(REQUEST_ID_HEADER, value);
+/// The headers that a service receives. The caller's key is for the router.
+fn passed(mut headers: HeaderMap) -> HeaderMap {
+    remove_hop_by_hop(&mut headers);
+    for name in [AUTHORIZATION, HOST, EXPECT] {
+        headers.remove(name);
     }
-    Ok(Request::from_parts(head, body.map_err(Into::into).boxed()))
+    headers
 }
 
-fn pass_on(answer: Response<Incoming>, id: &RequestId, permit: Permit) -> Response<Body> {
-    let (head, body) = answer.into_parts();
-    let body = body
-        .map_frame(move |frame| {
-            // Holds the slot until the answer has been passed on.
-            let _ = &permit;
-            frame
-        })
-        .map_err(Into::into)
-        .boxed();
-    let mut response = Response::from_parts(head, body);
-    stamp(&mut response, id, Outcome::Completed);
+/// An answer with a length states its outcome in the header: if it breaks off,
+/// the caller sees that bytes are missing. One without states it in a trailer.
+fn pass_on(answer: Response<Incoming>, run: Run, live: Live, answer_ms: u64) -> Response<Body> {
+    let (mut head, body) = answer.into_parts();
+    remove_hop_by_hop(&mut head.headers);
+    let sized = body.is_end_stream() || head.headers.contains_key(CONTENT_LENGTH);
+    let id = run.id.clone();
+    let body = Paced::new(body.map_err(Into::into).boxed(), answer_ms);
+    let mut passing = Passing { body, run, live, sized, ended: false };
+    if passing.body.is_end_stream() {
+        passing.complete();
+    }
+    let mut response = Response::from_parts(head, Body::new(passing));
+    if sized {
+        stamp(&mut response, &id, Outcome::Completed);
+    } else {
+        stamp_id(&mut response, &id);
+        response.headers_mut().append(TRAILER, HeaderValue::from_static(OUTCOME_HEADER));
+    }
     response
 }
+
+struct Passing {
+    body: Paced,
+    run: Run,
+    live: Live,
+    sized: bool,
+    ended: bool,
+}
+
+impl Passing {
+    fn complete(&mut self) {
+        self.ended = true;
+        self.live.end(AttemptEnd::Answered);
+        self.run.end(Outcome::Completed);
+    }
+
+    /// The connection to the caller is broken off, so that the part of the
+    /// answer it has cannot be taken for the whole.
+    fn fail(&mut self, error: &BodyError) {
+        self.ended = true;
+        let error = if error.is::<Silence>() { SendError::Silent } else { SendError::Broken };
+        self.live.fail(error);
+        self.run.end(Outcome::Unknown);
+    }
+
+    fn outcome_trailer(&self, mut trailers: HeaderMap) -> HeaderMap {
+        let outcome = HeaderValue::from_static(Outcome::Completed.into());
+        trailers.insert(HeaderName::from_static(OUTCOME_HEADER), outcome);
+        trailers
+    }
+}
+
+impl http_body::Body for Passing {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+            return Poll::Pending;
+        };
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => {
+                self.fail(&error);
+                return Poll::Ready(Some(Err(error)));
+            }
+            None => {
+                self.complete();
+                let trailers = (!self.sized).then(|| self.outcome_trailer(HeaderMap::new()));
+                return Poll::Ready(trailers.map(|trailers| Ok(Frame::trailers(trailers))));
+            }
+        };
+        let frame = match frame.into_trailers() {
+            Ok(trailers) => {
+                self.complete();
+                Frame::trailers(self.outcome_trailer(trailers))
+            }
+            Err(frame) => {
+                // The server stops polling once it has all bytes of a length.
+                if self.sized && self.body.is_end_stream() {
+                    self.complete();
+                }
+                frame
+            }
+        };
+        Poll::Ready(Some(Ok(frame)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,7 +4,11 @@
 pub mod args;
 pub mod control;
 mod front;
+mod minted;
 mod run;
 pub mod settings;
+pub mod trace;
 
+pub use front::CutRequest;
+pub use minted::MintedIds;
 pub use run::{Router, SpawnError, spawn};
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,10 +1,23 @@
 //! Settings of one router.
 
-use std::{net::SocketAddr, path::Path};
+mod check;
+
+use std::{fmt, net::SocketAddr, path::Path};
 
 use serde::{Deserialize, Serialize};
 use span_types::{FailureDomain, InstanceName};
 
+/// One error in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Line in the file, from 1; 0 if the YAML library does not tell.
+    pub line: usize,
+    /// Path of the field, as in `timeouts.silence_ms`.
+    pub path: String,
+    /// What is wrong.
+    pub message: String,
+}
+
 /// The settings cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -17,15 +30,34 @@
         source: std::io::Error,
     },
     /// The file is not valid.
-    #[error("{path}: {message}")]
+    #[error("{}", Listing { path, faults })]
     Invalid {
         /// File that was read.
         path: String,
-        /// What is wrong, with line and column.
-        message: String,
+        /// Every error in the file, in order of lines.
+        faults: Vec<Fault>,
     },
 }
 
+struct Listing<'a> {
+    path: &'a str,
+    faults: &'a [Fault],
+}
+
+impl fmt::Display for Listing<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.faults.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            write!(
+                f,
+                "{separator}{}:{}: {}: {}",
+                self.path, fault.line, fault.path, fault.message
+            )?;
+        }
+        Ok(())
+    }
+}
+
 /// Settings of one router.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -40,6 +72,90 @@
     pub peer_address: SocketAddr,
     /// Address of the platform's object API and instance list.
     pub platform_address: SocketAddr,
+    /// Bounds on what callers may use.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Time limits.
+    #[serde(default)]
+    pub timeouts: Timeouts,
+    /// Export of traces.
+    #[serde(default)]
+    pub trace: Trace,
+}
+
+/// Bounds on what callers may use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Largest request head, in bytes.
+    pub header_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Connections open at the same time.
+    pub connections: usize,
+    /// Request ids whose outcome is remembered.
+    pub remembered_ids: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 64 * 1024,
+            body_bytes: 8 * 1024 * 1024,
+            connections: 4_096,
+            remembered_ids: 65_536,
+        }
+    }
+}
+
+/// Time limits, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Timeouts {
+    /// To read a request head.
+    pub header_ms: u64,
+    /// Between two parts of a request body.
+    pub body_ms: u64,
+    /// For which a caller may take nothing that is written to it.
+    pub write_ms: u64,
+    /// To connect to an upstream.
+    pub connect_ms: u64,
+    /// Without a byte of a model's stream until it is resumed.
+    pub silence_ms: u64,
+    /// Without a byte of any other answer until the upstream is given up on.
+    pub answer_ms: u64,
+    /// For one call of the object API.
+    pub platform_ms: u64,
+    /// For which callers keep an address; a leaving router accepts connections
+    /// for this long.
+    pub address_lifetime_ms: u64,
+    /// After which a leaving router ends what still runs.
+    pub shutdown_ms: u64,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self {
+            header_ms: 10_000,
+            body_ms: 10_000,
+            write_ms: 10_000,
+            connect_ms: 1_000,
+            silence_ms: 5_000,
+            answer_ms: 120_000,
+            platform_ms: 2_000,
+            address_lifetime_ms: 10_000,
+            shutdown_ms: 300_000,
+        }
+    }
+}
+
+/// Export of traces.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Trace {
+    /// Where spans go by OTLP over HTTP, as in `http://10.0.0.9:4318/v1/traces`;
+    /// nothing is exported without it.
+    pub otlp_url: Option<String>,
 }
 
 /// Reads settings from a YAML file.
@@ -51,6 +167,14 @@
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|source| SettingsError::Read { path: name.clone(), source })?;
-    serde_saphyr::from_str(&text)
-        .map_err(|error| SettingsError::Invalid { path: name, message: error.to_string() })
+    parse(&text).map_err(|faults| SettingsError::Invalid { path: name, faults })
+}
+
+/// Reads settings from YAML text.
+///
+/// # Errors
+///
+/// Every [`Fault`] in the text, in order of lines.
+pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+    check::settings(text)
 }
--- /dev/null
+++ b/crates/router/src/settings/check.rs
@@ -0,0 +1,212 @@
+//! Reads settings field by field, so that all errors are found at once.
+
+use std::{fmt::Display, net::SocketAddr, str::FromStr};
+
+use marked_yaml::{LoadError, Node, types::MarkedMappingNode};
+
+use super::{Fault, Limits, Settings, Timeouts, Trace};
+
+const MAX_TIMEOUT_MS: u64 = 24 * 60 * 60 * 1_000;
+/// hyper needs a buffer of at least this size.
+const MIN_HEADER_BYTES: usize = 8_192;
+
+/// Reads settings; the errors are in order of lines.
+pub(super) fn settings(text: &str) -> Result<Settings, Vec<Fault>> {
+    let node = marked_yaml::parse_yaml(0, text).map_err(|error| vec![syntax(&error)])?;
+    let Some(map) = node.as_mapping() else {
+        let message = "must be a mapping".into();
+        return Err(vec![Fault { line: line(&node), path: ".".into(), message }]);
+    };
+    let mut faults = Vec::new();
+    let settings = root(&mut Section { map, path: "", known: Vec::new(), faults: &mut faults });
+    faults.sort_by_key(|fault| fault.line);
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(faults),
+    }
+}
+
+fn syntax(error: &LoadError) -> Fault {
+    let line = match error {
+        LoadError::TopLevelMustBeMapping(mark)
+        | LoadError::TopLevelMustBeSequence(mark)
+        | LoadError::UnexpectedAnchor(mark)
+        | LoadError::MappingKeyMustBeScalar(mark)
+        | LoadError::UnexpectedTag(mark)
+        | LoadError::ScanError(mark, _) => mark.line(),
+        LoadError::DuplicateKey(_) => 0,
+    };
+    Fault { line, path: ".".into(), message: error.to_string() }
+}
+
+fn line(node: &Node) -> usize {
+    node.span().start().map_or(0, |mark| mark.line())
+}
+
+fn root(section: &mut Section<'_>) -> Option<Settings> {
+    let instance: Option<String> = section.required("instance");
+    let failure_domain: Option<String> = section.required("failure_domain");
+    let http_address: Option<SocketAddr> = section.required("http_address");
+    let peer_address: Option<SocketAddr> = section.required("peer_address");
+    let platform_address: Option<SocketAddr> = section.required("platform_address");
+    let limits = section.section("limits", limits);
+    let timeouts = section.section("timeouts", timeouts);
+    let trace = section.section("trace", trace);
+    section.finish();
+    section.check("instance", instance.as_deref().is_none_or(is_name), "must be a plain name");
+    let distinct = http_address.is_none()
+        || http_address != peer_address
+        || http_address.is_some_and(|address| address.port() == 0);
+    section.check("peer_address", distinct, "must differ from http_address");
+    Some(Settings {
+        instance: instance?.into(),
+        failure_domain: failure_domain?.into(),
+        http_address: http_address?,
+        peer_address: peer_address?,
+        platform_address: platform_address?,
+        limits,
+        timeouts,
+        trace,
+    })
+}
+
+/// Request ids are sent in headers, so the name must fit there.
+fn is_name(text: &str) -> bool {
+    !text.is_empty() && text.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c))
+}
+
+fn limits(section: &mut Section<'_>) -> Limits {
+    let default = Limits::default();
+    let limits = Limits {
+        header_bytes: section.optional("header_bytes", default.header_bytes),
+        body_bytes: section.optional("body_bytes", default.body_bytes),
+        connections: section.optional("connections", default.connections),
+        remembered_ids: section.optional("remembered_ids", default.remembered_ids),
+    };
+    let message = format!("must be at least {MIN_HEADER_BYTES}");
+    section.check("header_bytes", limits.header_bytes >= MIN_HEADER_BYTES, &message);
+    section.check("body_bytes", limits.body_bytes > 0, "must be above 0");
+    section.check("connections", limits.connections > 0, "must be above 0");
+    section.check("remembered_ids", limits.remembered_ids > 0, "must be above 0");
+    limits
+}
+
+fn timeouts(section: &mut Section<'_>) -> Timeouts {
+    let default = Timeouts::default();
+    Timeouts {
+        header_ms: section.time("header_ms", default.header_ms, 1),
+        body_ms: section.time("body_ms", default.body_ms, 1),
+        write_ms: section.time("write_ms", default.write_ms, 1),
+        connect_ms: section.time("connect_ms", default.connect_ms, 1),
+        silence_ms: section.time("silence_ms", default.silence_ms, 1),
+        answer_ms: section.time("answer_ms", default.answer_ms, 1),
+        platform_ms: section.time("platform_ms", default.platform_ms, 1),
+        address_lifetime_ms: section.time("address_lifetime_ms", default.address_lifetime_ms, 0),
+        shutdown_ms: section.time("shutdown_ms", default.shutdown_ms, 0),
+    }
+}
+
+fn trace(section: &mut Section<'_>) -> Trace {
+    let url: String = section.optional("otlp_url", String::new());
+    let valid = url.is_empty() || url.parse::<http::Uri>().is_ok_and(|uri| uri.host().is_some());
+    section.check("otlp_url", valid, "must be a URL with a host");
+    Trace { otlp_url: Some(url).filter(|url| !url.is_empty()) }
+}
+
+struct Section<'a> {
+    map: &'a MarkedMappingNode,
+    path: &'a str,
+    known: Vec<&'static str>,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl Section<'_> {
+    fn fault(&mut self, line: usize, name: &str, message: impl Into<String>) {
+        let path =
+            if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) };
+        self.faults.push(Fault { line, path, message: message.into() });
+    }
+
+    fn read<T>(&mut self, name: &'static str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.known.push(name);
+        let node = self.map.get_node(name)?;
+        let line = line(node);
+        let Some(scalar) = node.as_scalar() else {
+            self.fault(line, name, "must be a single value");
+            return None;
+        };
+        match scalar.as_str().parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.fault(line, name, format!("{:?}: {error}", scalar.as_str()));
+                None
+            }
+        }
+    }
+
+    fn required<T>(&mut self, name: &'static str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        if self.map.get_node(name).is_none() {
+            let line = self.map.span().start().map_or(0, |mark| mark.line());
+            self.fault(line, name, "is missing");
+        }
+        self.read(name)
+    }
+
+    fn optional<T>(&mut self, name: &'static str, default: T) -> T
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.read(name).unwrap_or(default)
+    }
+
+    fn time(&mut self, name: &'static str, default_ms: u64, min_ms: u64) -> u64 {
+        let value_ms = self.optional(name, default_ms);
+        let message = format!("must be between {min_ms} and {MAX_TIMEOUT_MS} milliseconds");
+        self.check(name, (min_ms..=MAX_TIMEOUT_MS).contains(&value_ms), &message);
+        value_ms
+    }
+
+    fn section<T: Default>(
+        &mut self,
+        name: &'static str,
+        read: impl FnOnce(&mut Section<'_>) -> T,
+    ) -> T {
+        self.known.push(name);
+        let Some(node) = self.map.get_node(name) else {
+            return T::default();
+        };
+        let Some(map) = node.as_mapping() else {
+            self.fault(line(node), name, "must be a mapping");
+            return T::default();
+        };
+        let mut section = Section { map, path: name, known: Vec::new(), faults: self.faults };
+        let value = read(&mut section);
+        section.finish();
+        value
+    }
+
+    fn check(&mut self, name: &str, holds: bool, message: &str) {
+        if !holds {
+            let line = self.map.get_node(name).map_or(0, line);
+            self.fault(line, name, message);
+        }
+    }
+
+    fn finish(&mut self) {
+        let unknown: Vec<_> =
+            self.map.iter().filter(|(key, _)| !self.known.contains(&key.as_str())).collect();
+        for (key, node) in unknown {
+            let line = key.span().start().map_or_else(|| line(node), |mark| mark.line());
+            self.fault(line, key.as_str(), "is not a known field");
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/common/mod.rs
@@ -0,0 +1,291 @@
+//! A router between stand-ins, all in the test's process.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header::AUTHORIZATION};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use span_config::{Document, KeyHash, Operator, Service, Upstream, Workspace};
+use span_http::{Body, Client, empty, full};
+use span_router::{
+    Router,
+    settings::{Limits, Settings, Timeouts},
+};
+use span_standin::{
+    Execution,
+    engine::{self, Engine},
+    objects::{self, Platform, Precondition},
+    sign::answer_text,
+};
+use span_types::{OUTCOME_HEADER, ServiceKind, UpstreamName};
+
+pub const KEY: &str = "key-of-shop";
+pub const OTHER_KEY: &str = "key-of-other";
+pub const MODEL: &str = "stitch-1";
+const MAX_BYTES: usize = 64 * 1024 * 1024;
+const POLL: Duration = Duration::from_millis(5);
+
+pub fn any() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// An address at which nothing listens.
+pub fn closed() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(any()).expect("a port is free");
+    listener.local_addr().expect("it is bound")
+}
+
+pub fn quick_engine() -> engine::Settings {
+    engine::Settings { token_us: 500, linger_ms: 1_000, ..engine::Settings::default() }
+}
+
+#[derive(Default)]
+pub struct World {
+    upstreams: BTreeMap<UpstreamName, Upstream>,
+    pub timeouts: Timeouts,
+    pub limits: Limits,
+}
+
+pub struct Running {
+    pub platform: Platform,
+    pub router: Router,
+    pub settings: Settings,
+    pub client: Client,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let timeouts = Timeouts {
+            silence_ms: 300,
+            body_ms: 300,
+            platform_ms: 200,
+            address_lifetime_ms: 0,
+            ..Timeouts::default()
+        };
+        Self { timeouts, ..Self::default() }
+    }
+
+    /// Adds an upstream; upstreams are chosen by name where all are idle.
+    pub fn upstream(mut self, service: &str, address: SocketAddr) -> Self {
+        let name = format!("{service}-{}", self.upstreams.len());
+        let upstream = Upstream {
+            service: service.into(),
+            address,
+            failure_domain: "hall-atl".into(),
+            max_concurrency: 64,
+            checks_fencing: false,
+            leaving: false,
+        };
+        self.upstreams.insert(name.into(), upstream);
+        self
+    }
+
+    pub async fn start(self) -> Running {
+        let platform = objects::bind(any()).await.expect("the platform binds");
+        let document = document(self.upstreams);
+        let value = serde_json::to_vec(&document).expect("it is JSON");
+        platform
+            .edit(|store| store.put("config/current", value, Precondition::None))
+            .expect("it is stored");
+        let settings = Settings {
+            instance: "r1".into(),
+            failure_domain: "hall-atl".into(),
+            http_address: any(),
+            peer_address: any(),
+            platform_address: platform.address(),
+            limits: self.limits,
+            timeouts: self.timeouts,
+            trace: Default::default(),
+        };
+        let router = spawn(&settings).await;
+        let client = span_http::client(Duration::from_secs(1));
+        Running { platform, router, settings, client }
+    }
+}
+
+/// Starts a router and waits for its configuration.
+pub async fn spawn(settings: &Settings) -> Router {
+    let router = span_router::spawn(settings.clone()).await.expect("the router starts");
+    let client = span_http::client(Duration::from_secs(1));
+    loop {
+        let answer = call(&client, router.http_address(), Method::GET, "/v1/models", &[], "").await;
+        if answer.status == StatusCode::OK {
+            return router;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn document(upstreams: BTreeMap<UpstreamName, Upstream>) -> Document {
+    let workspace = |key| Workspace {
+        share: 1,
+        services: ["stitch-assist", "booking-desk", "pages"].map(Into::into).into(),
+        queue_limit: 100,
+        deadline_ms: 10_000,
+        keys: [KeyHash::of(key)].into(),
+    };
+    let service = |kind, idempotent, models: &[&str]| Service {
+        kind,
+        idempotent,
+        models: models.iter().map(|model| (*model).into()).collect(),
+    };
+    Document {
+        workspaces: [
+            ("shop".into(), workspace(KEY)),
+            ("other".into(), workspace(OTHER_KEY)),
+            ("none".into(), Workspace { services: Default::default(), ..workspace("key-of-none") }),
+        ]
+        .into(),
+        services: [
+            ("stitch-assist".into(), service(ServiceKind::Model, true, &[MODEL])),
+            ("booking-desk".into(), service(ServiceKind::Plain, false, &[])),
+            ("pages".into(), service(ServiceKind::Plain, true, &[])),
+        ]
+        .into(),
+        upstreams,
+        operators: BTreeMap::<_, Operator>::new(),
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub trailers: HeaderMap,
+    /// The body, or nothing if it broke off.
+    pub body: Option<Bytes>,
+}
+
+impl Answer {
+    /// The outcome in header, trailer or final comment.
+    pub fn outcome(&self) -> Option<String> {
+        let fields = [&self.headers, &self.trailers];
+        let field = fields.iter().find_map(|fields| fields.get(OUTCOME_HEADER));
+        if let Some(field) = field {
+            return Some(field.to_str().expect("it is text").to_owned());
+        }
+        let text = self.text();
+        let mark = format!("{OUTCOME_HEADER}=");
+        let (_, rest) = text.rsplit_once(&mark)?;
+        rest.lines().next().map(str::to_owned)
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8(self.body.clone().unwrap_or_default().to_vec()).expect("it is text")
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text()).unwrap_or_default()
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |value| value.to_str().expect("it is text"))
+    }
+}
+
+pub async fn send(client: &Client, request: Request<Body>) -> Answer {
+    let response = client.request(request).await.expect("the router answers");
+    receive(response).await
+}
+
+pub async fn receive(response: Response<Incoming>) -> Answer {
+    use http_body_util::BodyExt;
+    let (head, body) = response.into_parts();
+    let collected = http_body_util::Limited::new(body, MAX_BYTES).collect().await.ok();
+    let trailers = collected.as_ref().and_then(|body| body.trailers().cloned());
+    Answer {
+        status: head.status,
+        headers: head.headers,
+        trailers: trailers.unwrap_or_default(),
+        body: collected.map(|body| body.to_bytes()),
+    }
+}
+
+pub fn request(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> http::request::Builder {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("te", "trailers");
+    if !headers.iter().any(|(name, _)| *name == "authorization") {
+        request = request.header(AUTHORIZATION, format!("Bearer {KEY}"));
+    }
+    headers.iter().fold(request, |request, (name, value)| request.header(*name, *value))
+}
+
+pub async fn call(
+    client: &Client,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let body = if body.is_empty() { empty() } else { full(body.to_owned()) };
+    let request = request(address, method, path, headers).body(body).expect("it is valid");
+    send(client, request).await
+}
+
+impl Running {
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        call(&self.client, self.router.http_address(), method, path, headers, body).await
+    }
+
+    pub async fn chat(&self, nonce: &str, tokens: u64, stream: bool) -> Answer {
+        let body = chat_body(nonce, tokens, stream).to_string();
+        self.call(Method::POST, "/v1/chat/completions", &[], &body).await
+    }
+}
+
+pub fn chat_body(nonce: &str, tokens: u64, stream: bool) -> Value {
+    json!({
+        "model": MODEL,
+        "messages": [{ "role": "user", "content": "Take in the left sleeve." }],
+        "stream": stream,
+        "user": nonce,
+        "metadata": { "output_tokens": tokens.to_string() },
+    })
+}
+
+/// Texts of a stream, its number of usage events and whether it ended whole.
+pub fn stream_text(answer: &Answer) -> (String, u64, bool) {
+    let (mut text, mut usages, mut done) = (String::new(), 0, false);
+    for event in answer.text().split("\n\n").filter_map(|event| event.strip_prefix("data: ")) {
+        if event == "[DONE]" {
+            done = true;
+            continue;
+        }
+        let chunk: Value = serde_json::from_str(event).expect("it is JSON");
+        text += chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+        usages += u64::from(chunk["usage"].is_object());
+    }
+    (text, usages, done)
+}
+
+pub fn assert_whole(answer: &Answer, nonce: &str, tokens: u64) {
+    assert_eq!(stream_text(answer), (answer_text(nonce, tokens), 1, true), "{nonce}");
+}
+
+/// Waits until a stand-in's ledger satisfies a condition.
+pub async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+pub fn runs(engine: &Engine, nonce: &str) -> Vec<Execution> {
+    engine.ledger().rows().into_iter().filter(|row| row.nonce == nonce).collect()
+}
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -1,12 +1,11 @@
 //! HTTP interface of the engine.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures::{Stream, StreamExt, stream};
+use futures::{Stream, stream};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
-use http_body::Frame;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::StreamBody;
 use hyper::body::Incoming;
 use serde_json::json;
 use span_http::{Body, json as json_response, read_json};
@@ -14,12 +13,13 @@
 use tokio::time::Instant;
 
 use super::{
-    ChatRequest, State,
+    ChatRequest, Faults, State, faults,
     generation::{self, Reader},
 };
 use crate::sign::{answer_text, chunk_text};
 
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+const DONE: &[u8] = b"data: [DONE]\n\n";
 
 /// Answers one request.
 pub(super) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
@@ -73,14 +73,18 @@
         (None, Some(_)) => return error(StatusCode::CONFLICT, "the request id was used before"),
         (None, None) => generation::start(&state, &id, &chat),
     };
+    let faults = faults::next(&state);
+    if faults.forget {
+        state.generations.remove(&id);
+    }
     if chat.stream {
-        streamed(reader, &chat.model, &id, offset.unwrap_or(0))
+        streamed(reader, &chat.model, &id, offset.unwrap_or(0), faults)
     } else {
-        whole(reader, &chat.model, &id).await
+        whole(reader, &chat.model, &id, faults).await
     }
 }
 
-async fn whole(mut reader: Reader, model: &str, id: &str) -> Response<Body> {
+async fn whole(mut reader: Reader, model: &str, id: &str, faults: Faults) -> Response<Body> {
     let ended = reader.progress.wait_for(|progress| progress.ended).await.map(|progress| *progress);
     match ended {
         Ok(progress) if !progress.cancelled => {}
@@ -88,21 +92,32 @@
     }
     let generation = &reader.generation;
     let text = answer_text(&generation.nonce, generation.output_tokens);
-    json_response(
-        StatusCode::OK,
-        &json!({
-            "id": id,
-            "object": "chat.completion",
-            "created": 0,
-            "model": model,
-            "choices": [{
-                "index": 0,
-                "message": { "role": "assistant", "content": text },
-                "finish_reason": "stop",
-            }],
-            "usage": usage(generation.prompt_tokens, generation.output_tokens),
-        }),
-    )
+    let completion = json!({
+        "id": id,
+        "object": "chat.completion",
+        "created": 0,
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": "stop",
+        }],
+        "usage": usage(generation.prompt_tokens, generation.output_tokens),
+    });
+    let events = stream::iter([Bytes::from(completion.to_string())]);
+    answer(faults, id, events, "application/json")
+}
+
+fn answer(
+    faults: Faults,
+    id: &str,
+    events: impl Stream<Item = Bytes> + Send + Sync + 'static,
+    content_type: &'static str,
+) -> Response<Body> {
+    let body = Body::new(StreamBody::new(faults::apply(faults, id.to_owned(), events)));
+    let mut response = Response::new(body);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
 }
 
 fn usage(prompt_tokens: u64, completion_tokens: u64) -> serde_json::Value {
@@ -113,13 +128,9 @@
     })
 }
 
-fn streamed(reader: Reader, model: &str, id: &str, offset: u64) -> Response<Body> {
-    let events = events(reader, model.to_owned(), id.to_owned(), offset)
-        .map(|event| Ok::<_, Infallible>(Frame::data(event)));
-    let body = StreamBody::new(events).map_err(|never| match never {}).boxed();
-    let mut response = Response::new(body);
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-    response
+fn streamed(reader: Reader, model: &str, id: &str, offset: u64, faults: Faults) -> Response<Body> {
+    let events = events(reader, model.to_owned(), id.to_owned(), offset);
+    answer(faults, id, events, "text/event-stream")
 }
 
 struct Cursor {
@@ -150,7 +161,7 @@
             Stage::Tokens => cursor.token().await.map(|event| (event, cursor)),
             Stage::Done => {
                 cursor.stage = Stage::Closed;
-                Some((Bytes::from_static(b"data: [DONE]\n\n"), cursor))
+                Some((Bytes::from_static(DONE), cursor))
             }
             Stage::Closed => None,
         }
@@ -171,6 +182,11 @@
         if progress.cancelled {
             return None;
         }
+        if next > self.reader.generation.output_tokens {
+            // The reader already has the chunk with the usage.
+            self.stage = Stage::Closed;
+            return Some(Bytes::from_static(DONE));
+        }
         self.stage = Stage::Done;
         Some(self.usage_event())
     }
--- a/crates/standin/src/engine/generation.rs
+++ b/crates/standin/src/engine/generation.rs
@@ -103,7 +103,8 @@
         by_id.insert(id.to_owned(), Arc::clone(generation));
     }
 
-    fn remove(&self, id: &str) {
+    /// Forgets a generation; its readers keep it.
+    pub fn remove(&self, id: &str) {
         self.by_id.lock().unwrap_or_else(PoisonError::into_inner).remove(id);
     }
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,17 +2,23 @@
 //! slots, admission in arrival order, streams that can be resumed.
 
 mod api;
+mod faults;
 mod generation;
 mod load;
 mod request;
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU32},
+};
 
 use span_http::{Limits, Server};
 use tokio::sync::Semaphore;
 
 use crate::Ledger;
 
+pub use faults::Faults;
 pub use request::{ChatRequest, Message};
 
 /// How an engine behaves.
@@ -28,11 +34,20 @@
     pub load_lag_ms: u64,
     /// Time that a generation goes on without a reader, in milliseconds.
     pub linger_ms: u64,
+    /// Faults of answers.
+    pub faults: Faults,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { slots: 8, token_us: 5_000, prefill_us: 50, load_lag_ms: 200, linger_ms: 5_000 }
+        Self {
+            slots: 8,
+            token_us: 5_000,
+            prefill_us: 50,
+            load_lag_ms: 200,
+            linger_ms: 5_000,
+            faults: Faults::default(),
+        }
     }
 }
 
@@ -67,6 +82,7 @@
     ledger: Ledger,
     generations: generation::Generations,
     load: load::LoadHistory,
+    faulty_left: AtomicU32,
 }
 
 /// Binds an engine to `address`.
@@ -81,6 +97,7 @@
         ledger: ledger.clone(),
         generations: generation::Generations::default(),
         load: load::LoadHistory::default(),
+        faulty_left: AtomicU32::new(settings.faults.answers),
         settings,
     });
     tokio::spawn(load::sample(Arc::downgrade(&state)));
