Add a TCP relay stand-in with delay, cuts and silence

Experiments need latency between failure domains and towards clients, and faults on single directions and single connections; loopback has neither.

standin-relay adds routes over HTTP. A cut direction keeps its bytes until the cut heals, as TCP does by retransmission; a silenced connection stays open and passes nothing on, ever. Closing and refusing are separate orders.

Before: no relay.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 mod ledger;
 pub mod objects;
+pub mod relay;
 pub mod service;
 pub mod sign;
 
