Generate and run workloads from a seed

The load tool sent a fixed number of equal calls to one router. Experiments need uneven load that can be repeated, and a verdict on every answer.

Each attempt leaves a record with times, outcome and whether the answer was whole, partial or foreign.

--- /dev/null
+++ b/crates/load/src/attempt.rs
@@ -0,0 +1,160 @@
+//! One attempt of one request, and the check of its answer.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, header::AUTHORIZATION};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use span_http::{Body, Client, full};
+use span_standin::{
+    engine::{ChatRequest, Message},
+    service::NONCE_HEADER,
+    unix_us,
+};
+use span_types::{COST_HINT_HEADER, IDEMPOTENCY_KEY_HEADER, IDEMPOTENT_HEADER, OUTCOME_HEADER};
+
+use crate::{
+    check::{self, Checked},
+    fleet::{Entry, Fleet},
+    plan::{Planned, Repeat},
+    record::{Answer, Record},
+    workload::WorkspaceLoad,
+};
+
+/// Longest time without a byte; a caller then gives the attempt up.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const BYTES_PER_TOKEN: usize = 4;
+const MS_PER_S: u64 = 1000;
+
+/// What an attempt needs beside the request.
+pub(crate) struct Context<'a> {
+    pub client: &'a Client,
+    pub fleet: &'a Fleet,
+    pub workspace: &'a WorkspaceLoad,
+}
+
+/// Sends attempt number `number` of a request through `entry`.
+pub(crate) async fn send(
+    context: &Context<'_>,
+    planned: &Planned,
+    entry: &Entry,
+    number: u32,
+) -> Record {
+    let nonce = format!("{}#{number}", planned.name);
+    let service =
+        if planned.plain { &context.fleet.plain_service } else { &context.fleet.model_service };
+    let mut record = Record {
+        workspace: context.workspace.name.clone(),
+        service: service.clone(),
+        name: planned.name.clone(),
+        nonce: nonce.clone(),
+        entry: entry.name.clone(),
+        repeat: planned.repeat,
+        last: false,
+        sent_us: unix_us(),
+        first_byte_us: 0,
+        ended_us: 0,
+        status: 0,
+        outcome: None,
+        answer: Answer::Missing,
+        retry_after_ms: None,
+    };
+    if let Ok(request) = build(context, planned, entry, &nonce) {
+        exchange(context.client, request, planned, &mut record).await;
+    }
+    record.ended_us = unix_us();
+    record
+}
+
+async fn exchange(client: &Client, request: Request<Body>, planned: &Planned, record: &mut Record) {
+    let response = match tokio::time::timeout(IDLE_TIMEOUT, client.request(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.is_connect() => {
+            record.answer = Answer::Refused;
+            return;
+        }
+        _ => return,
+    };
+    read_head(&response, record);
+    let (body, complete) = read_body(response.into_body(), record).await;
+    let checked = check::check(planned, record, &body, complete);
+    let Checked { answer, outcome } = checked;
+    record.answer = answer;
+    record.outcome = outcome.or(record.outcome);
+}
+
+fn read_head(response: &Response<Incoming>, record: &mut Record) {
+    let text = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
+    record.status = response.status().as_u16();
+    record.outcome = text(OUTCOME_HEADER).and_then(|text| text.parse().ok());
+    let seconds = text("retry-after").and_then(|text| text.parse::<u64>().ok());
+    record.retry_after_ms = seconds.map(|seconds| seconds * MS_PER_S);
+}
+
+/// Bytes of a body, and whether it came to its end.
+async fn read_body(mut body: Incoming, record: &mut Record) -> (Vec<u8>, bool) {
+    let mut bytes = Vec::new();
+    loop {
+        match tokio::time::timeout(IDLE_TIMEOUT, body.frame()).await {
+            Ok(None) => return (bytes, true),
+            Ok(Some(Ok(frame))) => {
+                if record.first_byte_us == 0 {
+                    record.first_byte_us = unix_us();
+                }
+                match frame.into_data() {
+                    Ok(data) => bytes.extend_from_slice(&data),
+                    Err(frame) => read_trailers(frame.trailers_ref(), record),
+                }
+            }
+            Ok(Some(Err(_))) | Err(_) => return (bytes, false),
+        }
+    }
+}
+
+fn read_trailers(trailers: Option<&http::HeaderMap>, record: &mut Record) {
+    let outcome = trailers.and_then(|trailers| trailers.get(OUTCOME_HEADER));
+    let outcome = outcome.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
+    record.outcome = outcome.or(record.outcome);
+}
+
+fn build(
+    context: &Context<'_>,
+    planned: &Planned,
+    entry: &Entry,
+    nonce: &str,
+) -> Result<Request<Body>, http::Error> {
+    let (path, body) = if planned.plain {
+        (format!("/svc/{}/book", context.fleet.plain_service), check::plain_body(nonce).into())
+    } else {
+        ("/v1/chat/completions".to_owned(), chat_body(context.fleet, planned, nonce))
+    };
+    let mut request = Request::post(format!("http://{}{path}", entry.address))
+        .header(AUTHORIZATION, format!("Bearer {}", context.workspace.key))
+        .header(NONCE_HEADER, nonce);
+    if let Some(hint) = planned.cost_hint {
+        request = request.header(COST_HINT_HEADER, hint);
+    }
+    if planned.repeat != Repeat::Idempotent {
+        request = request.header(IDEMPOTENT_HEADER, "false");
+    }
+    if planned.repeat == Repeat::Keyed {
+        request = request.header(IDEMPOTENCY_KEY_HEADER, &planned.name);
+    }
+    request.body(full(body))
+}
+
+fn chat_body(fleet: &Fleet, planned: &Planned, nonce: &str) -> Bytes {
+    // The engine counts one token more than the text's length gives.
+    let bytes = (planned.prompt_tokens as usize).saturating_sub(1) * BYTES_PER_TOKEN;
+    let body = ChatRequest {
+        model: fleet.model.clone(),
+        messages: vec![Message { role: "user".into(), content: "x".repeat(bytes).into() }],
+        stream: true,
+        max_tokens: None,
+        user: Some(nonce.to_owned()),
+        metadata: BTreeMap::from([("output_tokens".into(), planned.output_tokens.to_string())]),
+    };
+    // Serialising plain strings and numbers does not fail.
+    serde_json::to_vec(&body).unwrap_or_default().into()
+}
