--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -115,7 +115,7 @@
 
     fn hint(&mut self, cost: u64) -> Option<u64> {
         let factor = HINT_ERROR.powf(self.rng.random_range(-1.0..=1.0));
-        let hint = ((cost as f64 * factor) as u64).max(1);
+        let hint = ((cost as f64 * factor).round() as u64).max(1);
         self.rng.random_bool(HINTED_FRACTION).then_some(hint)
     }
 
