Analyse runs from records and ledgers alone

Fairness, utilisation and the promises to callers must be judged without the routers' own numbers, or a fault in them would hide itself.

--- /dev/null
+++ b/crates/bench/src/analysis/audit.rs
@@ -0,0 +1,109 @@
+//! What callers were told against what ran.
+
+use std::collections::{HashMap, HashSet};
+
+use serde::Serialize;
+use span_load::{Answer, Record, plan::Repeat};
+use span_standin::Execution;
+use span_types::Outcome;
+
+/// Counts of requests and of broken promises.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Audit {
+    /// Requests, each with all its attempts.
+    pub requests: u64,
+    /// Attempts.
+    pub attempts: u64,
+    /// Requests with their whole answer.
+    pub completed: u64,
+    /// Requests told `not_run`.
+    pub not_run: u64,
+    /// Requests told `unknown`.
+    pub unknown: u64,
+    /// Requests answered with an error without one of these outcomes.
+    pub other_errors: u64,
+    /// Requests that ended without a whole answer and without being told.
+    pub lost: u64,
+    /// Attempts that broke off or got no answer, repeated ones included.
+    pub broken_attempts: u64,
+    /// Answers that are not their request's.
+    pub crossed: u64,
+    /// Answers of which only the start arrived.
+    pub incomplete: u64,
+    /// Attempts told `not_run` that ran.
+    pub not_run_that_ran: u64,
+    /// Whole answers to requests that no upstream executed.
+    pub completed_that_did_not_run: u64,
+    /// Non-idempotent requests that ran more than once.
+    pub duplicated_non_idempotent: u64,
+    /// Whole answers told as something else than completed, or the reverse.
+    pub wrong_outcome: u64,
+}
+
+/// Audits a run.
+pub fn audit(records: &[Record], executions: &[Execution]) -> Audit {
+    let started: Vec<&str> = executions
+        .iter()
+        .filter(|execution| execution.started_us > 0)
+        .map(|execution| execution.nonce.as_str())
+        .collect();
+    let ran: HashSet<&str> = started.iter().copied().collect();
+    let ran_names: HashSet<&str> = started.iter().map(|nonce| name(nonce)).collect();
+    let mut audit = Audit::default();
+    for record in records {
+        audit.attempt(record, &ran, &ran_names);
+        if record.last {
+            audit.request(record);
+        }
+    }
+    audit.duplicated_non_idempotent = duplicates(records, &started);
+    audit
+}
+
+impl Audit {
+    fn attempt(&mut self, record: &Record, ran: &HashSet<&str>, ran_names: &HashSet<&str>) {
+        self.attempts += 1;
+        let whole = record.answer == Answer::Whole;
+        let told = record.outcome;
+        self.crossed += u64::from(record.answer == Answer::Foreign);
+        self.incomplete += u64::from(record.answer == Answer::Partial);
+        let broken = matches!(record.answer, Answer::Partial | Answer::Missing);
+        self.broken_attempts += u64::from(broken);
+        let not_run = told == Some(Outcome::NotRun) && !whole;
+        self.not_run_that_ran += u64::from(not_run && ran.contains(record.nonce.as_str()));
+        let did_not_run = !ran_names.contains(record.name.as_str());
+        self.completed_that_did_not_run += u64::from(whole && did_not_run);
+        let wrong = whole && told.is_some_and(|told| told != Outcome::Completed);
+        self.wrong_outcome += u64::from(wrong);
+    }
+
+    fn request(&mut self, record: &Record) {
+        self.requests += 1;
+        let count = match (record.settled(), record.answer, record.outcome) {
+            (false, _, _) => &mut self.lost,
+            (true, Answer::Whole, _) => &mut self.completed,
+            (true, _, Some(Outcome::NotRun)) => &mut self.not_run,
+            (true, _, Some(Outcome::Unknown)) => &mut self.unknown,
+            (true, _, _) => &mut self.other_errors,
+        };
+        *count += 1;
+    }
+}
+
+/// Name of the request that an attempt's nonce belongs to.
+fn name(nonce: &str) -> &str {
+    nonce.rsplit_once('#').map_or(nonce, |(name, _)| name)
+}
+
+fn duplicates(records: &[Record], started: &[&str]) -> u64 {
+    let once = records.iter().filter(|record| record.repeat != Repeat::Idempotent);
+    let once: HashSet<&str> = once.map(|record| record.name.as_str()).collect();
+    let mut runs: HashMap<&str, u32> = HashMap::new();
+    for nonce in started {
+        let name = name(nonce);
+        if once.contains(name) {
+            *runs.entry(name).or_default() += 1;
+        }
+    }
+    runs.values().filter(|count| **count > 1).count() as u64
+}
