--- /dev/null
+++ b/crates/bench/src/probe.rs
@@ -0,0 +1,80 @@
+//! Small calls through the routers and directly to an engine, in turn.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use eyre::{Result, ensure};
+use http::{Request, header::AUTHORIZATION};
+use span_http::{Client, collect, full};
+use span_load::latency::{Percentiles, percentiles};
+use span_standin::engine::{ChatRequest, Message};
+use span_types::REQUEST_ID_HEADER;
+use tokio::time::Instant;
+
+use crate::fleet::{PROBE_KEY, PROBE_MODEL};
+
+const INTERVAL: Duration = Duration::from_millis(50);
+const TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Latencies of the two ways.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Probed {
+    /// Through a router, without the relay.
+    pub routed: Percentiles,
+    /// Directly to the engine.
+    pub direct: Percentiles,
+    /// Calls through a router that failed.
+    pub failed: u64,
+}
+
+impl Probed {
+    /// Latency that the routers add, in microseconds, as a difference of
+    /// percentiles; negative if noise exceeds it.
+    pub fn added_us(&self, of: impl Fn(&Percentiles) -> u64) -> i64 {
+        of(&self.routed) as i64 - of(&self.direct) as i64
+    }
+}
+
+/// Probes until `end`.
+pub async fn probe(routers: Vec<SocketAddr>, engine: SocketAddr, end: Instant) -> Probed {
+    let client = span_http::client(Duration::from_secs(1));
+    let (mut routed, mut direct, mut failed) = (Vec::new(), Vec::new(), 0);
+    let mut number = 0;
+    while Instant::now() < end {
+        let router = routers[number % routers.len()];
+        number += 1;
+        match timed(&client, router, number).await {
+            Some(time_us) => routed.push(time_us),
+            None => failed += 1,
+        }
+        direct.extend(timed(&client, engine, number).await);
+        tokio::time::sleep(INTERVAL).await;
+    }
+    Probed { routed: percentiles(routed), direct: percentiles(direct), failed }
+}
+
+async fn timed(client: &Client, address: SocketAddr, number: usize) -> Option<u64> {
+    let started = Instant::now();
+    let called = tokio::time::timeout(TIMEOUT, call(client, address, number)).await;
+    called.ok()?.ok()?;
+    u64::try_from(started.elapsed().as_micros()).ok()
+}
+
+async fn call(client: &Client, address: SocketAddr, number: usize) -> Result<()> {
+    let body = ChatRequest {
+        model: PROBE_MODEL.into(),
+        messages: vec![Message { role: "user".into(), content: "probe".into() }],
+        stream: true,
+        max_tokens: None,
+        user: None,
+        metadata: BTreeMap::from([("output_tokens".into(), "1".into())]),
+    };
+    let request = Request::post(format!("http://{address}/v1/chat/completions"))
+        .header(AUTHORIZATION, format!("Bearer {PROBE_KEY}"))
+        .header(REQUEST_ID_HEADER, format!("direct-{number}"))
+        .body(full(serde_json::to_vec(&body)?))?;
+    let answer = client.request(request).await?;
+    ensure!(answer.status().is_success(), "status {}", answer.status());
+    collect(answer.into_body(), MAX_ANSWER_BYTES).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/rest.rs
@@ -0,0 +1,149 @@
+//! JSON calls to the stand-ins and routers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{Method, Request, Response, StatusCode, header::ETAG};
+use hyper::body::Incoming;
+use serde::{Serialize, de::DeserializeOwned};
+use span_http::{Client, full, read_json};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
+
+/// A call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum RestError {
+    /// The request cannot be built.
+    #[error("the request cannot be built: {0}")]
+    Build(#[from] http::Error),
+    /// The body cannot be serialised.
+    #[error("the body cannot be serialised: {0}")]
+    Serialise(#[from] serde_json::Error),
+    /// The server cannot be reached.
+    #[error("the server failed: {0}")]
+    Send(#[from] span_http::ClientError),
+    /// No answer came in time.
+    #[error("no answer within {} s", CALL_TIMEOUT.as_secs())]
+    Timeout,
+    /// The answer is an error.
+    #[error("{method} {path}: status {status}")]
+    Status {
+        /// Method of the call.
+        method: Method,
+        /// Path of the call.
+        path: String,
+        /// Status of the answer.
+        status: StatusCode,
+    },
+    /// The answer cannot be read.
+    #[error(transparent)]
+    Read(#[from] span_http::ReadError),
+}
+
+/// Client of one server.
+#[derive(Clone, Debug)]
+pub struct Rest {
+    /// Client with the connections.
+    pub client: Client,
+    /// Server called.
+    pub address: SocketAddr,
+}
+
+impl Rest {
+    /// Reads JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails on any answer other than a success with the JSON expected.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, RestError> {
+        let answer = self.send(Method::GET, path, None, Vec::new()).await?;
+        Ok(read_json(answer.into_body(), MAX_ANSWER_BYTES).await?)
+    }
+
+    /// Sends JSON and reads JSON.
+    ///
+    /// # Errors
+    ///
+    /// As [`Rest::get`].
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, RestError> {
+        let answer = self.send(Method::POST, path, None, serde_json::to_vec(body)?).await?;
+        Ok(read_json(answer.into_body(), MAX_ANSWER_BYTES).await?)
+    }
+
+    /// Sends JSON; the answer's body is not read.
+    ///
+    /// # Errors
+    ///
+    /// Fails on any answer other than a success.
+    pub async fn tell(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<(), RestError> {
+        self.send(method, path, None, serde_json::to_vec(body)?).await.map(drop)
+    }
+
+    /// Writes an object if it has version `version`, or if it does not exist
+    /// without one; returns the new version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the condition does not hold or the platform fails.
+    pub async fn write_object(
+        &self,
+        key: &str,
+        version: Option<&str>,
+        body: &impl Serialize,
+    ) -> Result<String, RestError> {
+        let condition = match version {
+            Some(version) => ("if-match", version),
+            None => ("if-none-match", "*"),
+        };
+        let (path, body) = (format!("/objects/{key}"), serde_json::to_vec(body)?);
+        let answer = self.send(Method::PUT, &path, Some(condition), body).await?;
+        let etag = answer.headers().get(ETAG).and_then(|value| value.to_str().ok());
+        Ok(etag.unwrap_or_default().to_owned())
+    }
+
+    /// Status of a `GET` under a caller's key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no answer comes.
+    pub async fn status(&self, path: &str, key: &str) -> Result<StatusCode, RestError> {
+        let bearer = format!("Bearer {key}");
+        let condition = Some(("authorization", bearer.as_str()));
+        match self.send(Method::GET, path, condition, Vec::new()).await {
+            Ok(answer) => Ok(answer.status()),
+            Err(RestError::Status { status, .. }) => Ok(status),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        header: Option<(&str, &str)>,
+        body: Vec<u8>,
+    ) -> Result<Response<Incoming>, RestError> {
+        let uri = format!("http://{}{path}", self.address);
+        let mut request = Request::builder().method(method.clone()).uri(uri);
+        if let Some((name, value)) = header {
+            request = request.header(name, value);
+        }
+        let answer = self.client.request(request.body(full(body))?);
+        let answer = tokio::time::timeout(CALL_TIMEOUT, answer).await;
+        let answer = answer.map_err(|_| RestError::Timeout)??;
+        let status = answer.status();
+        if status.is_success() {
+            return Ok(answer);
+        }
+        Err(RestError::Status { method, path: path.to_owned(), status })
+    }
+}
