Add the demo, and fix the range of the latency histogram

rosemaryspan-demo runs routers, platform and upstreams in one process with the load tool's traffic and prints shares and service received.

--- /dev/null
+++ b/crates/demo/src/summary.rs
@@ -0,0 +1,50 @@
+//! Readable summary of a run.
+
+use span_bench::analysis::{
+    audit::audit,
+    join::{Delays, Service, join},
+    received::received,
+    utilisation::utilisation,
+};
+use span_load::{Answer, Record, workload::Workload};
+use span_standin::Execution;
+
+/// Prints shares and service received per workspace, then the totals.
+pub fn print(
+    workload: &Workload,
+    service: &str,
+    slots: u32,
+    records: &[Record],
+    executions: &[Execution],
+) {
+    let workspaces: Vec<(String, f64)> = workload
+        .workspaces
+        .iter()
+        .map(|load| (load.name.to_string(), f64::from(load.share)))
+        .collect();
+    let description = Service { name: service, slots, workspaces: &workspaces };
+    let now_us = span_standin::unix_us();
+    let run = join(&description, records, executions, Delays::default(), now_us);
+    let received = received(&run, []);
+    println!("workspace  share  callers  completed  not run  service received (cost / share)");
+    for (load, service) in workload.workspaces.iter().zip(&received.service) {
+        let own = || records.iter().filter(|r| r.last && r.workspace == load.name);
+        let completed = own().filter(|record| record.answer == Answer::Whole).count();
+        let not_run = own().count() - completed;
+        let total = service.last().copied().unwrap_or(0.0);
+        println!(
+            "{:<9}  {:>5}  {:>7}  {completed:>9}  {not_run:>7}  {total:>10.0}",
+            load.name, load.share, load.callers
+        );
+    }
+    let audit = audit(records, executions);
+    let from_us = received.times_us.first().copied().unwrap_or(0);
+    let to_us = received.times_us.last().copied().unwrap_or(0);
+    let used = utilisation(&run, from_us, to_us);
+    println!();
+    println!(
+        "{} requests: {} completed, {} not run, {} unknown, {} lost, {} crossed",
+        audit.requests, audit.completed, audit.not_run, audit.unknown, audit.lost, audit.crossed
+    );
+    println!("slots of {service} in use while work waited: {:.1} %", used.busy * 100.0);
+}
--- /dev/null
+++ b/crates/demo/src/world.rs
@@ -0,0 +1,205 @@
+//! Routers, platform and upstreams of the demo.
+
+use std::{
+    collections::BTreeSet,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use eyre::{Result, bail};
+use span_config::{Document, KeyHash, Service, Upstream, Workspace};
+use span_load::{
+    Entry, Fleet,
+    workload::{Workload, WorkspaceLoad},
+};
+use span_router::{Router, settings::Settings};
+use span_standin::{
+    Execution,
+    engine::{self, Engine},
+    objects::{self, Instance, Platform, Precondition},
+    service,
+};
+use span_types::ServiceKind;
+
+const LOCAL: &str = "127.0.0.1:0";
+const ROUTERS: usize = 3;
+const ENGINES: usize = 4;
+const ENGINE_SLOTS: u32 = 4;
+const PLAIN_SLOTS: u32 = 8;
+const DOMAINS: [&str; 3] = ["hall-atl", "hall-bhm", "hall-jxn"];
+const MODEL_SERVICE: &str = "stitch-assist";
+const PLAIN_SERVICE: &str = "booking-desk";
+const CONFIG_KEY: &str = "config/current";
+const QUEUE_LIMIT: u32 = 256;
+const DEADLINE_MS: u64 = 10_000;
+/// Time for the routers to fetch the configuration.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const READY_POLL: Duration = Duration::from_millis(20);
+
+/// Everything that runs in the demo.
+#[derive(Debug)]
+pub struct World {
+    platform: Platform,
+    engines: Vec<Engine>,
+    service: service::Service,
+    routers: Vec<Router>,
+    /// The fleet as callers see it.
+    pub fleet: Arc<Fleet>,
+}
+
+/// Slots of the model service.
+pub const MODEL_SLOTS: u32 = ENGINES as u32 * ENGINE_SLOTS;
+
+/// Starts everything on loopback and waits until the routers serve.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or a router does not serve in time.
+pub async fn start(workload: &Workload) -> Result<World> {
+    let listen: SocketAddr = LOCAL.parse()?;
+    let platform = objects::bind(listen).await?;
+    let mut engines = Vec::new();
+    for _ in 0..ENGINES {
+        let settings = engine::Settings { slots: ENGINE_SLOTS, ..engine::Settings::default() };
+        engines.push(engine::bind(listen, settings).await?);
+    }
+    let settings = service::Settings { slots: PLAIN_SLOTS, ..service::Settings::default() };
+    let service = service::bind(listen, settings).await?;
+    let document = document(workload, &engines, &service);
+    let value = serde_json::to_vec(&document)?;
+    platform.edit(|store| store.put(CONFIG_KEY, value, Precondition::Absent))?;
+    let mut routers = Vec::new();
+    let mut entries = Vec::new();
+    for (number, domain) in DOMAINS.iter().enumerate().take(ROUTERS) {
+        let settings = settings_of(number, domain, platform.address())?;
+        list(&platform, &settings);
+        let name = settings.instance.to_string();
+        let router = span_router::spawn(settings).await?;
+        entries.push(Entry { name: name.into(), address: router.http_address() });
+        routers.push(router);
+    }
+    let fleet = Arc::new(Fleet {
+        entries,
+        model_service: MODEL_SERVICE.into(),
+        model: MODEL_SERVICE.into(),
+        plain_service: PLAIN_SERVICE.into(),
+    });
+    let world = World { platform, engines, service, routers, fleet };
+    world.wait_ready(&workload.workspaces[0].key).await?;
+    Ok(world)
+}
+
+fn settings_of(number: usize, domain: &str, platform_address: SocketAddr) -> Result<Settings> {
+    // Both are held until both are known, so that they differ.
+    let (http, peer) = (TcpListener::bind(LOCAL)?, TcpListener::bind(LOCAL)?);
+    let value = serde_json::json!({
+        "instance": format!("router-{number}"),
+        "failure_domain": domain,
+        "http_address": http.local_addr()?,
+        "peer_address": peer.local_addr()?,
+        "platform_address": platform_address,
+    });
+    Ok(serde_json::from_value(value)?)
+}
+
+fn list(platform: &Platform, settings: &Settings) {
+    let instance = Instance {
+        name: settings.instance.to_string(),
+        http_address: settings.http_address.to_string(),
+        peer_address: settings.peer_address.to_string(),
+        failure_domain: settings.failure_domain.to_string(),
+        leaving: false,
+    };
+    platform.edit(|store| store.put_instance(span_standin::unix_us() / 1000, instance));
+}
+
+fn document(workload: &Workload, engines: &[Engine], service: &service::Service) -> Document {
+    let mut document = Document::default();
+    let kinds = [(MODEL_SERVICE, ServiceKind::Model), (PLAIN_SERVICE, ServiceKind::Plain)];
+    for (name, kind) in kinds {
+        let models = match kind {
+            ServiceKind::Model => BTreeSet::from([Arc::from(name)]),
+            ServiceKind::Plain => BTreeSet::new(),
+        };
+        document.services.insert(name.into(), Service { kind, idempotent: true, models });
+    }
+    for (number, engine) in engines.iter().enumerate() {
+        let upstream = upstream(MODEL_SERVICE, engine.address(), number, ENGINE_SLOTS);
+        document.upstreams.insert(format!("{MODEL_SERVICE}-{number}").into(), upstream);
+    }
+    let upstream = upstream(PLAIN_SERVICE, service.address(), 0, PLAIN_SLOTS);
+    document.upstreams.insert(format!("{PLAIN_SERVICE}-0").into(), upstream);
+    for load in &workload.workspaces {
+        document.workspaces.insert(load.name.as_ref().into(), workspace(load));
+    }
+    document
+}
+
+fn upstream(service: &str, address: SocketAddr, number: usize, slots: u32) -> Upstream {
+    Upstream {
+        service: service.into(),
+        address,
+        failure_domain: DOMAINS[number % DOMAINS.len()].into(),
+        max_concurrency: slots,
+        checks_fencing: false,
+        leaving: false,
+    }
+}
+
+fn workspace(load: &WorkspaceLoad) -> Workspace {
+    Workspace {
+        share: load.share,
+        services: BTreeSet::from([MODEL_SERVICE.into(), PLAIN_SERVICE.into()]),
+        queue_limit: QUEUE_LIMIT,
+        deadline_ms: DEADLINE_MS,
+        keys: BTreeSet::from([KeyHash::of(&load.key)]),
+    }
+}
+
+impl World {
+    /// What the upstreams executed.
+    pub fn executions(&self) -> Vec<Execution> {
+        let engines = self.engines.iter().flat_map(|engine| engine.ledger().rows());
+        engines.chain(self.service.ledger().rows()).collect()
+    }
+
+    /// Stops the routers in an orderly way, then the stand-ins.
+    pub async fn stop(self) {
+        for router in self.routers {
+            router.shutdown().await;
+        }
+        for engine in self.engines {
+            engine.abort();
+        }
+        self.service.abort();
+        self.platform.abort();
+    }
+
+    async fn wait_ready(&self, key: &str) -> Result<()> {
+        let client = span_http::client(Duration::from_secs(1));
+        let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
+        for entry in &self.fleet.entries {
+            while !knows_key(&client, entry.address, key).await {
+                if tokio::time::Instant::now() > deadline {
+                    bail!("{} does not serve", entry.name);
+                }
+                tokio::time::sleep(READY_POLL).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Whether a router has the configuration. The path need not exist: a router
+/// checks the key first.
+async fn knows_key(client: &span_http::Client, router: SocketAddr, key: &str) -> bool {
+    let request = http::Request::get(format!("http://{router}/v1/addresses"))
+        .header(http::header::AUTHORIZATION, format!("Bearer {key}"))
+        .body(span_http::empty());
+    let Ok(request) = request else {
+        return false;
+    };
+    let answer = client.request(request).await;
+    answer.is_ok_and(|answer| answer.status() != http::StatusCode::UNAUTHORIZED)
+}
--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -6,6 +6,8 @@
 use crate::record::{Answer, Record};
 
 const SIGNIFICANT_DIGITS: u8 = 3;
+/// Longer times are counted as this one.
+const MAX_TIME_US: u64 = 600_000_000;
 
 /// Percentiles of a set of times, in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -24,7 +26,7 @@
 
 /// Percentiles of times in microseconds.
 pub fn percentiles(times_us: impl IntoIterator<Item = u64>) -> Percentiles {
-    let Ok(mut histogram) = Histogram::<u64>::new(SIGNIFICANT_DIGITS) else {
+    let Ok(mut histogram) = Histogram::<u64>::new_with_max(MAX_TIME_US, SIGNIFICANT_DIGITS) else {
         return Percentiles::default();
     };
     for time_us in times_us {
