Pass the hurry signal to the demo's router shutdown

Cause: shutdown takes a signal that ends the drain early since the caller side was rewritten; the demo was written against the older form. Change: the demo ends its idle routers at once.

--- a/crates/demo/src/world.rs
+++ b/crates/demo/src/world.rs
@@ -167,7 +167,8 @@
     /// Stops the routers in an orderly way, then the stand-ins.
     pub async fn stop(self) {
         for router in self.routers {
-            router.shutdown().await;
+            // The sample traffic has ended, so there is nothing to wait for.
+            router.shutdown(std::future::ready(())).await;
         }
         for engine in self.engines {
             engine.abort();
