Add the router queue and the shard owner

Cause: the router admits in arrival order; nothing divides slots fairly. Change: RouterQueue (fleet, local, fcfs), ShardOwner, ledger, division of slots, held bookkeeping, learned limits, report pacing, shard assignment. Messages gain report sequence numbers, the answered report, observed maxima and the system's virtual time; PeerRow is added for merging between owners. Conclusion: the API can be called; behaviour is untested.

--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -1,7 +1,29 @@
 //! Fair admission: who runs next, and on which upstream.
+//!
+//! A [`RouterQueue`] holds the requests of one service at one router and
+//! dispatches them within the slots that the owners of the service's shards
+//! allocate. A [`ShardOwner`] divides the slots of one shard among the routers
+//! so that every backlogged workspace receives its share across the fleet.
+//! Neither performs I/O nor reads a clock.
 
+mod bucket;
+mod division;
+mod estimate;
+mod holdings;
+mod ledger;
+mod limit;
 mod message;
+mod owner;
+mod queue;
+mod request;
+mod shard;
+mod slots;
 
+pub use estimate::EstimateTable;
 pub use message::{
-    Allocation, LoadReport, ShardReport, SlotRow, Standing, UpstreamSlots, WorkspaceRow,
+    Allocation, LoadReport, PeerRow, ShardReport, SlotRow, Standing, UpstreamSlots, WorkspaceRow,
 };
+pub use owner::{ShardOwner, gap_bound, report_period_ms};
+pub use queue::{Policy, RouterQueue};
+pub use request::{Dispatch, Expired, Rejection, Request, Ticket, WorkspaceLimits};
+pub use shard::{SHARD_UPSTREAMS, assign_shards};
--- a/crates/fair/src/message.rs
+++ b/crates/fair/src/message.rs
@@ -10,6 +10,12 @@
     pub shard: ShardId,
     /// Router that reports.
     pub router: Member,
+    /// Sequence number of the report, growing per router and shard, from 1.
+    pub seq: u64,
+    /// Largest cost of a single request that the router has seen.
+    pub max_cost: u64,
+    /// Largest cost per second that one slot served at this router.
+    pub max_rate: u64,
     /// Owner whose allocation the router applied last.
     pub applied_owner: Option<Member>,
     /// Sequence number of that allocation; 0 if none.
@@ -68,6 +74,11 @@
     pub owner: Member,
     /// Sequence number, growing per owner, shard and receiving router.
     pub seq: u64,
+    /// Sequence number of the router's last report that the owner has merged.
+    pub answers: u64,
+    /// Lowest virtual time of a backlogged workspace. A workspace without a
+    /// standing starts from here.
+    pub virtual_time: f64,
     /// Time after which unconfirmed slots may not be used, in milliseconds.
     pub valid_for_ms: u64,
     /// Time until the next periodic report is due, in milliseconds.
@@ -105,3 +116,17 @@
     /// Time since the reported state was true, in milliseconds.
     pub age_ms: u64,
 }
+
+/// What one shard of a service served to a workspace, as its owner tells the
+/// owners of the service's other shards.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRow {
+    /// Shard that served the cost.
+    pub shard: ShardId,
+    /// Owner that counted it.
+    pub owner: Member,
+    /// Workspace of the row.
+    pub workspace: WorkspaceName,
+    /// Cost served and reserved since the owner took the shard over.
+    pub cost: u64,
+}
--- /dev/null
+++ b/crates/fair/src/shard.rs
@@ -0,0 +1,24 @@
+//! Assignment of a service's upstreams to shards.
+
+use span_types::UpstreamName;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Most upstreams in one shard.
+pub const SHARD_UPSTREAMS: usize = 64;
+
+/// Assigns upstreams to shards of at most [`SHARD_UPSTREAMS`]; the position in
+/// the result is the shard's index.
+///
+/// Upstreams are ordered by hash and cut into equal ranges, so that a change of
+/// one upstream moves at most one upstream across each boundary while the
+/// number of shards stays the same.
+pub fn assign_shards(upstreams: &[UpstreamName]) -> Vec<Vec<UpstreamName>> {
+    let count = upstreams.len().div_ceil(SHARD_UPSTREAMS).max(1);
+    let mut ordered: Vec<&UpstreamName> = upstreams.iter().collect();
+    ordered.sort_by_cached_key(|name| (xxh3_64(name.as_str().as_bytes()), (*name).clone()));
+    let mut shards = vec![Vec::new(); count];
+    for (rank, name) in ordered.iter().enumerate() {
+        shards[rank * count / upstreams.len()].push((*name).clone());
+    }
+    shards
+}
