Compare the fleet with a naive queue in random scenarios

Cause: the behaviour of the queue and the owner was untested. Change: a driver in virtual time with delays and faults, checks of the bound, work conservation, starvation and held slots, and a proptest over scenarios. A router confirms at once that free slots were taken from it.

--- a/crates/fair/src/queue.rs
+++ b/crates/fair/src/queue.rs
@@ -502,7 +502,8 @@
         let shard = &mut self.shards[running.shard];
         let usable = shard.release(&running.upstream);
         // The owner can give the slot to a router with waiting work.
-        shard.news |= !usable || (shard.saturated && self.places.is_empty());
+        shard.returned |= !usable;
+        shard.news |= shard.saturated && self.places.is_empty();
         self.rekey(running.workspace);
         self.unpark();
     }
@@ -540,7 +541,7 @@
 
     fn is_urgent(&self, now_ms: u64, shard: &ShardSlots) -> bool {
         let starving = !self.places.is_empty() && shard.free(now_ms) == 0;
-        shard.news && (starving || shard.saturated)
+        shard.returned || (shard.news && (starving || shard.saturated))
     }
 
     /// When the next periodic report or deadline is due, in milliseconds.
@@ -585,7 +586,9 @@
     ) -> Option<(WorkspaceRow, Option<Standing>)> {
         let shards = self.shards.len();
         let workspace = &mut self.workspaces[ws];
-        let waiting = split(workspace.waiting.len(), shards, shard + seq as usize);
+        // Each shard is told of an equal part, rounded up: an owner that saw no
+        // waiting request would take the workspace for one whose demand is met.
+        let waiting = workspace.waiting.len().div_ceil(shards) as u32;
         let name = workspace.limits.workspace.clone();
         let usage = workspace.usage(shard);
         if waiting == 0 && usage.is_settled() {
@@ -662,10 +665,3 @@
     let fleet = owned.map(|shard| shard.virtual_time).reduce(f64::max);
     if policy == Policy::Fleet { fleet.unwrap_or(local) } else { local }
 }
-
-// Waiting requests belong to the service. Each shard is told of a part, so that
-// the owners together do not provide slots for the same request twice.
-fn split(waiting: usize, shards: usize, turn: usize) -> u32 {
-    let extra = usize::from(turn % shards < waiting % shards);
-    (waiting / shards + extra) as u32
-}
--- a/crates/fair/src/slots.rs
+++ b/crates/fair/src/slots.rs
@@ -55,6 +55,9 @@
     bucket: TokenBucket,
     /// Something changed since the last report that the owner can act on.
     pub(crate) news: bool,
+    /// The router lost a slot that it does not use, and the owner can grant it
+    /// to another router once it knows.
+    pub(crate) returned: bool,
 }
 
 impl ShardSlots {
@@ -74,6 +77,7 @@
             sent: VecDeque::new(),
             bucket: TokenBucket::new(URGENT_BURST),
             news: false,
+            returned: false,
         }
     }
 
@@ -135,6 +139,7 @@
             self.bucket.take(now_ms, self.period_ms / URGENT_PER_PERIOD);
         }
         self.news = false;
+        self.returned = false;
         self.report_seq += 1;
         self.next_report_ms = now_ms + self.period_ms;
         if self.sent.len() == SENT_REPORTS {
@@ -172,7 +177,7 @@
             self.period_ms = allocation.next_report_ms.max(1);
             self.next_report_ms = self.next_report_ms.min(now_ms + self.period_ms);
         }
-        self.set_allocated(&allocation.slots);
+        self.returned |= self.set_allocated(&allocation.slots);
         true
     }
 
@@ -192,7 +197,9 @@
         }
     }
 
-    fn set_allocated(&mut self, rows: &[SlotRow]) {
+    /// Returns whether free slots of any upstream were taken away.
+    fn set_allocated(&mut self, rows: &[SlotRow]) -> bool {
+        let before: Vec<u32> = self.upstreams.iter().map(HeldSlots::free).collect();
         for slots in &mut self.upstreams {
             slots.allocated = 0;
         }
@@ -207,8 +214,10 @@
                 }),
             }
         }
+        let returned = self.upstreams.iter().zip(before).any(|(up, before)| up.free() < before);
         self.upstreams.retain(|up| up.allocated > 0 || up.in_flight > 0);
         self.free = self.upstreams.iter().map(HeldSlots::free).sum();
+        returned
     }
 }
 
--- /dev/null
+++ b/crates/fair/tests/differential.rs
@@ -0,0 +1,91 @@
+//! Routers and owners under delays and faults, compared with a naive queue that
+//! sees everything at once.
+//!
+//! `SPAN_FAIR_CASES` sets the number of random scenarios.
+
+mod fleet;
+
+use fleet::{
+    Arrangement, Fault, Load, Scenario,
+    checks::{idle_allowed_ms, run, starvation_ms},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{RngSeed, TestRunner},
+};
+use span_fair::Policy;
+
+/// Random scenarios without the environment variable.
+const CASES: u32 = 24;
+
+fn check(scenario: &Scenario) -> Result<(), TestCaseError> {
+    let (fleet, checks) = run(scenario, Arrangement::Routers(Policy::Fleet));
+    let served: f64 = fleet.served.iter().sum();
+    prop_assert!(checks.gap_of_bound <= 1.0, "gap is {} of the bound", checks.gap_of_bound);
+    let allowed_ms = idle_allowed_ms(scenario);
+    prop_assert!(checks.idle_ms <= allowed_ms, "idle {} ms > {allowed_ms} ms", checks.idle_ms);
+    let allowed_ms = starvation_ms(scenario);
+    prop_assert!(checks.wait_ms <= allowed_ms, "starved {} ms > {allowed_ms} ms", checks.wait_ms);
+    if scenario.fault == Fault::None {
+        let (naive, _) = run(scenario, Arrangement::Naive);
+        let naive_served: f64 = naive.served.iter().sum();
+        let part = served / naive_served;
+        prop_assert!(part >= 0.9, "served {part} of the naive queue");
+    }
+    Ok(())
+}
+
+fn load(routers: usize) -> impl Strategy<Value = Load> {
+    let depth = prop::collection::vec(prop_oneof![Just(0u32), 1u32..4, 8u32..40], routers);
+    let cost = prop_oneof![Just((20u64, 200u64)), Just((100, 1_000)), Just((50, 100))];
+    let hint = prop_oneof![Just((1u64, 1u64)), Just((10, 1)), Just((1, 10)), Just((1_000_000, 1))];
+    let active = prop_oneof![3 => Just((0u64, u64::MAX)), 1 => Just((12_000, u64::MAX)), 1 => Just((0, 9_000))];
+    (1u32..5, depth, any::<bool>(), cost, hint, active).prop_map(
+        |(share, depth, thin, cost, hint, active)| {
+            let thin = thin && depth.iter().sum::<u32>() < 12;
+            Load { share, depth, thin, cost, hint, active }
+        },
+    )
+}
+
+fn scenario() -> impl Strategy<Value = Scenario> {
+    let fault = prop_oneof![
+        3 => Just(Fault::None),
+        1 => Just(Fault::LostReports),
+        1 => Just(Fault::OwnerLoss),
+        1 => Just(Fault::RouterLoss),
+        1 => Just(Fault::Partition),
+    ];
+    (2usize..7, 1usize..6, 1u32..5, 1usize..3, fault, any::<u64>()).prop_flat_map(
+        |(routers, upstreams, slots, shards, fault, seed)| {
+            prop::collection::vec(load(routers), 2..6).prop_map(move |loads| Scenario {
+                routers,
+                upstreams,
+                slots,
+                shards: shards.min(upstreams),
+                rate: 500,
+                loads,
+                fault,
+                fault_ms: (8_000, 16_000),
+                duration_ms: 40_000,
+                seed,
+            })
+        },
+    )
+}
+
+/// Guards against any of the checks failing in some combination of sizes,
+/// shares, loads, hints and faults that nobody thought of.
+#[test]
+fn random_scenarios_keep_every_bound() {
+    let cases = std::env::var("SPAN_FAIR_CASES").ok().and_then(|text| text.parse().ok());
+    let config = ProptestConfig {
+        cases: cases.unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        max_shrink_iters: 40,
+        ..ProptestConfig::default()
+    };
+    let result = TestRunner::new(config).run(&scenario(), |scenario| check(&scenario));
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
--- /dev/null
+++ b/crates/fair/tests/fleet/checks.rs
@@ -0,0 +1,144 @@
+//! Checks of a fleet after each step, against bounds computed from the scenario.
+
+use span_fair::{gap_bound, report_period_ms};
+
+use super::{Arrangement, DELAY_MS, Fault, Fleet, MERGE_MS, Scenario};
+
+/// Longest age of what an owner decides on, from the scenario alone.
+pub fn age_ms(scenario: &Scenario) -> u64 {
+    let period_ms = report_period_ms(scenario.routers);
+    let lost_ms = if scenario.fault == Fault::LostReports { period_ms } else { 0 };
+    let merge_ms = if scenario.shards > 1 { MERGE_MS } else { 0 };
+    period_ms + lost_ms + merge_ms + 2 * DELAY_MS
+}
+
+/// Range of the difference of two virtual times while both are backlogged.
+#[derive(Clone, Copy)]
+struct Pair {
+    lowest: f64,
+    highest: f64,
+}
+
+/// Checks after each step; keeps the largest values seen.
+pub struct Checks {
+    pairs: Vec<Option<Pair>>,
+    idle_since_ms: Vec<u64>,
+    served_ms: Vec<(f64, u64)>,
+    pub gap: f64,
+    pub gap_of_bound: f64,
+    pub idle_ms: u64,
+    pub idle_slot_ms: u64,
+    pub wait_ms: u64,
+}
+
+impl Checks {
+    fn new(scenario: &Scenario) -> Self {
+        let count = scenario.loads.len();
+        Self {
+            pairs: vec![None; count * count],
+            idle_since_ms: vec![0; scenario.upstreams],
+            served_ms: vec![(0.0, 0); count],
+            gap: 0.0,
+            gap_of_bound: 0.0,
+            idle_ms: 0,
+            idle_slot_ms: 0,
+            wait_ms: 0,
+        }
+    }
+
+    fn step(&mut self, fleet: &Fleet) {
+        if fleet.disturbed() {
+            *self = Self {
+                gap: self.gap,
+                gap_of_bound: self.gap_of_bound,
+                idle_ms: self.idle_ms,
+                idle_slot_ms: self.idle_slot_ms,
+                wait_ms: self.wait_ms,
+                idle_since_ms: vec![fleet.now_ms; fleet.scenario.upstreams],
+                served_ms: vec![(0.0, fleet.now_ms); fleet.served.len()],
+                ..Self::new(&fleet.scenario)
+            };
+            return;
+        }
+        self.conservation(fleet);
+        self.starvation(fleet);
+        if fleet.now_ms.is_multiple_of(5) {
+            self.gaps(fleet);
+        }
+    }
+
+    fn gaps(&mut self, fleet: &Fleet) {
+        let loads = &fleet.scenario.loads;
+        let time = |ws: usize| fleet.served[ws] / f64::from(loads[ws].share);
+        for a in 0..loads.len() {
+            for b in 0..a {
+                let pair = &mut self.pairs[a * loads.len() + b];
+                if fleet.waiting[a] == 0 || fleet.waiting[b] == 0 {
+                    *pair = None;
+                    continue;
+                }
+                let difference = time(a) - time(b);
+                let pair = pair.get_or_insert(Pair { lowest: difference, highest: difference });
+                pair.lowest = pair.lowest.min(difference);
+                pair.highest = pair.highest.max(difference);
+                let gap = pair.highest - pair.lowest;
+                let share = loads[a].share.min(loads[b].share);
+                self.gap = self.gap.max(gap);
+                self.gap_of_bound = self.gap_of_bound.max(gap / bound(&fleet.scenario, share));
+            }
+        }
+    }
+
+    fn conservation(&mut self, fleet: &Fleet) {
+        let waiting: u32 = fleet.waiting.iter().sum();
+        let free = fleet.free_slots();
+        let idle = free.iter().sum::<u32>().min(waiting);
+        self.idle_slot_ms += u64::from(idle);
+        for (since_ms, free) in self.idle_since_ms.iter_mut().zip(free) {
+            if free == 0 || waiting == 0 {
+                *since_ms = fleet.now_ms;
+            }
+            self.idle_ms = self.idle_ms.max(fleet.now_ms - *since_ms);
+        }
+    }
+
+    fn starvation(&mut self, fleet: &Fleet) {
+        for (ws, last) in self.served_ms.iter_mut().enumerate() {
+            if fleet.served[ws] != last.0 || fleet.waiting[ws] == 0 {
+                *last = (fleet.served[ws], fleet.now_ms);
+            }
+            self.wait_ms = self.wait_ms.max(fleet.now_ms - last.1);
+        }
+    }
+}
+
+pub fn bound(scenario: &Scenario, share: u32) -> f64 {
+    gap_bound(scenario.capacity(), scenario.max_cost(), scenario.rate, age_ms(scenario), share)
+}
+
+/// Time in which the slots serve the bound to all others: a workspace without
+/// service for longer is behind them by more than the bound.
+pub fn starvation_ms(scenario: &Scenario) -> u64 {
+    let shares: u32 = scenario.loads.iter().map(|load| load.share).sum();
+    let per_second = f64::from(scenario.capacity()) * scenario.rate as f64;
+    let request_ms = scenario.max_cost() * 1_000 / scenario.rate;
+    (bound(scenario, 1) * f64::from(shares) / per_second * 1_000.0) as u64 + request_ms
+}
+
+/// A slot beside waiting work is reported at the latest after one period, and
+/// the owner's reply and push take a round trip each.
+pub fn idle_allowed_ms(scenario: &Scenario) -> u64 {
+    age_ms(scenario) + report_period_ms(scenario.routers) + 4 * DELAY_MS
+}
+
+pub fn run(scenario: &Scenario, arrangement: Arrangement) -> (Fleet, Checks) {
+    let mut fleet = Fleet::new(scenario.clone(), arrangement);
+    let mut checks = Checks::new(scenario);
+    while fleet.now_ms < scenario.duration_ms {
+        fleet.step();
+        checks.step(&fleet);
+        let held_ok = fleet.disturbed() || fleet.overcommitted == 0;
+        assert!(held_ok, "held exceeds a limit by {} at {} ms", fleet.overcommitted, fleet.now_ms);
+    }
+    (fleet, checks)
+}
