Return free slots with the report

Cause: a router with free slots and no work needed two reports to hand a slot over: one to say that it is free, one to confirm the smaller allocation. Change: such a router gives its free slots back in the report; the owner takes them if the router has applied its latest allocation. Urgent reports and pushes may follow at 4 per period instead of 2.

--- a/crates/fair/src/holdings.rs
+++ b/crates/fair/src/holdings.rs
@@ -1,6 +1,6 @@
 //! Which router may use how many slots of which upstream.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use span_types::{Member, UpstreamName};
 
@@ -143,9 +143,21 @@
         let Some(row) = self.rows.get_mut(&report.router) else {
             return;
         };
+        let reported: HashMap<_, _> =
+            report.slots.iter().map(|slots| (&slots.upstream, slots)).collect();
+        let latest = applied_seq == row.seq;
         for (upstream, cell) in &mut row.cells {
-            let reported = report.slots.iter().find(|slots| slots.upstream == *upstream);
-            cell.in_flight = reported.map_or(0, |slots| slots.in_flight);
+            let slots = reported.get(upstream);
+            cell.in_flight = slots.map_or(0, |slots| slots.in_flight);
+            let returned = cell.granted.saturating_sub(slots.map_or(0, |slots| slots.held));
+            // A router that applied the latest allocation and claims less than
+            // it gave slots back. No allocation on its way can restore them.
+            if latest && returned > 0 {
+                cell.granted -= returned;
+                row.granted -= returned;
+                let column = self.columns.get_mut(upstream).expect("a slot has an upstream");
+                column.granted -= returned;
+            }
             if applied_seq < cell.shrink_seq {
                 continue;
             }
--- a/crates/fair/src/owner.rs
+++ b/crates/fair/src/owner.rs
@@ -27,7 +27,7 @@
 /// Pushes to one router that may follow each other at once.
 const PUSH_BURST: u32 = 4;
 /// Pushes to one router per report period over a longer time.
-const PUSHES_PER_PERIOD: u64 = 2;
+const PUSHES_PER_PERIOD: u64 = 4;
 /// One part in this many of the spare slots stays with the owner.
 const SPARE_POOL_PART: u32 = 4;
 /// Time after which another router is first to get the odd slots of a
--- a/crates/fair/src/queue.rs
+++ b/crates/fair/src/queue.rs
@@ -555,7 +555,11 @@
     /// other than the last one is told the standings, from which it starts.
     pub fn report(&mut self, now_ms: u64, shard: &ShardId, owner: &Member) -> ShardReport {
         let index = self.shard_index(shard);
-        let seq = self.shards[index].start_report(now_ms);
+        let slots = &mut self.shards[index];
+        if slots.saturated && self.places.is_empty() {
+            slots.return_free();
+        }
+        let seq = slots.start_report(now_ms);
         let rows: Vec<(WorkspaceRow, Option<Standing>)> =
             self.touched.clone().into_iter().filter_map(|ws| self.row(ws, index, seq)).collect();
         let (workspaces, standings): (Vec<_>, Vec<_>) = rows.into_iter().unzip();
--- a/crates/fair/src/slots.rs
+++ b/crates/fair/src/slots.rs
@@ -10,7 +10,7 @@
 /// Urgent reports that may follow each other at once.
 const URGENT_BURST: u32 = 4;
 /// Urgent reports per report period over a longer time.
-const URGENT_PER_PERIOD: u64 = 2;
+const URGENT_PER_PERIOD: u64 = 4;
 /// Report period until the owner has named one, in milliseconds.
 const INITIAL_PERIOD_MS: u64 = 250;
 /// Reports whose sending times are kept.
@@ -181,6 +181,15 @@
         true
     }
 
+    /// Gives the free slots back: other routers have waiting work and this one
+    /// has none.
+    pub(crate) fn return_free(&mut self) {
+        for slots in &mut self.upstreams {
+            slots.allocated = slots.allocated.min(slots.in_flight);
+        }
+        self.free = 0;
+    }
+
     /// Replaces the slots by a fixed set that never expires.
     pub(crate) fn fix(&mut self, rows: &[SlotRow]) {
         self.valid_until_ms = u64::MAX;
