Ask for confirmation of slots that were taken back unused

Cause: an owner that shrank a grant which had not arrived yet waited a report period for the confirmation, because the router never saw the slot. Change: an allocation says whether the owner waits for its confirmation.

--- a/crates/fair/src/holdings.rs
+++ b/crates/fair/src/holdings.rs
@@ -22,6 +22,10 @@
     fn idle(&self) -> u32 {
         self.granted.saturating_sub(self.in_flight)
     }
+
+    fn returning_idle(&self) -> u32 {
+        self.held.saturating_sub(self.granted.max(self.in_flight))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -102,11 +106,16 @@
     pub(crate) fn returning(&self) -> (u32, u32) {
         let cells = self.rows.values().flat_map(|row| row.cells.values());
         cells.fold((0, 0), |(idle, all), cell| {
-            let used = cell.granted.max(cell.in_flight);
-            (idle + cell.held.saturating_sub(used), all + cell.held - cell.granted)
+            (idle + cell.returning_idle(), all + cell.held - cell.granted)
         })
     }
 
+    /// Whether slots that a router does not use wait for its confirmation.
+    pub(crate) fn unconfirmed(&self, router: &Member) -> bool {
+        let row = self.rows.get(router);
+        row.is_some_and(|row| row.cells.values().any(|cell| cell.returning_idle() > 0))
+    }
+
     /// Slots that no router may use.
     pub(crate) fn free(&self) -> u32 {
         self.columns.values().map(|column| column.limit.saturating_sub(column.held)).sum()
--- a/crates/fair/src/message.rs
+++ b/crates/fair/src/message.rs
@@ -85,6 +85,9 @@
     pub next_report_ms: u64,
     /// Every slot of the shard is wanted by waiting work.
     pub saturated: bool,
+    /// The owner took back slots that it believes are unused and can grant them
+    /// to others once the router reports this allocation as applied.
+    pub confirm: bool,
     /// Slots per upstream; an upstream without a row has none.
     pub slots: Vec<SlotRow>,
     /// Virtual times of the active workspaces.
--- a/crates/fair/src/owner.rs
+++ b/crates/fair/src/owner.rs
@@ -282,6 +282,7 @@
         if let Some(state) = self.routers.get_mut(router) {
             state.wants_push = false;
         }
+        let confirm = self.holdings.unconfirmed(router);
         let (seq, slots) = self.holdings.issue(router);
         Allocation {
             shard: self.shard.clone(),
@@ -292,6 +293,7 @@
             valid_for_ms: self.valid_for_ms(),
             next_report_ms: self.period_ms(),
             saturated: self.saturated,
+            confirm,
             slots,
             standings: Vec::new(),
         }
--- a/crates/fair/src/slots.rs
+++ b/crates/fair/src/slots.rs
@@ -177,7 +177,7 @@
             self.period_ms = allocation.next_report_ms.max(1);
             self.next_report_ms = self.next_report_ms.min(now_ms + self.period_ms);
         }
-        self.returned |= self.set_allocated(&allocation.slots);
+        self.returned |= self.set_allocated(&allocation.slots) || allocation.confirm;
         true
     }
 
