--- a/crates/fair/tests/differential.rs
+++ b/crates/fair/tests/differential.rs
@@ -5,36 +5,15 @@
 
 mod fleet;
 
-use fleet::{
-    Arrangement, Fault, Load, Scenario,
-    checks::{idle_allowed_ms, run, starvation_ms},
-};
+use fleet::{Fault, Load, Scenario, checks::check};
 use proptest::{
     prelude::*,
     test_runner::{RngSeed, TestRunner},
 };
-use span_fair::Policy;
 
 /// Random scenarios without the environment variable.
 const CASES: u32 = 24;
 
-fn check(scenario: &Scenario) -> Result<(), TestCaseError> {
-    let (fleet, checks) = run(scenario, Arrangement::Routers(Policy::Fleet));
-    let served: f64 = fleet.served.iter().sum();
-    prop_assert!(checks.gap_of_bound <= 1.0, "gap is {} of the bound", checks.gap_of_bound);
-    let allowed_ms = idle_allowed_ms(scenario);
-    prop_assert!(checks.idle_ms <= allowed_ms, "idle {} ms > {allowed_ms} ms", checks.idle_ms);
-    let allowed_ms = starvation_ms(scenario);
-    prop_assert!(checks.wait_ms <= allowed_ms, "starved {} ms > {allowed_ms} ms", checks.wait_ms);
-    if scenario.fault == Fault::None {
-        let (naive, _) = run(scenario, Arrangement::Naive);
-        let naive_served: f64 = naive.served.iter().sum();
-        let part = served / naive_served;
-        prop_assert!(part >= 0.9, "served {part} of the naive queue");
-    }
-    Ok(())
-}
-
 fn load(routers: usize) -> impl Strategy<Value = Load> {
     let depth = prop::collection::vec(prop_oneof![Just(0u32), 1u32..4, 8u32..40], routers);
     let cost = prop_oneof![Just((20u64, 200u64)), Just((100, 1_000)), Just((50, 100))];
@@ -86,6 +65,7 @@
         max_shrink_iters: 40,
         ..ProptestConfig::default()
     };
-    let result = TestRunner::new(config).run(&scenario(), |scenario| check(&scenario));
+    let result = TestRunner::new(config)
+        .run(&scenario(), |scenario| check(&scenario).map_err(TestCaseError::fail));
     result.unwrap_or_else(|error| panic!("{error}"));
 }
--- a/crates/fair/tests/fleet/checks.rs
+++ b/crates/fair/tests/fleet/checks.rs
@@ -1,6 +1,6 @@
 //! Checks of a fleet after each step, against bounds computed from the scenario.
 
-use span_fair::{gap_bound, report_period_ms};
+use span_fair::{Policy, gap_bound, report_period_ms};
 
 use super::{Arrangement, DELAY_MS, Fault, Fleet, MERGE_MS, Scenario};
 
@@ -13,13 +13,14 @@
 }
 
 /// Range of the difference of two virtual times while both are backlogged.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 struct Pair {
     lowest: f64,
     highest: f64,
 }
 
 /// Checks after each step; keeps the largest values seen.
+#[derive(Debug)]
 pub struct Checks {
     pairs: Vec<Option<Pair>>,
     idle_since_ms: Vec<u64>,
@@ -29,6 +30,8 @@
     pub idle_ms: u64,
     pub idle_slot_ms: u64,
     pub wait_ms: u64,
+    /// When `held` first exceeded a limit.
+    pub overcommitted_ms: Option<u64>,
 }
 
 impl Checks {
@@ -43,6 +46,7 @@
             idle_ms: 0,
             idle_slot_ms: 0,
             wait_ms: 0,
+            overcommitted_ms: None,
         }
     }
 
@@ -54,6 +58,7 @@
                 idle_ms: self.idle_ms,
                 idle_slot_ms: self.idle_slot_ms,
                 wait_ms: self.wait_ms,
+                overcommitted_ms: self.overcommitted_ms,
                 idle_since_ms: vec![fleet.now_ms; fleet.scenario.upstreams],
                 served_ms: vec![(0.0, fleet.now_ms); fleet.served.len()],
                 ..Self::new(&fleet.scenario)
@@ -137,8 +142,29 @@
     while fleet.now_ms < scenario.duration_ms {
         fleet.step();
         checks.step(&fleet);
-        let held_ok = fleet.disturbed() || fleet.overcommitted == 0;
-        assert!(held_ok, "held exceeds a limit by {} at {} ms", fleet.overcommitted, fleet.now_ms);
+        if fleet.overcommitted > 0 && !fleet.disturbed() {
+            checks.overcommitted_ms.get_or_insert(fleet.now_ms);
+        }
     }
     (fleet, checks)
 }
+
+/// Runs the fleet and returns the first bound that it broke.
+pub fn check(scenario: &Scenario) -> Result<(), String> {
+    let (fleet, checks) = run(scenario, Arrangement::Routers(Policy::Fleet));
+    let (idle_ms, wait_ms) = (idle_allowed_ms(scenario), starvation_ms(scenario));
+    let part = if scenario.fault == Fault::None { part_of_naive(scenario, &fleet) } else { 1.0 };
+    let broken = [
+        (checks.overcommitted_ms.is_some(), format!("held above limit: {checks:?}")),
+        (checks.gap_of_bound > 1.0, format!("gap is {} of the bound", checks.gap_of_bound)),
+        (checks.idle_ms > idle_ms, format!("a slot idle {} ms > {idle_ms} ms", checks.idle_ms)),
+        (checks.wait_ms > wait_ms, format!("starved {} ms > {wait_ms} ms", checks.wait_ms)),
+        (part < 0.9, format!("served {part} of the naive queue")),
+    ];
+    broken.into_iter().find(|(broken, _)| *broken).map_or(Ok(()), |(_, what)| Err(what))
+}
+
+fn part_of_naive(scenario: &Scenario, fleet: &Fleet) -> f64 {
+    let (naive, _) = run(scenario, Arrangement::Naive);
+    fleet.served.iter().sum::<f64>() / naive.served.iter().sum::<f64>().max(1.0)
+}
