--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use span_types::{Revision, ServiceName, UpstreamName, WorkspaceName};
 
-use crate::{Document, Operator, Service, Upstream, Workspace};
+use crate::{Digest, Document, ItemKind, Operator, Service, Upstream, Workspace};
 
 /// A delta cannot be applied.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -23,9 +23,9 @@
     #[error("the result has digest {found} instead of {expected}")]
     Digest {
         /// Digest of the document the delta was made for.
-        expected: String,
+        expected: Digest,
         /// Digest of the result.
-        found: String,
+        found: Digest,
     },
 }
 
@@ -39,7 +39,7 @@
     /// Revision of the result.
     pub to: Revision,
     /// Digest of the result.
-    pub digest: String,
+    pub digest: Digest,
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     workspaces: Items<WorkspaceName, Workspace>,
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -70,19 +70,39 @@
     ///
     /// [`DeltaError`] if the document is not the one the delta starts from.
     pub fn apply(&self, revision: Revision, document: &Document) -> Result<Document, DeltaError> {
+        self.check(revision, document, document.digest())?;
+        let mut result = document.clone();
+        self.patch(&mut result);
+        Ok(result)
+    }
+
+    /// Checks that applying the delta to `document`, which has `digest`, gives
+    /// the document it was made for.
+    pub(crate) fn check(
+        &self,
+        revision: Revision,
+        document: &Document,
+        mut digest: Digest,
+    ) -> Result<(), DeltaError> {
         if revision != self.from {
             return Err(DeltaError::WrongBase { expected: self.from, found: revision });
         }
-        let mut result = document.clone();
-        patch(&mut result.workspaces, &self.workspaces);
-        patch(&mut result.services, &self.services);
-        patch(&mut result.upstreams, &self.upstreams);
-        patch(&mut result.operators, &self.operators);
-        let found = result.digest();
-        if found == self.digest {
-            return Ok(result);
+        exchange(ItemKind::Workspace, &document.workspaces, &self.workspaces, &mut digest);
+        exchange(ItemKind::Service, &document.services, &self.services, &mut digest);
+        exchange(ItemKind::Upstream, &document.upstreams, &self.upstreams, &mut digest);
+        exchange(ItemKind::Operator, &document.operators, &self.operators, &mut digest);
+        if digest == self.digest {
+            return Ok(());
         }
-        Err(DeltaError::Digest { expected: self.digest.clone(), found })
+        Err(DeltaError::Digest { expected: self.digest, found: digest })
+    }
+
+    /// Replaces the items that differ.
+    pub(crate) fn patch(&self, document: &mut Document) {
+        patch(&mut document.workspaces, &self.workspaces);
+        patch(&mut document.services, &self.services);
+        patch(&mut document.upstreams, &self.upstreams);
+        patch(&mut document.operators, &self.operators);
     }
 
     /// This delta followed by `next`, as one.
@@ -99,7 +119,7 @@
         self.upstreams.extend(next.upstreams.clone());
         self.operators.extend(next.operators.clone());
         self.to = next.to;
-        self.digest.clone_from(&next.digest);
+        self.digest = next.digest;
         Ok(self)
     }
 
@@ -122,6 +142,22 @@
     gone.chain(new.map(|(name, item)| (name.clone(), Some(item.clone())))).collect()
 }
 
+fn exchange<N: Ord + AsRef<str>, T: Serialize>(
+    kind: ItemKind,
+    items: &BTreeMap<N, T>,
+    delta: &Items<N, T>,
+    digest: &mut Digest,
+) {
+    for (name, item) in delta {
+        if let Some(old) = items.get(name) {
+            digest.remove(kind, name.as_ref(), old);
+        }
+        if let Some(new) = item {
+            digest.add(kind, name.as_ref(), new);
+        }
+    }
+}
+
 fn patch<N: Ord + Clone, T: Clone>(items: &mut BTreeMap<N, T>, delta: &Items<N, T>) {
     for (name, item) in delta {
         match item {
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -7,9 +7,11 @@
 };
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
+use sha2::{Digest as _, Sha256};
 use span_types::{FailureDomain, ServiceKind, ServiceName, UpstreamName, WorkspaceName};
 
+use crate::Digest;
+
 const ABBREVIATED_DIGITS: usize = 8;
 
 /// SHA-256 of an API key, in lower-case hexadecimal digits.
@@ -49,12 +51,9 @@
 }
 
 impl Document {
-    /// Digest over the whole content. Equal documents have equal digests on all
-    /// instances, because items are kept in order.
-    pub fn digest(&self) -> String {
-        // A document consists of strings and integers, which always serialise.
-        let bytes = serde_json::to_vec(self).unwrap_or_default();
-        format!("{:032x}", xxhash_rust::xxh3::xxh3_128(&bytes))
+    /// Digest over the whole content.
+    pub fn digest(&self) -> Digest {
+        Digest::of(self)
     }
 }
 
--- a/crates/config/src/effect.rs
+++ b/crates/config/src/effect.rs
@@ -1,6 +1,9 @@
 //! What a change of the document does to the running fleet.
 
-use std::{collections::BTreeSet, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use serde::{Deserialize, Serialize};
 use span_types::{ServiceName, UpstreamName, WorkspaceName};
@@ -63,23 +66,24 @@
 impl Effects {
     /// Effects of replacing `before` by `after`.
     pub fn between(before: &Document, after: &Document) -> Self {
+        let (counted_before, counted_after) = (Counted::new(before), Counted::new(after));
         Self {
-            services: services(before, after),
+            services: services(&counted_before, &counted_after),
             drained: drained(before, after),
-            cut_off: cut_off(before, after),
+            cut_off: cut_off(&counted_before, &counted_after),
             keys_revoked: keys_revoked(before, after),
             operators_removed: operators_removed(before, after),
         }
     }
 }
 
-fn services(before: &Document, after: &Document) -> Vec<ServiceEffect> {
+fn services(before: &Counted<'_>, after: &Counted<'_>) -> Vec<ServiceEffect> {
     let names: BTreeSet<&ServiceName> =
-        before.services.keys().chain(after.services.keys()).collect();
+        before.document.services.keys().chain(after.document.services.keys()).collect();
     let effects = names.into_iter().map(|service| ServiceEffect {
         service: service.clone(),
-        slots_before: slots(before, service),
-        slots_after: slots(after, service),
+        slots_before: before.totals.slots(service),
+        slots_after: after.totals.slots(service),
         shares: shares(before, after, service),
     });
     effects
@@ -87,37 +91,62 @@
         .collect()
 }
 
-fn slots(document: &Document, service: &ServiceName) -> u64 {
-    let upstreams = document.upstreams.values();
-    let serving = upstreams.filter(|upstream| upstream.service == *service && !upstream.leaving);
-    serving.map(|upstream| u64::from(upstream.max_concurrency)).sum()
+/// Slots and shares per service, counted in one pass over the document.
+struct Totals<'a> {
+    slots: BTreeMap<&'a ServiceName, u64>,
+    shares: BTreeMap<&'a ServiceName, u64>,
 }
 
-fn shares(before: &Document, after: &Document, service: &ServiceName) -> Vec<ShareChange> {
+impl<'a> Totals<'a> {
+    fn of(document: &'a Document) -> Self {
+        let mut totals = Self { slots: BTreeMap::new(), shares: BTreeMap::new() };
+        for upstream in document.upstreams.values().filter(|upstream| !upstream.leaving) {
+            *totals.slots.entry(&upstream.service).or_default() +=
+                u64::from(upstream.max_concurrency);
+        }
+        for workspace in document.workspaces.values() {
+            for service in &workspace.services {
+                *totals.shares.entry(service).or_default() += u64::from(workspace.share);
+            }
+        }
+        totals
+    }
+
+    fn slots(&self, service: &ServiceName) -> u64 {
+        self.slots.get(service).copied().unwrap_or(0)
+    }
+
+    fn shares(&self, service: &ServiceName) -> u64 {
+        self.shares.get(service).copied().unwrap_or(0)
+    }
+}
+
+/// A document with its totals.
+struct Counted<'a> {
+    document: &'a Document,
+    totals: Totals<'a>,
+}
+
+impl<'a> Counted<'a> {
+    fn new(document: &'a Document) -> Self {
+        Self { document, totals: Totals::of(document) }
+    }
+}
+
+fn shares(before: &Counted<'_>, after: &Counted<'_>, service: &ServiceName) -> Vec<ShareChange> {
     let names: BTreeSet<&WorkspaceName> =
-        before.workspaces.keys().chain(after.workspaces.keys()).collect();
-    let (total_before, total_after) = (total_share(before, service), total_share(after, service));
+        before.document.workspaces.keys().chain(after.document.workspaces.keys()).collect();
     let changes = names.into_iter().map(|workspace| ShareChange {
         workspace: workspace.clone(),
-        before_bp: part_bp(before, workspace, service, total_before),
-        after_bp: part_bp(after, workspace, service, total_after),
+        before_bp: part_bp(before, workspace, service),
+        after_bp: part_bp(after, workspace, service),
     });
     changes.filter(|change| change.before_bp != change.after_bp).collect()
 }
 
-fn total_share(document: &Document, service: &ServiceName) -> u64 {
-    let workspaces = document.workspaces.values();
-    let users = workspaces.filter(|workspace| workspace.services.contains(service));
-    users.map(|workspace| u64::from(workspace.share)).sum()
-}
-
-fn part_bp(
-    document: &Document,
-    workspace: &WorkspaceName,
-    service: &ServiceName,
-    total: u64,
-) -> u32 {
-    let Some(workspace) = document.workspaces.get(workspace) else { return 0 };
+fn part_bp(counted: &Counted<'_>, workspace: &WorkspaceName, service: &ServiceName) -> u32 {
+    let Some(workspace) = counted.document.workspaces.get(workspace) else { return 0 };
+    let total = counted.totals.shares(service);
     if !workspace.services.contains(service) || total == 0 {
         return 0;
     }
@@ -133,9 +162,9 @@
     drained.map(|(name, _)| name.clone()).collect()
 }
 
-fn cut_off(before: &Document, after: &Document) -> Vec<WorkspaceLoss> {
+fn cut_off(before: &Counted<'_>, after: &Counted<'_>) -> Vec<WorkspaceLoss> {
     let mut losses = Vec::new();
-    for (name, old) in &before.workspaces {
+    for (name, old) in &before.document.workspaces {
         for service in &old.services {
             if usable(before, name, service).is_ok()
                 && let Err(reason) = usable(after, name, service)
@@ -149,18 +178,18 @@
 }
 
 fn usable(
-    document: &Document,
+    counted: &Counted<'_>,
     workspace: &WorkspaceName,
     service: &ServiceName,
 ) -> Result<(), &'static str> {
-    let workspace = document.workspaces.get(workspace).ok_or("the workspace is removed")?;
+    let workspace = counted.document.workspaces.get(workspace).ok_or("the workspace is removed")?;
     if !workspace.services.contains(service) {
         return Err("the workspace may no longer use it");
     }
     if workspace.keys.is_empty() {
         return Err("the workspace has no keys");
     }
-    if slots(document, service) == 0 {
+    if counted.totals.slots(service) == 0 {
         return Err("the service has no upstreams");
     }
     Ok(())
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,20 +6,26 @@
 
 mod change;
 mod delta;
+mod digest;
 mod document;
 mod effect;
 mod export;
+mod pack;
 mod plan;
 mod problem;
+mod revised;
 mod stored;
 mod yaml;
 
 pub use change::{Change, Field, ItemKind, changes};
 pub use delta::{Delta, DeltaError};
+pub use digest::Digest;
 pub use document::{Document, KeyHash, Operator, Service, Upstream, Workspace};
 pub use effect::{Effects, ServiceEffect, ShareChange, WorkspaceLoss};
 pub use export::export;
+pub use pack::{pack, unpack};
 pub use plan::{Plan, PlanId};
 pub use problem::{Problem, Problems};
+pub use revised::{DeltaLog, Revised};
 pub use stored::{CURRENT_KEY, Confirmation, Current, HISTORY_LIMIT, Stored, StoredError};
 pub use yaml::{Source, parse};
--- a/crates/config/src/stored.rs
+++ b/crates/config/src/stored.rs
@@ -1,11 +1,11 @@
 //! The accepted document as the object API holds it.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, io};
 
 use serde::{Deserialize, Serialize};
 use span_types::Revision;
 
-use crate::{Document, Plan, PlanId};
+use crate::{Document, Plan, PlanId, pack, unpack};
 
 /// Key of the accepted document in the object API.
 pub const CURRENT_KEY: &str = "config/current";
@@ -20,6 +20,9 @@
     /// It is not valid.
     #[error("the stored configuration is not valid: {0}")]
     Invalid(#[from] serde_json::Error),
+    /// It cannot be packed or unpacked.
+    #[error("the stored configuration cannot be unpacked: {0}")]
+    Packed(#[from] io::Error),
     /// It does not fit into one object.
     #[error("the configuration takes {bytes} bytes; at most {MAX_STORED_BYTES} can be stored")]
     TooLarge {
@@ -78,7 +81,7 @@
     ///
     /// [`StoredError::TooLarge`] if it does not fit into one object.
     pub fn encode(&self) -> Result<Vec<u8>, StoredError> {
-        let bytes = serde_json::to_vec(self)?;
+        let bytes = pack(serde_json::to_vec(self)?)?;
         if bytes.len() > MAX_STORED_BYTES {
             return Err(StoredError::TooLarge { bytes: bytes.len() });
         }
@@ -101,9 +104,10 @@
     ///
     /// # Errors
     ///
-    /// [`StoredError::Invalid`].
+    /// [`StoredError::Invalid`] or [`StoredError::Packed`].
     pub fn decode(version: u64, value: &[u8]) -> Result<Self, StoredError> {
-        Ok(Self { revision: Revision(version), stored: serde_json::from_slice(value)? })
+        let stored = serde_json::from_slice(&unpack(value)?)?;
+        Ok(Self { revision: Revision(version), stored })
     }
 
     /// The revision that confirming `plan` made, if it is remembered.
--- a/crates/config/tests/change.rs
+++ b/crates/config/tests/change.rs
@@ -4,8 +4,10 @@
 mod support;
 
 use proptest::{prelude::*, test_runner::Config};
-use span_config::{Current, Delta, DeltaError, HISTORY_LIMIT, Plan, PlanId, Stored};
-use span_types::Revision;
+use span_config::{
+    Current, Delta, DeltaError, DeltaLog, HISTORY_LIMIT, KeyHash, Plan, PlanId, Revised, Stored,
+};
+use span_types::{Revision, UpstreamName};
 use support::{BASE, document, parse};
 
 /// Guards against a plan text that leaves out an effect on the running fleet.
@@ -67,19 +69,40 @@
     assert_eq!(current.confirmed(&newest.unwrap()), Some(current.revision));
 }
 
+fn large(upstreams: u32) -> Stored {
+    let mut stored = Stored { document: parse(BASE), ..Stored::default() };
+    let upstream = stored.document.upstreams.values().next().unwrap().clone();
+    // Names without any pattern, so that packing does not help.
+    let names = (0..upstreams).map(|n| KeyHash::of(&n.to_string()).0);
+    let items: Vec<_> = names.map(|name| (UpstreamName::new(name), upstream.clone())).collect();
+    stored.document.upstreams.extend(items);
+    stored
+}
+
+/// Guards against a document of the design size that does not fit into one
+/// object.
+#[test]
+fn document_of_the_design_size_fits() {
+    let stored = large(10_000);
+    assert!(serde_json::to_vec(&stored).unwrap().len() > 1024 * 1024);
+    let bytes = stored.encode().unwrap();
+    assert_eq!(Current::decode(1, &bytes).unwrap().stored, stored);
+}
+
 /// Guards against a document that the object API would refuse only after the
 /// operator has confirmed it.
 #[test]
 fn oversized_documents_are_refused() {
-    let mut stored = Stored { document: parse(BASE), ..Stored::default() };
-    let upstream = stored.document.upstreams.values().next().unwrap().clone();
-    for n in 0..10_000 {
-        stored
-            .document
-            .upstreams
-            .insert(format!("engine-{n}-{}", "x".repeat(50)).into(), upstream.clone());
+    assert!(large(34_000).encode().unwrap_err().to_string().contains("at most 1048576"));
+}
+
+/// Guards against a value that is damaged being taken for an empty document.
+#[test]
+fn damaged_values_are_noticed() {
+    let bytes = large(3_000).encode().unwrap();
+    for damaged in [&b""[..], b"x", b"{", &bytes[..bytes.len() / 2]] {
+        assert!(Current::decode(1, damaged).is_err());
     }
-    assert!(stored.encode().unwrap_err().to_string().contains("at most 1048576"));
 }
 
 proptest! {
@@ -125,4 +148,29 @@
         let plain: span_config::Document = serde_json::from_slice(&bytes).unwrap();
         prop_assert_eq!(plain, document);
     }
+
+    /// Guards against the digest drifting from the document it belongs to, and
+    /// against a peer that ends up with another document than the sender.
+    #[test]
+    fn peers_follow_by_deltas(documents in proptest::collection::vec(document(), 1..8), from in 0..8usize) {
+        let mut log = DeltaLog::new(Revised::default(), 4);
+        let mut states = vec![log.current().clone()];
+        for (n, document) in documents.into_iter().enumerate() {
+            prop_assert!(log.accept(Revision(n as u64 + 1), document));
+            states.push(log.current().clone());
+        }
+        let from = from % states.len();
+        let mut peer = DeltaLog::new(states[from].clone(), 4);
+        match log.since(states[from].revision()) {
+            Some(delta) => {
+                prop_assert!(peer.apply(&delta).unwrap());
+                prop_assert_eq!(peer.current(), log.current());
+                prop_assert!(!peer.apply(&delta).unwrap(), "applied twice");
+            }
+            None => prop_assert!(from + 4 < states.len() - 1 || from == states.len() - 1),
+        }
+        let current = log.current();
+        prop_assert_eq!(current.digest(), current.document().digest());
+        prop_assert!(!log.accept(Revision(0), Default::default()), "reverted");
+    }
 }
--- a/crates/intent/src/error.rs
+++ b/crates/intent/src/error.rs
@@ -77,7 +77,9 @@
             Self::TooLarge(_) | Self::Stored(StoredError::TooLarge { .. }) => "too_large",
             Self::Invalid(_) => "invalid",
             Self::Stale { .. } => "stale",
-            Self::Stored(StoredError::Invalid(_)) | Self::Corrupt(_) => "corrupt",
+            Self::Stored(StoredError::Invalid(_) | StoredError::Packed(_)) | Self::Corrupt(_) => {
+                "corrupt"
+            }
             Self::LeaseHeld { .. } => "lease_held",
             Self::RateLimited { .. } => "rate_limited",
             Self::OrderNotRun(_) => "not_run",
--- a/crates/intent/src/plan.rs
+++ b/crates/intent/src/plan.rs
@@ -1,6 +1,6 @@
 //! Makes plans.
 
-use span_config::{Current, Plan, Source, parse};
+use span_config::{Current, Plan, Source, pack, parse};
 use span_platform::{Condition, Error, MAX_VALUE_BYTES, Platform};
 
 use crate::{
@@ -35,8 +35,9 @@
 /// Stores a plan once; the same change from the same revision is the same plan,
 /// whoever asks for it.
 async fn save(platform: &Platform, plan: Plan) -> Result<Plan, IntentError> {
-    let bytes =
+    let json =
         serde_json::to_vec(&plan).map_err(|error| IntentError::Corrupt(error.to_string()))?;
+    let bytes = pack(json).map_err(|error| IntentError::Corrupt(error.to_string()))?;
     if bytes.len() > MAX_VALUE_BYTES {
         let message = format!("the plan takes {} bytes of {MAX_VALUE_BYTES}", bytes.len());
         return Err(IntentError::TooLarge(message));
--- a/crates/intent/src/store.rs
+++ b/crates/intent/src/store.rs
@@ -1,6 +1,6 @@
 //! Reads the accepted document and plans.
 
-use span_config::{CURRENT_KEY, Current, Plan, PlanId};
+use span_config::{CURRENT_KEY, Current, Plan, PlanId, unpack};
 use span_platform::Platform;
 
 use crate::{IntentError, message::HistoryEntry};
@@ -15,7 +15,12 @@
 pub(crate) async fn plan(platform: &Platform, id: &PlanId) -> Result<Plan, IntentError> {
     let object = platform.get(&id.key()).await?;
     let object = object.ok_or_else(|| IntentError::NoSuchPlan(id.to_string()))?;
-    serde_json::from_slice(&object.value).map_err(|error| IntentError::Corrupt(error.to_string()))
+    read_plan(&object.value)
+}
+
+pub(crate) fn read_plan(value: &[u8]) -> Result<Plan, IntentError> {
+    let json = unpack(value).map_err(|error| IntentError::Corrupt(error.to_string()))?;
+    serde_json::from_slice(&json).map_err(|error| IntentError::Corrupt(error.to_string()))
 }
 
 /// Confirmed plans as operators see them.
