--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -7,9 +7,13 @@
 };
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
+use sha2::{Digest as _, Sha256};
 use span_types::{FailureDomain, ServiceKind, ServiceName, UpstreamName, WorkspaceName};
 
+use crate::Digest;
+
+const ABBREVIATED_DIGITS: usize = 8;
+
 /// SHA-256 of an API key, in lower-case hexadecimal digits.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -22,21 +26,37 @@
         let text: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
         Self(text.into())
     }
+
+    /// The first digits, enough to tell keys apart in messages.
+    pub fn abbreviated(&self) -> &str {
+        self.0.get(..ABBREVIATED_DIGITS).unwrap_or(&self.0)
+    }
 }
 
 /// Everything that operators declare.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
     /// Groups of callers and their shares.
+    #[serde(default)]
     pub workspaces: BTreeMap<WorkspaceName, Workspace>,
     /// Services that callers address.
+    #[serde(default)]
     pub services: BTreeMap<ServiceName, Service>,
     /// Endpoints that serve the services.
+    #[serde(default)]
     pub upstreams: BTreeMap<UpstreamName, Upstream>,
     /// People and programs that may change the configuration.
+    #[serde(default)]
     pub operators: BTreeMap<Arc<str>, Operator>,
 }
 
+impl Document {
+    /// Digest over the whole content.
+    pub fn digest(&self) -> Digest {
+        Digest::of(self)
+    }
+}
+
 /// A group of callers with a share of each service it may reach.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
@@ -75,8 +95,10 @@
     /// Ceiling on concurrent requests.
     pub max_concurrency: u32,
     /// Refuses orders that carry an old fencing number.
+    #[serde(default)]
     pub checks_fencing: bool,
     /// No new work may go to it.
+    #[serde(default)]
     pub leaving: bool,
 }
 
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -8,9 +8,9 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use http::Request;
-use span_config::Document;
-use span_http::{Client, Limits, Server, read_json};
+use span_config::{CURRENT_KEY, Current};
+use span_http::{Limits, Server};
+use span_platform::Platform;
 use span_types::{Incarnation, Member};
 use tokio::task::JoinHandle;
 
@@ -20,9 +20,6 @@
     settings::Settings,
 };
 
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
-const MAX_DOCUMENT_BYTES: usize = 1024 * 1024;
-
 /// The router could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum SpawnError {
@@ -99,9 +96,14 @@
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = Incarnation(u64::try_from(incarnation.as_micros()).unwrap_or(u64::MAX));
     let member = Member { instance: settings.instance.clone(), incarnation };
-    let front = Front::new(settings, member, control::spawn()?);
+    let platform = Platform::new(span_platform::Settings {
+        call_timeout_ms: settings.timeouts.platform_ms,
+        connect_timeout_ms: settings.timeouts.connect_ms,
+        ..span_platform::Settings::new(settings.platform_address)
+    });
+    let front = Front::new(settings, member, control::spawn()?, &platform);
     let server = bind(&front).await?;
-    let follower = tokio::spawn(follow(Arc::clone(&front)));
+    let follower = tokio::spawn(follow(Arc::clone(&front), platform));
     Ok(Router { server, front, follower })
 }
 
@@ -119,26 +121,23 @@
     span_http::bind_with(settings.http_address, limits, handler, refuse).await
 }
 
-async fn follow(front: Arc<Front>) {
-    let mut current = Arc::<Document>::default();
+/// Follows the accepted configuration. Only a higher revision replaces the one
+/// in force, so that a late read never takes a change back.
+async fn follow(front: Arc<Front>, platform: Platform) {
+    let mut watch = platform.watch(CURRENT_KEY, 0);
     loop {
-        let fetched = fetch(&front.client, front.settings.platform_address).await;
-        if let Some(document) = fetched.filter(|document| *document != *current) {
-            current = Arc::new(document);
-            front.configure(Arc::clone(&current));
-            front.control.configure(Arc::clone(&current));
-            tracing::info!(workspaces = current.workspaces.len(), "configuration in force");
+        let object = watch.next().await;
+        match Current::decode(object.version, &object.value) {
+            Ok(current) => configure(&front, current),
+            Err(error) => tracing::warn!(version = object.version, %error, "configuration refused"),
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-async fn fetch(client: &Client, platform: SocketAddr) -> Option<Document> {
-    let uri = format!("http://{platform}/objects/config/current");
-    let request = Request::get(uri).body(span_http::empty()).ok()?;
-    let answer = client.request(request).await.ok()?;
-    if !answer.status().is_success() {
-        return None;
-    }
-    read_json(answer.into_body(), MAX_DOCUMENT_BYTES).await.ok()
+fn configure(front: &Front, current: Current) {
+    let revision = current.revision;
+    let document = Arc::new(current.stored.document);
+    front.configure(Arc::clone(&document));
+    front.control.configure(document);
+    tracing::info!(%revision, "configuration in force");
 }
--- a/crates/standin/src/bin/standin-engine.rs
+++ b/crates/standin/src/bin/standin-engine.rs
@@ -29,6 +29,8 @@
         load_lag_ms: args.option("--load-lag-ms", defaults.load_lag_ms)?,
         linger_ms: args.option("--linger-ms", defaults.linger_ms)?,
         faults,
+        checks_fencing: args.option("--checks-fencing", defaults.checks_fencing)?,
+        lose_order_answers: args.option("--lose-order-answers", defaults.lose_order_answers)?,
     };
     args.finish()?;
     let engine = engine::bind(address, settings).await?;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod generation;
 mod load;
+mod orders;
 mod request;
 
 use std::{
@@ -19,6 +20,7 @@
 use crate::Ledger;
 
 pub use faults::Faults;
+pub use orders::{Order, OrderRow, Orders, StaleFencing};
 pub use request::{ChatRequest, Message};
 
 /// How an engine behaves.
@@ -36,6 +38,11 @@
     pub linger_ms: u64,
     /// Faults of answers.
     pub faults: Faults,
+    /// Orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// Orders are carried out, then their answer is withheld and the call ends
+    /// with status 503.
+    pub lose_order_answers: bool,
 }
 
 impl Default for Settings {
@@ -47,6 +54,8 @@
             load_lag_ms: 200,
             linger_ms: 5_000,
             faults: Faults::default(),
+            checks_fencing: false,
+            lose_order_answers: false,
         }
     }
 }
@@ -56,6 +65,7 @@
 pub struct Engine {
     server: Server,
     ledger: Ledger,
+    orders: Arc<Orders>,
 }
 
 impl Engine {
@@ -69,6 +79,11 @@
         &self.ledger
     }
 
+    /// Orders the engine carried out.
+    pub fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
     /// Drops all connections and stops.
     pub fn abort(self) {
         self.server.abort();
@@ -83,6 +98,7 @@
     generations: generation::Generations,
     load: load::LoadHistory,
     faulty_left: AtomicU32,
+    orders: Arc<Orders>,
 }
 
 /// Binds an engine to `address`.
@@ -92,9 +108,11 @@
 /// Fails if the address cannot be bound.
 pub async fn bind(address: SocketAddr, settings: Settings) -> io::Result<Engine> {
     let ledger = Ledger::default();
+    let orders = Arc::new(Orders::new(settings.checks_fencing));
     let state = Arc::new(State {
         slots: Arc::new(Semaphore::new(settings.slots as usize)),
         ledger: ledger.clone(),
+        orders: Arc::clone(&orders),
         generations: generation::Generations::default(),
         load: load::LoadHistory::default(),
         faulty_left: AtomicU32::new(settings.faults.answers),
@@ -103,5 +121,5 @@
     tokio::spawn(load::sample(Arc::downgrade(&state)));
     let handler = move |request, _peer| api::handle(Arc::clone(&state), request);
     let server = span_http::bind(address, Limits::default(), handler).await?;
-    Ok(Engine { server, ledger })
+    Ok(Engine { server, ledger, orders })
 }
