Add the live view, peer topology, ownership and steering

Cause: routers need one account of who is live, whom to send heartbeats to and who owns a shard, as pure functions that tests can drive on virtual time.

Change: `member` combines the instance list, direct messages and statements that peers pass on. A statement is ordered by incarnation, epoch and state; only the member raises its epoch, to contradict a wrong statement. Heartbeats run in a full mesh of up to 8 other members, each pair from one side, and above that to 4 of the next 8 members on a hash ring, distinct failure domains first. Shards and addresses follow (weighted) rendezvous hashing. `wire` holds the capnp schema, the generated code and the conversions.

Figures: heartbeat calls of the fleet per period: 15 at 6 routers, 96 at 24, 7,600 at 1,900; at most 12 peers per router at the larger sizes. 2,400 shards on 24 routers: each owns 60 to 140, and a lost router moves only its own.

Conclusion: heartbeat cost per router does not grow with the fleet.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,17 @@
-//! x
+//! Which routers are live, whom they exchange heartbeats with, who owns what,
+//! and which addresses callers are given.
+//!
+//! Everything here is pure: `now_ms` is an argument, and there is no I/O.
+
+mod hash;
+mod own;
+mod ring;
+mod steer;
+mod update;
+mod view;
+
+pub use own::{home, owner, rank};
+pub use ring::{FULL_MESH_PEERS, RING_PEERS, peers, targets};
+pub use steer::{ADDRESSES, LIFETIME_MS, addresses};
+pub use update::{Router, Update};
+pub use view::{Change, Listed, LiveView, MemberStatus, Timing};
--- /dev/null
+++ b/crates/member/tests/fleet.rs
@@ -0,0 +1,178 @@
+//! Topology, ownership and steering at the sizes of today and of the design.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use span_member::{ADDRESSES, Router, addresses, home, owner, peers, targets};
+use span_types::{Incarnation, InstanceName, Member, ShardId, WorkspaceName};
+
+fn fleet(count: usize, domains: usize) -> Vec<Router> {
+    (0..count)
+        .map(|index| {
+            let address = "127.0.0.1:1".parse().expect("address");
+            Router {
+                member: Member {
+                    instance: format!("router-{index}").into(),
+                    incarnation: Incarnation(1),
+                },
+                http_address: address,
+                peer_address: address,
+                failure_domain: format!("domain-{}", index % domains).into(),
+            }
+        })
+        .collect()
+}
+
+fn name(router: &Router) -> &InstanceName {
+    &router.member.instance
+}
+
+struct Size {
+    routers: usize,
+    domains: usize,
+    /// Most peers that one router exchanges heartbeats with.
+    most_peers: usize,
+    /// Heartbeat calls of the whole fleet in one period.
+    calls: usize,
+}
+
+const SIZES: [Size; 5] = [
+    Size { routers: 1, domains: 1, most_peers: 0, calls: 0 },
+    Size { routers: 2, domains: 2, most_peers: 1, calls: 1 },
+    Size { routers: 6, domains: 3, most_peers: 5, calls: 15 },
+    Size { routers: 24, domains: 3, most_peers: 12, calls: 96 },
+    Size { routers: 1_900, domains: 22, most_peers: 12, calls: 7_600 },
+];
+
+/// Guards against a heartbeat cost that grows with the fleet, pairs that send
+/// twice, and a fleet that falls into parts which do not hear of each other.
+#[test]
+fn topology_cost() {
+    for size in SIZES {
+        let routers = fleet(size.routers, size.domains);
+        let live: Vec<&Router> = routers.iter().collect();
+        let sent: BTreeMap<_, _> =
+            live.iter().map(|router| (name(router), targets(name(router), &live))).collect();
+        let calls: usize = sent.values().map(Vec::len).sum();
+        assert_eq!(calls, size.calls, "{} routers", size.routers);
+        let mut links: BTreeMap<&InstanceName, BTreeSet<InstanceName>> =
+            live.iter().map(|router| (name(router), BTreeSet::new())).collect();
+        for (from, to) in &sent {
+            for target in to {
+                links.entry(from).or_default().insert(target.clone());
+                links.get_mut(target).expect("known").insert((*from).clone());
+            }
+        }
+        let most = links.values().map(BTreeSet::len).max().unwrap_or_default();
+        assert!(most <= size.most_peers, "{} routers: {most} peers", size.routers);
+        let sample = live.iter().step_by(size.routers.div_ceil(40));
+        for router in sample {
+            assert_eq!(peers(name(router), &live), links[name(router)], "{}", name(router));
+        }
+        assert_eq!(reached(name(live[0]), &links), size.routers);
+    }
+}
+
+fn reached(start: &InstanceName, links: &BTreeMap<&InstanceName, BTreeSet<InstanceName>>) -> usize {
+    let mut seen = BTreeSet::from([start.clone()]);
+    let mut queue = VecDeque::from([start.clone()]);
+    while let Some(next) = queue.pop_front() {
+        for other in &links[&next] {
+            if seen.insert(other.clone()) {
+                queue.push_back(other.clone());
+            }
+        }
+    }
+    seen.len()
+}
+
+/// Guards against a ring that follows one failure domain only, so that its
+/// loss separates the rest.
+#[test]
+fn ring_peers_stand_in_distinct_failure_domains() {
+    let routers = fleet(1_900, 22);
+    let live: Vec<&Router> = routers.iter().collect();
+    let domain: BTreeMap<_, _> =
+        live.iter().map(|router| (name(router), &router.failure_domain)).collect();
+    for router in live.iter().step_by(19) {
+        let targets = targets(name(router), &live);
+        let domains: BTreeSet<_> = targets.iter().map(|target| domain[target]).collect();
+        assert!(domains.len() >= 3, "{targets:?}");
+    }
+}
+
+/// Guards against owners that administer far more than their part, and
+/// against shards that move although their owner is still there.
+#[test]
+fn ownership_balance_and_movement() {
+    let routers = fleet(24, 3);
+    let live: Vec<&Router> = routers.iter().collect();
+    let shards: Vec<_> =
+        (0..2_400).map(|index| ShardId { service: "stitch-assist".into(), index }).collect();
+    let mut counts: BTreeMap<&InstanceName, usize> = BTreeMap::new();
+    for shard in &shards {
+        *counts.entry(name(owner(shard, &live).expect("owner"))).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 24);
+    // The mean is 100; 140 is four standard deviations above it.
+    assert!(counts.values().all(|count| (60..=140).contains(count)), "{counts:?}");
+    let left: Vec<&Router> = live[1..].to_vec();
+    for shard in &shards {
+        let (before, after) = (owner(shard, &live), owner(shard, &left));
+        if before != Some(live[0]) {
+            assert_eq!(before, after, "{shard} moved");
+        }
+    }
+}
+
+/// Guards against buckets that follow the order of the list instead of the
+/// routers' names.
+#[test]
+fn home_does_not_depend_on_the_order() {
+    let routers = fleet(6, 3);
+    let live: Vec<&Router> = routers.iter().collect();
+    let reversed: Vec<&Router> = routers.iter().rev().collect();
+    for bucket in 0..64 {
+        assert_eq!(home(bucket, &live), home(bucket, &reversed));
+    }
+}
+
+/// Guards against answers that name one failure domain only, and against
+/// routers that receive far more workspaces than others.
+#[test]
+fn steering_spread() {
+    let routers = fleet(6, 3);
+    let entries: Vec<&Router> = routers.iter().collect();
+    let mut counts: BTreeMap<&InstanceName, usize> = BTreeMap::new();
+    for index in 0..640 {
+        let workspace = WorkspaceName::from(format!("workspace-{index}"));
+        let chosen = addresses(&workspace, &entries, |_| 1);
+        let domains: BTreeSet<_> = chosen.iter().map(|router| &router.failure_domain).collect();
+        assert_eq!((chosen.len(), domains.len()), (ADDRESSES, 3), "{workspace}");
+        for router in chosen {
+            *counts.entry(name(router)).or_default() += 1;
+        }
+    }
+    // The mean is 320 and the standard deviation below 13.
+    assert!(counts.values().all(|count| (270..=370).contains(count)), "{counts:?}");
+}
+
+/// Guards against callers that are sent to routers without capacity nearby.
+#[test]
+fn steering_follows_capacity() {
+    let routers = fleet(6, 1);
+    let entries: Vec<&Router> = routers.iter().collect();
+    let weight = |router: &Router| match name(router).as_str() {
+        "router-0" => 3,
+        "router-1" => 0,
+        _ => 1,
+    };
+    let mut first: BTreeMap<&InstanceName, usize> = BTreeMap::new();
+    for index in 0..700 {
+        let workspace = WorkspaceName::from(format!("workspace-{index}"));
+        let chosen = addresses(&workspace, &entries, weight);
+        assert!(chosen.iter().all(|router| name(router).as_str() != "router-1"));
+        *first.entry(name(chosen[0])).or_default() += 1;
+    }
+    // 3 of 7 parts of 700, within four standard deviations of 13.
+    assert!((248..=352).contains(&first[name(&routers[0])]), "{first:?}");
+}
--- /dev/null
+++ b/crates/wire/src/convert/allocation.rs
@@ -0,0 +1,61 @@
+//! Allocations.
+
+use capnp::struct_list;
+use span_fair::Allocation;
+
+use super::{
+    ConvertError,
+    shared::{
+        read_member, read_shard, read_slots, read_standings, write_member, write_shard,
+        write_slots, write_standings,
+    },
+};
+use crate::peer_capnp::allocation;
+
+/// Writes an allocation. Virtual times are rounded to 1/256.
+pub fn write_allocation(mut to: allocation::Builder<'_>, from: &Allocation) {
+    write_shard(to.reborrow().init_shard(), &from.shard);
+    write_member(to.reborrow().init_owner(), &from.owner);
+    to.set_seq(from.seq);
+    to.set_valid_for_ms(from.valid_for_ms);
+    to.set_next_report_ms(from.next_report_ms);
+    to.set_saturated(from.saturated);
+    write_slots(to.reborrow().init_slots(), &from.slots);
+    write_standings(to.init_standings(), &from.standings);
+}
+
+/// Reads an allocation.
+///
+/// # Errors
+///
+/// [`ConvertError`] if the message is damaged or inconsistent.
+pub fn read_allocation(from: allocation::Reader<'_>) -> Result<Allocation, ConvertError> {
+    Ok(Allocation {
+        shard: read_shard(from.get_shard()?)?,
+        owner: read_member(from.get_owner()?)?,
+        seq: from.get_seq(),
+        valid_for_ms: from.get_valid_for_ms(),
+        next_report_ms: from.get_next_report_ms(),
+        saturated: from.get_saturated(),
+        slots: read_slots(from.get_slots()?)?,
+        standings: read_standings(from.get_standings()?)?,
+    })
+}
+
+/// Writes allocations into a list of the same length.
+pub fn write_allocations(mut to: struct_list::Builder<'_, allocation::Owned>, from: &[Allocation]) {
+    for (index, row) in (0..).zip(from) {
+        write_allocation(to.reborrow().get(index), row);
+    }
+}
+
+/// Reads a list of allocations.
+///
+/// # Errors
+///
+/// As [`read_allocation`].
+pub fn read_allocations(
+    from: struct_list::Reader<'_, allocation::Owned>,
+) -> Result<Vec<Allocation>, ConvertError> {
+    from.iter().map(read_allocation).collect()
+}
--- /dev/null
+++ b/crates/wire/src/convert/report.rs
@@ -0,0 +1,99 @@
+//! Reports of routers to shard owners.
+
+use capnp::struct_list;
+use span_fair::{ShardReport, WorkspaceRow};
+
+use super::{
+    ConvertError,
+    shared::{
+        read_member, read_name, read_shard, read_slots, read_standings, same_length, write_member,
+        write_names, write_numbers, write_shard, write_slots, write_standings,
+    },
+};
+use crate::peer_capnp::report;
+
+/// Writes a report.
+pub fn write_report(mut to: report::Builder<'_>, from: &ShardReport) {
+    write_shard(to.reborrow().init_shard(), &from.shard);
+    write_member(to.reborrow().init_router(), &from.router);
+    if let Some(owner) = &from.applied_owner {
+        write_member(to.reborrow().init_applied_owner(), owner);
+    }
+    to.set_applied_seq(from.applied_seq);
+    let rows = &from.workspaces;
+    let count = rows.len() as u32;
+    write_names(
+        to.reborrow().init_workspaces(count),
+        rows.iter().map(|row| row.workspace.as_str()),
+    );
+    write_numbers(to.reborrow().init_served_costs(count), rows.iter().map(|row| row.served_cost));
+    write_numbers(
+        to.reborrow().init_reserved_costs(count),
+        rows.iter().map(|row| row.reserved_cost),
+    );
+    write_numbers(to.reborrow().init_in_flight(count), rows.iter().map(|row| row.in_flight));
+    write_numbers(to.reborrow().init_waiting(count), rows.iter().map(|row| row.waiting));
+    write_slots(to.reborrow().init_slots(), &from.slots);
+    if !from.standings.is_empty() {
+        write_standings(to.init_standings(), &from.standings);
+    }
+}
+
+/// Reads a report.
+///
+/// # Errors
+///
+/// [`ConvertError`] if the message is damaged or inconsistent.
+pub fn read_report(from: report::Reader<'_>) -> Result<ShardReport, ConvertError> {
+    let applied_owner = match from.has_applied_owner() {
+        true => Some(read_member(from.get_applied_owner()?)?),
+        false => None,
+    };
+    Ok(ShardReport {
+        shard: read_shard(from.get_shard()?)?,
+        router: read_member(from.get_router()?)?,
+        applied_owner,
+        applied_seq: from.get_applied_seq(),
+        workspaces: read_workspaces(from)?,
+        slots: read_slots(from.get_slots()?)?,
+        standings: read_standings(from.get_standings()?)?,
+    })
+}
+
+fn read_workspaces(from: report::Reader<'_>) -> Result<Vec<WorkspaceRow>, ConvertError> {
+    let names = from.get_workspaces()?;
+    let (served, reserved) = (from.get_served_costs()?, from.get_reserved_costs()?);
+    let (in_flight, waiting) = (from.get_in_flight()?, from.get_waiting()?);
+    same_length("served costs", names.len(), served.len())?;
+    same_length("reserved costs", names.len(), reserved.len())?;
+    same_length("requests in flight", names.len(), in_flight.len())?;
+    same_length("waiting requests", names.len(), waiting.len())?;
+    let row = |index| {
+        Ok(WorkspaceRow {
+            workspace: read_name(&names, index)?,
+            served_cost: served.get(index),
+            reserved_cost: reserved.get(index),
+            in_flight: in_flight.get(index),
+            waiting: waiting.get(index),
+        })
+    };
+    (0..names.len()).map(row).collect()
+}
+
+/// Writes reports into a list of the same length.
+pub fn write_reports(mut to: struct_list::Builder<'_, report::Owned>, from: &[ShardReport]) {
+    for (index, row) in (0..).zip(from) {
+        write_report(to.reborrow().get(index), row);
+    }
+}
+
+/// Reads a list of reports.
+///
+/// # Errors
+///
+/// As [`read_report`].
+pub fn read_reports(
+    from: struct_list::Reader<'_, report::Owned>,
+) -> Result<Vec<ShardReport>, ConvertError> {
+    from.iter().map(read_report).collect()
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,22 @@
-//! x
+//! Messages between routers: capnp schema, conversions and peer streams.
+//!
+//! The generated code is committed, see `schema/README.md`.
+
+mod convert;
+mod link;
+mod message;
+mod stream;
+
+#[allow(missing_docs, clippy::all, clippy::unwrap_used, unused_qualifications)]
+#[rustfmt::skip]
+#[path = "generated/peer_capnp.rs"]
+pub mod peer_capnp;
+
+pub use convert::{
+    ConvertError, read_allocation, read_allocations, read_config, read_heartbeat, read_report,
+    read_reports, read_rows, write_allocation, write_allocations, write_config, write_heartbeat,
+    write_report, write_reports, write_rows,
+};
+pub use link::{Link, connect_over};
+pub use message::{ConfigBody, ConfigReply, Heartbeat, OwnerRow, OwnerRows};
+pub use stream::{ByteCounts, Counted, deflated};
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,62 @@
+//! Typed messages that exist only between routers.
+
+use span_member::Update;
+use span_types::{Member, Revision, ShardId, WorkspaceName};
+
+/// A sign of life with piggybacked news.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The sender's statement about itself.
+    pub sender: Update,
+    /// Configuration that the sender has in force.
+    pub revision: Revision,
+    /// Hash of the sender's live view.
+    pub view_hash: u64,
+    /// News about other members.
+    pub updates: Vec<Update>,
+    /// The sender asks for all statements of the receiver.
+    pub wants_all: bool,
+}
+
+/// What a shard owner tells another owner of the same service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerRows {
+    /// Shard of the sender.
+    pub shard: ShardId,
+    /// The sender.
+    pub owner: Member,
+    /// One row per active workspace.
+    pub rows: Vec<OwnerRow>,
+}
+
+/// One workspace at one shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerRow {
+    /// Workspace of the row.
+    pub workspace: WorkspaceName,
+    /// Cost served and reserved at the shard, in cost units; never falls
+    /// while the owner stays.
+    pub cost: u64,
+    /// Requests of the workspace wait at the shard.
+    pub backlogged: bool,
+}
+
+/// Answer to a request for a configuration newer than a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigReply {
+    /// Revision that the sender has in force.
+    pub revision: Revision,
+    /// The configuration, if it is newer.
+    pub body: ConfigBody,
+}
+
+/// Contents of a [`ConfigReply`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigBody {
+    /// Nothing newer is known.
+    Current,
+    /// Changes since the revision asked for, serialised.
+    Delta(Vec<u8>),
+    /// The whole document, serialised.
+    Document(Vec<u8>),
+}
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,108 @@
+//! Compressed streams that count the bytes of the socket below.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+
+use async_compression::tokio::{bufread::DeflateDecoder, write::DeflateEncoder};
+use tokio::io::{AsyncRead, AsyncWrite, BufReader, ReadBuf};
+
+/// Bytes carried by sockets, shared by all streams of a router.
+#[derive(Clone, Debug, Default)]
+pub struct ByteCounts(Arc<[AtomicU64; 2]>);
+
+impl ByteCounts {
+    /// Bytes sent.
+    pub fn sent(&self) -> u64 {
+        self.0[0].load(Ordering::Relaxed)
+    }
+
+    /// Bytes received.
+    pub fn received(&self) -> u64 {
+        self.0[1].load(Ordering::Relaxed)
+    }
+
+    /// Bytes sent and received.
+    pub fn total(&self) -> u64 {
+        self.sent() + self.received()
+    }
+
+    fn add(&self, index: usize, bytes: usize) {
+        self.0[index].fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+/// A stream that counts what passes.
+#[derive(Debug)]
+pub struct Counted<S> {
+    inner: S,
+    counts: ByteCounts,
+    total: Option<ByteCounts>,
+}
+
+impl<S> Counted<S> {
+    /// Counts the bytes of `inner` in `counts`, and in `total` if given.
+    pub fn new(inner: S, counts: ByteCounts, total: Option<ByteCounts>) -> Self {
+        Self { inner, counts, total }
+    }
+
+    fn add(&self, index: usize, bytes: usize) {
+        self.counts.add(index, bytes);
+        if let Some(total) = &self.total {
+            total.add(index, bytes);
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        self.add(1, buf.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
+        self.add(0, written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+/// Compresses both halves of a stream. The compression state spans messages,
+/// so a message costs only what differs from the ones before it; a flush after
+/// each message makes it readable at once.
+pub fn deflated<R, W>(
+    read: R,
+    write: W,
+) -> (impl AsyncRead + Unpin + use<R, W>, impl AsyncWrite + Unpin + use<R, W>)
+where
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
+    (DeflateDecoder::new(BufReader::new(read)), DeflateEncoder::new(write))
+}
