Test the peer messages and streams

Cause: a peer may be damaged, hostile or of another version, and each byte counts against 3 KB/s per node.

--- /dev/null
+++ b/crates/wire/tests/common/mod.rs
@@ -0,0 +1,85 @@
+//! Sample messages.
+
+use span_fair::{Allocation, ShardReport, SlotRow, Standing, WorkspaceRow};
+use span_member::{Router, Update};
+use span_types::{Incarnation, Member, MemberState, Revision, ShardId};
+use span_wire::Heartbeat;
+
+pub fn member(name: &str) -> Member {
+    Member { instance: name.into(), incarnation: Incarnation(1_764_795_600_000_000) }
+}
+
+pub fn shard() -> ShardId {
+    ShardId { service: "stitch-assist".into(), index: 0 }
+}
+
+pub fn update(name: &str) -> Update {
+    let router = Router {
+        member: member(name),
+        http_address: "10.0.0.1:8080".parse().expect("address"),
+        peer_address: "[fd00::1]:8081".parse().expect("address"),
+        failure_domain: "hall-atl".into(),
+    };
+    Update { router, epoch: 3, state: MemberState::Leaving }
+}
+
+pub fn heartbeat(revision: u64) -> Heartbeat {
+    Heartbeat {
+        sender: update("router-1"),
+        revision: Revision(revision),
+        view_hash: 0x5eed_5eed_5eed_5eed,
+        updates: Vec::new(),
+        wants_all: false,
+    }
+}
+
+pub fn slots(count: u32, round: u32) -> Vec<SlotRow> {
+    let row = |index: u32| SlotRow {
+        upstream: format!("engine-{index:02}").into(),
+        held: 3 + (index + round) % 3,
+        in_flight: 2 + (index * 7 + round * 5) % 4,
+    };
+    (0..count).map(row).collect()
+}
+
+/// A report with changing numbers, as under load.
+pub fn report(workspaces: u32, upstreams: u32, round: u32) -> ShardReport {
+    let row = |index: u32| WorkspaceRow {
+        workspace: format!("workspace-{index:02}").into(),
+        served_cost: u64::from(100_000 + index * 7_919 + round * (977 + index * 31)),
+        reserved_cost: u64::from(500 + (index * 613 + round * 271) % 900),
+        in_flight: 1 + (index + round) % 4,
+        waiting: (index * 3 + round) % 9,
+    };
+    ShardReport {
+        shard: shard(),
+        router: member("router-1"),
+        applied_owner: Some(member("router-2")),
+        applied_seq: u64::from(round),
+        workspaces: (0..workspaces).map(row).collect(),
+        slots: slots(upstreams, round),
+        standings: Vec::new(),
+    }
+}
+
+pub fn standings(workspaces: u32, round: u32) -> Vec<Standing> {
+    let row = |index: u32| Standing {
+        workspace: format!("workspace-{index:02}").into(),
+        virtual_time: f64::from(90_000 + index * 17 + round * 4_001) + 0.25,
+        included_cost: u64::from(100_000 + index * 7_919 + round * (977 + index * 31)),
+    };
+    (0..workspaces).map(row).collect()
+}
+
+pub fn allocation(workspaces: u32, upstreams: u32, round: u32) -> Allocation {
+    Allocation {
+        shard: shard(),
+        owner: member("router-2"),
+        seq: u64::from(round) + 1,
+        valid_for_ms: 5_000,
+        next_report_ms: 250,
+        saturated: round.is_multiple_of(2),
+        slots: slots(upstreams, round + 1),
+        standings: standings(workspaces, round),
+    }
+}
