Add the control thread: peers, exchanges, configuration, health

Cause: each router dispatched by itself, so slots stayed idle at one router while work waited at another, and no router knew of the others.

Change: a tokio current-thread runtime runs capnp-rpc to the peers over compressed, counted streams. It sends heartbeats with piggybacked news, reports to shard owners, answers and pushes as owner, polls the load of the upstreams whose shards it owns, follows the configuration (two routers watch the object API, the others fetch deltas or documents from peers), steers callers, and probes failed upstreams with one request at a time. A pacer extends the report period while the peer traffic of an owner exceeds its budget. Calls have a time limit after which the connection is replaced, because connections go silent.

Tests run three to six control threads in one process on loopback.

Conclusion: work waiting at one router uses the slots of all.

--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -136,6 +136,17 @@
         change
     }
 
+    /// Notes that a known process sent some other message, which shows that it
+    /// runs just as a heartbeat does.
+    pub fn touch(&mut self, now_ms: u64, member: &Member) {
+        if let Some(row) = self.rows.get_mut(&member.instance)
+            && row.update.router.member == *member
+        {
+            row.heard_ms = Some(now_ms);
+            row.refusals = 0;
+        }
+    }
+
     /// Takes a statement that a peer passed on.
     pub fn learn(&mut self, now_ms: u64, update: Update) -> Option<Change> {
         if update.router.member.instance == self.me.router.member.instance {
--- /dev/null
+++ b/crates/router/src/control/beat.rs
@@ -0,0 +1,177 @@
+//! Heartbeats.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use span_types::{InstanceName, MemberState};
+use span_wire::{Heartbeat, read_heartbeat, write_heartbeat};
+
+use super::{
+    Counter,
+    core::{Core, Shared},
+    follow,
+    peers::{self, PeerError},
+};
+
+/// Time between heartbeats. Two fit into the time after which a silent member
+/// is suspect.
+pub(super) const INTERVAL: Duration = Duration::from_millis(600);
+/// Shortest time between heartbeats that carry news.
+const NEWS_INTERVAL_MS: u64 = 100;
+/// Updates on one heartbeat.
+const MAX_UPDATES: usize = 16;
+/// Heartbeats in a row with differing views after which all statements are
+/// asked for; single updates were lost then.
+const DISAGREEMENTS: u32 = 5;
+/// Listed instances without a connection that are tried per interval.
+const MAX_STRANGERS: usize = 4;
+/// Time between attempts at the same one.
+const STRANGER_RETRY_MS: u64 = 3_000;
+
+impl Core {
+    /// Makes a heartbeat to `peer`.
+    pub fn make_beat(&mut self, peer: &InstanceName, all: bool, wants_all: bool) -> Heartbeat {
+        let updates = if all { self.view.all() } else { self.view.updates(peer, MAX_UPDATES) };
+        Heartbeat {
+            sender: self.view.me().clone(),
+            revision: self.config.revision(),
+            view_hash: self.view.view_hash(),
+            updates,
+            wants_all,
+        }
+    }
+
+    /// Takes a heartbeat. Returns whether the sender has a newer configuration.
+    pub fn take_beat(&mut self, beat: Heartbeat) -> bool {
+        let now_ms = self.now_ms();
+        let sender = beat.sender.router.member.instance.clone();
+        let mut changes: Vec<_> = self.view.heard(now_ms, beat.sender).into_iter().collect();
+        for update in beat.updates {
+            changes.extend(self.view.learn(now_ms, update));
+        }
+        self.follow_changes(changes);
+        self.note_view(&sender, beat.view_hash);
+        if self.view.state(&sender).is_some_and(|state| state < MemberState::Dead) {
+            self.revisions.insert(sender, beat.revision);
+        }
+        beat.revision > self.config.revision()
+    }
+
+    fn note_view(&mut self, sender: &InstanceName, view_hash: u64) {
+        if view_hash == self.view.view_hash() {
+            self.disagreements.remove(sender);
+        } else {
+            *self.disagreements.entry(sender.clone()).or_default() += 1;
+        }
+    }
+
+    /// Whether all statements of a peer are wanted, and not asked for yet.
+    fn wants_all(&mut self, peer: &InstanceName) -> bool {
+        let stranger = self.view.state(peer).is_none_or(|state| state == MemberState::Dead);
+        let disagrees = self.disagreements.get(peer).is_some_and(|count| *count >= DISAGREEMENTS);
+        if disagrees {
+            self.disagreements.remove(peer);
+        }
+        stranger || disagrees
+    }
+
+    fn targets(&self) -> Vec<(InstanceName, SocketAddr)> {
+        let live = self.view.live();
+        let targets = span_member::targets(self.instance(), &live);
+        let routers = targets.iter().filter_map(|target| self.view.router(target));
+        routers.map(|router| (router.member.instance.clone(), router.peer_address)).collect()
+    }
+
+    fn strangers(&self) -> Vec<(InstanceName, SocketAddr)> {
+        let strangers = self.view.strangers().into_iter();
+        strangers.map(|router| (router.member.instance.clone(), router.peer_address)).collect()
+    }
+}
+
+/// Sends heartbeats until the thread ends.
+pub(super) async fn run(shared: Shared) {
+    let mut tried: HashMap<InstanceName, u64> = HashMap::new();
+    let mut last_ms = 0;
+    let mut due_ms = 0;
+    loop {
+        let now_ms = shared.borrow().now_ms();
+        let news = shared.borrow().has_news && now_ms >= last_ms + NEWS_INTERVAL_MS;
+        if now_ms >= due_ms || news {
+            last_ms = now_ms;
+            shared.borrow_mut().has_news = false;
+            send_to_targets(&shared);
+        }
+        if now_ms >= due_ms {
+            due_ms = now_ms + INTERVAL.as_millis() as u64;
+            contact_strangers(&shared, &mut tried, now_ms);
+            judge(&shared);
+        }
+        tokio::time::sleep(Duration::from_millis(NEWS_INTERVAL_MS / 2)).await;
+    }
+}
+
+fn send_to_targets(shared: &Shared) {
+    let targets = shared.borrow().targets();
+    for (instance, address) in targets {
+        tokio::task::spawn_local(send(shared.clone(), instance, address));
+    }
+}
+
+fn contact_strangers(shared: &Shared, tried: &mut HashMap<InstanceName, u64>, now_ms: u64) {
+    let strangers = shared.borrow().strangers();
+    tried.retain(|name, _| strangers.iter().any(|(stranger, _)| stranger == name));
+    let rested = |name: &InstanceName| {
+        tried.get(name).is_none_or(|tried_ms| now_ms >= tried_ms + STRANGER_RETRY_MS)
+    };
+    let mut due: Vec<_> = strangers.into_iter().filter(|(name, _)| rested(name)).collect();
+    due.sort_by_key(|(name, _)| tried.get(name).copied());
+    for (instance, address) in due.into_iter().take(MAX_STRANGERS) {
+        tried.insert(instance.clone(), now_ms);
+        tokio::task::spawn_local(send(shared.clone(), instance, address));
+    }
+}
+
+/// Suspects and removes members that have been silent for too long.
+fn judge(shared: &Shared) {
+    let mut core = shared.borrow_mut();
+    let now_ms = core.now_ms();
+    let monitored = std::mem::take(&mut core.monitored);
+    let changes = core.view.tick(now_ms, &monitored);
+    core.monitored = monitored;
+    core.follow_changes(changes);
+}
+
+/// Sends one heartbeat and takes the answer.
+pub(super) async fn send(shared: Shared, instance: InstanceName, address: SocketAddr) {
+    let beat = {
+        let mut core = shared.borrow_mut();
+        let wants_all = core.wants_all(&instance);
+        core.counters.increment(Counter::Heartbeats);
+        core.make_beat(&instance, wants_all, wants_all)
+    };
+    let answer = peers::call(&shared, &instance, address, |client| async move {
+        let mut request = client.heartbeat_request();
+        write_heartbeat(request.get().init_beat(), &beat);
+        let answer = request.send().promise.await?;
+        Ok(read_heartbeat(answer.get()?.get_beat()?)?)
+    });
+    match answer.await {
+        Ok(answer) => {
+            let behind = shared.borrow_mut().take_beat(answer);
+            if behind {
+                follow::fetch_from(&shared, instance);
+            }
+        }
+        Err(error) => note_failure(&shared, &instance, &error),
+    }
+}
+
+/// Counts refused connections, which tell that a process is gone.
+pub(super) fn note_failure(shared: &Shared, instance: &InstanceName, error: &PeerError) {
+    tracing::debug!(%instance, %error, "call to a router failed");
+    if matches!(error, PeerError::Refused) {
+        let mut core = shared.borrow_mut();
+        let now_ms = core.now_ms();
+        let change = core.view.refused(now_ms, instance);
+        core.follow_changes(change);
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/claim.rs
@@ -0,0 +1,30 @@
+//! Questions to the router that minted a request id.
+
+use span_types::RequestId;
+
+use super::{MintedState, core::Shared, peers};
+
+/// Asks what became of `id`. Unless the minting incarnation answers, it cannot
+/// be known.
+pub(super) async fn ask(shared: Shared, id: RequestId) -> MintedState {
+    let address = {
+        let core = shared.borrow();
+        if id.instance == *core.instance() {
+            return (core.settings.minted)(&id);
+        }
+        let router = core.view.router(&id.instance);
+        let same = router.filter(|router| router.member.incarnation == id.incarnation);
+        same.map(|router| router.peer_address)
+    };
+    let Some(address) = address else {
+        return MintedState::Unknown;
+    };
+    let key = id.to_string();
+    let answer = peers::call(&shared, &id.instance, address, |client| async move {
+        let mut request = client.claim_request();
+        request.get().set_key(key.as_str());
+        Ok(request.send().promise.await?.get()?.get_state())
+    });
+    let state = answer.await.ok().and_then(MintedState::from_repr);
+    state.unwrap_or(MintedState::Unknown)
+}
--- a/crates/router/src/control/command.rs
+++ b/crates/router/src/control/command.rs
@@ -3,12 +3,13 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use span_config::Document;
+use span_fair::Ticket;
 use span_types::{
     FailureDomain, InstanceName, RequestId, ServiceName, UpstreamName, WorkspaceName,
 };
 use tokio::sync::oneshot;
 
-use super::Permit;
+use super::{Permit, Status};
 
 /// A request that wants a slot.
 #[derive(Clone, Debug)]
@@ -115,10 +116,8 @@
     Finish {
         /// Service of the permit.
         service: ServiceName,
-        /// Workspace of the permit.
-        workspace: WorkspaceName,
-        /// Upstream of the permit.
-        upstream: UpstreamName,
+        /// The request in the service's queue.
+        ticket: Ticket,
         /// Cost that the upstream produced, in cost units.
         cost: u64,
         /// How the attempt ended.
@@ -140,6 +139,12 @@
         /// Where the answer goes.
         reply: oneshot::Sender<MintedState>,
     },
-    /// The router takes no new work from now on.
+    /// The router is leaving; see [`super::Handle::leave`].
     Leave,
+    /// Somebody asks for the control state.
+    Status(oneshot::Sender<Status>),
+    /// Somebody asks for the counters as text.
+    Metrics(oneshot::Sender<String>),
+    /// The control thread is to end.
+    Stop,
 }
--- /dev/null
+++ b/crates/router/src/control/config.rs
@@ -0,0 +1,103 @@
+//! The configuration in force and what peers are told of it.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use span_config::{Delta, DeltaError, Document};
+use span_types::Revision;
+use span_wire::{ConfigBody, ConfigReply};
+use tokio::sync::watch;
+
+/// Earlier documents that are kept to make deltas from. At 90,000 changes a
+/// day, about one per second, they cover the 3 s in which a change spreads.
+const HISTORY: usize = 8;
+
+/// A configuration from a peer cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ConfigError {
+    /// It is not JSON of the expected form.
+    #[error("it is not valid: {0}")]
+    Invalid(#[from] serde_json::Error),
+    /// The delta does not fit.
+    #[error(transparent)]
+    Delta(#[from] DeltaError),
+}
+
+/// The configuration in force.
+pub(super) struct ConfigState {
+    revision: Revision,
+    document: Arc<Document>,
+    history: VecDeque<(Revision, Arc<Document>)>,
+    publish: watch::Sender<Arc<Document>>,
+}
+
+impl ConfigState {
+    pub fn new(publish: watch::Sender<Arc<Document>>) -> Self {
+        Self { revision: Revision(0), document: Arc::default(), history: VecDeque::new(), publish }
+    }
+
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    pub fn document(&self) -> &Arc<Document> {
+        &self.document
+    }
+
+    /// Puts a document in force if its revision is higher.
+    pub fn apply(&mut self, revision: Revision, document: Arc<Document>) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        self.history.push_back((self.revision, Arc::clone(&self.document)));
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+        self.revision = revision;
+        self.document = Arc::clone(&document);
+        self.publish.send_replace(document);
+        true
+    }
+
+    /// Replaces a document that has no revision yet.
+    pub fn replace_unversioned(&mut self, document: Arc<Document>) -> bool {
+        if self.revision > Revision(0) {
+            return false;
+        }
+        self.document = Arc::clone(&document);
+        self.publish.send_replace(document);
+        true
+    }
+
+    /// Answers a peer that has revision `since` in force.
+    pub fn answer(&self, since: Revision) -> Result<ConfigReply, ConfigError> {
+        let revision = self.revision;
+        if revision <= since {
+            return Ok(ConfigReply { revision, body: ConfigBody::Current });
+        }
+        let known = self.history.iter().find(|(known, _)| *known == since && since > Revision(0));
+        let body = match known {
+            Some((_, before)) => {
+                let delta = Delta::between(since, before, revision, &self.document);
+                ConfigBody::Delta(serde_json::to_vec(&delta)?)
+            }
+            None => ConfigBody::Document(serde_json::to_vec(&*self.document)?),
+        };
+        Ok(ConfigReply { revision, body })
+    }
+
+    /// Applies an answer of a peer. Returns whether the configuration changed.
+    pub fn take(&mut self, reply: &ConfigReply) -> Result<bool, ConfigError> {
+        if reply.revision <= self.revision {
+            return Ok(false);
+        }
+        let document = match &reply.body {
+            ConfigBody::Current => return Ok(false),
+            ConfigBody::Delta(bytes) => {
+                let delta: Delta = serde_json::from_slice(bytes)?;
+                delta.apply(self.revision, &self.document)?
+            }
+            ConfigBody::Document(bytes) => serde_json::from_slice(bytes)?,
+        };
+        Ok(self.apply(reply.revision, Arc::new(document)))
+    }
+}
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -1,21 +1,60 @@
 //! Control thread: owns all control state; traffic talks to it by messages.
 
+mod admission;
+mod beat;
+mod claim;
 mod command;
-mod queue;
+mod config;
+mod core;
+mod counters;
+mod exchange;
+mod follow;
+mod health;
+mod load;
+mod ownership;
+mod pacer;
+mod peers;
+mod run;
+mod server;
+mod settings;
+mod shards;
+mod snapshot;
+mod status;
 
-use std::{net::SocketAddr, sync::Arc, thread};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+};
 
 use span_config::Document;
-use span_types::{RequestId, ServiceName, UpstreamName, WorkspaceName};
-use tokio::sync::{mpsc, oneshot};
+use span_fair::Ticket;
+use span_member::Router;
+use span_types::{Incarnation, Member, RequestId, ServiceName, UpstreamName, WorkspaceName};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::LocalSet,
+};
 
+use self::core::Core;
 use command::Command;
 pub use command::{AdmitRequest, AttemptEnd, EntryAddress, EntryAddresses, MintedState, Rejection};
+pub use counters::Counter;
+pub use health::{Health, Verdict};
+pub use pacer::Pacer;
+pub use settings::{BUDGET_BYTES_PER_S, MintedLookup, Settings};
+pub use status::{MemberRow, ServiceRow, Status};
 
 /// Connection of the traffic threads to the control thread.
 #[derive(Clone, Debug)]
 pub struct Handle {
     commands: mpsc::UnboundedSender<Command>,
+    document: watch::Receiver<Arc<Document>>,
+    peer_address: SocketAddr,
 }
 
 /// The right to run one request on one upstream; dropping it frees the slot.
@@ -26,8 +65,8 @@
     /// Where the upstream listens.
     pub address: SocketAddr,
     service: ServiceName,
-    workspace: WorkspaceName,
-    cost: u64,
+    ticket: Ticket,
+    cost: Arc<AtomicU64>,
     end: AttemptEnd,
     commands: mpsc::UnboundedSender<Command>,
 }
@@ -35,7 +74,7 @@
 impl Permit {
     /// Adds cost that the upstream has produced, in cost units.
     pub fn add_cost(&mut self, cost: u64) {
-        self.cost += cost;
+        self.cost.fetch_add(cost, Ordering::Relaxed);
     }
 
     /// States how the attempt ended; without it, the upstream answered.
@@ -49,9 +88,8 @@
         // The control thread only ends with the process.
         let _ = self.commands.send(Command::Finish {
             service: self.service.clone(),
-            workspace: self.workspace.clone(),
-            upstream: self.upstream.clone(),
-            cost: self.cost,
+            ticket: self.ticket,
+            cost: self.cost.load(Ordering::Relaxed),
             end: self.end,
         });
     }
@@ -84,32 +122,83 @@
         answer.await.unwrap_or(MintedState::Unknown)
     }
 
-    /// Announces to peers and callers that this router is leaving. Requests
-    /// that wait or run go on.
+    /// Announces to peers and callers that this router is leaving, and passes
+    /// its shards on. Requests that wait or run go on, and callers that still
+    /// hold the address are served until they ask again.
     pub fn leave(&self) {
         let _ = self.commands.send(Command::Leave);
     }
 
-    /// Replaces the configuration.
+    /// The configuration in force, now and whenever it changes.
+    pub fn document(&self) -> watch::Receiver<Arc<Document>> {
+        self.document.clone()
+    }
+
+    /// Where this router listens for other routers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// A snapshot of the control state; `None` if the thread has ended.
+    pub async fn status(&self) -> Option<Status> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.commands.send(Command::Status(reply));
+        answer.await.ok()
+    }
+
+    /// The counters as text, one per line, for `/metrics`.
+    pub async fn metrics(&self) -> String {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.commands.send(Command::Metrics(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// Ends the control thread and closes its connections. Requests that wait
+    /// are answered as rejected.
+    pub fn stop(&self) {
+        let _ = self.commands.send(Command::Stop);
+    }
+
+    /// Replaces the configuration. Without effect once a revision was learned
+    /// from the platform or a peer, since a configuration never reverts.
     pub fn configure(&self, document: Arc<Document>) {
         let _ = self.commands.send(Command::Configure(document));
     }
 }
 
-/// Starts the control thread.
+/// Starts the control thread of a router without peers and platform; the
+/// configuration comes from [`Handle::configure`].
 ///
 /// # Errors
 ///
 /// Fails if the thread cannot be started.
-pub fn spawn() -> std::io::Result<Handle> {
+pub fn spawn() -> io::Result<Handle> {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    start(Settings::new(Router {
+        member: Member { instance: "standalone".into(), incarnation: Incarnation(1) },
+        http_address: loopback,
+        peer_address: loopback,
+        failure_domain: "standalone".into(),
+    }))
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+///
+/// Fails if the peer address cannot be bound or the thread cannot be started.
+pub fn start(mut settings: Settings) -> io::Result<Handle> {
+    let listener = std::net::TcpListener::bind(settings.router.peer_address)?;
+    listener.set_nonblocking(true)?;
+    settings.router.peer_address = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let (commands, received) = mpsc::unbounded_channel();
-    let handle = Handle { commands: commands.clone() };
+    let (publish, document) = watch::channel(Arc::default());
+    let peer_address = settings.router.peer_address;
+    let handle = Handle { commands: commands.clone(), document, peer_address };
     thread::Builder::new().name("control".into()).spawn(move || {
-        let mut state = queue::State::new(commands);
-        let mut received = received;
-        while let Some(command) = received.blocking_recv() {
-            state.handle(command);
-        }
+        let core = Core::new(settings, commands, publish);
+        LocalSet::new().block_on(&runtime, run::run(core, listener, received));
     })?;
     Ok(handle)
 }
--- /dev/null
+++ b/crates/router/src/control/ownership.rs
@@ -0,0 +1,140 @@
+//! Shards that this router administers.
+
+use std::collections::BTreeSet;
+
+use span_fair::{Allocation, Policy, ShardOwner, ShardReport};
+use span_types::{Member, ServiceName, ShardId};
+
+use super::{Counter, admission::Service, core::Core, shards};
+
+impl Core {
+    /// Puts a changed configuration into effect.
+    pub fn follow_config(&mut self) {
+        let now_ms = self.now_ms();
+        let document = std::sync::Arc::clone(self.config.document());
+        self.shards = shards::shards(&document);
+        let (policy, member) = (self.settings.policy, self.member().clone());
+        for service in document.services.keys() {
+            let state = self
+                .services
+                .entry(service.clone())
+                .or_insert_with(|| Service::new(policy, service.clone(), member.clone()));
+            let ids: Vec<ShardId> =
+                self.shards.keys().filter(|shard| shard.service == *service).cloned().collect();
+            let limits = shards::workspaces(&document, service);
+            let rejected = state.configure(now_ms, &limits, &ids);
+            self.counters.add(Counter::Rejected, rejected);
+        }
+        self.drop_services(&document);
+        self.follow_ownership();
+        self.configure_owners();
+        self.refix();
+        self.pump_all();
+        self.counters.increment(Counter::ConfigsApplied);
+        self.has_news = true;
+        tracing::info!(revision = %self.config.revision(), "configuration in force");
+    }
+
+    /// Services that are gone keep their state until their requests ended.
+    fn drop_services(&mut self, document: &span_config::Document) {
+        let now_ms = self.now_ms();
+        self.services.retain(|name, state| {
+            let kept = document.services.contains_key(name);
+            if !kept {
+                state.configure(now_ms, &[], &[]);
+            }
+            kept || state.in_flight() > 0
+        });
+    }
+
+    /// Takes over and hands on shards as the live view demands.
+    pub fn follow_ownership(&mut self) {
+        if self.settings.policy != Policy::Fleet {
+            return;
+        }
+        let mine: BTreeSet<ShardId> =
+            self.shards.keys().filter(|shard| self.is_mine(shard)).cloned().collect();
+        self.owners.retain(|shard, _| mine.contains(shard));
+        let now_ms = self.now_ms();
+        for shard in mine {
+            if self.owners.contains_key(&shard) {
+                continue;
+            }
+            let live: Vec<Member> =
+                self.view.live().iter().map(|router| router.member.clone()).collect();
+            let owner = ShardOwner::new(now_ms, shard.clone(), self.member().clone(), &live);
+            tracing::info!(%shard, "shard taken over");
+            self.counters.increment(Counter::ShardsTaken);
+            self.owners.insert(shard.clone(), owner);
+            self.configure_owner(&shard);
+        }
+    }
+
+    fn is_mine(&self, shard: &ShardId) -> bool {
+        self.owner_of(shard).is_some_and(|owner| owner == *self.member())
+    }
+
+    /// The router that administers a shard, as seen here.
+    pub fn owner_of(&self, shard: &ShardId) -> Option<Member> {
+        let owners = self.view.owners();
+        span_member::owner(shard, &owners).map(|router| router.member.clone())
+    }
+
+    /// Tells the owners which upstreams and workspaces there are.
+    pub fn configure_owners(&mut self) {
+        for shard in self.owners.keys().cloned().collect::<Vec<_>>() {
+            self.configure_owner(&shard);
+        }
+    }
+
+    /// Upstreams whose load cannot be read get no slots, as leaving ones.
+    pub fn configure_owner(&mut self, shard: &ShardId) {
+        let now_ms = self.now_ms();
+        let mut upstreams = self.shards.get(shard).cloned().unwrap_or_default();
+        for row in &mut upstreams {
+            row.leaving |= self.load.is_down(&row.upstream);
+        }
+        let shares = self.shares(&shard.service);
+        if let Some(owner) = self.owners.get_mut(shard) {
+            owner.set_workspaces(&shares);
+            owner.set_upstreams(now_ms, &upstreams);
+        }
+    }
+
+    fn shares(&self, service: &ServiceName) -> Vec<(span_types::WorkspaceName, u32)> {
+        let rows = shards::workspaces(self.config.document(), service);
+        rows.into_iter().map(|row| (row.workspace, row.share)).collect()
+    }
+
+    /// Takes a report for a shard; `None` if this router does not own it.
+    pub fn owner_report(&mut self, report: &ShardReport) -> Option<Allocation> {
+        let now_ms = self.now_ms();
+        self.view.touch(now_ms, &report.router);
+        let owner = self.owners.get_mut(&report.shard)?;
+        let allocation = owner.report(now_ms, report);
+        Some(self.paced(allocation))
+    }
+
+    /// Allocations that owners here push: those for this router are applied,
+    /// the others are returned.
+    pub fn pushes(&mut self) -> Vec<(Member, Allocation)> {
+        let now_ms = self.now_ms();
+        let mut pushes = Vec::new();
+        for owner in self.owners.values_mut() {
+            pushes.extend(owner.pushes(now_ms));
+        }
+        let (own, others): (Vec<_>, Vec<_>) =
+            pushes.into_iter().partition(|(router, _)| *router == *self.member());
+        for (_, allocation) in own {
+            self.apply(allocation);
+        }
+        let paced = others.into_iter().map(|(router, row)| (router, self.paced(row)));
+        paced.collect()
+    }
+
+    /// Extends the report period while the control traffic is over its budget.
+    fn paced(&self, mut allocation: Allocation) -> Allocation {
+        allocation.next_report_ms = self.pacer.period_ms(allocation.next_report_ms);
+        allocation
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/pacer.rs
@@ -0,0 +1,62 @@
+//! Keeps the control traffic of a router within its budget.
+
+/// Largest factor by which report periods are extended. Six times 250 ms stay
+/// well below the 5 s for which an allocation is valid.
+const MAX_FACTOR: f64 = 6.0;
+/// Weight of the newest sample in the mean rate.
+const WEIGHT: f64 = 0.5;
+/// Rate, as a part of the budget, below which periods are shortened again.
+const RELAXED: f64 = 0.85;
+
+/// Extends the report periods that a shard owner asks for while its traffic
+/// exceeds the budget.
+#[derive(Clone, Debug)]
+pub struct Pacer {
+    budget_bytes_per_s: f64,
+    factor: f64,
+    rate_bytes_per_s: f64,
+    last: Option<(u64, u64)>,
+}
+
+impl Pacer {
+    /// Makes a pacer for a budget in bytes per second.
+    pub fn new(budget_bytes_per_s: u64) -> Self {
+        Self {
+            budget_bytes_per_s: budget_bytes_per_s as f64,
+            factor: 1.0,
+            rate_bytes_per_s: 0.0,
+            last: None,
+        }
+    }
+
+    /// Takes the total of bytes so far. Call about once per second.
+    pub fn sample(&mut self, now_ms: u64, total_bytes: u64) {
+        let Some((last_ms, last_bytes)) = self.last.replace((now_ms, total_bytes)) else {
+            return;
+        };
+        let elapsed_s = now_ms.saturating_sub(last_ms).max(1) as f64 / 1_000.0;
+        let rate = total_bytes.saturating_sub(last_bytes) as f64 / elapsed_s;
+        self.rate_bytes_per_s += (rate - self.rate_bytes_per_s) * WEIGHT;
+        let load = self.rate_bytes_per_s / self.budget_bytes_per_s;
+        if !(RELAXED..=1.0).contains(&load) {
+            self.factor = (self.factor * load.clamp(0.9, 1.5)).clamp(1.0, MAX_FACTOR);
+        }
+    }
+
+    /// The report period to ask for instead of `period_ms`.
+    pub fn period_ms(&self, period_ms: u64) -> u64 {
+        let longest = (MAX_FACTOR * 250.0) as u64;
+        let extended = (period_ms as f64 * self.factor) as u64;
+        extended.min(longest.max(period_ms))
+    }
+
+    /// Whether messages that only save waiting within a period may be sent.
+    pub fn has_room(&self) -> bool {
+        self.rate_bytes_per_s <= self.budget_bytes_per_s
+    }
+
+    /// Mean traffic, in bytes per second.
+    pub fn rate_bytes_per_s(&self) -> u64 {
+        self.rate_bytes_per_s as u64
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/settings.rs
@@ -0,0 +1,59 @@
+//! Settings of the control thread.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use span_fair::Policy;
+use span_member::Router;
+use span_types::RequestId;
+
+use super::MintedState;
+
+/// Looks up a request id that this router minted.
+pub type MintedLookup = Arc<dyn Fn(&RequestId) -> MintedState + Send + Sync>;
+
+/// Settings of the control thread.
+#[derive(Clone)]
+pub struct Settings {
+    /// This router. Port 0 in its peer address is replaced by a free port.
+    pub router: Router,
+    /// Address of the platform; without one, the configuration comes from
+    /// peers or from [`Handle::configure`](super::Handle::configure).
+    pub platform_address: Option<SocketAddr>,
+    /// Order in which waiting requests are dispatched.
+    pub policy: Policy,
+    /// Where counters are sent by StatsD over UDP; nowhere by default.
+    pub statsd_address: Option<SocketAddr>,
+    /// Answers peers that ask about a request id minted here.
+    pub minted: MintedLookup,
+    /// Bytes per second, sent and received, that peer streams may use.
+    pub budget_bytes_per_s: u64,
+}
+
+/// Target of the control traffic, below the 3,000 bytes per second that a node
+/// may use, since pacing reacts only after traffic has risen.
+pub const BUDGET_BYTES_PER_S: u64 = 2_500;
+
+impl Settings {
+    /// Settings of a router without platform that knows of no minted ids.
+    pub fn new(router: Router) -> Self {
+        Self {
+            router,
+            platform_address: None,
+            policy: Policy::Fleet,
+            statsd_address: None,
+            minted: Arc::new(|_| MintedState::Unknown),
+            budget_bytes_per_s: BUDGET_BYTES_PER_S,
+        }
+    }
+}
+
+impl fmt::Debug for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Settings")
+            .field("router", &self.router)
+            .field("platform_address", &self.platform_address)
+            .field("policy", &self.policy)
+            .field("statsd_address", &self.statsd_address)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/snapshot.rs
@@ -0,0 +1,126 @@
+//! Answers about the control state: status, counters, addresses.
+
+use span_member::LIFETIME_MS;
+use span_types::{FailureDomain, WorkspaceName};
+
+use super::{Counter, EntryAddress, EntryAddresses, MemberRow, ServiceRow, Status, core::Core};
+
+/// Part of the capacity in other failure domains that counts for a router, so
+/// that one with little capacity nearby still gets callers.
+const DISTANT_PART: u64 = 4;
+
+impl Core {
+    /// Takes over the byte counts of the peer streams.
+    pub fn count_bytes(&mut self) {
+        let (sent, received) = (self.bytes.sent(), self.bytes.received());
+        self.counters.set(Counter::PeerBytesSent, sent);
+        self.counters.set(Counter::PeerBytesReceived, received);
+    }
+
+    /// The counters as text.
+    pub fn metrics(&mut self) -> String {
+        self.count_bytes();
+        self.counters.text()
+    }
+
+    /// A snapshot of the state.
+    pub fn status(&mut self) -> Status {
+        self.count_bytes();
+        let now_ms = self.now_ms();
+        let impaired = self.health.impaired(now_ms).into_iter();
+        Status {
+            revision: self.config.revision(),
+            members: self.member_rows(),
+            owned: self.owners.keys().cloned().collect(),
+            services: self.service_rows(now_ms),
+            impaired: impaired.map(|(name, verdict)| (name, verdict.to_string())).collect(),
+            control_bytes_sent: self.bytes.sent(),
+            control_bytes_received: self.bytes.received(),
+            control_bytes_per_s: self.pacer.rate_bytes_per_s(),
+            counters: self.counters.snapshot(),
+        }
+    }
+
+    fn member_rows(&self) -> Vec<MemberRow> {
+        let me = self.view.me();
+        let mut rows = vec![MemberRow {
+            instance: me.router.member.instance.clone(),
+            incarnation: me.router.member.incarnation,
+            state: me.state,
+            revision: Some(self.config.revision()),
+        }];
+        for status in self.view.status() {
+            let member = status.update.router.member;
+            rows.push(MemberRow {
+                revision: self.revisions.get(&member.instance).copied(),
+                instance: member.instance,
+                incarnation: member.incarnation,
+                state: status.update.state,
+            });
+        }
+        rows
+    }
+
+    fn service_rows(
+        &self,
+        now_ms: u64,
+    ) -> std::collections::BTreeMap<span_types::ServiceName, ServiceRow> {
+        let mut rows = std::collections::BTreeMap::new();
+        for (name, state) in &self.services {
+            let mut row = ServiceRow {
+                waiting: state.waiting(),
+                in_flight: state.in_flight(),
+                free_slots: state.free_slots(now_ms),
+                ..ServiceRow::default()
+            };
+            for slots in state.allocated() {
+                *row.allocated.entry(slots.upstream.clone()).or_default() += slots.held;
+            }
+            let shards = self.shards.keys().filter(|shard| shard.service == *name);
+            let owners =
+                shards.filter_map(|shard| Some((shard.index, self.owner_of(shard)?.instance)));
+            row.owners = owners.collect();
+            rows.insert(name.clone(), row);
+        }
+        rows
+    }
+
+    /// Addresses for a caller. Answers take turns in naming the first one, so
+    /// that the callers of a workspace spread over its routers.
+    pub fn addresses(&mut self, workspace: &WorkspaceName) -> EntryAddresses {
+        let entries = self.view.entries();
+        let chosen = span_member::addresses(workspace, &entries, |router| {
+            self.capacity(workspace, &router.failure_domain)
+        });
+        let mut addresses: Vec<_> = chosen
+            .into_iter()
+            .map(|router| EntryAddress {
+                instance: router.member.instance.clone(),
+                address: router.http_address,
+                failure_domain: router.failure_domain.clone(),
+            })
+            .collect();
+        if !addresses.is_empty() {
+            let turn = self.steered % addresses.len();
+            addresses.rotate_left(turn);
+        }
+        self.steered = self.steered.wrapping_add(1);
+        EntryAddresses { addresses, lifetime_ms: LIFETIME_MS }
+    }
+
+    /// Slots of the workspace's services, those outside the failure domain
+    /// counted in part.
+    fn capacity(&self, workspace: &WorkspaceName, domain: &FailureDomain) -> u64 {
+        let document = self.config.document();
+        let Some(workspace) = document.workspaces.get(workspace) else {
+            return 1;
+        };
+        let reached =
+            document.upstreams.values().filter(|row| workspace.services.contains(&row.service));
+        let (near, all) = reached.fold((0, 0), |(near, all), row| {
+            let slots = u64::from(row.max_concurrency);
+            (near + if row.failure_domain == *domain { slots } else { 0 }, all + slots)
+        });
+        1 + near + (all - near) / DISTANT_PART
+    }
+}
--- /dev/null
+++ b/crates/router/tests/fleet/mod.rs
@@ -0,0 +1,175 @@
+//! Several control threads on loopback with stand-ins for the rest.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde_json::json;
+use span_fair::Policy;
+use span_http::{Body, Limits, Server};
+use span_member::Router;
+use span_router::control::{
+    AdmitRequest, Handle, MintedState, Permit, Rejection, Settings, Status, start,
+};
+use span_standin::objects::{self, Platform, Precondition};
+use span_types::{Incarnation, Member, MemberState, Revision};
+use tokio::{sync::mpsc, task::JoinHandle};
+
+/// Ends a test that waits for something that never happens.
+const GIVE_UP: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+
+pub const SERVICE: &str = "stitch-assist";
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An upstream that reports an empty queue and is never called otherwise.
+pub async fn engine(slots: u32) -> Server {
+    let handler = move |_: Request<Incoming>, _| async move {
+        let load = json!({ "running": 0, "waiting": 0, "slots": slots, "age_ms": 0 });
+        let response: Response<Body> = span_http::json(StatusCode::OK, &load);
+        response
+    };
+    span_http::bind(loopback(), Limits::default(), handler).await.expect("bound")
+}
+
+/// The platform and the routers of one test.
+pub struct Fleet {
+    pub platform: Platform,
+    pub routers: Vec<Handle>,
+    policy: Policy,
+}
+
+impl Fleet {
+    /// Starts `count` routers that find each other by the instance list.
+    pub async fn start(count: usize, policy: Policy) -> Self {
+        let platform = objects::bind(loopback()).await.expect("bound");
+        let mut fleet = Self { platform, routers: Vec::new(), policy };
+        for index in 0..count {
+            let handle = fleet.router(index, 1, loopback());
+            fleet.routers.push(handle);
+        }
+        fleet
+    }
+
+    /// Starts one more process.
+    pub fn router(&self, index: usize, incarnation: u64, peer_address: SocketAddr) -> Handle {
+        let mut settings = Settings::new(Router {
+            member: Member {
+                instance: format!("router-{index}").into(),
+                incarnation: Incarnation(incarnation),
+            },
+            http_address: SocketAddr::from(([127, 0, 0, 1], 9_000 + index as u16)),
+            peer_address,
+            failure_domain: ["hall-atl", "hall-bhm", "hall-jxn"][index % 3].into(),
+        });
+        settings.platform_address = Some(self.platform.address());
+        settings.policy = self.policy;
+        settings.minted = std::sync::Arc::new(|id| match id.seq {
+            7 => MintedState::Completed,
+            _ => MintedState::Unused,
+        });
+        start(settings).expect("started")
+    }
+
+    /// Stores a configuration with the given upstreams and workspaces.
+    pub fn configure(&self, engines: &[(SocketAddr, u32)], workspaces: &[&str]) -> Revision {
+        let upstreams = engines.iter().enumerate().map(|(index, (address, slots))| {
+            let row = json!({
+                "service": SERVICE, "address": address, "failure_domain": "hall-atl",
+                "max_concurrency": slots, "checks_fencing": true, "leaving": false,
+            });
+            (format!("engine-{index}"), row)
+        });
+        let upstreams: serde_json::Map<_, _> = upstreams.collect();
+        let workspaces = workspaces.iter().map(|name| {
+            let row = json!({
+                "share": 1, "services": [SERVICE], "queue_limit": 100,
+                "deadline_ms": 60_000, "keys": [],
+            });
+            ((*name).to_owned(), row)
+        });
+        let workspaces: serde_json::Map<_, _> = workspaces.collect();
+        let document = json!({
+            "workspaces": workspaces, "upstreams": upstreams, "operators": {},
+            "services": { SERVICE: { "kind": "model", "idempotent": true, "models": ["m"] } },
+        });
+        let value = document.to_string().into_bytes();
+        let version = self
+            .platform
+            .edit(|store| store.put("config/current", value, Precondition::None).expect("stored"));
+        Revision(version)
+    }
+
+    /// Waits until every router sees exactly these numbers of live members, and
+    /// has the revision in force.
+    pub async fn settle(&self, live: usize, revision: Revision) {
+        for router in &self.routers {
+            wait_for(router, |status| {
+                let alive = status.members.iter().filter(|row| row.state == MemberState::Alive);
+                alive.count() == live && status.revision == revision
+            })
+            .await;
+        }
+    }
+}
+
+/// Waits for a state of a router.
+pub async fn wait_for(router: &Handle, condition: impl Fn(&Status) -> bool) -> Status {
+    let poll = async {
+        loop {
+            let status = router.status().await.expect("running");
+            if condition(&status) {
+                return status;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    match tokio::time::timeout(GIVE_UP, poll).await {
+        Ok(status) => status,
+        Err(_) => panic!("never reached; the last state is {:#?}", router.status().await),
+    }
+}
+
+/// Submits a request of a workspace.
+pub fn admit(router: &Handle, workspace: &str) -> JoinHandle<Result<Permit, Rejection>> {
+    let router = router.clone();
+    let request = AdmitRequest {
+        workspace: workspace.into(),
+        service: SERVICE.into(),
+        prompt_cost: 10,
+        cost_hint: None,
+        prefix: None,
+        avoid: Vec::new(),
+    };
+    tokio::spawn(async move { router.admit(request).await })
+}
+
+/// Waits for a permit.
+pub async fn permit(admitted: JoinHandle<Result<Permit, Rejection>>) -> Permit {
+    let result = tokio::time::timeout(GIVE_UP, admitted).await.expect("answered");
+    result.expect("task").expect("admitted")
+}
+
+/// Sends the permit of a request, once there, with a label.
+pub fn deliver(
+    admitted: JoinHandle<Result<Permit, Rejection>>,
+    label: &'static str,
+    granted: &mpsc::UnboundedSender<(&'static str, Permit)>,
+) {
+    let granted = granted.clone();
+    tokio::spawn(async move {
+        // The test may have ended.
+        let _ = granted.send((label, permit(admitted).await));
+    });
+}
+
+/// The next permit that was granted.
+pub async fn next(
+    grants: &mut mpsc::UnboundedReceiver<(&'static str, Permit)>,
+) -> (&'static str, Permit) {
+    let next = tokio::time::timeout(GIVE_UP, grants.recv()).await;
+    next.expect("no permit was granted").expect("the sender is open")
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -60,6 +60,9 @@
   waiting @8 :List(UInt32);
   slots @9 :Slots;
   standings @10 :Standings;
+  seq @11 :UInt64;
+  maxCost @12 :UInt64;
+  maxRate @13 :UInt64;
 }
 
 struct Allocation {
@@ -71,6 +74,8 @@
   saturated @5 :Bool;
   slots @6 :Slots;
   standings @7 :Standings;
+  answers @8 :UInt64;
+  virtualTime @9 :Float64;
 }
 
 struct Rows {
@@ -78,7 +83,6 @@
   owner @1 :Member;
   workspaces @2 :List(Text);
   costs @3 :List(UInt64);
-  backlogged @4 :List(Bool);
 }
 
 struct Config {
@@ -93,7 +97,7 @@
 interface Peer {
   heartbeat @0 (beat :Heartbeat) -> (beat :Heartbeat);
   exchange @1 (reports :List(Report)) -> (allocations :List(Allocation));
-  merge @2 (rows :Rows) -> (rows :Rows);
+  merge @2 (rows :List(Rows)) -> (rows :List(Rows));
   allocate @3 (allocations :List(Allocation)) -> ();
   fetchConfig @4 (since :UInt64) -> (config :Config);
   claim @5 (key :Text) -> (state :UInt8);
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -11,7 +11,7 @@
 pub use beat::{read_heartbeat, write_heartbeat};
 pub use config::{read_config, write_config};
 pub use report::{read_report, read_reports, write_report, write_reports};
-pub use rows::{read_rows, write_rows};
+pub use rows::{read_rows, tables, write_rows};
 
 /// A message from a peer cannot be used.
 #[derive(Debug, thiserror::Error)]
--- a/crates/wire/src/convert/allocation.rs
+++ b/crates/wire/src/convert/allocation.rs
@@ -6,8 +6,8 @@
 use super::{
     ConvertError,
     shared::{
-        read_member, read_shard, read_slots, read_standings, write_member, write_shard,
-        write_slots, write_standings,
+        finite, read_member, read_shard, read_slots, read_standings, rounded, write_member,
+        write_shard, write_slots, write_standings,
     },
 };
 use crate::peer_capnp::allocation;
@@ -17,6 +17,8 @@
     write_shard(to.reborrow().init_shard(), &from.shard);
     write_member(to.reborrow().init_owner(), &from.owner);
     to.set_seq(from.seq);
+    to.set_answers(from.answers);
+    to.set_virtual_time(rounded(from.virtual_time));
     to.set_valid_for_ms(from.valid_for_ms);
     to.set_next_report_ms(from.next_report_ms);
     to.set_saturated(from.saturated);
@@ -34,6 +36,8 @@
         shard: read_shard(from.get_shard()?)?,
         owner: read_member(from.get_owner()?)?,
         seq: from.get_seq(),
+        answers: from.get_answers(),
+        virtual_time: finite(from.get_virtual_time())?,
         valid_for_ms: from.get_valid_for_ms(),
         next_report_ms: from.get_next_report_ms(),
         saturated: from.get_saturated(),
--- a/crates/wire/src/convert/report.rs
+++ b/crates/wire/src/convert/report.rs
@@ -20,6 +20,9 @@
         write_member(to.reborrow().init_applied_owner(), owner);
     }
     to.set_applied_seq(from.applied_seq);
+    to.set_seq(from.seq);
+    to.set_max_cost(from.max_cost);
+    to.set_max_rate(from.max_rate);
     let rows = &from.workspaces;
     let count = rows.len() as u32;
     write_names(
@@ -52,6 +55,9 @@
     Ok(ShardReport {
         shard: read_shard(from.get_shard()?)?,
         router: read_member(from.get_router()?)?,
+        seq: from.get_seq(),
+        max_cost: from.get_max_cost(),
+        max_rate: from.get_max_rate(),
         applied_owner,
         applied_seq: from.get_applied_seq(),
         workspaces: read_workspaces(from)?,
--- a/crates/wire/src/convert/rows.rs
+++ b/crates/wire/src/convert/rows.rs
@@ -1,5 +1,8 @@
 //! Counters between the owners of a service's shards.
 
+use capnp::struct_list;
+use span_fair::PeerRow;
+
 use super::{
     ConvertError,
     shared::{
@@ -7,41 +10,57 @@
         write_shard,
     },
 };
-use crate::{OwnerRow, OwnerRows, peer_capnp::rows};
+use crate::peer_capnp::rows;
+
+/// Splits rows into tables, one per shard and owner, as they travel.
+pub fn tables(rows: &[PeerRow]) -> Vec<&[PeerRow]> {
+    rows.chunk_by(|a, b| a.shard == b.shard && a.owner == b.owner).collect()
+}
 
-/// Writes the rows of an owner.
-pub fn write_rows(mut to: rows::Builder<'_>, from: &OwnerRows) {
-    write_shard(to.reborrow().init_shard(), &from.shard);
-    write_member(to.reborrow().init_owner(), &from.owner);
-    let count = from.rows.len() as u32;
-    write_names(
-        to.reborrow().init_workspaces(count),
-        from.rows.iter().map(|row| row.workspace.as_str()),
-    );
-    write_numbers(to.reborrow().init_costs(count), from.rows.iter().map(|row| row.cost));
-    write_numbers(to.init_backlogged(count), from.rows.iter().map(|row| row.backlogged));
+/// Writes tables into a list of the same length.
+pub fn write_rows(mut to: struct_list::Builder<'_, rows::Owned>, from: &[&[PeerRow]]) {
+    for (index, table) in (0..).zip(from) {
+        write_table(to.reborrow().get(index), table);
+    }
 }
 
-/// Reads the rows of an owner.
+fn write_table(mut to: rows::Builder<'_>, from: &[PeerRow]) {
+    let Some(first) = from.first() else {
+        return;
+    };
+    write_shard(to.reborrow().init_shard(), &first.shard);
+    write_member(to.reborrow().init_owner(), &first.owner);
+    let count = from.len() as u32;
+    let names = from.iter().map(|row| row.workspace.as_str());
+    write_names(to.reborrow().init_workspaces(count), names);
+    write_numbers(to.init_costs(count), from.iter().map(|row| row.cost));
+}
+
+/// Reads a list of tables.
 ///
 /// # Errors
 ///
 /// [`ConvertError`] if the message is damaged or inconsistent.
-pub fn read_rows(from: rows::Reader<'_>) -> Result<OwnerRows, ConvertError> {
-    let names = from.get_workspaces()?;
-    let (costs, backlogged) = (from.get_costs()?, from.get_backlogged()?);
+pub fn read_rows(from: struct_list::Reader<'_, rows::Owned>) -> Result<Vec<PeerRow>, ConvertError> {
+    let mut rows = Vec::new();
+    for table in from {
+        read_table(table, &mut rows)?;
+    }
+    Ok(rows)
+}
+
+fn read_table(from: rows::Reader<'_>, rows: &mut Vec<PeerRow>) -> Result<(), ConvertError> {
+    let (names, costs) = (from.get_workspaces()?, from.get_costs()?);
     same_length("costs", names.len(), costs.len())?;
-    same_length("backlogged workspaces", names.len(), backlogged.len())?;
-    let row = |index| {
-        Ok(OwnerRow {
+    let shard = read_shard(from.get_shard()?)?;
+    let owner = read_member(from.get_owner()?)?;
+    for index in 0..names.len() {
+        rows.push(PeerRow {
+            shard: shard.clone(),
+            owner: owner.clone(),
             workspace: read_name(&names, index)?,
             cost: costs.get(index),
-            backlogged: backlogged.get(index),
-        })
-    };
-    Ok(OwnerRows {
-        shard: read_shard(from.get_shard()?)?,
-        owner: read_member(from.get_owner()?)?,
-        rows: (0..names.len()).map(row).collect::<Result<_, ConvertError>>()?,
-    })
+        });
+    }
+    Ok(())
 }
--- a/crates/wire/src/convert/shared.rs
+++ b/crates/wire/src/convert/shared.rs
@@ -111,6 +111,16 @@
     (0..upstreams.len()).map(row).collect()
 }
 
+/// Rounds a virtual time to the unit of the standings; the bits below are
+/// noise that cannot be compressed.
+pub(super) fn rounded(virtual_time: f64) -> f64 {
+    (virtual_time * STEPS_PER_UNIT).round() / STEPS_PER_UNIT
+}
+
+pub(super) fn finite(virtual_time: f64) -> Result<f64, ConvertError> {
+    if virtual_time.is_finite() { Ok(virtual_time) } else { Err(ConvertError::NotFinite) }
+}
+
 pub(super) fn write_standings(mut to: standings::Builder<'_>, from: &[Standing]) {
     let rows = from.len() as u32;
     let base = from.iter().map(|row| row.virtual_time).fold(f64::INFINITY, f64::min);
@@ -127,10 +137,7 @@
 pub(super) fn read_standings(from: standings::Reader<'_>) -> Result<Vec<Standing>, ConvertError> {
     let workspaces = from.get_workspaces()?;
     let (offsets, included) = (from.get_offsets()?, from.get_included_costs()?);
-    let base = from.get_base();
-    if !base.is_finite() {
-        return Err(ConvertError::NotFinite);
-    }
+    let base = finite(from.get_base())?;
     same_length("virtual times", workspaces.len(), offsets.len())?;
     same_length("included costs", workspaces.len(), included.len())?;
     let row = |index| {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,7 +1,7 @@
 //! Typed messages that exist only between routers.
 
 use span_member::Update;
-use span_types::{Member, Revision, ShardId, WorkspaceName};
+use span_types::Revision;
 
 /// A sign of life with piggybacked news.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,29 +18,6 @@
     pub wants_all: bool,
 }
 
-/// What a shard owner tells another owner of the same service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OwnerRows {
-    /// Shard of the sender.
-    pub shard: ShardId,
-    /// The sender.
-    pub owner: Member,
-    /// One row per active workspace.
-    pub rows: Vec<OwnerRow>,
-}
-
-/// One workspace at one shard.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OwnerRow {
-    /// Workspace of the row.
-    pub workspace: WorkspaceName,
-    /// Cost served and reserved at the shard, in cost units; never falls
-    /// while the owner stays.
-    pub cost: u64,
-    /// Requests of the workspace wait at the shard.
-    pub backlogged: bool,
-}
-
 /// Answer to a request for a configuration newer than a revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigReply {
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -54,6 +54,9 @@
     ShardReport {
         shard: shard(),
         router: member("router-1"),
+        seq: u64::from(round) + 1,
+        max_cost: 4_096,
+        max_rate: 77,
         applied_owner: Some(member("router-2")),
         applied_seq: u64::from(round),
         workspaces: (0..workspaces).map(row).collect(),
@@ -76,6 +79,8 @@
         shard: shard(),
         owner: member("router-2"),
         seq: u64::from(round) + 1,
+        answers: u64::from(round) + 1,
+        virtual_time: f64::from(90_000 + round * 4_001) + 0.75,
         valid_for_ms: 5_000,
         next_report_ms: 250,
         saturated: round.is_multiple_of(2),
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -6,11 +6,11 @@
     message::{Builder, Reader, ReaderOptions},
     serialize,
 };
-use span_fair::ShardReport;
-use span_types::Revision;
+use span_fair::{PeerRow, ShardReport};
+use span_types::{Revision, ShardId};
 use span_wire::{
-    ConfigBody, ConfigReply, ConvertError, OwnerRow, OwnerRows, peer_capnp, read_allocation,
-    read_config, read_heartbeat, read_report, read_rows, write_allocation, write_config,
+    ConfigBody, ConfigReply, ConvertError, peer_capnp, read_allocation, read_config,
+    read_heartbeat, read_report, read_rows, tables, write_allocation, write_config,
     write_heartbeat, write_report, write_rows,
 };
 
@@ -98,20 +98,21 @@
 /// Guards against counters of shard owners that are mixed up.
 #[test]
 fn owner_rows() {
-    let row = |index: u64| OwnerRow {
-        workspace: format!("workspace-{index}").into(),
-        cost: index * 1_000,
-        backlogged: index.is_multiple_of(2),
-    };
-    let case = OwnerRows {
-        shard: common::shard(),
+    let row = |index: u32| PeerRow {
+        shard: ShardId { index: index / 4, ..common::shard() },
         owner: common::member("router-2"),
-        rows: (0..9).map(row).collect(),
+        workspace: format!("workspace-{index}").into(),
+        cost: u64::from(index) * 1_000,
     };
+    let rows: Vec<PeerRow> = (0..9).map(row).collect();
+    let tables = tables(&rows);
+    assert_eq!(tables.len(), 3);
     let mut builder = Builder::new_default();
-    write_rows(builder.init_root(), &case);
+    let params: peer_capnp::peer::merge_params::Builder<'_> = builder.init_root();
+    write_rows(params.init_rows(tables.len() as u32), &tables);
     let message = transport(&builder);
-    assert_eq!(read_rows(message.get_root().expect("root")).expect("valid"), case);
+    let params: peer_capnp::peer::merge_params::Reader<'_> = message.get_root().expect("root");
+    assert_eq!(read_rows(params.get_rows().expect("rows")).expect("valid"), rows);
 }
 
 /// A fault in a message and the error that it has to produce.
