--- a/crates/fair/src/holdings.rs
+++ b/crates/fair/src/holdings.rs
@@ -1,6 +1,6 @@
 //! Which router may use how many slots of which upstream.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use span_types::{Member, UpstreamName};
 
@@ -22,6 +22,10 @@
     fn idle(&self) -> u32 {
         self.granted.saturating_sub(self.in_flight)
     }
+
+    fn returning_idle(&self) -> u32 {
+        self.held.saturating_sub(self.granted.max(self.in_flight))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -102,11 +106,16 @@
     pub(crate) fn returning(&self) -> (u32, u32) {
         let cells = self.rows.values().flat_map(|row| row.cells.values());
         cells.fold((0, 0), |(idle, all), cell| {
-            let used = cell.granted.max(cell.in_flight);
-            (idle + cell.held.saturating_sub(used), all + cell.held - cell.granted)
+            (idle + cell.returning_idle(), all + cell.held - cell.granted)
         })
     }
 
+    /// Whether slots that a router does not use wait for its confirmation.
+    pub(crate) fn unconfirmed(&self, router: &Member) -> bool {
+        let row = self.rows.get(router);
+        row.is_some_and(|row| row.cells.values().any(|cell| cell.returning_idle() > 0))
+    }
+
     /// Slots that no router may use.
     pub(crate) fn free(&self) -> u32 {
         self.columns.values().map(|column| column.limit.saturating_sub(column.held)).sum()
@@ -143,9 +152,21 @@
         let Some(row) = self.rows.get_mut(&report.router) else {
             return;
         };
+        let reported: HashMap<_, _> =
+            report.slots.iter().map(|slots| (&slots.upstream, slots)).collect();
+        let latest = applied_seq == row.seq;
         for (upstream, cell) in &mut row.cells {
-            let reported = report.slots.iter().find(|slots| slots.upstream == *upstream);
-            cell.in_flight = reported.map_or(0, |slots| slots.in_flight);
+            let slots = reported.get(upstream);
+            cell.in_flight = slots.map_or(0, |slots| slots.in_flight);
+            let returned = cell.granted.saturating_sub(slots.map_or(0, |slots| slots.held));
+            // A router that applied the latest allocation and claims less than
+            // it gave slots back. No allocation on its way can restore them.
+            if latest && returned > 0 {
+                cell.granted -= returned;
+                row.granted -= returned;
+                let column = self.columns.get_mut(upstream).expect("a slot has an upstream");
+                column.granted -= returned;
+            }
             if applied_seq < cell.shrink_seq {
                 continue;
             }
--- a/crates/fair/src/owner.rs
+++ b/crates/fair/src/owner.rs
@@ -27,7 +27,7 @@
 /// Pushes to one router that may follow each other at once.
 const PUSH_BURST: u32 = 4;
 /// Pushes to one router per report period over a longer time.
-const PUSHES_PER_PERIOD: u64 = 2;
+const PUSHES_PER_PERIOD: u64 = 4;
 /// One part in this many of the spare slots stays with the owner.
 const SPARE_POOL_PART: u32 = 4;
 /// Time after which another router is first to get the odd slots of a
@@ -282,6 +282,7 @@
         if let Some(state) = self.routers.get_mut(router) {
             state.wants_push = false;
         }
+        let confirm = self.holdings.unconfirmed(router);
         let (seq, slots) = self.holdings.issue(router);
         Allocation {
             shard: self.shard.clone(),
@@ -292,6 +293,7 @@
             valid_for_ms: self.valid_for_ms(),
             next_report_ms: self.period_ms(),
             saturated: self.saturated,
+            confirm,
             slots,
             standings: Vec::new(),
         }
