--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use body::{Body, BodyError, ReadError, collect, empty, full, json, read_json};
 pub use client::{Client, ClientError, client, fresh_client};
-pub use server::{Limits, Server, bind, bind_with};
+pub use server::{Limits, Server, bind, serve_with};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -81,17 +81,17 @@
     F: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
-    bind_with(address, limits, handler, too_many_connections).await
+    serve_with(TcpListener::bind(address).await?, limits, handler, too_many_connections)
 }
 
-/// As [`bind`]; requests on connections past the limit are answered with
-/// `refuse`.
+/// As [`bind`] for a bound listener; requests on connections past the limit are
+/// answered with `refuse`.
 ///
 /// # Errors
 ///
-/// Fails if the address cannot be bound.
-pub async fn bind_with<F, Fut, R>(
-    address: SocketAddr,
+/// Fails if the listener has no address.
+pub fn serve_with<F, Fut, R>(
+    listener: TcpListener,
     limits: Limits,
     handler: F,
     refuse: R,
@@ -101,7 +101,6 @@
     Fut: Future<Output = Response<Body>> + Send + 'static,
     R: Fn() -> Response<Body> + Clone + Send + Sync + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let (stop, stopped) = watch::channel(false);
     let task = tokio::spawn(accept_loop(listener, limits, handler, refuse, stopped));
--- a/crates/router/src/front/mod.rs
+++ b/crates/router/src/front/mod.rs
@@ -79,19 +79,18 @@
         settings: Settings,
         member: Member,
         control: control::Handle,
-        platform: &Platform,
+        minted: MintedIds,
+        platform: Platform,
     ) -> Arc<Self> {
         let connect = Duration::from_millis(settings.timeouts.connect_ms);
-        let limits =
-            RegistryLimits { entries: settings.limits.remembered_ids, ..RegistryLimits::default() };
         let client = span_http::client(connect);
         Arc::new(Self {
             index: ArcSwap::default(),
             fresh: span_http::fresh_client(connect),
             client,
-            minted: MintedIds::new(member.clone(), limits),
-            key_lifetime_ms: limits.lifetime_ms,
-            claims: Claims::new(platform.clone()),
+            minted,
+            key_lifetime_ms: RegistryLimits::default().lifetime_ms,
+            claims: Claims::new(platform),
             in_flight: InFlight::default(),
             closed: AtomicBool::new(false),
             last_seq: AtomicU64::new(0),
--- a/crates/router/tests/once.rs
+++ b/crates/router/tests/once.rs
@@ -151,7 +151,11 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_whose_request_did_not_run_may_be_used_again() {
-    let world = World::new().upstream("booking-desk", closed()).start().await;
+    let mut world = World::new().upstream("booking-desk", closed());
+    // The router stops using an upstream that refuses connections, and requests
+    // wait for it until their deadline.
+    world.deadline_ms = 200;
+    let world = world.start().await;
     let router = world.router.http_address();
     let minted = world.call(Method::POST, "/v1/keys", &[], "").await.json();
     let minted = minted["key"].as_str().expect("it is a key").to_owned();
