--- a/crates/router/src/front/claims.rs
+++ b/crates/router/src/front/claims.rs
@@ -1,18 +1,25 @@
 //! Claims in the object API: changes that wait for the same bucket go into one
 //! conditional write.
 
-use std::sync::{Arc, OnceLock};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use span_once::{BUCKETS, Change, ClaimKey, ClaimResult};
+use span_platform::Platform;
 use tokio::sync::{mpsc, oneshot};
 
-use super::objects::{Objects, Stored, Uncertain, Written};
+use super::objects::{self, Stored, Uncertain};
 use crate::minted::now_ms;
 
 /// Changes that may wait for one bucket.
 const QUEUE_LENGTH: usize = 1_024;
 /// Changes in one write.
 const MAX_BATCH: usize = 256;
+/// Calls of the object API that a caller waits for: a read and a write at
+/// their time limit.
+const CALLS_WAITED: u64 = 2;
 /// Writes tried for one batch; each conflict or lost answer costs one.
 const MAX_ROUNDS: u32 = 6;
 
@@ -25,15 +32,15 @@
 
 /// Access to all claims; one worker per bucket in use.
 pub(crate) struct Claims {
-    objects: Objects,
+    platform: Platform,
     workers: Vec<OnceLock<mpsc::Sender<Job>>>,
 }
 
 impl Claims {
     /// Makes access without workers.
-    pub(super) fn new(objects: Objects) -> Arc<Self> {
+    pub(super) fn new(platform: Platform) -> Arc<Self> {
         let workers = (0..BUCKETS).map(|_| OnceLock::new()).collect();
-        Arc::new(Self { objects, workers })
+        Arc::new(Self { platform, workers })
     }
 
     /// Makes a change and waits until it is stored.
@@ -51,7 +58,8 @@
         let job = Job { change, reply: Some(reply) };
         self.worker(key.bucket()).try_send(job).map_err(|_| Uncertain)?;
         // A batch that meets several slow calls must not hold up its callers.
-        let limit = self.objects.timeout * 2;
+        let limit_ms = CALLS_WAITED * self.platform.settings().call_timeout_ms;
+        let limit = Duration::from_millis(limit_ms);
         match tokio::time::timeout(limit, answer).await {
             Ok(Ok(result)) => result,
             _ => Err(Uncertain),
@@ -67,18 +75,18 @@
     fn worker(&self, bucket: u64) -> &mpsc::Sender<Job> {
         self.workers[bucket as usize].get_or_init(|| {
             let (sender, jobs) = mpsc::channel(QUEUE_LENGTH);
-            tokio::spawn(work(self.objects.clone(), bucket, jobs));
+            tokio::spawn(work(self.platform.clone(), bucket, jobs));
             sender
         })
     }
 }
 
-async fn work(objects: Objects, bucket: u64, mut jobs: mpsc::Receiver<Job>) {
+async fn work(platform: Platform, bucket: u64, mut jobs: mpsc::Receiver<Job>) {
     let mut cached = None;
     let mut batch = Vec::new();
     while jobs.recv_many(&mut batch, MAX_BATCH).await > 0 {
         let changes: Vec<Change> = batch.iter().map(|job| job.change.clone()).collect();
-        let results = write(&objects, bucket, &mut cached, &changes).await;
+        let results = write(&platform, bucket, &mut cached, &changes).await;
         for (index, job) in batch.drain(..).enumerate() {
             let result = results.as_ref().map(|results| results[index].clone()).map_err(|e| *e);
             if let Some(reply) = job.reply {
@@ -92,7 +100,7 @@
 /// answer, the bucket is read back; changes that were stored then have no
 /// further effect.
 async fn write(
-    objects: &Objects,
+    platform: &Platform,
     bucket: u64,
     cached: &mut Option<Stored>,
     changes: &[Change],
@@ -102,7 +110,7 @@
         let fresh = known.is_none();
         let stored = match known {
             Some(stored) => stored,
-            None => objects.read(bucket).await?,
+            None => objects::read(platform, bucket).await?,
         };
         let mut next = stored.bucket.clone();
         next.expire(now_ms());
@@ -115,8 +123,8 @@
             *cached = Some(stored);
             return Ok(results);
         }
-        if let Ok(Written::Stored(version)) = objects.write(bucket, stored.version, &next).await {
-            *cached = version.map(|version| Stored { version: Some(version), bucket: next });
+        if let Some(stored) = objects::write(platform, bucket, stored.version, next).await? {
+            *cached = Some(stored);
             return Ok(results);
         }
     }
--- a/crates/router/src/front/mod.rs
+++ b/crates/router/src/front/mod.rs
@@ -33,6 +33,7 @@
 use span_config::Document;
 use span_http::{Body, Client, json as json_response};
 use span_once::{RegistryLimits, RetryBudget};
+use span_platform::Platform;
 use span_types::{Member, Outcome, RequestId};
 use tracing::Instrument;
 
@@ -43,7 +44,6 @@
 pub use in_flight::CutRequest;
 use in_flight::InFlight;
 use index::Index;
-use objects::Objects;
 
 /// What the caller side needs for each request.
 pub(crate) struct Front {
@@ -75,23 +75,22 @@
 
 impl Front {
     /// Makes the caller side of a router.
-    pub fn new(settings: Settings, member: Member, control: control::Handle) -> Arc<Self> {
+    pub fn new(
+        settings: Settings,
+        member: Member,
+        control: control::Handle,
+        minted: MintedIds,
+        platform: Platform,
+    ) -> Arc<Self> {
         let connect = Duration::from_millis(settings.timeouts.connect_ms);
-        let limits =
-            RegistryLimits { entries: settings.limits.remembered_ids, ..RegistryLimits::default() };
         let client = span_http::client(connect);
-        let objects = Objects {
-            client: span_http::client(connect),
-            address: settings.platform_address,
-            timeout: Duration::from_millis(settings.timeouts.platform_ms),
-        };
         Arc::new(Self {
             index: ArcSwap::default(),
             fresh: span_http::fresh_client(connect),
             client,
-            minted: MintedIds::new(member.clone(), limits),
-            key_lifetime_ms: limits.lifetime_ms,
-            claims: Claims::new(objects),
+            minted,
+            key_lifetime_ms: RegistryLimits::default().lifetime_ms,
+            claims: Claims::new(platform),
             in_flight: InFlight::default(),
             closed: AtomicBool::new(false),
             last_seq: AtomicU64::new(0),
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -8,11 +8,11 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use http::Request;
-use span_config::Document;
-use span_http::{Client, Limits, Server, read_json};
+use span_http::{Limits, Server};
+use span_once::RegistryLimits;
+use span_platform::Platform;
 use span_types::{Incarnation, Member};
-use tokio::task::JoinHandle;
+use tokio::{net::TcpListener, task::JoinHandle};
 
 use crate::{
     MintedIds, control,
@@ -20,9 +20,6 @@
     settings::Settings,
 };
 
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
-const MAX_DOCUMENT_BYTES: usize = 1024 * 1024;
-
 /// The router could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum SpawnError {
@@ -81,6 +78,7 @@
             () = deadline => front.in_flight.list(),
         };
         follower.abort();
+        front.control.stop();
         for request in &cut {
             let CutRequest { id, workspace, path } = request;
             tracing::warn!(%id, %workspace, path, "request cut by the shutdown");
@@ -99,13 +97,49 @@
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = Incarnation(u64::try_from(incarnation.as_micros()).unwrap_or(u64::MAX));
     let member = Member { instance: settings.instance.clone(), incarnation };
-    let front = Front::new(settings, member, control::spawn()?);
-    let server = bind(&front).await?;
+    let listener = TcpListener::bind(settings.http_address).await?;
+    let minted = MintedIds::new(member.clone(), registry_limits(&settings));
+    let control = control::start(control_settings(
+        &settings,
+        &member,
+        listener.local_addr()?,
+        minted.clone(),
+    ))?;
+    let platform = Platform::new(span_platform::Settings {
+        call_timeout_ms: settings.timeouts.platform_ms,
+        connect_timeout_ms: settings.timeouts.connect_ms,
+        ..span_platform::Settings::new(settings.platform_address)
+    });
+    let front = Front::new(settings, member, control, minted, platform);
+    let server = serve(&front, listener)?;
     let follower = tokio::spawn(follow(Arc::clone(&front)));
     Ok(Router { server, front, follower })
 }
 
-async fn bind(front: &Arc<Front>) -> io::Result<Server> {
+fn registry_limits(settings: &Settings) -> RegistryLimits {
+    RegistryLimits { entries: settings.limits.remembered_ids, ..RegistryLimits::default() }
+}
+
+fn control_settings(
+    settings: &Settings,
+    member: &Member,
+    http_address: SocketAddr,
+    minted: MintedIds,
+) -> control::Settings {
+    let router = span_member::Router {
+        member: member.clone(),
+        http_address,
+        peer_address: settings.peer_address,
+        failure_domain: settings.failure_domain.clone(),
+    };
+    control::Settings {
+        platform_address: Some(settings.platform_address),
+        minted: Arc::new(move |id| minted.state(id)),
+        ..control::Settings::new(router)
+    }
+}
+
+fn serve(front: &Arc<Front>, listener: TcpListener) -> io::Result<Server> {
     let settings = &front.settings;
     let limits = Limits {
         header_bytes: settings.limits.header_bytes,
@@ -116,29 +150,16 @@
     let (serving, refusing) = (Arc::clone(front), Arc::clone(front));
     let handler = move |request, _peer| front::handle(Arc::clone(&serving), request);
     let refuse = move || front::refuse_connection(&refusing);
-    span_http::bind_with(settings.http_address, limits, handler, refuse).await
+    span_http::serve_with(listener, limits, handler, refuse)
 }
 
+/// Rebuilds the indexes whenever the control thread puts a configuration in
+/// force.
 async fn follow(front: Arc<Front>) {
-    let mut current = Arc::<Document>::default();
-    loop {
-        let fetched = fetch(&front.client, front.settings.platform_address).await;
-        if let Some(document) = fetched.filter(|document| *document != *current) {
-            current = Arc::new(document);
-            front.configure(Arc::clone(&current));
-            front.control.configure(Arc::clone(&current));
-            tracing::info!(workspaces = current.workspaces.len(), "configuration in force");
-        }
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
-
-async fn fetch(client: &Client, platform: SocketAddr) -> Option<Document> {
-    let uri = format!("http://{platform}/objects/config/current");
-    let request = Request::get(uri).body(span_http::empty()).ok()?;
-    let answer = client.request(request).await.ok()?;
-    if !answer.status().is_success() {
-        return None;
+    let mut documents = front.control.document();
+    // The sender lives as long as the control thread.
+    while documents.changed().await.is_ok() {
+        let document = Arc::clone(&documents.borrow_and_update());
+        front.configure(document);
     }
-    read_json(answer.into_body(), MAX_DOCUMENT_BYTES).await.ok()
 }
--- a/crates/router/tests/chat.rs
+++ b/crates/router/tests/chat.rs
@@ -165,8 +165,8 @@
     let engine = engine::bind(any(), quick_engine()).await.expect("it binds");
     let world = World::new().upstream("stitch-assist", closed());
     let world = world.upstream("stitch-assist", engine.address()).start().await;
-    for stream in [true, false] {
-        let answer = world.chat("retried", 3, stream).await;
+    for number in 0..20 {
+        let answer = world.chat("retried", 3, number % 2 == 0).await;
         assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
     }
 }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -47,6 +47,8 @@
     upstreams: BTreeMap<UpstreamName, Upstream>,
     pub timeouts: Timeouts,
     pub limits: Limits,
+    /// Longest time a request may wait, in milliseconds.
+    pub deadline_ms: u64,
 }
 
 pub struct Running {
@@ -65,7 +67,7 @@
             address_lifetime_ms: 0,
             ..Timeouts::default()
         };
-        Self { timeouts, ..Self::default() }
+        Self { timeouts, deadline_ms: 10_000, ..Self::default() }
     }
 
     /// Adds an upstream; upstreams are chosen by name where all are idle.
@@ -85,7 +87,7 @@
 
     pub async fn start(self) -> Running {
         let platform = objects::bind(any()).await.expect("the platform binds");
-        let document = document(self.upstreams);
+        let document = document(self.upstreams, self.deadline_ms);
         let value = serde_json::to_vec(&document).expect("it is JSON");
         platform
             .edit(|store| store.put("config/current", value, Precondition::None))
@@ -119,12 +121,12 @@
     }
 }
 
-fn document(upstreams: BTreeMap<UpstreamName, Upstream>) -> Document {
+fn document(upstreams: BTreeMap<UpstreamName, Upstream>, deadline_ms: u64) -> Document {
     let workspace = |key| Workspace {
         share: 1,
         services: ["stitch-assist", "booking-desk", "pages"].map(Into::into).into(),
         queue_limit: 100,
-        deadline_ms: 10_000,
+        deadline_ms,
         keys: [KeyHash::of(key)].into(),
     };
     let service = |kind, idempotent, models: &[&str]| Service {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -36,13 +36,13 @@
     pub load_lag_ms: u64,
     /// Time that a generation goes on without a reader, in milliseconds.
     pub linger_ms: u64,
+    /// Faults of answers.
+    pub faults: Faults,
     /// Orders with an old fencing number are refused.
     pub checks_fencing: bool,
     /// Orders are carried out, then their answer is withheld and the call ends
     /// with status 503.
     pub lose_order_answers: bool,
-    /// Faults of answers.
-    pub faults: Faults,
 }
 
 impl Default for Settings {
@@ -53,9 +53,9 @@
             prefill_us: 50,
             load_lag_ms: 200,
             linger_ms: 5_000,
+            faults: Faults::default(),
             checks_fencing: false,
             lose_order_answers: false,
-            faults: Faults::default(),
         }
     }
 }
@@ -97,8 +97,8 @@
     ledger: Ledger,
     generations: generation::Generations,
     load: load::LoadHistory,
-    orders: Arc<Orders>,
     faulty_left: AtomicU32,
+    orders: Arc<Orders>,
 }
 
 /// Binds an engine to `address`.
--- /dev/null
+++ b/crates/wire/src/convert/shared.rs
@@ -0,0 +1,188 @@
+//! Parts that several messages contain.
+
+use std::net::SocketAddr;
+
+use capnp::text_list;
+use span_fair::{SlotRow, Standing};
+use span_types::{Incarnation, InstanceName, Member, ShardId};
+
+use super::ConvertError;
+use crate::peer_capnp::{counts, member, numbers, shard, slots, standings};
+
+/// Standings travel as offsets from the lowest virtual time in this unit.
+const STEPS_PER_UNIT: f64 = 256.0;
+
+pub(super) fn write_member(mut to: member::Builder<'_>, from: &Member) {
+    to.set_instance(from.instance.as_str());
+    to.set_incarnation(from.incarnation.0);
+}
+
+pub(super) fn read_member(from: member::Reader<'_>) -> Result<Member, ConvertError> {
+    let instance = from.get_instance()?.to_str()?;
+    if instance.is_empty() {
+        return Err(ConvertError::Missing("an instance name"));
+    }
+    Ok(Member {
+        instance: InstanceName::from(instance),
+        incarnation: Incarnation(from.get_incarnation()),
+    })
+}
+
+pub(super) fn write_shard(mut to: shard::Builder<'_>, from: &ShardId) {
+    to.set_service(from.service.as_str());
+    to.set_index(from.index);
+}
+
+pub(super) fn read_shard(from: shard::Reader<'_>) -> Result<ShardId, ConvertError> {
+    let service = from.get_service()?.to_str()?;
+    if service.is_empty() {
+        return Err(ConvertError::Missing("a service name"));
+    }
+    Ok(ShardId { service: service.into(), index: from.get_index() })
+}
+
+pub(super) fn read_address(text: capnp::text::Reader<'_>) -> Result<SocketAddr, ConvertError> {
+    let text = text.to_str()?;
+    text.parse().map_err(|_| ConvertError::Address(text.to_owned()))
+}
+
+pub(super) fn write_names<'n>(
+    mut to: text_list::Builder<'_>,
+    names: impl Iterator<Item = &'n str>,
+) {
+    for (index, name) in (0..).zip(names) {
+        to.set(index, name);
+    }
+}
+
+pub(super) fn read_name<T: for<'a> From<&'a str>>(
+    from: &text_list::Reader<'_>,
+    index: u32,
+) -> Result<T, ConvertError> {
+    Ok(T::from(from.get(index)?.to_str()?))
+}
+
+/// Bits in the low part of a number.
+const LOW_BITS: u32 = 16;
+
+pub(super) fn write_numbers(
+    mut to: numbers::Builder<'_>,
+    from: impl ExactSizeIterator<Item = u64> + Clone,
+) {
+    let count = from.len() as u32;
+    let mut low = to.reborrow().init_low(count);
+    for (index, number) in (0..).zip(from.clone()) {
+        low.set(index, number as u16);
+    }
+    let mut high = to.init_high(count);
+    for (index, number) in (0..).zip(from) {
+        high.set(index, number >> LOW_BITS);
+    }
+}
+
+/// Reads a column of numbers with the given number of rows.
+pub(super) fn read_numbers(
+    column: &'static str,
+    from: numbers::Reader<'_>,
+    rows: u32,
+) -> Result<Vec<u64>, ConvertError> {
+    let (low, high) = (from.get_low()?, from.get_high()?);
+    same_length(column, rows, low.len())?;
+    same_length(column, rows, high.len())?;
+    let number = |index| (high.get(index) << LOW_BITS) | u64::from(low.get(index));
+    Ok((0..rows).map(number).collect())
+}
+
+/// Writes counts. Larger ones become 65,535: a router has at most 4,096
+/// connections, so that makes no difference.
+pub(super) fn write_counts(
+    mut to: counts::Builder<'_>,
+    from: impl ExactSizeIterator<Item = u32> + Clone,
+) {
+    let rows = from.len() as u32;
+    let narrow = |count: u32| u16::try_from(count).unwrap_or(u16::MAX).to_le_bytes();
+    let mut low = to.reborrow().init_low(rows);
+    for (index, count) in (0..).zip(from.clone()) {
+        low.set(index, narrow(count)[0]);
+    }
+    let mut high = to.init_high(rows);
+    for (index, count) in (0..).zip(from) {
+        high.set(index, narrow(count)[1]);
+    }
+}
+
+/// Reads a column of counts with the given number of rows.
+pub(super) fn read_counts(
+    column: &'static str,
+    from: counts::Reader<'_>,
+    rows: u32,
+) -> Result<Vec<u32>, ConvertError> {
+    let (low, high) = (from.get_low()?, from.get_high()?);
+    same_length(column, rows, low.len())?;
+    same_length(column, rows, high.len())?;
+    let count = |index| u32::from(u16::from_le_bytes([low.get(index), high.get(index)]));
+    Ok((0..rows).map(count).collect())
+}
+
+/// Checks that a column is as long as the first one of its table.
+fn same_length(column: &'static str, expected: u32, found: u32) -> Result<(), ConvertError> {
+    if expected == found { Ok(()) } else { Err(ConvertError::Columns { column, expected, found }) }
+}
+
+pub(super) fn write_slots(mut to: slots::Builder<'_>, from: &[SlotRow]) {
+    let names = from.iter().map(|row| row.upstream.as_str());
+    write_names(to.reborrow().init_upstreams(from.len() as u32), names);
+    write_counts(to.reborrow().init_held(), from.iter().map(|row| row.held));
+    write_counts(to.init_in_flight(), from.iter().map(|row| row.in_flight));
+}
+
+pub(super) fn read_slots(from: slots::Reader<'_>) -> Result<Vec<SlotRow>, ConvertError> {
+    let upstreams = from.get_upstreams()?;
+    let held = read_counts("held slots", from.get_held()?, upstreams.len())?;
+    let in_flight = read_counts("slots in flight", from.get_in_flight()?, upstreams.len())?;
+    let row = |index| {
+        Ok(SlotRow {
+            upstream: read_name(&upstreams, index)?,
+            held: held[index as usize],
+            in_flight: in_flight[index as usize],
+        })
+    };
+    (0..upstreams.len()).map(row).collect()
+}
+
+/// Rounds a virtual time to the unit of the standings; the bits below are
+/// noise that cannot be compressed.
+pub(super) fn rounded(virtual_time: f64) -> f64 {
+    (virtual_time * STEPS_PER_UNIT).round() / STEPS_PER_UNIT
+}
+
+pub(super) fn finite(virtual_time: f64) -> Result<f64, ConvertError> {
+    if virtual_time.is_finite() { Ok(virtual_time) } else { Err(ConvertError::NotFinite) }
+}
+
+pub(super) fn write_standings(mut to: standings::Builder<'_>, from: &[Standing]) {
+    let base = from.iter().map(|row| row.virtual_time).fold(f64::INFINITY, f64::min);
+    let base = if base.is_finite() { base.floor() } else { 0.0 };
+    to.set_base(base);
+    let names = from.iter().map(|row| row.workspace.as_str());
+    write_names(to.reborrow().init_workspaces(from.len() as u32), names);
+    let offset = |row: &Standing| ((row.virtual_time - base) * STEPS_PER_UNIT).round() as u64;
+    write_numbers(to.reborrow().init_offsets(), from.iter().map(offset));
+    write_numbers(to.init_included_costs(), from.iter().map(|row| row.included_cost));
+}
+
+pub(super) fn read_standings(from: standings::Reader<'_>) -> Result<Vec<Standing>, ConvertError> {
+    let workspaces = from.get_workspaces()?;
+    let base = finite(from.get_base())?;
+    let rows = workspaces.len();
+    let offsets = read_numbers("virtual times", from.get_offsets()?, rows)?;
+    let included = read_numbers("included costs", from.get_included_costs()?, rows)?;
+    let row = |index| {
+        Ok(Standing {
+            workspace: read_name(&workspaces, index)?,
+            virtual_time: base + offsets[index as usize] as f64 / STEPS_PER_UNIT,
+            included_cost: included[index as usize],
+        })
+    };
+    (0..rows).map(row).collect()
+}
