Keep the peer traffic of a shard owner within its budget

Cause: with the machine under load, an owner carried 4.6, 7.4 and 10.8 KB/s at 6, 12 and 24 routers, because urgent reports follow a bucket of their own that a longer report period does not empty.

Change: while an owner asks for a longer period than its fan-in demands, urgent reports wait for a growing part of that period; allocations are pushed only below 0.9 of the budget; paced periods end at 2 s, so that two reports fit into the validity of an allocation. The test of the small workspace gives requests a service time: without one, the 56 requests of the large workspace ended before any report was due, and the test showed a race instead of the owner's decision.

--- a/crates/router/src/control/core.rs
+++ b/crates/router/src/control/core.rs
@@ -24,6 +24,7 @@
     command::{AdmitRequest, Command},
     config::ConfigState,
     counters::Counters,
+    exchange::Pace,
     load::LoadState,
     peers::Links,
     shards,
@@ -56,6 +57,8 @@
     pub disagreements: HashMap<InstanceName, u32>,
     /// Owners that an exchange is under way with.
     pub exchanging: BTreeSet<InstanceName>,
+    /// Pace that owners asked for.
+    pub paces: HashMap<InstanceName, Pace>,
     /// A fetch of the configuration from a peer is under way.
     pub fetching: bool,
     /// Something changed that peers should learn before the next heartbeat.
@@ -88,6 +91,7 @@
             revisions: HashMap::new(),
             disagreements: HashMap::new(),
             exchanging: BTreeSet::new(),
+            paces: HashMap::new(),
             fetching: false,
             has_news: false,
             steered: 0,
@@ -239,6 +243,7 @@
         self.counters.increment(Counter::MembersLost);
         self.links.remove(&member.instance);
         self.revisions.remove(&member.instance);
+        self.paces.remove(&member.instance);
         for owner in self.owners.values_mut() {
             owner.remove_router(now_ms, member);
         }
--- a/crates/router/src/control/exchange.rs
+++ b/crates/router/src/control/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use span_fair::{Allocation, Policy, ShardReport};
+use span_fair::{Allocation, Policy, ShardReport, report_period_ms};
 use span_types::{InstanceName, Member, ServiceName, ShardId};
 use span_wire::{
     read_allocations, read_rows, tables, write_allocations, write_reports, write_rows,
@@ -17,7 +17,38 @@
 /// Owners of other shards that are told counters per second.
 const MERGES_PER_ROUND: usize = 4;
 
+/// Exchanges with one owner.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Pace {
+    sent_ms: u64,
+    period_ms: u64,
+}
+
+impl Pace {
+    /// Whether a report may be sent. An owner that asks for a longer period
+    /// than its fan-in demands is over its budget; the more it extends the
+    /// period, the longer urgent reports wait, up to the whole period.
+    fn allows(&self, now_ms: u64, usual_ms: u64) -> bool {
+        let added_ms = self.period_ms.saturating_sub(usual_ms);
+        let wait_ms = self.period_ms * (2 * added_ms).min(usual_ms) / usual_ms.max(1);
+        now_ms >= self.sent_ms + wait_ms
+    }
+}
+
 impl Core {
+    fn may_report(&self, now_ms: u64, owner: &Member) -> bool {
+        let usual_ms = report_period_ms(self.view.live().len());
+        let pace = self.paces.get(&owner.instance).copied().unwrap_or_default();
+        !self.exchanging.contains(&owner.instance) && pace.allows(now_ms, usual_ms)
+    }
+
+    fn note_period(&mut self, owner: &Member, allocations: &[Allocation]) {
+        let period_ms = allocations.iter().map(|row| row.next_report_ms).max();
+        if let Some(period_ms) = period_ms {
+            self.paces.entry(owner.instance.clone()).or_default().period_ms = period_ms;
+        }
+    }
+
     /// Shards that this router takes slots from, by owner.
     fn shards_by_owner(&self) -> BTreeMap<Member, Vec<ShardId>> {
         let mut owners: BTreeMap<Member, Vec<ShardId>> = BTreeMap::new();
@@ -44,7 +75,7 @@
         let mut reports = Vec::new();
         for (owner, shards) in self.shards_by_owner() {
             let is_due = shards.iter().any(|shard| due.contains(shard));
-            if is_due && !self.exchanging.contains(&owner.instance) {
+            if is_due && self.may_report(now_ms, &owner) {
                 let rows = shards.iter().filter_map(|shard| self.report(now_ms, shard, &owner));
                 reports.push((owner.clone(), rows.collect()));
             }
@@ -88,7 +119,11 @@
         if owner == *shared.borrow().member() {
             report_to_self(shared, &reports);
         } else {
-            shared.borrow_mut().exchanging.insert(owner.instance.clone());
+            let mut core = shared.borrow_mut();
+            let now_ms = core.now_ms();
+            core.exchanging.insert(owner.instance.clone());
+            core.paces.entry(owner.instance.clone()).or_default().sent_ms = now_ms;
+            drop(core);
             tokio::task::spawn_local(exchange(shared.clone(), owner, reports));
         }
     }
@@ -112,6 +147,7 @@
             let mut core = shared.borrow_mut();
             let now_ms = core.now_ms();
             core.view.touch(now_ms, &owner);
+            core.note_period(&owner, &allocations);
             for allocation in allocations {
                 core.apply(allocation);
             }
--- a/crates/router/src/control/pacer.rs
+++ b/crates/router/src/control/pacer.rs
@@ -1,10 +1,17 @@
 //! Keeps the control traffic of a router within its budget.
 
-/// Largest factor by which report periods are extended. Six times 250 ms stay
-/// well below the 5 s for which an allocation is valid.
-const MAX_FACTOR: f64 = 6.0;
+/// Longest period that pacing extends a report period to, in milliseconds. An
+/// allocation is valid for 5 s, so two reports in a row have to get lost before
+/// a router may not dispatch.
+const MAX_PERIOD_MS: u64 = 2_000;
+/// Largest factor by which report periods are extended; the shortest is 250 ms.
+const MAX_FACTOR: f64 = 8.0;
 /// Weight of the newest sample in the mean rate.
 const WEIGHT: f64 = 0.5;
+/// Part of the budget above which allocations are not pushed. Pushes spread
+/// what the owner knows already; the rest is left to reports, which tell it
+/// more.
+const PUSH_PART: f64 = 0.9;
 /// Rate, as a part of the budget, below which periods are shortened again.
 const RELAXED: f64 = 0.85;
 
@@ -45,14 +52,13 @@
 
     /// The report period to ask for instead of `period_ms`.
     pub fn period_ms(&self, period_ms: u64) -> u64 {
-        let longest = (MAX_FACTOR * 250.0) as u64;
         let extended = (period_ms as f64 * self.factor) as u64;
-        extended.min(longest.max(period_ms))
+        extended.min(MAX_PERIOD_MS.max(period_ms))
     }
 
     /// Whether messages that only save waiting within a period may be sent.
     pub fn has_room(&self) -> bool {
-        self.rate_bytes_per_s <= self.budget_bytes_per_s
+        self.rate_bytes_per_s <= self.budget_bytes_per_s * PUSH_PART
     }
 
     /// Mean traffic, in bytes per second.
--- a/crates/router/tests/control.rs
+++ b/crates/router/tests/control.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 
+use std::time::Duration;
+
 use fleet::{Fleet, SERVICE, admit, deliver, engine, next, permit, wait_for};
 use span_fair::Policy;
 use span_router::control::{AttemptEnd, MintedState, Rejection};
@@ -9,6 +11,8 @@
 use span_types::{Incarnation, MemberState, RequestId, Revision};
 use tokio::sync::mpsc;
 
+const SERVICE_TIME: Duration = Duration::from_millis(50);
+
 /// Guards against capacity that stays idle at two routers while work waits at
 /// the third: its 12 requests need the slots of all.
 #[tokio::test(flavor = "multi_thread")]
@@ -49,6 +53,9 @@
     deliver(admit(&fleet.routers[1], "small"), "small", &granted);
     let mut finished = 0;
     while held.iter().all(|(workspace, _)| *workspace != "small") {
+        // Requests take their time: an owner learns of new work with the next
+        // report, and 56 requests that take none are over before.
+        tokio::time::sleep(SERVICE_TIME).await;
         let (_, mut ended) = held.remove(0);
         ended.add_cost(100);
         drop(ended);
