Keep the owner of each shard instead of hashing per report

Cause: each due report hashed every shard over every live router; at 160 shards and 1,900 routers that is 304,000 hashes four times a second.

Change: owners are computed when the view or the configuration changes.

Conclusion: the cost of a report does not depend on the size of the fleet; not measured at the design size.

--- a/crates/router/src/control/core.rs
+++ b/crates/router/src/control/core.rs
@@ -42,6 +42,9 @@
     pub config: ConfigState,
     pub services: BTreeMap<ServiceName, Service>,
     pub shards: BTreeMap<ShardId, Vec<UpstreamSlots>>,
+    /// Owner of each shard as seen here. Kept, because rendezvous hashing of
+    /// 160 shards over 1,900 routers takes milliseconds.
+    pub shard_owners: BTreeMap<ShardId, Member>,
     pub owners: BTreeMap<ShardId, ShardOwner>,
     pub health: Health,
     pub load: LoadState,
@@ -80,6 +83,7 @@
             config: ConfigState::new(publish),
             services: BTreeMap::new(),
             shards: BTreeMap::new(),
+            shard_owners: BTreeMap::new(),
             owners: BTreeMap::new(),
             health: Health::default(),
             load: LoadState::default(),
--- a/crates/router/src/control/ownership.rs
+++ b/crates/router/src/control/ownership.rs
@@ -49,11 +49,18 @@
 
     /// Takes over and hands on shards as the live view demands.
     pub fn follow_ownership(&mut self) {
+        let owners = self.view.owners();
+        let owner = |shard: &ShardId| {
+            let owner = span_member::owner(shard, &owners)?;
+            Some((shard.clone(), owner.member.clone()))
+        };
+        self.shard_owners = self.shards.keys().filter_map(owner).collect();
         if self.settings.policy != Policy::Fleet {
             return;
         }
-        let mine: BTreeSet<ShardId> =
-            self.shards.keys().filter(|shard| self.is_mine(shard)).cloned().collect();
+        let me = self.member().clone();
+        let mine = self.shard_owners.iter().filter(|(_, owner)| **owner == me);
+        let mine: BTreeSet<ShardId> = mine.map(|(shard, _)| shard.clone()).collect();
         self.owners.retain(|shard, _| mine.contains(shard));
         let now_ms = self.now_ms();
         for shard in mine {
@@ -70,14 +77,9 @@
         }
     }
 
-    fn is_mine(&self, shard: &ShardId) -> bool {
-        self.owner_of(shard).is_some_and(|owner| owner == *self.member())
-    }
-
     /// The router that administers a shard, as seen here.
     pub fn owner_of(&self, shard: &ShardId) -> Option<Member> {
-        let owners = self.view.owners();
-        span_member::owner(shard, &owners).map(|router| router.member.clone())
+        self.shard_owners.get(shard).cloned()
     }
 
     /// Tells the owners which upstreams and workspaces there are.
