Remove plans that are no longer needed

Change: a confirmed plan is removed when the history has no room for it; each intent process also removes, at random times, plans older than 24 h. Conclusion: plans are bounded at the present size.

--- a/crates/intent/src/confirm.rs
+++ b/crates/intent/src/confirm.rs
@@ -1,6 +1,6 @@
 //! Confirms plans: the conditional write of the document is the commit point.
 
-use span_config::{CURRENT_KEY, Current, Plan, PlanId};
+use span_config::{CURRENT_KEY, Current, HISTORY_LIMIT, Plan, PlanId};
 use span_platform::{Condition, Error, Object, Platform, Written};
 use span_types::Revision;
 
@@ -32,6 +32,7 @@
         Ok(written) => {
             let revision = revision(&written, id);
             tracing::info!(plan = %id, %revision, operator, "plan confirmed");
+            forget_oldest(platform, current).await;
             Ok(ConfirmAnswer { plan: id.clone(), revision, repeated: false })
         }
         Err(Error::Conflict { .. }) => lost_race(platform, &plan).await,
@@ -39,6 +40,18 @@
     }
 }
 
+/// Removes the plan that the history has no room for any more. If that fails,
+/// it is removed by age.
+async fn forget_oldest(platform: &Platform, replaced: &Current) {
+    let history = &replaced.stored.history;
+    if history.len() >= HISTORY_LIMIT
+        && let Some(oldest) = history.front()
+        && let Err(error) = platform.delete(&oldest.plan.key()).await
+    {
+        tracing::debug!(%error, plan = %oldest.plan, "the plan is left to expire");
+    }
+}
+
 fn condition(base: Revision) -> Condition {
     if base == Revision(0) { Condition::Absent } else { Condition::Version(base.0) }
 }
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -17,7 +17,9 @@
 pub mod settings;
 mod status;
 mod store;
+mod sweep;
 
 pub use error::IntentError;
 pub use run::{Handle, SpawnError, spawn};
 pub use settings::{BootstrapOperator, Settings};
+pub use sweep::sweep;
--- a/crates/intent/src/run.rs
+++ b/crates/intent/src/run.rs
@@ -4,9 +4,9 @@
 
 use span_http::{Client, Limits, Server};
 use span_platform::Platform;
-use tokio::sync::Mutex;
+use tokio::{sync::Mutex, task::JoinHandle};
 
-use crate::{api, settings::Settings};
+use crate::{api, settings::Settings, sweep};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Operators are few; further connections are refused with status 503.
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 pub struct Handle {
     server: Server,
+    sweeper: JoinHandle<()>,
 }
 
 impl Handle {
@@ -48,11 +49,13 @@
 
     /// Stops accepting, finishes what is in flight, then returns.
     pub async fn shutdown(self) {
+        self.sweeper.abort();
         self.server.shutdown().await;
     }
 
     /// Drops all connections and stops.
     pub fn abort(self) {
+        self.sweeper.abort();
         self.server.abort();
     }
 }
@@ -73,7 +76,9 @@
     let state =
         Arc::new(State { settings, platform, client, holder, order_turn: Mutex::default() });
     let limits = Limits { connections: MAX_CONNECTIONS, ..Limits::default() };
+    let swept = Arc::clone(&state);
     let handler = move |request, _peer| api::handle(Arc::clone(&state), request);
     let server = span_http::bind(address, limits, handler).await?;
-    Ok(Handle { server })
+    let sweeper = tokio::spawn(sweep::run(swept));
+    Ok(Handle { server, sweeper })
 }
--- a/crates/intent/tests/intents.rs
+++ b/crates/intent/tests/intents.rs
@@ -217,6 +217,34 @@
     assert_eq!(plan["plan"]["changes"], json!([]));
 }
 
+/// Guards against plans that fill the object API, and against the removal of
+/// one that can still be confirmed.
+#[tokio::test]
+async fn old_plans_are_removed() {
+    const DAY_MS: u64 = 24 * 3600 * 1000;
+    let fleet = Fleet::start(1).await;
+    fleet.planned(0, &workspace("a", 1)).await;
+    let settings = span_platform::Settings::new(fleet.platform.address());
+    let platform = span_platform::Platform::new(settings);
+    let (_, plan) = fleet.plan(0, &workspace("a", 1)).await;
+    let made_ms = plan["plan"]["planned_at_ms"].as_u64().unwrap();
+    assert_eq!(span_intent::sweep(&platform, 0.5, made_ms + DAY_MS).await.unwrap(), 0);
+    assert_eq!(span_intent::sweep(&platform, 0.5, made_ms + DAY_MS + 1).await.unwrap(), 1);
+    assert_eq!(platform.list("plans/").await.unwrap().len(), 0);
+}
+
+/// Guards against confirmed plans that are kept for ever.
+#[tokio::test]
+async fn plans_leave_with_the_history() {
+    const CONFIRMED: usize = span_config::HISTORY_LIMIT + 2;
+    let fleet = Fleet::start(1).await;
+    for n in 0..CONFIRMED {
+        fleet.accept(&workspace("a", 1 + n as u32)).await;
+    }
+    let plans = fleet.platform.edit(|store| store.keys("plans/").len());
+    assert_eq!(plans, span_config::HISTORY_LIMIT);
+}
+
 /// Guards against a settings file that operators cannot write by hand.
 #[test]
 fn settings_are_read_from_yaml() {
