Change the configuration through the intent API when it is there

The config experiment wrote the object itself, which leaves out plans and confirmations. It now starts one intent process beside each router and goes round them; without the program it writes the object as before.

--- a/crates/bench/src/experiment/config.rs
+++ b/crates/bench/src/experiment/config.rs
@@ -14,10 +14,12 @@
 use super::{Disturbance, fields};
 use crate::{
     fleet::{Fleet, knows_key, workspace},
+    intents::Intents,
     rest::Rest,
 };
 
-const INTERVAL: Duration = Duration::from_secs(1);
+/// Not a multiple of a polling interval, so that changes meet all phases of it.
+const INTERVAL: Duration = Duration::from_millis(730);
 const POLL: Duration = Duration::from_millis(5);
 /// Polling after a change is in force, only to see whether it is reverted.
 const SLOW_POLL: Duration = Duration::from_millis(100);
@@ -44,14 +46,22 @@
     for seat in &fleet.routers {
         watchers.spawn(follow(fleet.rest(seat.direct), changes.clone()));
     }
+    let intents = Intents::start(fleet).await;
     let mut written = 0_u64;
     let mut failed = 0_u64;
+    let mut accepting_us = Vec::new();
     while Instant::now() + INTERVAL < end {
         let key = format!("key-canary-{written}");
         let services = [fleet.upstreams[0].service];
         fleet.document.workspaces.insert(WORKSPACE.into(), workspace(1, &services, &key));
-        match fleet.write_document().await {
+        let asked = Instant::now();
+        let accepted = match &intents {
+            Some(intents) => intents.change(&fleet.document).await,
+            None => fleet.write_document().await,
+        };
+        match accepted {
             Ok(()) => {
+                accepting_us.extend(u64::try_from(asked.elapsed().as_micros()));
                 announce.send_replace(Some(Change { key, accepted: Instant::now() }));
                 written += 1;
             }
@@ -64,8 +74,11 @@
     }
     drop(announce);
     let seen = watchers.join_all().await;
+    let accepting = percentiles(accepting_us);
     let in_force = percentiles(seen.iter().flat_map(|seen| seen.in_force_us.clone()));
     let fields = fields(json!({
+        "config_through": if intents.is_some() { "intents" } else { "objects" },
+        "config_accepted_ms_p99": accepting.p99_us as f64 / 1000.0,
         "config_changes": written,
         "config_changes_failed": failed,
         "config_in_force_ms_p50": in_force.p50_us as f64 / 1000.0,
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -96,8 +96,9 @@
     pub document: Document,
     /// Its version at the platform.
     pub version: String,
+    /// Folder for settings and logs.
+    pub folder: PathBuf,
     client: Client,
-    folder: PathBuf,
     /// Platform and relay run as long as the fleet.
     _outside: [Process; 2],
 }
@@ -148,8 +149,8 @@
         probe,
         document,
         version,
-        client,
         folder: plan.folder.to_owned(),
+        client,
         _outside: [platform, relay],
     };
     fleet.start_routers(plan).await?;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod args;
 pub mod experiment;
 mod fleet;
+mod intents;
 pub mod plot;
 pub mod ports;
 mod probe;
--- a/crates/bench/src/rest.rs
+++ b/crates/bench/src/rest.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use http::{Method, Request, Response, StatusCode, header::ETAG};
+use http::{
+    Method, Request, Response, StatusCode,
+    header::{AUTHORIZATION, ETAG},
+};
 use hyper::body::Incoming;
 use serde::{Serialize, de::DeserializeOwned};
 use span_http::{Client, full, read_json};
@@ -74,6 +77,23 @@
         Ok(read_json(answer.into_body(), MAX_ANSWER_BYTES).await?)
     }
 
+    /// Sends JSON under a key and reads JSON.
+    ///
+    /// # Errors
+    ///
+    /// As [`Rest::get`].
+    pub async fn post_as<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, RestError> {
+        let bearer = format!("Bearer {key}");
+        let header = Some((AUTHORIZATION.as_str(), bearer.as_str()));
+        let answer = self.send(Method::POST, path, header, serde_json::to_vec(body)?).await?;
+        Ok(read_json(answer.into_body(), MAX_ANSWER_BYTES).await?)
+    }
+
     /// Sends JSON; the answer's body is not read.
     ///
     /// # Errors
@@ -117,8 +137,8 @@
     /// Fails if no answer comes.
     pub async fn status(&self, path: &str, key: &str) -> Result<StatusCode, RestError> {
         let bearer = format!("Bearer {key}");
-        let condition = Some(("authorization", bearer.as_str()));
-        match self.send(Method::GET, path, condition, Vec::new()).await {
+        let header = Some((AUTHORIZATION.as_str(), bearer.as_str()));
+        match self.send(Method::GET, path, header, Vec::new()).await {
             Ok(answer) => Ok(answer.status()),
             Err(RestError::Status { status, .. }) => Ok(status),
             Err(error) => Err(error),
