--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,18 +2,24 @@
 //! slots, admission in arrival order, streams that can be resumed.
 
 mod api;
+mod faults;
 mod generation;
 mod load;
 mod orders;
 mod request;
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU32},
+};
 
 use span_http::{Limits, Server};
 use tokio::sync::Semaphore;
 
 use crate::Ledger;
 
+pub use faults::Faults;
 pub use orders::{Order, OrderRow, Orders, StaleFencing};
 pub use request::{ChatRequest, Message};
 
@@ -30,6 +36,8 @@
     pub load_lag_ms: u64,
     /// Time that a generation goes on without a reader, in milliseconds.
     pub linger_ms: u64,
+    /// Faults of answers.
+    pub faults: Faults,
     /// Orders with an old fencing number are refused.
     pub checks_fencing: bool,
     /// Orders are carried out, then their answer is withheld and the call ends
@@ -45,6 +53,7 @@
             prefill_us: 50,
             load_lag_ms: 200,
             linger_ms: 5_000,
+            faults: Faults::default(),
             checks_fencing: false,
             lose_order_answers: false,
         }
@@ -88,6 +97,7 @@
     ledger: Ledger,
     generations: generation::Generations,
     load: load::LoadHistory,
+    faulty_left: AtomicU32,
     orders: Arc<Orders>,
 }
 
@@ -105,6 +115,7 @@
         orders: Arc::clone(&orders),
         generations: generation::Generations::default(),
         load: load::LoadHistory::default(),
+        faulty_left: AtomicU32::new(settings.faults.answers),
         settings,
     });
     tokio::spawn(load::sample(Arc::downgrade(&state)));
