--- a/crates/bench/src/analysis/audit.rs
+++ b/crates/bench/src/analysis/audit.rs
@@ -18,6 +18,8 @@
     pub completed: u64,
     /// Requests told `not_run`.
     pub not_run: u64,
+    /// Requests told `completed` without the answer: their key ran before.
+    pub told_completed: u64,
     /// Requests told `unknown`.
     pub unknown: u64,
     /// Requests answered with an error without one of these outcomes.
@@ -32,7 +34,8 @@
     pub incomplete: u64,
     /// Attempts told `not_run` that ran.
     pub not_run_that_ran: u64,
-    /// Whole answers to requests that no upstream executed.
+    /// Requests told `completed`, with or without the answer, that no upstream
+    /// executed.
     pub completed_that_did_not_run: u64,
     /// Non-idempotent requests that ran more than once.
     pub duplicated_non_idempotent: u64,
@@ -72,7 +75,8 @@
         let not_run = told == Some(Outcome::NotRun) && !whole;
         self.not_run_that_ran += u64::from(not_run && ran.contains(record.nonce.as_str()));
         let did_not_run = !ran_names.contains(record.name.as_str());
-        self.completed_that_did_not_run += u64::from(whole && did_not_run);
+        let completed = told == Some(Outcome::Completed) && record.answer == Answer::Error;
+        self.completed_that_did_not_run += u64::from((whole || completed) && did_not_run);
         let wrong = whole && told.is_some_and(|told| told != Outcome::Completed);
         self.wrong_outcome += u64::from(wrong);
     }
@@ -83,6 +87,7 @@
             (false, _, _) => &mut self.lost,
             (true, Answer::Whole, _) => &mut self.completed,
             (true, _, Some(Outcome::NotRun)) => &mut self.not_run,
+            (true, _, Some(Outcome::Completed)) => &mut self.told_completed,
             (true, _, Some(Outcome::Unknown)) => &mut self.unknown,
             (true, _, _) => &mut self.other_errors,
         };
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -156,6 +156,7 @@
         "attempts": audit.attempts,
         "completed": audit.completed,
         "not_run": audit.not_run,
+        "told_completed": audit.told_completed,
         "unknown": audit.unknown,
         "other_errors": audit.other_errors,
         "lost": audit.lost,
--- a/crates/bench/tests/audit.rs
+++ b/crates/bench/tests/audit.rs
@@ -117,6 +117,21 @@
             vec![ran.clone(), execution("a#1", 400, 500)],
             Audit { attempts: 2, duplicated_non_idempotent: 1, ..done.clone() },
         ),
+        (
+            "no answer, then told that the key completed",
+            vec![
+                Record { last: false, ..record("a#0", Answer::Missing, None) },
+                record("a#1", Answer::Error, completed),
+            ],
+            vec![ran.clone()],
+            Audit { attempts: 2, broken_attempts: 1, told_completed: 1, ..one.clone() },
+        ),
+        (
+            "told that the key completed, but nothing ran",
+            vec![record("a#0", Answer::Error, completed)],
+            vec![],
+            Audit { told_completed: 1, completed_that_did_not_run: 1, ..one.clone() },
+        ),
         (
             "one attempt of a key run twice",
             vec![keyed("a#0", true)],
--- a/crates/demo/src/world.rs
+++ b/crates/demo/src/world.rs
@@ -161,7 +161,8 @@
     /// Stops the routers in an orderly way, then the stand-ins.
     pub async fn stop(self) {
         for router in self.routers {
-            router.shutdown().await;
+            // Waits for the requests in flight, however long they take.
+            router.shutdown(std::future::pending()).await;
         }
         for engine in self.engines {
             engine.abort();
