--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     sync::Arc,
     time::Duration,
@@ -26,6 +26,7 @@
 
 use crate::{
     args::Policy,
+    ports::free_address,
     process::{self, Process},
     rest::Rest,
     topology::{CALL_MS, ENGINE_SLOTS, SERVICE_SLOTS, TOKEN_US, Topology},
@@ -95,8 +96,9 @@
     pub document: Document,
     /// Its version at the platform.
     pub version: String,
+    /// Folder for settings and logs.
+    pub folder: PathBuf,
     client: Client,
-    folder: PathBuf,
     /// Platform and relay run as long as the fleet.
     _outside: [Process; 2],
 }
@@ -147,8 +149,8 @@
         probe,
         document,
         version,
-        client,
         folder: plan.folder.to_owned(),
+        client,
         _outside: [platform, relay],
     };
     fleet.start_routers(plan).await?;
@@ -264,12 +266,6 @@
     }
 }
 
-/// Two free addresses; both are held until both are known.
-fn free_addresses() -> Result<[SocketAddr; 2]> {
-    let (one, two) = (TcpListener::bind(LOCAL)?, TcpListener::bind(LOCAL)?);
-    Ok([one.local_addr()?, two.local_addr()?])
-}
-
 impl Fleet {
     async fn start_routers(&mut self, plan: &Plan<'_>) -> Result<()> {
         for number in 0..plan.routers {
@@ -288,7 +284,7 @@
     }
 
     async fn prepare_router(&self, plan: &Plan<'_>, number: usize) -> Result<RouterSeat> {
-        let [direct, peer] = free_addresses()?;
+        let (direct, peer) = (free_address()?, free_address()?);
         let (name, topology) = (format!("router-{number}"), plan.topology);
         let domain = topology.domains[number % topology.domains.len()];
         let route = |kind| format!("{kind}-{number}");
