--- /dev/null
+++ b/crates/fair/examples/work_count.rs
@@ -0,0 +1,166 @@
+//! Counts the work per request and per exchange at several numbers of
+//! workspaces: ordered-set operations, allocations, messages and bytes.
+//!
+//! The counts depend on the code alone, not on the speed of the machine. Bytes
+//! are those of the messages as JSON without compression.
+
+// A counting allocator has to implement an unsafe trait.
+#![allow(unsafe_code)]
+
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use span_fair::{Policy, Request, RouterQueue, ShardOwner, Ticket, UpstreamSlots, WorkspaceLimits};
+use span_types::{Incarnation, Member, ShardId, WorkspaceName};
+
+struct Counting;
+
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: every call is passed on to the system allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        // SAFETY: the pointer came from `System.alloc` with this layout.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Requests per run.
+const REQUESTS: u64 = 20_000;
+/// Requests between two exchanges: 63 per second for a period of 250 ms.
+const REQUESTS_PER_EXCHANGE: u64 = 16;
+/// One workspace in this many is backlogged.
+const BACKLOGGED_PART: usize = 10;
+const UPSTREAMS: usize = 18;
+const SLOTS: u32 = 8;
+
+#[derive(Default)]
+struct Counts {
+    request_operations: u64,
+    exchange_operations: u64,
+    request_allocations: u64,
+    exchange_allocations: u64,
+    messages: u64,
+    bytes: u64,
+}
+
+fn allocations() -> u64 {
+    ALLOCATIONS.load(Ordering::Relaxed)
+}
+
+fn names(count: usize) -> Vec<WorkspaceName> {
+    (0..count).map(|index| format!("workspace-{index}").into()).collect()
+}
+
+fn limits(name: &WorkspaceName) -> WorkspaceLimits {
+    WorkspaceLimits {
+        workspace: name.clone(),
+        share: 1,
+        queue_limit: 1_000,
+        deadline_ms: 3_600_000,
+    }
+}
+
+fn request(ticket: u64, now_ms: u64, workspace: &WorkspaceName) -> Request {
+    Request {
+        ticket: Ticket(ticket),
+        workspace: workspace.clone(),
+        arrived_ms: now_ms,
+        prompt_cost: 50,
+        cost_hint: None,
+        prefix: Some(ticket % 64),
+        avoid: Vec::new(),
+    }
+}
+
+fn upstream(index: usize) -> UpstreamSlots {
+    UpstreamSlots {
+        upstream: format!("upstream-{index}").into(),
+        failure_domain: "hall-atl".into(),
+        max_concurrency: SLOTS,
+        leaving: false,
+    }
+}
+
+fn run(workspaces: usize) -> Counts {
+    let names = names(workspaces);
+    let backlogged = &names[..(workspaces / BACKLOGGED_PART).max(2)];
+    let shard = ShardId { service: "pool".into(), index: 0 };
+    let member = Member { instance: "router-0".into(), incarnation: Incarnation(1) };
+    let mut queue = RouterQueue::new(Policy::Fleet, "pool".into(), member.clone());
+    queue.set_workspaces(&names.iter().map(limits).collect::<Vec<_>>());
+    queue.set_shards(std::slice::from_ref(&shard));
+    let mut owner = ShardOwner::new(0, shard.clone(), member.clone(), &[]);
+    owner.set_upstreams(0, &(0..UPSTREAMS).map(upstream).collect::<Vec<_>>());
+    owner.set_workspaces(&names.iter().map(|name| (name.clone(), 1)).collect::<Vec<_>>());
+    let mut counts = Counts::default();
+    let mut running = std::collections::VecDeque::new();
+    let mut now_ms = 1_000;
+    let mut submitted = 0;
+    for _ in 0..4 * backlogged.len() {
+        let name = &backlogged[submitted as usize % backlogged.len()];
+        queue.submit(now_ms, request(submitted, now_ms, name)).expect("the queue has room");
+        submitted += 1;
+    }
+    let operations = queue.ordered_operations();
+    for finished in 0..REQUESTS {
+        if finished % REQUESTS_PER_EXCHANGE == 0 {
+            now_ms += 250;
+            let (before, ordered) = (allocations(), queue.ordered_operations());
+            let report = queue.report(now_ms, &shard, &member);
+            let allocation = owner.report(now_ms, &report);
+            queue.apply(now_ms, &allocation);
+            counts.exchange_allocations += allocations() - before;
+            counts.exchange_operations += queue.ordered_operations() - ordered;
+            counts.messages += 2;
+            let json =
+                |result: Result<Vec<u8>, _>| result.expect("messages serialise").len() as u64;
+            counts.bytes += json(serde_json::to_vec(&report));
+            counts.bytes += json(serde_json::to_vec(&allocation));
+        }
+        let name = &backlogged[submitted as usize % backlogged.len()];
+        let before = allocations();
+        while let Some(dispatch) = queue.dispatch(now_ms) {
+            running.push_back(dispatch.ticket);
+        }
+        if let Some(ticket) = running.pop_front() {
+            queue.progress(ticket, 100);
+            queue.finish(now_ms, ticket, 200);
+        }
+        queue.submit(now_ms, request(submitted, now_ms, name)).expect("the queue has room");
+        submitted += 1;
+        counts.request_allocations += allocations() - before;
+    }
+    let operations = queue.ordered_operations() - operations;
+    counts.request_operations = operations - counts.exchange_operations;
+    counts
+}
+
+fn main() {
+    println!("per request: ordered-set operations, allocations, messages");
+    println!("per exchange: ordered-set operations at the router, allocations, bytes");
+    for workspaces in [16, 640, 10_000] {
+        let counts = run(workspaces);
+        let exchanges = (REQUESTS / REQUESTS_PER_EXCHANGE) as f64;
+        println!(
+            "{workspaces}: {:.2} {:.2} {:.3}; {:.0} {:.0} {:.0}",
+            counts.request_operations as f64 / REQUESTS as f64,
+            counts.request_allocations as f64 / REQUESTS as f64,
+            counts.messages as f64 / REQUESTS as f64,
+            counts.exchange_operations as f64 / exchanges,
+            counts.exchange_allocations as f64 / exchanges,
+            counts.bytes as f64 / exchanges,
+        );
+    }
+}
--- a/crates/fair/src/owner.rs
+++ b/crates/fair/src/owner.rs
@@ -44,14 +44,14 @@
     MIN_PERIOD_MS.max(PERIOD_PER_ROUTER_MS * routers as u64)
 }
 
-/// The bound on the gap between two backlogged workspaces, in cost units per
-/// share; see `docs/fairness.md`.
+/// The bound H on the lead of one backlogged workspace over another, in cost
+/// units per share; see `docs/fairness.md`.
 ///
 /// `rate` is the largest serving rate of a slot in cost units per second,
 /// `age_ms` the information age and `share` the smaller of the two shares.
 pub fn gap_bound(slots: u32, max_cost: u64, rate: u64, age_ms: u64, share: u32) -> f64 {
     let slots_f = f64::from(slots.max(1));
-    let periods = 1.0 + slots_f.log2().ceil();
+    let periods = 2.0 + slots_f.log2().ceil();
     let stale = rate as f64 * age_ms as f64 / 1_000.0 * periods;
     slots_f * (2.0 * max_cost as f64 + stale) / f64::from(share.max(1))
 }
--- a/crates/fair/src/queue.rs
+++ b/crates/fair/src/queue.rs
@@ -223,6 +223,7 @@
     virtual_time: f64,
     max_cost: u64,
     max_rate: u64,
+    ordered_operations: u64,
 }
 
 impl RouterQueue {
@@ -247,12 +248,13 @@
             virtual_time: 0.0,
             max_cost: 0,
             max_rate: 0,
+            ordered_operations: 0,
         }
     }
 
     /// Replaces the configuration of the workspaces. Requests that wait for a
     /// workspace without configuration are given up on and returned.
-    pub fn set_workspaces(&mut self, now_ms: u64, limits: &[WorkspaceLimits]) -> Vec<Expired> {
+    pub fn set_workspaces(&mut self, limits: &[WorkspaceLimits]) -> Vec<Expired> {
         for workspace in &mut self.workspaces {
             workspace.configured = false;
         }
@@ -269,7 +271,7 @@
         self.estimates.retain(|name| by_name.get(name).is_some_and(|i| workspaces[*i].configured));
         let removed = self.places.iter().filter(|(_, (index, _))| !workspaces[*index].configured);
         let removed: Vec<Ticket> = removed.map(|(ticket, _)| *ticket).collect();
-        self.give_up(now_ms, &removed)
+        self.give_up(&removed)
     }
 
     fn reconfigure(&mut self, index: usize, limits: &WorkspaceLimits) {
@@ -287,13 +289,12 @@
 
     /// Names the shards of the service. Shards no longer named lose their slots
     /// once their requests have ended.
-    pub fn set_shards(&mut self, now_ms: u64, shards: &[ShardId]) {
+    pub fn set_shards(&mut self, shards: &[ShardId]) {
         for id in shards {
             self.shard_index(id);
         }
         let gone = self.shards.iter_mut().filter(|shard| !shards.contains(&shard.id));
         gone.for_each(|shard| shard.fix(&[]));
-        let _ = now_ms;
     }
 
     /// Gives the queue slots that no owner administers; for [`Policy::Local`]
@@ -339,6 +340,7 @@
         self.places.insert(request.ticket, (index, position));
         self.deadlines.insert((deadline_ms, request.ticket));
         self.workspaces[index].waiting.insert(position, Waiting { request, deadline_ms });
+        self.ordered_operations += 2;
         self.touched.insert(index);
         self.rekey(index);
         self.note_waiting(now_ms);
@@ -354,8 +356,7 @@
     }
 
     /// Removes a waiting request. Returns false if it does not wait.
-    pub fn cancel(&mut self, now_ms: u64, ticket: Ticket) -> bool {
-        let _ = now_ms;
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
         self.remove_waiting(ticket).is_some()
     }
 
@@ -363,6 +364,7 @@
         let (index, position) = self.places.remove(&ticket)?;
         let waiting = self.workspaces[index].waiting.remove(&position)?;
         self.deadlines.remove(&(waiting.deadline_ms, ticket));
+        self.ordered_operations += 2;
         self.rekey(index);
         Some(index)
     }
@@ -371,16 +373,16 @@
     pub fn expire(&mut self, now_ms: u64) -> Vec<Expired> {
         let late = self.deadlines.iter().take_while(|(deadline_ms, _)| *deadline_ms <= now_ms);
         let late: Vec<Ticket> = late.map(|(_, ticket)| *ticket).collect();
-        self.give_up(now_ms, &late)
+        self.give_up(&late)
     }
 
     /// Gives up on every waiting request, for a shutdown.
-    pub fn give_up_all(&mut self, now_ms: u64) -> Vec<Expired> {
+    pub fn give_up_all(&mut self) -> Vec<Expired> {
         let all: Vec<Ticket> = self.deadlines.iter().map(|(_, ticket)| *ticket).collect();
-        self.give_up(now_ms, &all)
+        self.give_up(&all)
     }
 
-    fn give_up(&mut self, _now_ms: u64, tickets: &[Ticket]) -> Vec<Expired> {
+    fn give_up(&mut self, tickets: &[Ticket]) -> Vec<Expired> {
         let mut expired = Vec::with_capacity(tickets.len());
         for &ticket in tickets {
             if let Some(index) = self.remove_waiting(ticket) {
@@ -427,6 +429,7 @@
         let Request { ticket, workspace: name, prompt_cost, cost_hint, .. } = waiting.request;
         self.places.remove(&ticket);
         self.deadlines.remove(&(waiting.deadline_ms, ticket));
+        self.ordered_operations += 2;
         let estimate = self.estimates.estimate(&name, prompt_cost, cost_hint);
         workspace.count_dispatch(now_ms);
         workspace.in_flight += 1;
@@ -511,6 +514,7 @@
     fn rekey(&mut self, index: usize) {
         let workspace = &mut self.workspaces[index];
         if let Some(key) = workspace.ready_key.take() {
+            self.ordered_operations += 1;
             self.ready.remove(&(key, index));
         }
         let Some((position, _)) = workspace.waiting.first_key_value() else {
@@ -522,6 +526,7 @@
             Policy::Fcfs => position.1,
         };
         workspace.ready_key = Some(key);
+        self.ordered_operations += 1;
         self.ready.insert((key, index));
     }
 
@@ -648,6 +653,12 @@
         }
     }
 
+    /// Insertions and removals in ordered sets so far. Each costs the logarithm
+    /// of the number of workspaces or waiting requests.
+    pub fn ordered_operations(&self) -> u64 {
+        self.ordered_operations
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.places.len()
