--- a/crates/router/tests/chat.rs
+++ b/crates/router/tests/chat.rs
@@ -235,3 +235,14 @@
     world.call(Method::GET, "/svc/pages/x", &[("traceparent", parent)], "").await;
     assert_eq!(seen.lock().expect("no panic").as_ref().expect("it came"), parent);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_learns_which_addresses_to_use() {
+    let engine = engine::bind(any(), quick_engine()).await.expect("it binds");
+    let world = World::new().upstream("stitch-assist", engine.address()).start().await;
+    let answer = world.call(Method::GET, "/v1/addresses", &[], "").await;
+    let list = answer.json();
+    let own = world.router.http_address().to_string();
+    assert_eq!(list["addresses"][0]["address"], own, "{list}");
+    assert!(list["lifetime_ms"].as_u64().is_some_and(|lifetime_ms| lifetime_ms > 0), "{list}");
+}
