End router processes that a failed test leaves behind

Cause: clippy points out a child that is not waited for on all paths, and a failed test would leave its process running. Change: the child is killed when the test drops it.

--- a/crates/router/tests/process.rs
+++ b/crates/router/tests/process.rs
@@ -5,12 +5,13 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Output, Stdio},
+    process::{Command, Output, Stdio},
 };
 
 use common::{Running, World, any, assert_whole, call, chat_body, quick_engine, runs, until};
 use http::{Method, StatusCode};
 use span_standin::engine;
+use tokio::process::Child;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_rosemaryspan-router");
 
@@ -29,7 +30,8 @@
          timeouts:\n  address_lifetime_ms: 0\n"
     );
     let path = file(&format!("{name}.yaml"), &text);
-    let mut program = Command::new(PROGRAM);
+    let mut program = tokio::process::Command::new(PROGRAM);
+    program.kill_on_drop(true);
     program.arg("--settings").arg(path).stdout(Stdio::null()).stderr(Stdio::piped());
     let child = program.spawn().expect("it starts");
     loop {
@@ -45,13 +47,13 @@
 }
 
 fn terminate(child: &Child) {
-    let status = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+    let id = child.id().expect("it runs").to_string();
+    let status = Command::new("kill").args(["-TERM", &id]).status();
     assert!(status.expect("it runs").success());
 }
 
 async fn end(child: Child) -> Output {
-    let waited = tokio::task::spawn_blocking(move || child.wait_with_output());
-    waited.await.expect("no panic").expect("it ends")
+    child.wait_with_output().await.expect("it ends")
 }
 
 #[tokio::test(flavor = "multi_thread")]
