Drop open connections when a server is aborted

Cause: Server::abort promised to drop all connections but ended the accept loop only; connections ran on as tasks of their own. The shutdown test could not see a missing drain for the same reason. Change: the accept loop keeps its connections in a set that is dropped with it. With the drain replaced by an abort, a_graceful_shutdown_cuts_nothing fails; before, it passed. Conclusion: a stand-in that is aborted looks like one that was killed.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -11,7 +11,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
-    task::JoinHandle,
+    task::{JoinHandle, JoinSet},
 };
 
 use crate::{Body, json, stall::StallGuard};
@@ -119,10 +119,13 @@
     R: Fn() -> Response<Body> + Clone + Send + Sync + 'static,
 {
     let graceful = GracefulShutdown::new();
+    // Aborting the accept loop drops the set and with it all connections.
+    let mut connections = JoinSet::new();
     let permits = Arc::new(Semaphore::new(limits.connections));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
             _ = stopped.wait_for(|stop| *stop) => break,
         };
         match accepted {
@@ -139,7 +142,7 @@
                         }
                     }
                 };
-                serve(stream, limits, permit, &graceful, answer);
+                connections.spawn(serve(stream, limits, permit, &graceful, answer));
             }
             // Out of file descriptors, most often: wait for some to be closed.
             Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
@@ -155,7 +158,8 @@
     permit: Option<OwnedSemaphorePermit>,
     graceful: &GracefulShutdown,
     answer: F,
-) where
+) -> impl Future<Output = ()> + Send + 'static
+where
     F: Fn(Request<Incoming>, bool) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -174,11 +178,11 @@
         .keep_alive(admitted)
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
-    tokio::spawn(async move {
+    async move {
         // A caller that breaks its connection is no fault of the server.
         let _ = connection.await;
         drop(permit);
-    });
+    }
 }
 
 fn too_many_connections() -> Response<Body> {
