Test silent connections, partitions and the baseline policies

Cause: connections that go silent without closing, and partitions, were only handled by code that no test ran.

Change: the control thread can listen at another address than the one it advertises, and the membership time limits are settings. A relay in the tests makes connections silent; with removal of members put off, only the time limit of calls can replace the connections. Fixed slots of `local` and `fcfs` are tested as well.

Conclusion: both faults heal without a restart.

--- a/crates/router/src/control/core.rs
+++ b/crates/router/src/control/core.rs
@@ -10,7 +10,7 @@
 
 use span_config::Document;
 use span_fair::{Allocation, ShardOwner, SlotRow, UpstreamSlots};
-use span_member::{Change, LiveView, Timing};
+use span_member::{Change, LiveView};
 use span_types::{InstanceName, Member, MemberState, Revision, ServiceName, ShardId, UpstreamName};
 use span_wire::ByteCounts;
 use tokio::{
@@ -79,7 +79,7 @@
         Self {
             commands,
             started: Instant::now(),
-            view: LiveView::new(settings.router.clone(), Timing::default()),
+            view: LiveView::new(settings.router.clone(), settings.timing),
             config: ConfigState::new(publish),
             services: BTreeMap::new(),
             shards: BTreeMap::new(),
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -188,9 +188,12 @@
 ///
 /// Fails if the peer address cannot be bound or the thread cannot be started.
 pub fn start(mut settings: Settings) -> io::Result<Handle> {
-    let listener = std::net::TcpListener::bind(settings.router.peer_address)?;
+    let listen_address = settings.listen_address.unwrap_or(settings.router.peer_address);
+    let listener = std::net::TcpListener::bind(listen_address)?;
     listener.set_nonblocking(true)?;
-    settings.router.peer_address = listener.local_addr()?;
+    if settings.listen_address.is_none() {
+        settings.router.peer_address = listener.local_addr()?;
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let (commands, received) = mpsc::unbounded_channel();
     let (publish, document) = watch::channel(Arc::default());
--- a/crates/router/src/control/settings.rs
+++ b/crates/router/src/control/settings.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, sync::Arc};
 
 use span_fair::Policy;
-use span_member::Router;
+use span_member::{Router, Timing};
 use span_types::RequestId;
 
 use super::MintedState;
@@ -16,6 +16,9 @@
 pub struct Settings {
     /// This router. Port 0 in its peer address is replaced by a free port.
     pub router: Router,
+    /// Where to listen for other routers, if that is not the peer address that
+    /// they are told, as behind address translation.
+    pub listen_address: Option<SocketAddr>,
     /// Address of the platform; without one, the configuration comes from
     /// peers or from [`Handle::configure`](super::Handle::configure).
     pub platform_address: Option<SocketAddr>,
@@ -25,6 +28,8 @@
     pub statsd_address: Option<SocketAddr>,
     /// Answers peers that ask about a request id minted here.
     pub minted: MintedLookup,
+    /// Silence after which members are suspect and removed.
+    pub timing: Timing,
     /// Bytes per second, sent and received, that peer streams may use.
     pub budget_bytes_per_s: u64,
 }
@@ -38,10 +43,12 @@
     pub fn new(router: Router) -> Self {
         Self {
             router,
+            listen_address: None,
             platform_address: None,
             policy: Policy::Fleet,
             statsd_address: None,
             minted: Arc::new(|_| MintedState::Unknown),
+            timing: Timing::default(),
             budget_bytes_per_s: BUDGET_BYTES_PER_S,
         }
     }
--- a/crates/router/tests/control.rs
+++ b/crates/router/tests/control.rs
@@ -6,6 +6,7 @@
 
 use fleet::{Fleet, SERVICE, admit, deliver, engine, next, permit, wait_for};
 use span_fair::Policy;
+use span_member::Timing;
 use span_router::control::{AttemptEnd, MintedState, Rejection};
 use span_standin::objects::Faults;
 use span_types::{Incarnation, MemberState, RequestId, Revision};
@@ -227,3 +228,78 @@
     drop(held);
     wait_for(router, |status| status.impaired.is_empty()).await;
 }
+
+/// Guards against routers that wait for ever on connections which carry nothing
+/// any more although new ones would work. Removal of the silent member, which
+/// also closes the connection, is put off.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_replaced() {
+    let timing = Timing { remove_after_ms: 600_000, ..Timing::default() };
+    let (fleet, relays) = Fleet::start_behind_relays(3, timing).await;
+    let upstream = engine(6).await;
+    let revision = fleet.configure(&[(upstream.address(), 6)], &["large"]);
+    fleet.settle(3, revision).await;
+    relays.iter().for_each(|relay| relay.silence());
+    let revision = fleet.configure(&[(upstream.address(), 6)], &["large", "small"]);
+    fleet.settle(3, revision).await;
+    for router in &fleet.routers {
+        let requests: Vec<_> = (0..6).map(|_| admit(router, "large")).collect();
+        let mut permits = Vec::new();
+        for request in requests {
+            permits.push(permit(request).await);
+        }
+        permits.iter_mut().for_each(|permit| permit.add_cost(100));
+    }
+}
+
+/// Guards against a side of a partition that serves nothing, and against sides
+/// that do not find each other again without a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn partition_and_rejoin() {
+    let (fleet, relays) = Fleet::start_behind_relays(2, Timing::default()).await;
+    let upstream = engine(4).await;
+    let revision = fleet.configure(&[(upstream.address(), 4)], &["large"]);
+    fleet.settle(2, revision).await;
+    relays.iter().for_each(|relay| relay.cut(true));
+    for (index, router) in fleet.routers.iter().enumerate() {
+        let status = wait_for(router, |status| {
+            status.members.iter().any(|row| row.state == MemberState::Dead)
+        })
+        .await;
+        let owner = status.services[SERVICE].owners[&0].to_string();
+        assert_eq!(owner, format!("router-{index}"), "each side owns the shard for itself");
+        permit(admit(router, "large")).await.add_cost(100);
+    }
+    relays.iter().for_each(|relay| relay.cut(false));
+    fleet.settle(2, revision).await;
+    let mut owners = Vec::new();
+    for router in &fleet.routers {
+        let status = router.status().await.expect("running");
+        owners.push(status.services[SERVICE].owners[&0].clone());
+        permit(admit(router, "large")).await.add_cost(100);
+    }
+    assert_eq!(owners[0], owners[1]);
+}
+
+/// Guards against baselines that pass an upstream's limit, or that get slots
+/// from owners and so measure the wrong thing.
+#[tokio::test(flavor = "multi_thread")]
+async fn policies_without_owners_use_fixed_slots() {
+    for policy in [Policy::Local, Policy::Fcfs] {
+        let fleet = Fleet::start(3, policy).await;
+        let upstream = engine(8).await;
+        let revision = fleet.configure(&[(upstream.address(), 8)], &["large"]);
+        fleet.settle(3, revision).await;
+        let mut total = 0;
+        for router in &fleet.routers {
+            let status = wait_for(router, |status| {
+                let slots: u32 = status.services[SERVICE].allocated.values().sum();
+                (2..=3).contains(&slots)
+            })
+            .await;
+            assert!(status.owned.is_empty(), "{policy}");
+            total += status.services[SERVICE].allocated.values().sum::<u32>();
+        }
+        assert_eq!(total, 8, "{policy}");
+    }
+}
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -1,13 +1,16 @@
 //! Several control threads on loopback with stand-ins for the rest.
 
+pub mod relay;
+
 use std::{net::SocketAddr, time::Duration};
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use relay::Relay;
 use serde_json::json;
 use span_fair::Policy;
 use span_http::{Body, Limits, Server};
-use span_member::Router;
+use span_member::{Router, Timing};
 use span_router::control::{
     AdmitRequest, Handle, MintedState, Permit, Rejection, Settings, Status, start,
 };
@@ -40,13 +43,14 @@
     pub platform: Platform,
     pub routers: Vec<Handle>,
     policy: Policy,
+    timing: Timing,
 }
 
 impl Fleet {
     /// Starts `count` routers that find each other by the instance list.
     pub async fn start(count: usize, policy: Policy) -> Self {
         let platform = objects::bind(loopback()).await.expect("bound");
-        let mut fleet = Self { platform, routers: Vec::new(), policy };
+        let mut fleet = Self { platform, routers: Vec::new(), policy, timing: Timing::default() };
         for index in 0..count {
             let handle = fleet.router(index, 1, loopback());
             fleet.routers.push(handle);
@@ -54,8 +58,35 @@
         fleet
     }
 
+    /// Starts `count` routers that reach each other through relays.
+    pub async fn start_behind_relays(count: usize, timing: Timing) -> (Self, Vec<Relay>) {
+        let mut fleet = Self::start(0, Policy::Fleet).await;
+        fleet.timing = timing;
+        let mut relays = Vec::new();
+        for index in 0..count {
+            let free = std::net::TcpListener::bind(loopback()).expect("bound");
+            let listen = free.local_addr().expect("bound");
+            drop(free);
+            let relay = Relay::start(listen).await;
+            let handle = fleet.router_at(index, 1, relay.address, Some(listen));
+            fleet.routers.push(handle);
+            relays.push(relay);
+        }
+        (fleet, relays)
+    }
+
     /// Starts one more process.
     pub fn router(&self, index: usize, incarnation: u64, peer_address: SocketAddr) -> Handle {
+        self.router_at(index, incarnation, peer_address, None)
+    }
+
+    fn router_at(
+        &self,
+        index: usize,
+        incarnation: u64,
+        peer_address: SocketAddr,
+        listen_address: Option<SocketAddr>,
+    ) -> Handle {
         let mut settings = Settings::new(Router {
             member: Member {
                 instance: format!("router-{index}").into(),
@@ -66,7 +97,9 @@
             failure_domain: ["hall-atl", "hall-bhm", "hall-jxn"][index % 3].into(),
         });
         settings.platform_address = Some(self.platform.address());
+        settings.listen_address = listen_address;
         settings.policy = self.policy;
+        settings.timing = self.timing;
         settings.minted = std::sync::Arc::new(|id| match id.seq {
             7 => MintedState::Completed,
             _ => MintedState::Unused,
--- /dev/null
+++ b/crates/router/tests/fleet/relay.rs
@@ -0,0 +1,75 @@
+//! TCP relay whose connections can go silent without closing.
+
+use std::net::SocketAddr;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+
+/// What a relay does with bytes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mode {
+    /// Connections of earlier generations carry nothing more.
+    generation: u64,
+    /// No connection carries anything.
+    cut: bool,
+}
+
+/// Passes connections on to one router.
+pub struct Relay {
+    pub address: SocketAddr,
+    mode: watch::Sender<Mode>,
+}
+
+impl Relay {
+    /// Starts a relay to `target`.
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = listener.local_addr().expect("bound");
+        let (mode, modes) = watch::channel(Mode::default());
+        tokio::spawn(accept(listener, target, modes));
+        Self { address, mode }
+    }
+
+    /// Makes the open connections silent; new ones work.
+    pub fn silence(&self) {
+        self.mode.send_modify(|mode| mode.generation += 1);
+    }
+
+    /// Makes all connections silent, or ends that for new ones.
+    pub fn cut(&self, cut: bool) {
+        self.mode.send_modify(|mode| *mode = Mode { generation: mode.generation + 1, cut });
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, modes: watch::Receiver<Mode>) {
+    while let Ok((near, _)) = listener.accept().await {
+        let Ok(far) = TcpStream::connect(target).await else { continue };
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let generation = modes.borrow().generation;
+        tokio::spawn(copy(near_read, far_write, generation, modes.clone()));
+        tokio::spawn(copy(far_read, near_write, generation, modes.clone()));
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    generation: u64,
+    modes: watch::Receiver<Mode>,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        let mode = *modes.borrow();
+        let passes = !mode.cut && mode.generation == generation;
+        if passes && to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
