--- a/crates/router/src/control/admission.rs
+++ b/crates/router/src/control/admission.rs
@@ -88,14 +88,9 @@
 
     /// Replaces workspaces and shards. Returns the number of requests that were
     /// given up on.
-    pub fn configure(
-        &mut self,
-        now_ms: u64,
-        limits: &[WorkspaceLimits],
-        shards: &[ShardId],
-    ) -> u64 {
-        self.queue.set_shards(now_ms, shards);
-        let removed = self.queue.set_workspaces(now_ms, limits);
+    pub fn configure(&mut self, limits: &[WorkspaceLimits], shards: &[ShardId]) -> u64 {
+        self.queue.set_shards(shards);
+        let removed = self.queue.set_workspaces(limits);
         self.reject_expired(removed)
     }
 
@@ -215,10 +210,10 @@
     }
 
     /// Removes waiting requests whose callers are gone.
-    pub fn sweep(&mut self, now_ms: u64) {
+    pub fn sweep(&mut self) {
         let gone = self.waiting.iter().filter(|(_, waiting)| waiting.reply.is_closed());
         for ticket in gone.map(|(ticket, _)| *ticket).collect::<Vec<_>>() {
-            self.queue.cancel(now_ms, ticket);
+            self.queue.cancel(ticket);
             self.waiting.remove(&ticket);
         }
     }
--- a/crates/router/src/control/ownership.rs
+++ b/crates/router/src/control/ownership.rs
@@ -10,7 +10,6 @@
 impl Core {
     /// Puts a changed configuration into effect.
     pub fn follow_config(&mut self) {
-        let now_ms = self.now_ms();
         let document = std::sync::Arc::clone(self.config.document());
         self.shards = shards::shards(&document);
         let (policy, member) = (self.settings.policy, self.member().clone());
@@ -22,7 +21,7 @@
             let ids: Vec<ShardId> =
                 self.shards.keys().filter(|shard| shard.service == *service).cloned().collect();
             let limits = shards::workspaces(&document, service);
-            let rejected = state.configure(now_ms, &limits, &ids);
+            let rejected = state.configure(&limits, &ids);
             self.counters.add(Counter::Rejected, rejected);
         }
         self.drop_services(&document);
@@ -37,11 +36,10 @@
 
     /// Services that are gone keep their state until their requests ended.
     fn drop_services(&mut self, document: &span_config::Document) {
-        let now_ms = self.now_ms();
         self.services.retain(|name, state| {
             let kept = document.services.contains_key(name);
             if !kept {
-                state.configure(now_ms, &[], &[]);
+                state.configure(&[], &[]);
             }
             kept || state.in_flight() > 0
         });
--- a/crates/router/src/control/run.rs
+++ b/crates/router/src/control/run.rs
@@ -79,7 +79,7 @@
         core.pacer.sample(now_ms, total);
         core.count_bytes();
         core.counters.flush();
-        core.services.values_mut().for_each(|state| state.sweep(now_ms));
+        core.services.values_mut().for_each(|state| state.sweep());
         // Probes become due with time alone.
         core.refix();
     }
