Send part of the at-most-once calls under minted keys

All keys were chosen by callers, which leaves out POST /v1/keys. Two fifths of the keyed calls now ask for a minted key first; repeats go to the minting router and to another one in turn.

--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::{
     check::{self, Checked},
     fleet::{Entry, Fleet},
+    key::MintedKey,
     plan::{Planned, Repeat},
     record::{Answer, Record},
     workload::WorkspaceLoad,
@@ -32,6 +33,8 @@
     pub client: &'a Client,
     pub fleet: &'a Fleet,
     pub workspace: &'a WorkspaceLoad,
+    /// Key in place of the caller's own.
+    pub minted: Option<&'a MintedKey>,
 }
 
 /// Sends attempt number `number` of a request through `entry`.
@@ -138,8 +141,9 @@
     if planned.repeat != Repeat::Idempotent {
         request = request.header(IDEMPOTENT_HEADER, "false");
     }
-    if planned.repeat == Repeat::Keyed {
-        request = request.header(IDEMPOTENCY_KEY_HEADER, &planned.name);
+    if planned.repeat.has_key() {
+        let key = context.minted.map_or(&planned.name, |minted| &minted.key);
+        request = request.header(IDEMPOTENCY_KEY_HEADER, key);
     }
     request.body(full(body))
 }
--- a/crates/load/src/check.rs
+++ b/crates/load/src/check.rs
@@ -5,7 +5,7 @@
 use span_types::{OUTCOME_HEADER, Outcome};
 
 use crate::{
-    plan::{Planned, Repeat},
+    plan::Planned,
     record::{Answer, Record},
 };
 
@@ -34,9 +34,9 @@
         return Checked { answer, outcome: None };
     }
     // A keyed request that ran before may be answered with its first answer.
-    let nonces: Vec<String> = match planned.repeat {
-        Repeat::Keyed => (0..=MAX_ATTEMPTS).map(|n| format!("{}#{n}", planned.name)).collect(),
-        _ => vec![record.nonce.clone()],
+    let nonces: Vec<String> = match planned.repeat.has_key() {
+        true => (0..=MAX_ATTEMPTS).map(|n| format!("{}#{n}", planned.name)).collect(),
+        false => vec![record.nonce.clone()],
     };
     if planned.plain {
         let answer = plain(&nonces, body, complete);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,6 +6,7 @@
 mod call;
 pub mod check;
 mod fleet;
+mod key;
 pub mod latency;
 pub mod plan;
 mod record;
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -15,10 +15,19 @@
     Idempotent,
     /// At most once; the caller chose a key and may repeat it.
     Keyed,
+    /// At most once; a router minted the key, and the caller may repeat it.
+    Minted,
     /// At most once, without a key; the caller does not repeat it.
     Once,
 }
 
+impl Repeat {
+    /// The request carries a key, so that it may be sent again.
+    pub fn has_key(self) -> bool {
+        matches!(self, Self::Keyed | Self::Minted)
+    }
+}
+
 /// One request as a caller plans it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Planned {
@@ -46,7 +55,8 @@
 /// Factor by which hints may be wrong, either way.
 const HINT_ERROR: f64 = 10.0;
 const HINTED_FRACTION: f64 = 0.7;
-const KEYED_FRACTION: f64 = 0.2;
+const KEYED_FRACTION: f64 = 0.12;
+const MINTED_FRACTION: f64 = 0.08;
 const ONCE_FRACTION: f64 = 0.1;
 const RESEND_FRACTION: f64 = 0.1;
 const MIN_OUTPUT_TOKENS: f64 = 12.0;
@@ -100,7 +110,7 @@
             output_tokens,
             cost_hint: self.hint(prompt_tokens + output_tokens),
             repeat,
-            resend: repeat == Repeat::Keyed && self.rng.random_bool(RESEND_FRACTION),
+            resend: repeat.has_key() && self.rng.random_bool(RESEND_FRACTION),
             entry: self.entry(),
             gap_ms: self.gap_ms(),
         }
@@ -125,7 +135,8 @@
         match uniform {
             _ if !plain => Repeat::Idempotent,
             u if u < KEYED_FRACTION => Repeat::Keyed,
-            u if u < KEYED_FRACTION + ONCE_FRACTION => Repeat::Once,
+            u if u < KEYED_FRACTION + MINTED_FRACTION => Repeat::Minted,
+            u if u < KEYED_FRACTION + MINTED_FRACTION + ONCE_FRACTION => Repeat::Once,
             _ => Repeat::Idempotent,
         }
     }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -14,6 +14,7 @@
     attempt::{self, Context},
     check::MAX_ATTEMPTS,
     fleet::{Entry, Fleet},
+    key::{self, MintedKey},
     plan::{Planned, Planner, Repeat},
     record::{Answer, Record},
     workload::{Phase, Workload, WorkspaceLoad},
@@ -112,9 +113,10 @@
     /// Sends a request, again if need be, and returns the pause before the
     /// next one.
     async fn request(&self, planned: &Planned, number: u32) -> Duration {
+        let minted = self.mint(planned, number).await;
         let mut attempt = 0;
         loop {
-            let mut record = self.attempt(planned, number, attempt).await;
+            let mut record = self.attempt(planned, number, attempt, minted.as_ref()).await;
             attempt += 1;
             let again = attempt < MAX_ATTEMPTS && self.may_repeat(&record);
             record.last = !again;
@@ -126,20 +128,50 @@
                 continue;
             }
             if planned.resend && answer == Answer::Whole {
-                let resent = self.attempt(planned, number, attempt).await;
+                let resent = self.attempt(planned, number, attempt, minted.as_ref()).await;
                 self.keep(resent);
             }
             return pause;
         }
     }
 
-    async fn attempt(&self, planned: &Planned, number: u32, attempt: u32) -> Record {
-        let entry = self.entry(planned, number, attempt).await;
-        let context =
-            Context { client: &self.client, fleet: &self.fleet, workspace: &self.workspace };
+    /// A minted key where the request asks for one; without one, the request
+    /// is sent under the caller's own key.
+    async fn mint(&self, planned: &Planned, number: u32) -> Option<MintedKey> {
+        if planned.repeat != Repeat::Minted {
+            return None;
+        }
+        let entry = self.entry(planned, number, 0).await;
+        key::mint(&self.client, &entry, &self.workspace.key).await
+    }
+
+    async fn attempt(
+        &self,
+        planned: &Planned,
+        number: u32,
+        attempt: u32,
+        minted: Option<&MintedKey>,
+    ) -> Record {
+        // Other routers have to find out what became of a minted key, so every
+        // second attempt goes to one.
+        let minting = minted.filter(|_| attempt.is_multiple_of(2));
+        let entry = match minting.and_then(|minted| self.known(&minted.instance)) {
+            Some(entry) => entry,
+            None => self.entry(planned, number, attempt).await,
+        };
+        let context = Context {
+            client: &self.client,
+            fleet: &self.fleet,
+            workspace: &self.workspace,
+            minted,
+        };
         attempt::send(&context, planned, &entry, attempt).await
     }
 
+    fn known(&self, instance: &str) -> Option<Entry> {
+        self.fleet.entries.iter().find(|entry| &*entry.name == instance).cloned()
+    }
+
     /// The router for an attempt: the addresses told are spread over the
     /// callers of the workspace; each further attempt uses the next address.
     async fn entry(&self, planned: &Planned, number: u32, attempt: u32) -> Entry {
--- a/crates/load/tests/workload.rs
+++ b/crates/load/tests/workload.rs
@@ -63,7 +63,7 @@
         assert!((0.08..=10.01).contains(&factor), "hint factor {factor}");
         assert!(planned.plain || planned.repeat == Repeat::Idempotent);
     }
-    for repeat in [Repeat::Idempotent, Repeat::Keyed, Repeat::Once] {
+    for repeat in [Repeat::Idempotent, Repeat::Keyed, Repeat::Minted, Repeat::Once] {
         assert!(plans.iter().any(|planned| planned.plain && planned.repeat == repeat));
     }
     assert!(plans.iter().any(|planned| planned.resend));
