--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -8,11 +8,11 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use span_config::{CURRENT_KEY, Current};
 use span_http::{Limits, Server};
+use span_once::RegistryLimits;
 use span_platform::Platform;
 use span_types::{Incarnation, Member};
-use tokio::task::JoinHandle;
+use tokio::{net::TcpListener, task::JoinHandle};
 
 use crate::{
     MintedIds, control,
@@ -78,6 +78,7 @@
             () = deadline => front.in_flight.list(),
         };
         follower.abort();
+        front.control.stop();
         for request in &cut {
             let CutRequest { id, workspace, path } = request;
             tracing::warn!(%id, %workspace, path, "request cut by the shutdown");
@@ -96,18 +97,49 @@
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = Incarnation(u64::try_from(incarnation.as_micros()).unwrap_or(u64::MAX));
     let member = Member { instance: settings.instance.clone(), incarnation };
+    let listener = TcpListener::bind(settings.http_address).await?;
+    let minted = MintedIds::new(member.clone(), registry_limits(&settings));
+    let control = control::start(control_settings(
+        &settings,
+        &member,
+        listener.local_addr()?,
+        minted.clone(),
+    ))?;
     let platform = Platform::new(span_platform::Settings {
         call_timeout_ms: settings.timeouts.platform_ms,
         connect_timeout_ms: settings.timeouts.connect_ms,
         ..span_platform::Settings::new(settings.platform_address)
     });
-    let front = Front::new(settings, member, control::spawn()?, &platform);
-    let server = bind(&front).await?;
-    let follower = tokio::spawn(follow(Arc::clone(&front), platform));
+    let front = Front::new(settings, member, control, minted, platform);
+    let server = serve(&front, listener)?;
+    let follower = tokio::spawn(follow(Arc::clone(&front)));
     Ok(Router { server, front, follower })
 }
 
-async fn bind(front: &Arc<Front>) -> io::Result<Server> {
+fn registry_limits(settings: &Settings) -> RegistryLimits {
+    RegistryLimits { entries: settings.limits.remembered_ids, ..RegistryLimits::default() }
+}
+
+fn control_settings(
+    settings: &Settings,
+    member: &Member,
+    http_address: SocketAddr,
+    minted: MintedIds,
+) -> control::Settings {
+    let router = span_member::Router {
+        member: member.clone(),
+        http_address,
+        peer_address: settings.peer_address,
+        failure_domain: settings.failure_domain.clone(),
+    };
+    control::Settings {
+        platform_address: Some(settings.platform_address),
+        minted: Arc::new(move |id| minted.state(id)),
+        ..control::Settings::new(router)
+    }
+}
+
+fn serve(front: &Arc<Front>, listener: TcpListener) -> io::Result<Server> {
     let settings = &front.settings;
     let limits = Limits {
         header_bytes: settings.limits.header_bytes,
@@ -118,26 +150,16 @@
     let (serving, refusing) = (Arc::clone(front), Arc::clone(front));
     let handler = move |request, _peer| front::handle(Arc::clone(&serving), request);
     let refuse = move || front::refuse_connection(&refusing);
-    span_http::bind_with(settings.http_address, limits, handler, refuse).await
+    span_http::serve_with(listener, limits, handler, refuse)
 }
 
-/// Follows the accepted configuration. Only a higher revision replaces the one
-/// in force, so that a late read never takes a change back.
-async fn follow(front: Arc<Front>, platform: Platform) {
-    let mut watch = platform.watch(CURRENT_KEY, 0);
-    loop {
-        let object = watch.next().await;
-        match Current::decode(object.version, &object.value) {
-            Ok(current) => configure(&front, current),
-            Err(error) => tracing::warn!(version = object.version, %error, "configuration refused"),
-        }
+/// Rebuilds the indexes whenever the control thread puts a configuration in
+/// force.
+async fn follow(front: Arc<Front>) {
+    let mut documents = front.control.document();
+    // The sender lives as long as the control thread.
+    while documents.changed().await.is_ok() {
+        let document = Arc::clone(&documents.borrow_and_update());
+        front.configure(document);
     }
 }
-
-fn configure(front: &Front, current: Current) {
-    let revision = current.revision;
-    let document = Arc::new(current.stored.document);
-    front.configure(Arc::clone(&document));
-    front.control.configure(document);
-    tracing::info!(%revision, "configuration in force");
-}
