Serve status and metrics to operators, and set the policy in the settings

Change: GET /status and GET /metrics for operator keys and an instance's admin key; settings policy, statsd_address and admin_key_sha256; the intent API passes the operator's credentials on.

--- a/crates/intent/src/api.rs
+++ b/crates/intent/src/api.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{HeaderMap, Method, Request, Response};
+use http::{HeaderMap, Method, Request, Response, header::AUTHORIZATION};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use span_config::{Current, PlanId, export};
@@ -100,7 +100,7 @@
 
 async fn fleet_status(state: &State, headers: &HeaderMap) -> Result<StatusAnswer, IntentError> {
     let (current, _) = authenticate(state, headers).await?;
-    status::status(state, current.revision).await
+    status::status(state, current.revision, headers.get(AUTHORIZATION)).await
 }
 
 async fn history(state: &State, headers: &HeaderMap) -> Result<HistoryAnswer, IntentError> {
--- a/crates/intent/src/status.rs
+++ b/crates/intent/src/status.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures::{StreamExt, stream};
-use http::Request;
+use http::{HeaderValue, Request, header::AUTHORIZATION};
 use serde::Deserialize;
 use span_http::{Client, cause, empty, read_json};
 use span_platform::Instance;
@@ -26,11 +26,20 @@
 }
 
 /// State of all listed routers with regard to the accepted revision.
-pub(crate) async fn status(state: &State, accepted: Revision) -> Result<StatusAnswer, IntentError> {
+///
+/// The operator's own credentials are passed on, so that a router shows its
+/// status to nobody whom it would not show it to directly.
+pub(crate) async fn status(
+    state: &State,
+    accepted: Revision,
+    credentials: Option<&HeaderValue>,
+) -> Result<StatusAnswer, IntentError> {
     let instances = state.platform.instances().await?;
     let timeout = Duration::from_millis(state.settings.status_timeout_ms);
     let asked = stream::iter(instances)
-        .map(|instance| ask(state.client.clone(), instance, accepted, timeout))
+        .map(|instance| {
+            ask(state.client.clone(), instance, accepted, timeout, credentials.cloned())
+        })
         .buffer_unordered(CONCURRENCY);
     let mut routers: Vec<RouterStatus> = asked.collect().await;
     routers.sort_by(|a, b| a.instance.cmp(&b.instance));
@@ -42,8 +51,9 @@
     instance: Instance,
     accepted: Revision,
     timeout: Duration,
+    credentials: Option<HeaderValue>,
 ) -> RouterStatus {
-    let fetched = tokio::time::timeout(timeout, fetch(&client, &instance)).await;
+    let fetched = tokio::time::timeout(timeout, fetch(&client, &instance, credentials)).await;
     let (state, revision, reason) = match fetched {
         Ok(Ok(revision)) if revision == accepted => (RouterState::InForce, Some(revision), None),
         Ok(Ok(revision)) => (RouterState::Behind, Some(revision), None),
@@ -64,12 +74,19 @@
     }
 }
 
-async fn fetch(client: &Client, instance: &Instance) -> Result<Revision, (RouterState, String)> {
+async fn fetch(
+    client: &Client,
+    instance: &Instance,
+    credentials: Option<HeaderValue>,
+) -> Result<Revision, (RouterState, String)> {
     let unreachable = |reason: String| (RouterState::Unreachable, reason);
     let silent = |reason: String| (RouterState::NoRevision, reason);
     let uri = format!("http://{}/status", instance.http_address);
-    let request =
+    let mut request =
         Request::get(uri).body(empty()).map_err(|error| unreachable(error.to_string()))?;
+    if let Some(credentials) = credentials {
+        request.headers_mut().insert(AUTHORIZATION, credentials);
+    }
     let answer = client.request(request).await.map_err(|error| unreachable(cause(&error)))?;
     if !answer.status().is_success() {
         return Err(silent(format!("status {}", answer.status().as_u16())));
--- a/crates/router/src/front/auth.rs
+++ b/crates/router/src/front/auth.rs
@@ -15,13 +15,36 @@
     pub settings: Workspace,
 }
 
-/// Finds the workspace of the bearer key.
-pub(super) fn authenticate(index: &Index, headers: &HeaderMap) -> Result<Caller, Failure> {
-    let refused = |message| Failure::not_run(StatusCode::UNAUTHORIZED, "unauthorized", message);
+fn refused(message: &str) -> Failure {
+    Failure::not_run(StatusCode::UNAUTHORIZED, "unauthorized", message)
+}
+
+/// Hash of the bearer key.
+fn key_hash(headers: &HeaderMap) -> Result<KeyHash, Failure> {
     let header = headers.get(AUTHORIZATION).ok_or_else(|| refused("a bearer key is needed"))?;
     let text = header.to_str().map_err(|_| refused("the key is not text"))?;
     let key = bearer(text).ok_or_else(|| refused("a bearer key is needed"))?;
-    let workspace = index.workspace(&KeyHash::of(key));
+    Ok(KeyHash::of(key))
+}
+
+/// Checks that the bearer key belongs to an operator or is the instance's own
+/// admin key, which works before any configuration is in force.
+pub(super) fn authenticate_operator(
+    index: &Index,
+    admin_key: Option<&KeyHash>,
+    headers: &HeaderMap,
+) -> Result<(), Failure> {
+    let hash = key_hash(headers)?;
+    let mut operators = index.document.operators.values();
+    if admin_key == Some(&hash) || operators.any(|operator| operator.key == hash) {
+        return Ok(());
+    }
+    Err(refused("the key is not an operator's"))
+}
+
+/// Finds the workspace of the bearer key.
+pub(super) fn authenticate(index: &Index, headers: &HeaderMap) -> Result<Caller, Failure> {
+    let workspace = index.workspace(&key_hash(headers)?);
     let settings = workspace.and_then(|name| index.document.workspaces.get(name));
     match (workspace, settings) {
         (Some(workspace), Some(settings)) => {
--- a/crates/router/src/front/mod.rs
+++ b/crates/router/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Caller side: authentication, routes, and the way to upstreams and back.
 
+mod admin;
 mod answer;
 mod auth;
 mod body;
@@ -153,6 +154,9 @@
         return Err(control::Rejection::ShuttingDown.into());
     }
     let index = front.index.load_full();
+    if let Some(answer) = admin::answer(front, &index, id, &request).await {
+        return answer;
+    }
     let caller = auth::authenticate(&index, request.headers())?;
     let entry = front.in_flight.enter(CutRequest {
         id: id.clone(),
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -134,6 +134,8 @@
     };
     control::Settings {
         platform_address: Some(settings.platform_address),
+        policy: settings.policy,
+        statsd_address: settings.statsd_address,
         minted: Arc::new(move |id| minted.state(id)),
         ..control::Settings::new(router)
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -5,6 +5,8 @@
 use std::{fmt, net::SocketAddr, path::Path};
 
 use serde::{Deserialize, Serialize};
+use span_config::KeyHash;
+use span_fair::Policy;
 use span_types::{FailureDomain, InstanceName};
 
 /// One error in a settings file.
@@ -72,6 +74,16 @@
     pub peer_address: SocketAddr,
     /// Address of the platform's object API and instance list.
     pub platform_address: SocketAddr,
+    /// Order in which waiting requests are dispatched.
+    #[serde(default)]
+    pub policy: Policy,
+    /// Where counters go by StatsD over UDP; nowhere without it.
+    #[serde(default)]
+    pub statsd_address: Option<SocketAddr>,
+    /// Hash of a key that opens `/status` and `/metrics` of this router, beside
+    /// the operators' keys.
+    #[serde(default)]
+    pub admin_key_sha256: Option<KeyHash>,
     /// Bounds on what callers may use.
     #[serde(default)]
     pub limits: Limits,
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -4,6 +4,9 @@
 
 use marked_yaml::{LoadError, Node, types::MarkedMappingNode};
 
+use span_config::KeyHash;
+use span_fair::Policy;
+
 use super::{Fault, Limits, Settings, Timeouts, Trace};
 
 const MAX_TIMEOUT_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -49,11 +52,17 @@
     let http_address: Option<SocketAddr> = section.required("http_address");
     let peer_address: Option<SocketAddr> = section.required("peer_address");
     let platform_address: Option<SocketAddr> = section.required("platform_address");
+    let policy: String = section.optional("policy", Policy::default().to_string());
+    let statsd_address = section.read("statsd_address");
+    let admin_key: String = section.optional("admin_key_sha256", String::new());
     let limits = section.section("limits", limits);
     let timeouts = section.section("timeouts", timeouts);
     let trace = section.section("trace", trace);
     section.finish();
     section.check("instance", instance.as_deref().is_none_or(is_name), "must be a plain name");
+    section.check("policy", policy.parse::<Policy>().is_ok(), "must be fleet, local or fcfs");
+    let hash = admin_key.is_empty() || is_sha256(&admin_key);
+    section.check("admin_key_sha256", hash, "must be 64 lower-case hexadecimal digits");
     let distinct = http_address.is_none()
         || http_address != peer_address
         || http_address.is_some_and(|address| address.port() == 0);
@@ -64,12 +73,19 @@
         http_address: http_address?,
         peer_address: peer_address?,
         platform_address: platform_address?,
+        policy: policy.parse().unwrap_or_default(),
+        statsd_address,
+        admin_key_sha256: Some(admin_key).filter(|k| !k.is_empty()).map(|k| KeyHash(k.into())),
         limits,
         timeouts,
         trace,
     })
 }
 
+fn is_sha256(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+}
+
 /// Request ids are sent in headers, so the name must fit there.
 fn is_name(text: &str) -> bool {
     !text.is_empty() && text.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c))
--- /dev/null
+++ b/crates/router/tests/admin.rs
@@ -0,0 +1,46 @@
+//! Guards against status and counters that callers can read, or that operators
+//! cannot.
+
+mod common;
+
+use common::{ADMIN_KEY, KEY, OPERATOR_KEY, World, call, quick_engine};
+use http::{Method, StatusCode};
+use span_standin::engine;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_operators_see_status_and_metrics() {
+    struct Case {
+        authorization: Option<&'static str>,
+        expected: StatusCode,
+    }
+    let cases = [
+        Case { authorization: None, expected: StatusCode::UNAUTHORIZED },
+        Case { authorization: Some(KEY), expected: StatusCode::UNAUTHORIZED },
+        Case { authorization: Some(OPERATOR_KEY), expected: StatusCode::OK },
+        Case { authorization: Some(ADMIN_KEY), expected: StatusCode::OK },
+    ];
+    let engine = engine::bind(common::any(), quick_engine()).await.expect("it binds");
+    let world = World::new().upstream("stitch-assist", engine.address()).start().await;
+    for case in cases {
+        let bearer = case.authorization.map(|key| format!("Bearer {key}")).unwrap_or_default();
+        for path in ["/status", "/metrics"] {
+            let headers = [("authorization", bearer.as_str())];
+            let address = world.router.http_address();
+            let answer = call(&world.client, address, Method::GET, path, &headers, "").await;
+            assert_eq!(answer.status, case.expected, "{path} with {:?}", case.authorization);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_tells_the_revision_in_force() {
+    let engine = engine::bind(common::any(), quick_engine()).await.expect("it binds");
+    let world = World::new().upstream("stitch-assist", engine.address()).start().await;
+    let bearer = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let address = world.router.http_address();
+    let answer = call(&world.client, address, Method::GET, "/status", &headers, "").await;
+    let status = answer.json();
+    assert_eq!(status["revision"], 1, "{status}");
+    assert_eq!(status["members"][0]["instance"], "r1", "{status}");
+}
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use span_config::{Document, KeyHash, Operator, Service, Upstream, Workspace};
+use span_fair::Policy;
 use span_http::{Body, Client, empty, full};
 use span_router::{
     Router,
@@ -23,6 +24,10 @@
 use span_types::{OUTCOME_HEADER, ServiceKind, UpstreamName};
 
 pub const KEY: &str = "key-of-shop";
+/// Key of an operator.
+pub const OPERATOR_KEY: &str = "key-of-ana";
+/// The instance's own admin key.
+pub const ADMIN_KEY: &str = "key-of-monitoring";
 pub const OTHER_KEY: &str = "key-of-other";
 pub const MODEL: &str = "stitch-1";
 const MAX_BYTES: usize = 64 * 1024 * 1024;
@@ -100,6 +105,9 @@
             http_address: any(),
             peer_address: any(),
             platform_address: platform.address(),
+            policy: Policy::default(),
+            statsd_address: None,
+            admin_key_sha256: Some(KeyHash::of(ADMIN_KEY)),
             limits: self.limits,
             timeouts: self.timeouts,
             trace: Default::default(),
@@ -150,7 +158,7 @@
         ]
         .into(),
         upstreams,
-        operators: BTreeMap::<_, Operator>::new(),
+        operators: [("ana".into(), Operator { key: KeyHash::of(OPERATOR_KEY) })].into(),
     }
 }
 
