--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -45,3 +45,13 @@
     builder.pool_timer(TokioTimer::new()).retry_canceled_requests(false);
     builder
 }
+
+/// The innermost cause of an error, which says more than the library's outer
+/// layers, such as "Connection refused" instead of "client error (Connect)".
+pub fn cause(error: &(dyn std::error::Error + 'static)) -> String {
+    let mut innermost = error;
+    while let Some(source) = innermost.source() {
+        innermost = source;
+    }
+    innermost.to_string()
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,5 +7,5 @@
 mod stall;
 
 pub use body::{Body, BodyError, ReadError, collect, empty, full, json, read_json};
-pub use client::{Client, ClientError, client, fresh_client};
+pub use client::{Client, ClientError, cause, client, fresh_client};
 pub use server::{Limits, Server, bind, serve_with};
--- a/crates/router/src/control/core.rs
+++ b/crates/router/src/control/core.rs
@@ -10,7 +10,7 @@
 
 use span_config::Document;
 use span_fair::{Allocation, ShardOwner, SlotRow, UpstreamSlots};
-use span_member::{Change, LiveView, Timing};
+use span_member::{Change, LiveView};
 use span_types::{InstanceName, Member, MemberState, Revision, ServiceName, ShardId, UpstreamName};
 use span_wire::ByteCounts;
 use tokio::{
@@ -24,6 +24,7 @@
     command::{AdmitRequest, Command},
     config::ConfigState,
     counters::Counters,
+    exchange::Pace,
     load::LoadState,
     peers::Links,
     shards,
@@ -41,6 +42,9 @@
     pub config: ConfigState,
     pub services: BTreeMap<ServiceName, Service>,
     pub shards: BTreeMap<ShardId, Vec<UpstreamSlots>>,
+    /// Owner of each shard as seen here. Kept, because rendezvous hashing of
+    /// 160 shards over 1,900 routers takes milliseconds.
+    pub shard_owners: BTreeMap<ShardId, Member>,
     pub owners: BTreeMap<ShardId, ShardOwner>,
     pub health: Health,
     pub load: LoadState,
@@ -56,6 +60,8 @@
     pub disagreements: HashMap<InstanceName, u32>,
     /// Owners that an exchange is under way with.
     pub exchanging: BTreeSet<InstanceName>,
+    /// Pace that owners asked for.
+    pub paces: HashMap<InstanceName, Pace>,
     /// A fetch of the configuration from a peer is under way.
     pub fetching: bool,
     /// Something changed that peers should learn before the next heartbeat.
@@ -73,10 +79,11 @@
         Self {
             commands,
             started: Instant::now(),
-            view: LiveView::new(settings.router.clone(), Timing::default()),
+            view: LiveView::new(settings.router.clone(), settings.timing),
             config: ConfigState::new(publish),
             services: BTreeMap::new(),
             shards: BTreeMap::new(),
+            shard_owners: BTreeMap::new(),
             owners: BTreeMap::new(),
             health: Health::default(),
             load: LoadState::default(),
@@ -88,6 +95,7 @@
             revisions: HashMap::new(),
             disagreements: HashMap::new(),
             exchanging: BTreeSet::new(),
+            paces: HashMap::new(),
             fetching: false,
             has_news: false,
             steered: 0,
@@ -239,6 +247,7 @@
         self.counters.increment(Counter::MembersLost);
         self.links.remove(&member.instance);
         self.revisions.remove(&member.instance);
+        self.paces.remove(&member.instance);
         for owner in self.owners.values_mut() {
             owner.remove_router(now_ms, member);
         }
--- a/crates/router/src/control/ownership.rs
+++ b/crates/router/src/control/ownership.rs
@@ -10,7 +10,6 @@
 impl Core {
     /// Puts a changed configuration into effect.
     pub fn follow_config(&mut self) {
-        let now_ms = self.now_ms();
         let document = std::sync::Arc::clone(self.config.document());
         self.shards = shards::shards(&document);
         let (policy, member) = (self.settings.policy, self.member().clone());
@@ -22,7 +21,7 @@
             let ids: Vec<ShardId> =
                 self.shards.keys().filter(|shard| shard.service == *service).cloned().collect();
             let limits = shards::workspaces(&document, service);
-            let rejected = state.configure(now_ms, &limits, &ids);
+            let rejected = state.configure(&limits, &ids);
             self.counters.add(Counter::Rejected, rejected);
         }
         self.drop_services(&document);
@@ -37,11 +36,10 @@
 
     /// Services that are gone keep their state until their requests ended.
     fn drop_services(&mut self, document: &span_config::Document) {
-        let now_ms = self.now_ms();
         self.services.retain(|name, state| {
             let kept = document.services.contains_key(name);
             if !kept {
-                state.configure(now_ms, &[], &[]);
+                state.configure(&[], &[]);
             }
             kept || state.in_flight() > 0
         });
@@ -49,11 +47,18 @@
 
     /// Takes over and hands on shards as the live view demands.
     pub fn follow_ownership(&mut self) {
+        let owners = self.view.owners();
+        let owner = |shard: &ShardId| {
+            let owner = span_member::owner(shard, &owners)?;
+            Some((shard.clone(), owner.member.clone()))
+        };
+        self.shard_owners = self.shards.keys().filter_map(owner).collect();
         if self.settings.policy != Policy::Fleet {
             return;
         }
-        let mine: BTreeSet<ShardId> =
-            self.shards.keys().filter(|shard| self.is_mine(shard)).cloned().collect();
+        let me = self.member().clone();
+        let mine = self.shard_owners.iter().filter(|(_, owner)| **owner == me);
+        let mine: BTreeSet<ShardId> = mine.map(|(shard, _)| shard.clone()).collect();
         self.owners.retain(|shard, _| mine.contains(shard));
         let now_ms = self.now_ms();
         for shard in mine {
@@ -70,14 +75,9 @@
         }
     }
 
-    fn is_mine(&self, shard: &ShardId) -> bool {
-        self.owner_of(shard).is_some_and(|owner| owner == *self.member())
-    }
-
     /// The router that administers a shard, as seen here.
     pub fn owner_of(&self, shard: &ShardId) -> Option<Member> {
-        let owners = self.view.owners();
-        span_member::owner(shard, &owners).map(|router| router.member.clone())
+        self.shard_owners.get(shard).cloned()
     }
 
     /// Tells the owners which upstreams and workspaces there are.
