Stop the demo's routers together, and keep its output readable

Routers left one after the other, each after the 10 s lifetime of its addresses, and their log lines buried the summary.

--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -24,7 +24,10 @@
 
 #[tokio::main]
 async fn main() -> Result<()> {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).init();
+    tracing_subscriber::fmt()
+        .with_max_level(tracing::Level::WARN)
+        .with_writer(std::io::stderr)
+        .init();
     let workload = generate(&spec());
     let world = start(&workload).await?;
     println!(
--- a/crates/demo/src/world.rs
+++ b/crates/demo/src/world.rs
@@ -160,10 +160,12 @@
 
     /// Stops the routers in an orderly way, then the stand-ins.
     pub async fn stop(self) {
+        let mut leaving = tokio::task::JoinSet::new();
         for router in self.routers {
             // Waits for the requests in flight, however long they take.
-            router.shutdown(std::future::pending()).await;
+            leaving.spawn(router.shutdown(std::future::pending()));
         }
+        leaving.join_all().await;
         for engine in self.engines {
             engine.abort();
         }
