Measure control bytes, and send peer traffic of experiments through the relay

Cause: routers told peers and callers the address they listen on, so an experiment's relay between them was bypassed, and control bytes were read from a field that does not exist. Change: settings http_listen_address and peer_listen_address separate where a router listens from what it tells; experiments read /status with an admin key. Conclusion: delays and cuts now apply to peers.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -31,6 +31,8 @@
     topology::{CALL_MS, ENGINE_SLOTS, SERVICE_SLOTS, TOKEN_US, Topology},
 };
 
+/// Key that opens the status of every router of an experiment.
+pub(crate) const ADMIN_KEY: &str = "key-bench";
 const LOCAL: &str = "127.0.0.1:0";
 const QUEUE_LIMIT: u32 = 256;
 const DEADLINE_MS: u64 = 8_000;
@@ -294,8 +296,11 @@
         let mut settings = json!({
             "instance": name,
             "failure_domain": domain,
-            "http_address": direct,
-            "peer_address": peer,
+            "http_address": entry,
+            "http_listen_address": direct,
+            "peer_address": peer_entry,
+            "peer_listen_address": peer,
+            "admin_key_sha256": KeyHash::of(ADMIN_KEY),
             "platform_address": platform,
         });
         if let Some(policy) = plan.policy {
--- a/crates/bench/src/rest.rs
+++ b/crates/bench/src/rest.rs
@@ -63,6 +63,18 @@
         Ok(read_json(answer.into_body(), MAX_ANSWER_BYTES).await?)
     }
 
+    /// Reads JSON under a key.
+    ///
+    /// # Errors
+    ///
+    /// As [`Rest::get`].
+    pub async fn get_as<T: DeserializeOwned>(&self, key: &str, path: &str) -> Result<T, RestError> {
+        let bearer = format!("Bearer {key}");
+        let header = Some((AUTHORIZATION.as_str(), bearer.as_str()));
+        let answer = self.send(Method::GET, path, header, Vec::new()).await?;
+        Ok(read_json(answer.into_body(), MAX_ANSWER_BYTES).await?)
+    }
+
     /// Sends JSON and reads JSON.
     ///
     /// # Errors
--- a/crates/bench/src/snapshot.rs
+++ b/crates/bench/src/snapshot.rs
@@ -1,10 +1,11 @@
 //! Counters of the processes at one moment.
 
+use serde::Deserialize;
 use span_standin::objects::Counters;
 use tokio::time::Instant;
 
 use crate::{
-    fleet::Fleet,
+    fleet::{ADMIN_KEY, Fleet},
     usage::{Usage, usage},
 };
 
@@ -25,6 +26,13 @@
     usage: Option<Usage>,
 }
 
+/// The part of a router's status that is measured.
+#[derive(Deserialize)]
+struct RouterStatus {
+    control_bytes_sent: u64,
+    control_bytes_received: u64,
+}
+
 /// Differences between two snapshots.
 #[derive(Clone, Debug, Default)]
 pub struct Rates {
@@ -45,10 +53,12 @@
     let mut routers = Vec::new();
     for seat in &fleet.routers {
         let id = seat.process.as_ref().and_then(|process| process.id());
-        let metrics = fleet.rest(seat.direct).get::<serde_json::Value>("/metrics").await.ok();
+        let status = fleet.rest(seat.direct).get_as::<RouterStatus>(ADMIN_KEY, "/status").await;
         routers.push(RouterCounters {
             id,
-            control_bytes: metrics.and_then(|metrics| metrics["control_bytes"].as_u64()),
+            control_bytes: status
+                .ok()
+                .map(|row| row.control_bytes_sent + row.control_bytes_received),
             usage: id.and_then(usage),
         });
     }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -97,14 +97,14 @@
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = Incarnation(u64::try_from(incarnation.as_micros()).unwrap_or(u64::MAX));
     let member = Member { instance: settings.instance.clone(), incarnation };
-    let listener = TcpListener::bind(settings.http_address).await?;
+    let listener = TcpListener::bind(listen_address(&settings)).await?;
     let minted = MintedIds::new(member.clone(), registry_limits(&settings));
-    let control = control::start(control_settings(
-        &settings,
-        &member,
-        listener.local_addr()?,
-        minted.clone(),
-    ))?;
+    let http_address = match settings.http_listen_address {
+        Some(_) => settings.http_address,
+        None => listener.local_addr()?,
+    };
+    let control =
+        control::start(control_settings(&settings, &member, http_address, minted.clone()))?;
     let platform = Platform::new(span_platform::Settings {
         call_timeout_ms: settings.timeouts.platform_ms,
         connect_timeout_ms: settings.timeouts.connect_ms,
@@ -116,6 +116,10 @@
     Ok(Router { server, front, follower })
 }
 
+fn listen_address(settings: &Settings) -> SocketAddr {
+    settings.http_listen_address.unwrap_or(settings.http_address)
+}
+
 fn registry_limits(settings: &Settings) -> RegistryLimits {
     RegistryLimits { entries: settings.limits.remembered_ids, ..RegistryLimits::default() }
 }
@@ -133,6 +137,7 @@
         failure_domain: settings.failure_domain.clone(),
     };
     control::Settings {
+        listen_address: settings.peer_listen_address,
         platform_address: Some(settings.platform_address),
         policy: settings.policy,
         statsd_address: settings.statsd_address,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -68,10 +68,16 @@
     pub instance: InstanceName,
     /// Failure domain the instance stands in.
     pub failure_domain: FailureDomain,
-    /// Address for callers.
+    /// Address that callers are told.
     pub http_address: SocketAddr,
-    /// Address for other routers.
+    /// Where to listen for callers, if that is not `http_address`.
+    #[serde(default)]
+    pub http_listen_address: Option<SocketAddr>,
+    /// Address that other routers are told.
     pub peer_address: SocketAddr,
+    /// Where to listen for other routers, if that is not `peer_address`.
+    #[serde(default)]
+    pub peer_listen_address: Option<SocketAddr>,
     /// Address of the platform's object API and instance list.
     pub platform_address: SocketAddr,
     /// Order in which waiting requests are dispatched.
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -50,7 +50,9 @@
     let instance: Option<String> = section.required("instance");
     let failure_domain: Option<String> = section.required("failure_domain");
     let http_address: Option<SocketAddr> = section.required("http_address");
+    let http_listen_address = section.read("http_listen_address");
     let peer_address: Option<SocketAddr> = section.required("peer_address");
+    let peer_listen_address = section.read("peer_listen_address");
     let platform_address: Option<SocketAddr> = section.required("platform_address");
     let policy: String = section.optional("policy", Policy::default().to_string());
     let statsd_address = section.read("statsd_address");
@@ -71,7 +73,9 @@
         instance: instance?.into(),
         failure_domain: failure_domain?.into(),
         http_address: http_address?,
+        http_listen_address,
         peer_address: peer_address?,
+        peer_listen_address,
         platform_address: platform_address?,
         policy: policy.parse().unwrap_or_default(),
         statsd_address,
