Move slots only where it pays, and learn limits with one queued request

Allocations swung between routers (0, 58, 2 slots at one router within 3 s): a slot was charged one report period, so every slot went to whichever workspace was behind, and slots are idle while they change hands. Ruled out: the queue itself, which fills free slots at once; the engines. Change: a slot is charged four report periods; a lack of one slot or an eighth of a router's slots moves none; donors with the largest excess first; a learned limit keeps one request queued at the upstream and falls by the excess; pushes are dropped only at 1.5 times the budget; experiments configure ceilings above the real concurrency, which has to be learned.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -34,6 +34,9 @@
 /// Key that opens the status of every router of an experiment.
 pub(crate) const ADMIN_KEY: &str = "key-bench";
 const LOCAL: &str = "127.0.0.1:0";
+/// What the configured ceilings of upstreams lie above their slots. Operators know
+/// the real concurrency only roughly; routers have to learn it from load reports.
+const CEILING_MARGIN: u32 = 2;
 const QUEUE_LIMIT: u32 = 256;
 const DEADLINE_MS: u64 = 8_000;
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -249,7 +252,7 @@
         service: upstream.service.into(),
         address: upstream.address,
         failure_domain: upstream.domain.into(),
-        max_concurrency: upstream.slots,
+        max_concurrency: upstream.slots + CEILING_MARGIN,
         checks_fencing: false,
         leaving: false,
     }
--- a/crates/fair/src/limit.rs
+++ b/crates/fair/src/limit.rs
@@ -2,10 +2,11 @@
 
 use crate::{LoadReport, UpstreamSlots};
 
-/// Consecutive reports with a queue that lower the limit.
+/// Requests that may wait at an upstream. One hides the time from the end of a
+/// request until the next one arrives, in which the upstream would be idle.
+const QUEUE_TARGET: u32 = 1;
+/// Consecutive reports with a longer queue that lower the limit.
 const QUEUED_REPORTS: u32 = 2;
-/// Numerator and denominator of the decrease.
-const DECREASE: (u32, u32) = (3, 4);
 
 /// The limit of one upstream. It stays within 1 and the configured ceiling, and
 /// is 0 for an upstream that is leaving.
@@ -50,15 +51,16 @@
             return;
         }
         let before = self.limit;
-        if report.waiting > 0 {
+        if report.waiting > QUEUE_TARGET {
             self.queued_reports += 1;
             if self.queued_reports >= QUEUED_REPORTS {
-                self.limit = (self.limit * DECREASE.0 / DECREASE.1).max(1).min(self.ceiling);
+                let excess = report.waiting - QUEUE_TARGET;
+                self.limit = self.limit.saturating_sub(excess).max(1).min(self.ceiling);
                 self.queued_reports = 0;
             }
         } else {
             self.queued_reports = 0;
-            if report.running >= self.limit {
+            if report.waiting == 0 && report.running >= self.limit {
                 self.limit = (self.limit + 1).min(self.ceiling);
             }
         }
--- a/crates/fair/src/owner.rs
+++ b/crates/fair/src/owner.rs
@@ -1,6 +1,9 @@
 //! The router that administers the slots of one shard.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use span_types::{Member, ShardId, UpstreamName, WorkspaceName};
 
@@ -24,6 +27,12 @@
 /// Time that a router's expired slots are still kept for it, for reports that
 /// are on their way, in milliseconds.
 const SILENCE_MARGIN_MS: u64 = 500;
+/// Report periods over which a difference in virtual time is made up. Over a
+/// single period every slot would go to whichever workspace is behind, and be
+/// idle while it changes hands.
+const CORRECTION_PERIODS: u64 = 4;
+/// A lack of up to one part in this many of a router's slots moves no slots.
+const STEADY_PART: u32 = 8;
 /// Pushes to one router that may follow each other at once.
 const PUSH_BURST: u32 = 4;
 /// Pushes to one router per report period over a longer time.
@@ -51,11 +60,19 @@
 /// `age_ms` the information age and `share` the smaller of the two shares.
 pub fn gap_bound(slots: u32, max_cost: u64, rate: u64, age_ms: u64, share: u32) -> f64 {
     let slots_f = f64::from(slots.max(1));
-    let periods = 2.0 + slots_f.log2().ceil();
+    let periods = 1.0 + CORRECTION_PERIODS as f64 + slots_f.log2().ceil();
     let stale = rate as f64 * age_ms as f64 / 1_000.0 * periods;
     slots_f * (2.0 * max_cost as f64 + stale) / f64::from(share.max(1))
 }
 
+/// Whether a router that lacks slots gets them from others. A slot is idle
+/// while it moves, and the lack of a few slots changes sign with each report; a
+/// lasting lack grows with the difference in virtual time until it is worth a
+/// move.
+fn is_worth_moving(lack: u32, granted: u32) -> bool {
+    lack > 0 && (granted == 0 || lack > 1 + granted / STEADY_PART)
+}
+
 #[derive(Debug)]
 struct RouterState {
     heard_ms: u64,
@@ -326,13 +343,15 @@
             });
             claims.push(Claim { virtual_time, share, usage: usage.collect() });
         });
-        let slot_cost = (self.rate.cost_per_ms() * self.period_ms() as f64).max(1.0);
+        let horizon_ms = (CORRECTION_PERIODS * self.period_ms()) as f64;
+        let slot_cost = (self.rate.cost_per_ms() * horizon_ms).max(1.0);
         let turn = (now_ms / TURN_MS) as usize;
         divide(&claims, routers.len(), self.holdings.capacity(), slot_cost, turn)
     }
 
     /// Grants free slots to routers below their targets, in proportion to what
-    /// they lack. Returns how many slots are still lacking.
+    /// they lack. Returns how many slots are to be taken from other routers:
+    /// those that are still lacking where the lack is worth a move.
     fn grow_to_targets(&mut self, routers: &[Member], targets: &[u32]) -> u32 {
         let lacks: Vec<u32> = routers
             .iter()
@@ -345,8 +364,10 @@
         for (router, lack) in routers.iter().zip(&lacks).filter(|(_, lack)| **lack > 0) {
             let part = (u64::from(*lack) * free).div_ceil(total).min(u64::from(*lack));
             let grown = self.holdings.grow(router, part as u32);
-            unmet += lack - grown;
             self.want_push(router, grown);
+            if is_worth_moving(lack - grown, self.holdings.granted(router)) {
+                unmet += lack - grown;
+            }
         }
         unmet
     }
@@ -366,8 +387,7 @@
         for idle_only in [true, false] {
             let (idle, all) = self.holdings.returning();
             let mut needed = unmet.saturating_sub(if idle_only { idle } else { all });
-            for (router, target) in routers.iter().zip(targets) {
-                let excess = self.holdings.granted(router).saturating_sub(*target);
+            for (excess, router) in self.excesses(routers, targets) {
                 let taken = self.holdings.shrink(router, excess.min(needed), idle_only);
                 needed -= taken;
                 self.want_push(router, taken);
@@ -375,6 +395,17 @@
         }
     }
 
+    /// Routers above their targets, those with the largest excess first.
+    fn excesses<'a>(&self, routers: &'a [Member], targets: &[u32]) -> Vec<(u32, &'a Member)> {
+        let excess = |(router, target): (&'a Member, &u32)| {
+            (self.holdings.granted(router).saturating_sub(*target), router)
+        };
+        let mut excesses: Vec<_> = routers.iter().zip(targets).map(excess).collect();
+        excesses.retain(|(excess, _)| *excess > 0);
+        excesses.sort_by_key(|(excess, _)| Reverse(*excess));
+        excesses
+    }
+
     /// Grants slots that nobody waits for, so that new work starts without a
     /// round trip. They travel with replies, not with pushes.
     fn spread_spare(&mut self, routers: &[Member], division: &Division) {
--- a/crates/router/src/control/pacer.rs
+++ b/crates/router/src/control/pacer.rs
@@ -11,7 +11,7 @@
 /// Part of the budget above which allocations are not pushed. Pushes spread
 /// what the owner knows already; the rest is left to reports, which tell it
 /// more.
-const PUSH_PART: f64 = 0.9;
+const PUSH_PART: f64 = 1.5;
 /// Rate, as a part of the budget, below which periods are shortened again.
 const RELAXED: f64 = 0.85;
 
