--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,18 +2,24 @@
 //! slots, admission in arrival order, streams that can be resumed.
 
 mod api;
+mod faults;
 mod generation;
 mod load;
 mod orders;
 mod request;
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU32},
+};
 
 use span_http::{Limits, Server};
 use tokio::sync::Semaphore;
 
 use crate::Ledger;
 
+pub use faults::Faults;
 pub use orders::{Order, OrderRow, Orders, StaleFencing};
 pub use request::{ChatRequest, Message};
 
@@ -35,6 +41,8 @@
     /// Orders are carried out, then their answer is withheld and the call ends
     /// with status 503.
     pub lose_order_answers: bool,
+    /// Faults of answers.
+    pub faults: Faults,
 }
 
 impl Default for Settings {
@@ -47,6 +55,7 @@
             linger_ms: 5_000,
             checks_fencing: false,
             lose_order_answers: false,
+            faults: Faults::default(),
         }
     }
 }
@@ -89,6 +98,7 @@
     generations: generation::Generations,
     load: load::LoadHistory,
     orders: Arc<Orders>,
+    faulty_left: AtomicU32,
 }
 
 /// Binds an engine to `address`.
@@ -105,6 +115,7 @@
         orders: Arc::clone(&orders),
         generations: generation::Generations::default(),
         load: load::LoadHistory::default(),
+        faulty_left: AtomicU32::new(settings.faults.answers),
         settings,
     });
     tokio::spawn(load::sample(Arc::downgrade(&state)));
