Report control processor time, memory and messages of experiments

The report told the control bytes of a router without their direction, the messages behind them or the load polls, and no processor time of the control thread. It now has control_cpu_us_per_second (schedstat of the thread named control), router_memory_kb, the bytes per direction, and the message rates of the router with the most bytes. load_poll_bytes_per_second stays 0 until routers count it.

--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -18,10 +18,10 @@
         utilisation::{Utilisation, utilisation},
     },
     args::{Args, Policy},
-    experiment::{Disturbance, drain},
+    experiment::{Disturbance, drain, fields},
     plot,
     probe::Probed,
-    snapshot::Rates,
+    snapshot::{ControlTraffic, Rates},
     topology::Topology,
 };
 
@@ -98,6 +98,7 @@
     }
     let mut report = summary(args, measured, &judged);
     let object = report.as_object_mut().ok_or_else(|| eyre!("the report is no object"))?;
+    object.extend(fields(control(&measured.rates))?);
     object.insert(
         "services".into(),
         judged.iter().map(|j| service(j, measured, &workspaces)).collect(),
@@ -144,8 +145,6 @@
     let audit = audit(&measured.records, &executions);
     let (rates, probed) = (&measured.rates, &measured.probed);
     let worst = if judged[0].gap() >= judged[1].gap() { &judged[0] } else { &judged[1] };
-    let control = &rates.control_bytes_per_second;
-    let mean = control.iter().sum::<f64>() / control.len() as f64;
     json!({
         "experiment": args.experiment.to_string(),
         "seed": args.seed,
@@ -172,8 +171,6 @@
         "fairness_service": worst.name,
         "fairness_gap_over_bound": judged[0].over_bound.max(judged[1].over_bound),
         "utilisation_while_waiting": judged[0].utilisation.busy,
-        "control_bytes_per_node_second": control.iter().copied().reduce(f64::max),
-        "control_bytes_per_node_second_mean": (!control.is_empty()).then_some(mean),
         "p50_added_latency_us": probed.added_us(|times| times.p50_us),
         "p95_added_latency_us": probed.added_us(|times| times.p95_us),
         "probes": probed.routed.count,
@@ -184,10 +181,44 @@
         "store_writes_per_second": rates.store_writes_per_second,
         "router_cpu_us_per_request":
             rates.router_cpu_us as f64 / audit.attempts.max(1) as f64,
+    })
+}
+
+/// Cost of control per router; the messages are those of the router with the
+/// most bytes.
+fn control(rates: &Rates) -> Value {
+    let control: Vec<f64> = rates.control.iter().map(ControlTraffic::bytes).collect();
+    let most = rates.control.iter().max_by(|a, b| a.bytes().total_cmp(&b.bytes()));
+    let most = most.cloned().unwrap_or_default();
+    let polls = |name| rates.control.iter().map(|row| row.counter(name)).reduce(f64::max);
+    let poll_bytes = |row: &ControlTraffic| {
+        row.counter("load_poll_bytes_sent") + row.counter("load_poll_bytes_received")
+    };
+    let control_cpu = &rates.control_cpu_us_per_second;
+    json!({
+        "control_bytes_per_node_second": control.iter().copied().reduce(f64::max),
+        "control_bytes_per_node_second_mean": mean(&control),
+        "control_bytes_sent_per_second": most.sent_bytes,
+        "control_bytes_received_per_second": most.received_bytes,
+        "control_messages_per_second": {
+            "heartbeats": most.counter("heartbeats"),
+            "exchanges": most.counter("exchanges"),
+            "exchanges_served": most.counter("exchanges_served"),
+            "pushes": most.counter("pushes"),
+        },
+        "load_polls_per_second": polls("load_polls"),
+        "load_poll_bytes_per_second": rates.control.iter().map(poll_bytes).reduce(f64::max),
+        "control_cpu_us_per_second": control_cpu.iter().copied().reduce(f64::max),
+        "control_cpu_us_per_second_mean": mean(control_cpu),
+        "router_memory_kb": rates.router_memory_kb,
         "router_peak_memory_kb": rates.router_peak_memory_kb,
     })
 }
 
+fn mean(values: &[f64]) -> Option<f64> {
+    (!values.is_empty()).then(|| values.iter().sum::<f64>() / values.len() as f64)
+}
+
 fn service(judged: &Judged, measured: &Measured, workspaces: &[(String, f64)]) -> Value {
     let pair = judged.worst.map(|gap| {
         let from_s = gap.interval.from_us.saturating_sub(measured.started_us) as f64 / US_PER_S;
--- a/crates/bench/src/snapshot.rs
+++ b/crates/bench/src/snapshot.rs
@@ -1,5 +1,7 @@
 //! Counters of the processes at one moment.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use span_standin::objects::Counters;
 use tokio::time::Instant;
@@ -18,19 +20,43 @@
 }
 
 /// Counters of one router process.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct RouterCounters {
     /// Process, to tell a restart.
     id: Option<u32>,
-    control_bytes: Option<u64>,
+    status: Option<RouterStatus>,
     usage: Option<Usage>,
 }
 
 /// The part of a router's status that is measured.
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 struct RouterStatus {
     control_bytes_sent: u64,
     control_bytes_received: u64,
+    counters: BTreeMap<String, u64>,
+}
+
+/// Control traffic of one router, per second.
+#[derive(Clone, Debug, Default)]
+pub struct ControlTraffic {
+    /// Bytes sent on peer streams.
+    pub sent_bytes: f64,
+    /// Bytes received on peer streams.
+    pub received_bytes: f64,
+    /// Steps of the router's counters.
+    pub counters: BTreeMap<String, f64>,
+}
+
+impl ControlTraffic {
+    /// Bytes sent and received.
+    pub fn bytes(&self) -> f64 {
+        self.sent_bytes + self.received_bytes
+    }
+
+    /// Rate of one counter; 0 if the router does not have it.
+    pub fn counter(&self, name: &str) -> f64 {
+        self.counters.get(name).copied().unwrap_or(0.0)
+    }
 }
 
 /// Differences between two snapshots.
@@ -40,8 +66,13 @@
     pub store_reads_per_second: Option<f64>,
     /// Writes of the object API per second.
     pub store_writes_per_second: Option<f64>,
-    /// Control bytes per second of each router that reports them.
-    pub control_bytes_per_second: Vec<f64>,
+    /// Control traffic of each router that reports it.
+    pub control: Vec<ControlTraffic>,
+    /// Processor time per second of each router's control thread, in
+    /// microseconds.
+    pub control_cpu_us_per_second: Vec<f64>,
+    /// Largest resident memory of a router at the end, in kilobytes.
+    pub router_memory_kb: u64,
     /// Processor time of all routers, in microseconds.
     pub router_cpu_us: u64,
     /// Largest memory of a router, in kilobytes.
@@ -54,13 +85,7 @@
     for seat in &fleet.routers {
         let id = seat.process.as_ref().and_then(|process| process.id());
         let status = fleet.rest(seat.direct).get_as::<RouterStatus>(ADMIN_KEY, "/status").await;
-        routers.push(RouterCounters {
-            id,
-            control_bytes: status
-                .ok()
-                .map(|row| row.control_bytes_sent + row.control_bytes_received),
-            usage: id.and_then(usage),
-        });
+        routers.push(RouterCounters { id, status: status.ok(), usage: id.and_then(usage) });
     }
     Snapshot { at: Instant::now(), store: fleet.platform.get("/counters").await.ok(), routers }
 }
@@ -77,16 +102,30 @@
     };
     for (old, new) in before.routers.iter().zip(&after.routers) {
         // Counters of a process that was restarted begin at zero.
-        let old = if old.id == new.id { *old } else { RouterCounters::default() };
-        if let Some(bytes) = new.control_bytes {
-            let since = bytes.saturating_sub(old.control_bytes.unwrap_or(0));
-            rates.control_bytes_per_second.push(per_second(since));
+        let old = if old.id == new.id { old.clone() } else { RouterCounters::default() };
+        if let Some(status) = &new.status {
+            rates.control.push(control_traffic(&old.status.unwrap_or_default(), status, seconds));
         }
         if let Some(usage) = new.usage {
-            let since = usage.cpu_us.saturating_sub(old.usage.map_or(0, |old| old.cpu_us));
-            rates.router_cpu_us += since;
+            let earlier = old.usage.unwrap_or_default();
+            rates.router_cpu_us += usage.cpu_us.saturating_sub(earlier.cpu_us);
+            let control_us = usage.control_cpu_us.saturating_sub(earlier.control_cpu_us);
+            rates.control_cpu_us_per_second.push(per_second(control_us));
+            rates.router_memory_kb = rates.router_memory_kb.max(usage.memory_kb);
             rates.router_peak_memory_kb = rates.router_peak_memory_kb.max(usage.peak_memory_kb);
         }
     }
     rates
 }
+
+fn control_traffic(old: &RouterStatus, new: &RouterStatus, seconds: f64) -> ControlTraffic {
+    let rate = |old: u64, new: u64| new.saturating_sub(old) as f64 / seconds;
+    let counter = |(name, count): (&String, &u64)| {
+        (name.clone(), rate(old.counters.get(name).copied().unwrap_or(0), *count))
+    };
+    ControlTraffic {
+        sent_bytes: rate(old.control_bytes_sent, new.control_bytes_sent),
+        received_bytes: rate(old.control_bytes_received, new.control_bytes_received),
+        counters: new.counters.iter().map(counter).collect(),
+    }
+}
--- a/crates/bench/src/usage.rs
+++ b/crates/bench/src/usage.rs
@@ -1,4 +1,4 @@
-//! Processor time and memory of own processes, from `/proc`.
+//! Processor time and memory of own processes and threads, from `/proc`.
 
 use std::fs;
 
@@ -8,12 +8,19 @@
 /// Positions of user and system time after the command's closing bracket.
 const USER_TIME_FIELD: usize = 11;
 const SYSTEM_TIME_FIELD: usize = 12;
+/// Name of the routers' control thread.
+const CONTROL_THREAD: &str = "control";
+const NS_PER_US: u64 = 1_000;
 
 /// Use of resources by one process since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
     /// Processor time, in microseconds.
     pub cpu_us: u64,
+    /// Processor time of the control thread, in microseconds; 0 without one.
+    pub control_cpu_us: u64,
+    /// Resident memory, in kilobytes.
+    pub memory_kb: u64,
     /// Largest resident memory, in kilobytes.
     pub peak_memory_kb: u64,
 }
@@ -22,7 +29,25 @@
 pub fn usage(id: u32) -> Option<Usage> {
     let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
     let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-    Some(Usage { cpu_us: cpu_us(&stat)?, peak_memory_kb: peak_memory_kb(&status)? })
+    Some(Usage {
+        cpu_us: cpu_us(&stat)?,
+        control_cpu_us: control_cpu_us(id).unwrap_or(0),
+        memory_kb: memory_kb(&status, "VmRSS:")?,
+        peak_memory_kb: memory_kb(&status, "VmHWM:")?,
+    })
+}
+
+/// Time on a processor of the thread that is named as the control thread.
+/// `schedstat` counts nanoseconds; the ticks of `stat` are too coarse for a
+/// thread that uses 1% of a processor.
+fn control_cpu_us(id: u32) -> Option<u64> {
+    let threads = fs::read_dir(format!("/proc/{id}/task")).ok()?;
+    let control = threads.filter_map(Result::ok).map(|thread| thread.path()).find(|path| {
+        fs::read_to_string(path.join("comm")).is_ok_and(|name| name.trim_end() == CONTROL_THREAD)
+    });
+    let schedstat = fs::read_to_string(control?.join("schedstat")).ok()?;
+    let on_cpu_ns: u64 = schedstat.split_whitespace().next()?.parse().ok()?;
+    Some(on_cpu_ns / NS_PER_US)
 }
 
 fn cpu_us(stat: &str) -> Option<u64> {
@@ -33,7 +58,7 @@
     Some((user + system) * US_PER_TICK)
 }
 
-fn peak_memory_kb(status: &str) -> Option<u64> {
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+fn memory_kb(status: &str, field: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix(field))?;
     line.split_whitespace().next()?.parse().ok()
 }
