Spread shards over routers, and cut heartbeats, answers and load polls

Plain rendezvous hashing gave several of few shards to one router, whose control bytes, load polls and processor time add up. The owner polled each upstream's load twice a second whether or not anything was queued, and the pacer changed the period of allocations behind the back of ShardOwner, whose validity, bound and catch-up limit assumed the unpaced period.

No router owns more than its even part of the shards. Regular heartbeats are left out, at most twice in a row, while exchanges show that both sides live. Answers leave out names and included costs that the report stated. Load is polled each 4.5 s at 18 upstreams unless something is queued, a limit is lowered or a poll failed, and its bytes are counted. ShardOwner::set_period_ms takes the paced period. The pacer follows rising traffic in 2 to 3 samples.

--- a/crates/fair/src/limit.rs
+++ b/crates/fair/src/limit.rs
@@ -42,6 +42,11 @@
         if self.leaving { 0 } else { self.limit }
     }
 
+    /// Whether load reports have lowered the limit below the ceiling.
+    pub(crate) fn is_reduced(&self) -> bool {
+        self.limit < self.ceiling
+    }
+
     /// Takes a load report. A report about a time before the last change says
     /// nothing about the present limit and is ignored.
     pub(crate) fn load(&mut self, now_ms: u64, report: &LoadReport) {
--- a/crates/fair/src/owner.rs
+++ b/crates/fair/src/owner.rs
@@ -107,6 +107,9 @@
     max_cost: u64,
     max_rate: u64,
     saturated: bool,
+    /// Report period asked for while it is longer than the usual one, in
+    /// milliseconds.
+    period_ms: u64,
 }
 
 impl ShardOwner {
@@ -126,6 +129,7 @@
             max_cost: 0,
             max_rate: 0,
             saturated: false,
+            period_ms: 0,
         }
     }
 
@@ -226,9 +230,36 @@
     }
 
     fn period_ms(&self) -> u64 {
+        self.period_ms.max(self.usual_period_ms())
+    }
+
+    /// Report period that the number of reporting routers demands, in
+    /// milliseconds.
+    pub fn usual_period_ms(&self) -> u64 {
         report_period_ms(self.routers.len())
     }
 
+    /// Asks routers for reports each `period_ms`, if that is longer than the
+    /// usual period. Validity, bound and catch-up limit follow, since all of
+    /// them depend on the age of the information.
+    pub fn set_period_ms(&mut self, period_ms: u64) {
+        if period_ms != self.period_ms {
+            self.period_ms = period_ms;
+            self.update_catch_up_limit();
+        }
+    }
+
+    /// Whether any reported request is in flight or waits at an upstream of the
+    /// shard.
+    pub fn is_in_use(&self) -> bool {
+        self.ledger.in_flight() > 0
+    }
+
+    /// Whether the learned limit of an upstream is below its ceiling.
+    pub fn is_reduced(&self, upstream: &UpstreamName) -> bool {
+        self.limits.get(upstream).is_some_and(LearnedLimit::is_reduced)
+    }
+
     fn valid_for_ms(&self) -> u64 {
         MIN_VALID_MS.max(VALID_PERIODS * self.period_ms())
     }
--- /dev/null
+++ b/crates/fair/tests/period.rs
@@ -0,0 +1,75 @@
+//! Report periods that an owner is asked to keep.
+
+use span_fair::{ShardOwner, ShardReport, report_period_ms};
+use span_types::{Incarnation, Member, ShardId};
+
+fn member(name: &str) -> Member {
+    Member { instance: name.into(), incarnation: Incarnation(1) }
+}
+
+fn shard() -> ShardId {
+    ShardId { service: "stitch-assist".into(), index: 0 }
+}
+
+fn report() -> ShardReport {
+    ShardReport {
+        shard: shard(),
+        router: member("router-1"),
+        seq: 1,
+        max_cost: 400,
+        max_rate: 200,
+        applied_owner: None,
+        applied_seq: 0,
+        workspaces: Vec::new(),
+        slots: Vec::new(),
+        standings: Vec::new(),
+    }
+}
+
+struct Case {
+    guards_against: &'static str,
+    asked_ms: u64,
+    period_ms: u64,
+    valid_for_ms: u64,
+}
+
+/// Guards against a period that is extended on the way to the routers only, so
+/// that allocations expire before the next report is due.
+#[test]
+fn validity_follows_the_period() {
+    let usual_ms = report_period_ms(1);
+    let cases = [
+        Case {
+            guards_against: "an owner that is not paced and asks for another period",
+            asked_ms: 0,
+            period_ms: usual_ms,
+            valid_for_ms: 5_000,
+        },
+        Case {
+            guards_against: "a period below the one that the fan-in demands",
+            asked_ms: 100,
+            period_ms: usual_ms,
+            valid_for_ms: 5_000,
+        },
+        Case {
+            guards_against: "a paced owner that asks for the usual period",
+            asked_ms: 1_000,
+            period_ms: 1_000,
+            valid_for_ms: 5_000,
+        },
+        Case {
+            guards_against: "allocations that expire when a report is lost",
+            asked_ms: 2_000,
+            period_ms: 2_000,
+            valid_for_ms: 6_000,
+        },
+    ];
+    for case in cases {
+        let mut owner = ShardOwner::new(0, shard(), member("router-0"), &[]);
+        owner.set_period_ms(case.asked_ms);
+        let allocation = owner.report(0, &report());
+        assert_eq!(allocation.next_report_ms, case.period_ms, "{}", case.guards_against);
+        assert_eq!(allocation.valid_for_ms, case.valid_for_ms, "{}", case.guards_against);
+        assert_eq!(owner.usual_period_ms(), usual_ms, "{}", case.guards_against);
+    }
+}
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -290,6 +290,17 @@
         rows.map(|(_, row)| &row.router).collect()
     }
 
+    /// Whether a member sent any message at `since_ms` or later.
+    pub fn heard_since(&self, instance: &InstanceName, since_ms: u64) -> bool {
+        let row = self.rows.get(instance);
+        row.and_then(|row| row.heard_ms).is_some_and(|heard_ms| heard_ms >= since_ms)
+    }
+
+    /// Whether there are statements that peers have not been told often enough.
+    pub fn has_updates(&self) -> bool {
+        self.rows.values().any(|row| row.sends_left > 0)
+    }
+
     /// Statements to piggyback on the next heartbeat to `peer`, newest first.
     /// A statement that contradicts the peer's own is repeated until the peer
     /// raises its epoch.
--- a/crates/member/tests/fleet.rs
+++ b/crates/member/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use span_member::{ADDRESSES, Router, addresses, home, owner, peers, targets};
+use span_member::{ADDRESSES, Router, addresses, home, owner, owners, peers, targets};
 use span_types::{Incarnation, InstanceName, Member, ShardId, WorkspaceName};
 
 fn fleet(count: usize, domains: usize) -> Vec<Router> {
@@ -124,6 +124,71 @@
     }
 }
 
+struct Spread {
+    guards_against: &'static str,
+    shards: u32,
+    routers: usize,
+    /// Largest number of shards at one router.
+    most: usize,
+    /// Shards that may move in excess of those of the router that leaves, in a
+    /// hundred of all shards and over all routers that may leave.
+    moved_percent: usize,
+}
+
+/// Guards against a router that owns several of few shards, and against an
+/// even part that is kept up by moving most shards whenever a router leaves.
+#[test]
+fn shards_are_spread_evenly() {
+    let cases = [
+        Spread {
+            guards_against: "two services at one of six routers",
+            shards: 3,
+            routers: 6,
+            most: 1,
+            moved_percent: 20,
+        },
+        Spread {
+            guards_against: "several shards at one router of the design size",
+            shards: 160,
+            routers: 1_900,
+            most: 1,
+            moved_percent: 1,
+        },
+        Spread {
+            guards_against: "shards without an owner where there are more than routers",
+            shards: 13,
+            routers: 4,
+            most: 4,
+            moved_percent: 40,
+        },
+    ];
+    for case in cases {
+        let routers = fleet(case.routers, 3);
+        let live: Vec<&Router> = routers.iter().collect();
+        let shards: Vec<_> = (0..case.shards)
+            .map(|index| ShardId { service: "stitch-assist".into(), index })
+            .collect();
+        let before = owners(&shards, &live);
+        assert_eq!(before.len(), shards.len(), "{}", case.guards_against);
+        let mut counts: BTreeMap<&InstanceName, usize> = BTreeMap::new();
+        before.values().for_each(|owner| *counts.entry(name(owner)).or_default() += 1);
+        assert_eq!(counts.values().max(), Some(&case.most), "{}", case.guards_against);
+        let reversed: Vec<&Router> = live.iter().rev().copied().collect();
+        assert_eq!(owners(shards.iter().rev(), &reversed), before, "{}", case.guards_against);
+        let mut leaves = 0;
+        let mut moved = 0;
+        for left in live.iter().filter(|router| counts.contains_key(name(router))) {
+            let rest: Vec<_> = live.iter().filter(|r| name(r) != name(left)).copied().collect();
+            let after = owners(&shards, &rest);
+            let stays = before.iter().filter(|(_, owner)| name(owner) != name(left));
+            moved += stays.filter(|(shard, owner)| after[*shard] != **owner).count();
+            leaves += 1;
+        }
+        let percent = moved * 100 / (leaves * shards.len());
+        assert!(percent <= case.moved_percent, "{}: {percent}%", case.guards_against);
+    }
+}
+
 /// Guards against buckets that follow the order of the list instead of the
 /// routers' names.
 #[test]
--- a/crates/router/src/control/beat.rs
+++ b/crates/router/src/control/beat.rs
@@ -15,6 +15,10 @@
 /// Time between heartbeats. Two fit into the time after which a silent member
 /// is suspect.
 pub(super) const INTERVAL: Duration = Duration::from_millis(600);
+/// Heartbeats to a peer that are skipped in a row while other messages show
+/// that both sides live. The next one is sent anyway, since heartbeats also
+/// carry the revision and compare the views.
+const MAX_SKIPPED: u32 = 2;
 /// Shortest time between heartbeats that carry news.
 const NEWS_INTERVAL_MS: u64 = 100;
 /// Updates on one heartbeat.
@@ -81,6 +85,23 @@
         routers.map(|router| (router.member.instance.clone(), router.peer_address)).collect()
     }
 
+    /// Whether a regular heartbeat to `peer` can be left out: an exchange within
+    /// the last interval told each side that the other one lives, and there is
+    /// nothing to pass on.
+    fn skips(&mut self, now_ms: u64, peer: &InstanceName) -> bool {
+        let since_ms = now_ms.saturating_sub(INTERVAL.as_millis() as u64);
+        let heard = self.view.heard_since(peer, since_ms);
+        let agrees = !self.disagreements.contains_key(peer)
+            && self.view.state(peer) == Some(MemberState::Alive);
+        let skipped = self.skipped_beats.entry(peer.clone()).or_default();
+        if heard && agrees && !self.view.has_updates() && *skipped < MAX_SKIPPED {
+            *skipped += 1;
+            return true;
+        }
+        *skipped = 0;
+        false
+    }
+
     fn strangers(&self) -> Vec<(InstanceName, SocketAddr)> {
         let strangers = self.view.strangers().into_iter();
         strangers.map(|router| (router.member.instance.clone(), router.peer_address)).collect()
@@ -98,7 +119,7 @@
         if now_ms >= due_ms || news {
             last_ms = now_ms;
             shared.borrow_mut().has_news = false;
-            send_to_targets(&shared);
+            send_to_targets(&shared, now_ms, news);
         }
         if now_ms >= due_ms {
             due_ms = now_ms + INTERVAL.as_millis() as u64;
@@ -109,9 +130,12 @@
     }
 }
 
-fn send_to_targets(shared: &Shared) {
+fn send_to_targets(shared: &Shared, now_ms: u64, news: bool) {
     let targets = shared.borrow().targets();
     for (instance, address) in targets {
+        if !news && shared.borrow_mut().skips(now_ms, &instance) {
+            continue;
+        }
         tokio::task::spawn_local(send(shared.clone(), instance, address));
     }
 }
--- a/crates/router/src/control/core.rs
+++ b/crates/router/src/control/core.rs
@@ -58,6 +58,8 @@
     pub revisions: HashMap<InstanceName, Revision>,
     /// Heartbeats in a row after which a peer's view differed.
     pub disagreements: HashMap<InstanceName, u32>,
+    /// Heartbeats in a row that were left out, by peer.
+    pub skipped_beats: HashMap<InstanceName, u32>,
     /// Owners that an exchange is under way with.
     pub exchanging: BTreeSet<InstanceName>,
     /// Pace that owners asked for.
@@ -94,6 +96,7 @@
             monitored: Vec::new(),
             revisions: HashMap::new(),
             disagreements: HashMap::new(),
+            skipped_beats: HashMap::new(),
             exchanging: BTreeSet::new(),
             paces: HashMap::new(),
             fetching: false,
@@ -248,6 +251,7 @@
         self.links.remove(&member.instance);
         self.revisions.remove(&member.instance);
         self.paces.remove(&member.instance);
+        self.skipped_beats.remove(&member.instance);
         for owner in self.owners.values_mut() {
             owner.remove_router(now_ms, member);
         }
--- a/crates/router/src/control/counters.rs
+++ b/crates/router/src/control/counters.rs
@@ -43,6 +43,10 @@
     LoadPolls,
     /// Polls of upstream load that failed.
     LoadPollFailures,
+    /// Bytes sent with polls of upstream load.
+    LoadPollBytesSent,
+    /// Bytes received with polls of upstream load.
+    LoadPollBytesReceived,
     /// Members declared dead.
     MembersLost,
     /// Configurations put in force.
--- a/crates/router/src/control/exchange.rs
+++ b/crates/router/src/control/exchange.rs
@@ -4,9 +4,7 @@
 
 use span_fair::{Allocation, Policy, ShardReport, report_period_ms};
 use span_types::{InstanceName, Member, ServiceName, ShardId};
-use span_wire::{
-    read_allocations, read_rows, tables, write_allocations, write_reports, write_rows,
-};
+use span_wire::{read_answers, read_rows, tables, write_allocations, write_reports, write_rows};
 
 use super::{
     Counter, beat,
@@ -170,7 +168,7 @@
         let mut request = client.exchange_request();
         write_reports(request.get().init_reports(reports.len() as u32), &reports);
         let answer = request.send().promise.await?;
-        Ok(read_allocations(answer.get()?.get_allocations()?)?)
+        Ok(read_answers(answer.get()?.get_allocations()?, &reports)?)
     })
     .await
 }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -45,6 +45,7 @@
 pub use command::{AdmitRequest, AttemptEnd, EntryAddress, EntryAddresses, MintedState, Rejection};
 pub use counters::Counter;
 pub use health::{Health, Verdict};
+pub use load::PollState;
 pub use pacer::Pacer;
 pub use settings::{BUDGET_BYTES_PER_S, MintedLookup, Settings};
 pub use status::{MemberRow, ServiceRow, Status};
--- a/crates/router/src/control/ownership.rs
+++ b/crates/router/src/control/ownership.rs
@@ -47,12 +47,10 @@
 
     /// Takes over and hands on shards as the live view demands.
     pub fn follow_ownership(&mut self) {
-        let owners = self.view.owners();
-        let owner = |shard: &ShardId| {
-            let owner = span_member::owner(shard, &owners)?;
-            Some((shard.clone(), owner.member.clone()))
-        };
-        self.shard_owners = self.shards.keys().filter_map(owner).collect();
+        let owners = span_member::owners(self.shards.keys(), &self.view.owners());
+        let owners = owners.into_iter();
+        self.shard_owners =
+            owners.map(|(shard, owner)| (shard.clone(), owner.member.clone())).collect();
         if self.settings.policy != Policy::Fleet {
             return;
         }
@@ -111,8 +109,7 @@
         let now_ms = self.now_ms();
         self.view.touch(now_ms, &report.router);
         let owner = self.owners.get_mut(&report.shard)?;
-        let allocation = owner.report(now_ms, report);
-        Some(self.paced(allocation))
+        Some(owner.report(now_ms, report))
     }
 
     /// Allocations that owners here push: those for this router are applied,
@@ -128,13 +125,14 @@
         for (_, allocation) in own {
             self.apply(allocation);
         }
-        let paced = others.into_iter().map(|(router, row)| (router, self.paced(row)));
-        paced.collect()
+        others
     }
 
-    /// Extends the report period while the control traffic is over its budget.
-    fn paced(&self, mut allocation: Allocation) -> Allocation {
-        allocation.next_report_ms = self.pacer.period_ms(allocation.next_report_ms);
-        allocation
+    /// Extends the report periods while the control traffic is over its budget.
+    pub fn pace_owners(&mut self) {
+        for owner in self.owners.values_mut() {
+            let period_ms = self.pacer.period_ms(owner.usual_period_ms());
+            owner.set_period_ms(period_ms);
+        }
     }
 }
--- a/crates/router/src/control/pacer.rs
+++ b/crates/router/src/control/pacer.rs
@@ -6,8 +6,14 @@
 const MAX_PERIOD_MS: u64 = 2_000;
 /// Largest factor by which report periods are extended; the shortest is 250 ms.
 const MAX_FACTOR: f64 = 8.0;
-/// Weight of the newest sample in the mean rate.
-const WEIGHT: f64 = 0.5;
+/// Weight of the newest sample in the mean rate, by whether it is above the
+/// mean. When load sets in, traffic exceeds the budget until the periods have
+/// followed; a drop may be an accident of a second.
+const RISING_WEIGHT: f64 = 0.8;
+const FALLING_WEIGHT: f64 = 0.5;
+/// Limits of one step of the factor.
+const MIN_STEP: f64 = 0.9;
+const MAX_STEP: f64 = 2.5;
 /// Part of the budget above which allocations are not pushed. Pushes spread
 /// what the owner knows already; the rest is left to reports, which tell it
 /// more.
@@ -43,10 +49,12 @@
         };
         let elapsed_s = now_ms.saturating_sub(last_ms).max(1) as f64 / 1_000.0;
         let rate = total_bytes.saturating_sub(last_bytes) as f64 / elapsed_s;
-        self.rate_bytes_per_s += (rate - self.rate_bytes_per_s) * WEIGHT;
+        let rising = rate > self.rate_bytes_per_s;
+        let weight = if rising { RISING_WEIGHT } else { FALLING_WEIGHT };
+        self.rate_bytes_per_s += (rate - self.rate_bytes_per_s) * weight;
         let load = self.rate_bytes_per_s / self.budget_bytes_per_s;
         if !(RELAXED..=1.0).contains(&load) {
-            self.factor = (self.factor * load.clamp(0.9, 1.5)).clamp(1.0, MAX_FACTOR);
+            self.factor = (self.factor * load.clamp(MIN_STEP, MAX_STEP)).clamp(1.0, MAX_FACTOR);
         }
     }
 
--- a/crates/router/src/control/run.rs
+++ b/crates/router/src/control/run.rs
@@ -77,6 +77,7 @@
         let now_ms = core.now_ms();
         let total = core.bytes.total();
         core.pacer.sample(now_ms, total);
+        core.pace_owners();
         core.count_bytes();
         core.counters.flush();
         core.services.values_mut().for_each(|state| state.sweep());
--- a/crates/router/src/control/server.rs
+++ b/crates/router/src/control/server.rs
@@ -9,7 +9,7 @@
 use span_types::{InstanceName, Revision};
 use span_wire::{
     peer_capnp::peer, read_allocations, read_heartbeat, read_reports, read_rows, tables,
-    write_allocations, write_config, write_heartbeat, write_rows,
+    write_answers, write_config, write_heartbeat, write_rows,
 };
 
 use super::{
@@ -78,7 +78,8 @@
         core.counters.increment(super::Counter::ExchangesServed);
         let allocations: Vec<_> =
             reports.iter().filter_map(|report| core.owner_report(report)).collect();
-        write_allocations(results.get().init_allocations(allocations.len() as u32), &allocations);
+        let answers = results.get().init_allocations(allocations.len() as u32);
+        write_answers(answers, &allocations, &reports);
         Ok(())
     }
 
--- a/crates/router/src/control/snapshot.rs
+++ b/crates/router/src/control/snapshot.rs
@@ -10,11 +10,14 @@
 const DISTANT_PART: u64 = 4;
 
 impl Core {
-    /// Takes over the byte counts of the peer streams.
+    /// Takes over the byte counts of peer streams and load polls.
     pub fn count_bytes(&mut self) {
         let (sent, received) = (self.bytes.sent(), self.bytes.received());
         self.counters.set(Counter::PeerBytesSent, sent);
         self.counters.set(Counter::PeerBytesReceived, received);
+        let (sent, received) = (self.load.bytes.sent(), self.load.bytes.received());
+        self.counters.set(Counter::LoadPollBytesSent, sent);
+        self.counters.set(Counter::LoadPollBytesReceived, received);
     }
 
     /// The counters as text.
--- a/crates/router/tests/pacing.rs
+++ b/crates/router/tests/pacing.rs
@@ -1,6 +1,6 @@
 //! Pacing of control traffic and health of upstreams, on virtual time.
 
-use span_router::control::{Health, Pacer, Verdict};
+use span_router::control::{Health, Pacer, PollState, Verdict};
 use span_types::UpstreamName;
 
 const BUDGET: u64 = 2_500;
@@ -77,6 +77,59 @@
     assert_eq!(pacer.period_ms(250), 250);
 }
 
+struct Poll {
+    guards_against: &'static str,
+    state: PollState,
+    interval_ms: u64,
+}
+
+/// Guards against load polls that cost more than the exchanges, and against
+/// upstreams that queue, fail or recover unseen.
+#[test]
+fn load_polls_follow_the_need() {
+    let steady = PollState { polled: 18, in_use: true, ..PollState::default() };
+    let cases = [
+        Poll {
+            guards_against: "more than 4 polls per second of upstreams that queue nothing",
+            state: steady,
+            interval_ms: 4_500,
+        },
+        Poll {
+            guards_against: "an interval that differs from the large shard's for no reason",
+            state: PollState { polled: 3, ..steady },
+            interval_ms: 2_000,
+        },
+        Poll {
+            guards_against: "polls at the usual rate while the shard is not in use",
+            state: PollState { in_use: false, ..steady },
+            interval_ms: 10_000,
+        },
+        Poll {
+            guards_against: "a queue that is followed slowly",
+            state: PollState { queued: true, ..steady },
+            interval_ms: 500,
+        },
+        Poll {
+            guards_against: "a lowered limit that is raised slowly",
+            state: PollState { reduced: true, ..steady },
+            interval_ms: 500,
+        },
+        Poll {
+            guards_against: "a failed upstream of an unused shard that stays in use",
+            state: PollState { failures: 1, in_use: false, ..steady },
+            interval_ms: 500,
+        },
+        Poll {
+            guards_against: "a large shard that costs more than 40 polls per second",
+            state: PollState { queued: true, polled: 64, ..steady },
+            interval_ms: 1_600,
+        },
+    ];
+    for case in cases {
+        assert_eq!(case.state.interval_ms(), case.interval_ms, "{}", case.guards_against);
+    }
+}
+
 enum Event {
     Failed,
     Silent,
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -7,7 +7,10 @@
 mod rows;
 mod shared;
 
-pub use allocation::{read_allocation, read_allocations, write_allocation, write_allocations};
+pub use allocation::{
+    read_allocation, read_allocations, read_answers, write_allocation, write_allocations,
+    write_answers,
+};
 pub use beat::{read_heartbeat, write_heartbeat};
 pub use config::{read_config, write_config};
 pub use report::{read_report, read_reports, write_report, write_reports};
--- a/crates/wire/src/convert/allocation.rs
+++ b/crates/wire/src/convert/allocation.rs
@@ -1,19 +1,24 @@
 //! Allocations.
 
 use capnp::struct_list;
-use span_fair::Allocation;
+use span_fair::{Allocation, ShardReport};
 
 use super::{
     ConvertError,
     shared::{
-        finite, read_member, read_shard, read_slots, read_standings, rounded, write_member,
-        write_shard, write_slots, write_standings,
+        finite, read_answer_standings, read_member, read_shard, read_slots, read_standings,
+        rounded, write_answer_standings, write_member, write_shard, write_slots, write_standings,
     },
 };
 use crate::peer_capnp::allocation;
 
-/// Writes an allocation. Virtual times are rounded to 1/256.
+/// Writes an allocation. Virtual times are rounded to 1/8.
 pub fn write_allocation(mut to: allocation::Builder<'_>, from: &Allocation) {
+    write_head(to.reborrow(), from);
+    write_standings(to.init_standings(), &from.standings);
+}
+
+fn write_head(mut to: allocation::Builder<'_>, from: &Allocation) {
     write_shard(to.reborrow().init_shard(), &from.shard);
     write_member(to.reborrow().init_owner(), &from.owner);
     to.set_seq(from.seq);
@@ -23,8 +28,7 @@
     to.set_next_report_ms(from.next_report_ms);
     to.set_saturated(from.saturated);
     to.set_confirm(from.confirm);
-    write_slots(to.reborrow().init_slots(), &from.slots);
-    write_standings(to.init_standings(), &from.standings);
+    write_slots(to.init_slots(), &from.slots);
 }
 
 /// Reads an allocation.
@@ -33,6 +37,11 @@
 ///
 /// [`ConvertError`] if the message is damaged or inconsistent.
 pub fn read_allocation(from: allocation::Reader<'_>) -> Result<Allocation, ConvertError> {
+    let standings = read_standings(from.get_standings()?)?;
+    Ok(Allocation { standings, ..read_head(from)? })
+}
+
+fn read_head(from: allocation::Reader<'_>) -> Result<Allocation, ConvertError> {
     Ok(Allocation {
         shard: read_shard(from.get_shard()?)?,
         owner: read_member(from.get_owner()?)?,
@@ -44,10 +53,50 @@
         saturated: from.get_saturated(),
         confirm: from.get_confirm(),
         slots: read_slots(from.get_slots()?)?,
-        standings: read_standings(from.get_standings()?)?,
+        standings: Vec::new(),
     })
 }
 
+/// Writes the allocations that answer `reports` into a list of the same length.
+/// What a report said is not said again.
+pub fn write_answers(
+    mut to: struct_list::Builder<'_, allocation::Owned>,
+    from: &[Allocation],
+    reports: &[ShardReport],
+) {
+    for (index, row) in (0..).zip(from) {
+        let mut to = to.reborrow().get(index);
+        match reports.iter().find(|report| report.shard == row.shard) {
+            Some(report) => {
+                write_head(to.reborrow(), row);
+                write_answer_standings(to.init_standings(), &row.standings, report);
+            }
+            None => write_allocation(to, row),
+        }
+    }
+}
+
+/// Reads the allocations that answer `reports`.
+///
+/// # Errors
+///
+/// As [`read_allocation`].
+pub fn read_answers(
+    from: struct_list::Reader<'_, allocation::Owned>,
+    reports: &[ShardReport],
+) -> Result<Vec<Allocation>, ConvertError> {
+    let read = |row: allocation::Reader<'_>| {
+        let head = read_head(row)?;
+        let standings = row.get_standings()?;
+        let standings = match reports.iter().find(|report| report.shard == head.shard) {
+            Some(report) => read_answer_standings(standings, report)?,
+            None => read_standings(standings)?,
+        };
+        Ok(Allocation { standings, ..head })
+    };
+    from.iter().map(read).collect()
+}
+
 /// Writes allocations into a list of the same length.
 pub fn write_allocations(mut to: struct_list::Builder<'_, allocation::Owned>, from: &[Allocation]) {
     for (index, row) in (0..).zip(from) {
--- a/crates/wire/src/convert/shared.rs
+++ b/crates/wire/src/convert/shared.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 
 use capnp::text_list;
-use span_fair::{SlotRow, Standing};
+use span_fair::{ShardReport, SlotRow, Standing, WorkspaceRow};
 use span_types::{Incarnation, InstanceName, Member, ShardId};
 
 use super::ConvertError;
 use crate::peer_capnp::{counts, member, numbers, shard, slots, standings};
 
-/// Standings travel as offsets from the lowest virtual time in this unit.
-const STEPS_PER_UNIT: f64 = 256.0;
+/// Standings travel as offsets from the lowest virtual time in this unit. An
+/// offset of up to 8,192 cost units per share then fits into the low part of a
+/// number; finer steps would be noise next to requests of hundreds of units.
+const STEPS_PER_UNIT: f64 = 8.0;
 
 pub(super) fn write_member(mut to: member::Builder<'_>, from: &Member) {
     to.set_instance(from.instance.as_str());
@@ -171,6 +173,47 @@
     write_numbers(to.init_included_costs(), from.iter().map(|row| row.included_cost));
 }
 
+/// Writes the standings in an answer. Of rows that match those of the report in
+/// name and order, only the virtual times are written.
+pub(super) fn write_answer_standings(
+    mut to: standings::Builder<'_>,
+    from: &[Standing],
+    report: &ShardReport,
+) {
+    write_standings(to.reborrow(), from);
+    let matches = |(row, reported): (&Standing, &WorkspaceRow)| {
+        row.workspace == reported.workspace && row.included_cost == reported_cost(reported)
+    };
+    if from.len() == report.workspaces.len() && from.iter().zip(&report.workspaces).all(matches) {
+        to.reborrow().init_workspaces(0);
+        to.init_included_costs();
+    }
+}
+
+/// Reads the standings in the answer to `report`.
+pub(super) fn read_answer_standings(
+    from: standings::Reader<'_>,
+    report: &ShardReport,
+) -> Result<Vec<Standing>, ConvertError> {
+    let rows = from.get_offsets()?.get_low()?.len();
+    if rows == 0 || from.get_workspaces()?.len() > 0 {
+        return read_standings(from);
+    }
+    same_length("virtual times", report.workspaces.len() as u32, rows)?;
+    let base = finite(from.get_base())?;
+    let offsets = read_numbers("virtual times", from.get_offsets()?, rows)?;
+    let standing = |(reported, offset): (&WorkspaceRow, u64)| Standing {
+        workspace: reported.workspace.clone(),
+        virtual_time: base + offset as f64 / STEPS_PER_UNIT,
+        included_cost: reported_cost(reported),
+    };
+    Ok(report.workspaces.iter().zip(offsets).map(standing).collect())
+}
+
+fn reported_cost(row: &WorkspaceRow) -> u64 {
+    row.served_cost.saturating_add(row.reserved_cost)
+}
+
 pub(super) fn read_standings(from: standings::Reader<'_>) -> Result<Vec<Standing>, ConvertError> {
     let workspaces = from.get_workspaces()?;
     let base = finite(from.get_base())?;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,9 +13,9 @@
 pub mod peer_capnp;
 
 pub use convert::{
-    ConvertError, read_allocation, read_allocations, read_config, read_heartbeat, read_report,
-    read_reports, read_rows, tables, write_allocation, write_allocations, write_config,
-    write_heartbeat, write_report, write_reports, write_rows,
+    ConvertError, read_allocation, read_allocations, read_answers, read_config, read_heartbeat,
+    read_report, read_reports, read_rows, tables, write_allocation, write_allocations,
+    write_answers, write_config, write_heartbeat, write_report, write_reports, write_rows,
 };
 pub use link::{Link, connect_over};
 pub use message::{ConfigBody, ConfigReply, Heartbeat};
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -89,3 +89,14 @@
         standings: standings(workspaces, round),
     }
 }
+
+/// Standings as an owner answers a report with.
+pub fn answered(report: &ShardReport, round: u32) -> Vec<Standing> {
+    let standings = standings(report.workspaces.len() as u32, round);
+    let row = |(standing, row): (Standing, &WorkspaceRow)| Standing {
+        workspace: row.workspace.clone(),
+        included_cost: row.served_cost + row.reserved_cost,
+        ..standing
+    };
+    standings.into_iter().zip(&report.workspaces).map(row).collect()
+}
