Choose heartbeat targets on four independent rings

A router of a fleet above 9 sent heartbeats to 4 of its 8 successors on one ring, so news moved at most 8 positions per hop: at least 238 hops for 1,900 members, by arithmetic, at up to 150 ms each.

Each target is a successor on a ring of its own hash. The cost stays at 4 heartbeats per router and period, and a member that comes or goes changes its neighbours' targets only.

--- a/crates/member/src/ring.rs
+++ b/crates/member/src/ring.rs
@@ -6,75 +6,119 @@
 
 use crate::{
     Router,
-    hash::{Purpose, hash},
+    hash::{Purpose, pair},
 };
 
 /// Largest number of other members that all exchange heartbeats with each
 /// other.
 pub const FULL_MESH_PEERS: usize = 8;
-/// Members to which a router of a larger fleet sends heartbeats.
+/// Members to which a router of a larger fleet sends heartbeats: one on each of
+/// as many rings, which order the members by independent hashes. News then
+/// reaches the fleet in a number of hops that grows with the logarithm of its
+/// size, and a member that comes or goes changes the targets of its neighbours
+/// only.
 pub const RING_PEERS: usize = 4;
-/// Ring positions among which these are chosen. It bounds the heartbeats that
-/// a router receives, also if it is the only one of its failure domain.
-const WINDOW: usize = 8;
+/// Successors on a ring among which one of another failure domain is preferred.
+/// It bounds the heartbeats that a router receives, also if it is the only one
+/// of its failure domain.
+const WINDOW: usize = 2;
 
 /// Members that `me` sends heartbeats to. Each pair of a full mesh is covered
 /// from one side only, since the answer is a heartbeat too.
 pub fn targets(me: &InstanceName, live: &[&Router]) -> Vec<InstanceName> {
-    let others = after(me, live);
-    if others.len() <= FULL_MESH_PEERS {
-        return half_mesh(me, &others);
+    if is_mesh(me, live) {
+        return half_mesh(me, &after(me, live));
     }
-    let mut chosen = vec![others[0]];
-    let window = &others[..WINDOW.min(others.len())];
-    let mut domains = BTreeSet::from([&others[0].failure_domain]);
-    for router in &window[1..] {
-        if chosen.len() < RING_PEERS && domains.insert(&router.failure_domain) {
-            chosen.push(router);
-        }
-    }
-    for router in &window[1..] {
-        let known = chosen.iter().any(|other| other.member == router.member);
-        if chosen.len() < RING_PEERS && !known {
+    let mut chosen: Vec<&Router> = Vec::with_capacity(RING_PEERS);
+    for ring in 0..RING_PEERS {
+        let successors = neighbours(ring, Direction::Forward, me, live, reach(ring));
+        let is_new = |router: &&&Router| {
+            !chosen.iter().any(|other| other.member.instance == router.member.instance)
+        };
+        let first = successors.iter().find(is_new);
+        let mut preferred = successors.iter().take(WINDOW).filter(is_new);
+        let elsewhere = preferred.find(|router| {
+            !chosen.iter().any(|other| other.failure_domain == router.failure_domain)
+        });
+        if let Some(router) = elsewhere.or(first) {
             chosen.push(router);
         }
     }
     chosen.into_iter().map(|router| router.member.instance.clone()).collect()
 }
 
+/// Successors that may be chosen on a ring. The first one is followed without a
+/// choice, so that it links all members; on each other ring, fewer than
+/// `RING_PEERS` members are chosen already.
+fn reach(ring: usize) -> usize {
+    if ring == 0 { 1 } else { RING_PEERS }
+}
+
+fn is_mesh(me: &InstanceName, live: &[&Router]) -> bool {
+    let others = live.iter().filter(|router| router.member.instance != *me);
+    others.count() <= FULL_MESH_PEERS
+}
+
 /// Members whose heartbeats `me` should receive: those it sends to and those
 /// that send to it.
 pub fn peers(me: &InstanceName, live: &[&Router]) -> BTreeSet<InstanceName> {
-    let others = after(me, live);
-    if others.len() <= FULL_MESH_PEERS {
-        return others.iter().map(|router| router.member.instance.clone()).collect();
+    if is_mesh(me, live) {
+        let others = live.iter().map(|router| router.member.instance.clone());
+        return others.filter(|name| name != me).collect();
     }
     let mut peers: BTreeSet<_> = targets(me, live).into_iter().collect();
-    // Only the predecessors within the window can have chosen `me`.
-    for router in others.iter().rev().take(WINDOW) {
-        let instance = &router.member.instance;
-        if targets(instance, live).contains(me) {
-            peers.insert(instance.clone());
+    // Only predecessors within reach on a ring can have chosen `me`.
+    for ring in 0..RING_PEERS {
+        for router in neighbours(ring, Direction::Backward, me, live, reach(ring)) {
+            let instance = &router.member.instance;
+            if !peers.contains(instance) && targets(instance, live).contains(me) {
+                peers.insert(instance.clone());
+            }
         }
     }
     peers
 }
 
-/// The other members in ring order, starting behind `me`.
+#[derive(Clone, Copy)]
+enum Direction {
+    Forward,
+    Backward,
+}
+
+/// The `count` members next to `me` on a ring, nearest first. One pass over the
+/// members, since heartbeats ask for them each time.
+fn neighbours<'a>(
+    ring: usize,
+    direction: Direction,
+    me: &InstanceName,
+    live: &[&'a Router],
+    count: usize,
+) -> Vec<&'a Router> {
+    let mine = position(ring, me);
+    let mut nearest: Vec<((u64, &InstanceName), &Router)> = Vec::with_capacity(count + 1);
+    for router in live.iter().filter(|router| router.member.instance != *me) {
+        let name = &router.member.instance;
+        let distance = match direction {
+            Direction::Forward => position(ring, name).wrapping_sub(mine),
+            Direction::Backward => mine.wrapping_sub(position(ring, name)),
+        };
+        let key = (distance, name);
+        let place = nearest.partition_point(|(other, _)| *other < key);
+        if place < count {
+            nearest.insert(place, (key, *router));
+            nearest.truncate(count);
+        }
+    }
+    nearest.into_iter().map(|(_, router)| router).collect()
+}
+
+/// The other members in the order of the first ring, starting behind `me`.
 fn after<'a>(me: &InstanceName, live: &[&'a Router]) -> Vec<&'a Router> {
-    let mut ring: Vec<_> = live.iter().map(|router| (position(router), *router)).collect();
-    ring.sort_by(|a, b| a.0.cmp(&b.0));
-    let mine = ring.iter().position(|(_, router)| router.member.instance == *me);
-    let start = mine.map_or(0, |index| index + 1);
-    let start = start.min(ring.len());
-    ring.rotate_left(start);
-    let ring = ring.into_iter().map(|(_, router)| router);
-    ring.filter(|router| router.member.instance != *me).collect()
+    neighbours(0, Direction::Forward, me, live, live.len())
 }
 
-fn position(router: &Router) -> (u64, InstanceName) {
-    let instance = &router.member.instance;
-    (hash(Purpose::Ring, instance.as_str().as_bytes()), instance.clone())
+fn position(ring: usize, instance: &InstanceName) -> u64 {
+    pair(Purpose::Ring, ring as u64, instance.as_str())
 }
 
 /// The following half of the ring. With an even number of members, the two at
--- a/crates/member/tests/fleet.rs
+++ b/crates/member/tests/fleet.rs
@@ -85,6 +85,55 @@
     seen.len()
 }
 
+struct Hops {
+    routers: usize,
+    domains: usize,
+    /// Most heartbeats in a row that news needs to get to any router.
+    diameter: usize,
+}
+
+/// Guards against news that takes a number of hops in proportion to the fleet:
+/// each hop takes up to 150 ms, and a change has to be in force within 3 s.
+#[test]
+fn news_takes_few_hops() {
+    let cases = [
+        Hops { routers: 6, domains: 3, diameter: 3 },
+        Hops { routers: 24, domains: 3, diameter: 4 },
+        Hops { routers: 200, domains: 22, diameter: 6 },
+        Hops { routers: 1_900, domains: 22, diameter: 8 },
+    ];
+    let expected: Vec<_> = cases.iter().map(|case| (case.routers, Some(case.diameter))).collect();
+    let mut found = Vec::new();
+    for case in cases {
+        let routers = fleet(case.routers, case.domains);
+        let live: Vec<&Router> = routers.iter().collect();
+        let index: BTreeMap<_, _> = live.iter().map(|router| name(router)).zip(0..).collect();
+        let next: Vec<Vec<usize>> = live
+            .iter()
+            .map(|router| targets(name(router), &live).iter().map(|to| index[to]).collect())
+            .collect();
+        let diameter = (0..live.len()).map(|start| farthest(start, &next)).max();
+        found.push((case.routers, diameter));
+    }
+    assert_eq!(found, expected);
+}
+
+/// Hops to the router that news from `start` reaches last.
+fn farthest(start: usize, next: &[Vec<usize>]) -> usize {
+    let mut hops = vec![usize::MAX; next.len()];
+    hops[start] = 0;
+    let mut queue = VecDeque::from([start]);
+    while let Some(from) = queue.pop_front() {
+        for &to in &next[from] {
+            if hops[to] == usize::MAX {
+                hops[to] = hops[from] + 1;
+                queue.push_back(to);
+            }
+        }
+    }
+    hops.into_iter().max().unwrap_or_default()
+}
+
 /// Guards against a ring that follows one failure domain only, so that its
 /// loss separates the rest.
 #[test]
--- a/crates/wire/src/convert/shared.rs
+++ b/crates/wire/src/convert/shared.rs
@@ -196,7 +196,7 @@
     report: &ShardReport,
 ) -> Result<Vec<Standing>, ConvertError> {
     let rows = from.get_offsets()?.get_low()?.len();
-    if rows == 0 || from.get_workspaces()?.len() > 0 {
+    if rows == 0 || !from.get_workspaces()?.is_empty() {
         return read_standings(from);
     }
     same_length("virtual times", report.workspaces.len() as u32, rows)?;
