--- a/crates/bench/src/analysis/audit.rs
+++ b/crates/bench/src/analysis/audit.rs
@@ -24,7 +24,11 @@
     pub unknown: u64,
     /// Requests answered with an error without one of these outcomes.
     pub other_errors: u64,
-    /// Requests that ended without a whole answer and without being told.
+    /// Requests without a key that may run once and whose connection broke:
+    /// the caller was told nothing and may not repeat them, so for the caller
+    /// they are unknown.
+    pub broken_once: u64,
+    /// Other requests that ended without a whole answer and without being told.
     pub lost: u64,
     /// Attempts that broke off or got no answer, repeated ones included.
     pub broken_attempts: u64,
@@ -84,7 +88,8 @@
     fn request(&mut self, record: &Record) {
         self.requests += 1;
         let count = match (record.settled(), record.answer, record.outcome) {
-            (false, _, _) => &mut self.lost,
+            (false, _, _) if is_lost(record) => &mut self.lost,
+            (false, _, _) => &mut self.broken_once,
             (true, Answer::Whole, _) => &mut self.completed,
             (true, _, Some(Outcome::NotRun)) => &mut self.not_run,
             (true, _, Some(Outcome::Completed)) => &mut self.told_completed,
@@ -95,6 +100,14 @@
     }
 }
 
+/// Whether a request ended without a whole answer and without being told,
+/// although its caller could repeat it or got something else.
+pub fn is_lost(record: &Record) -> bool {
+    let broken = matches!(record.answer, Answer::Partial | Answer::Missing);
+    let broken_once = broken && record.repeat == Repeat::Once;
+    record.last && !record.settled() && !broken_once
+}
+
 /// Name of the request that an attempt's nonce belongs to.
 fn name(nonce: &str) -> &str {
     nonce.rsplit_once('#').map_or(nonce, |(name, _)| name)
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -32,7 +32,7 @@
 };
 
 /// Key that opens the status of every router of an experiment.
-pub(crate) const ADMIN_KEY: &str = "key-bench";
+pub const ADMIN_KEY: &str = "key-bench";
 const LOCAL: &str = "127.0.0.1:0";
 const QUEUE_LIMIT: u32 = 256;
 const DEADLINE_MS: u64 = 8_000;
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -49,10 +49,17 @@
     _stdout: BufReader<ChildStdout>,
 }
 
-/// The folder of this program, where the others are too.
+/// The folder of the programs: that of this program, or the one above it for a
+/// test, which Cargo puts in `deps`.
+///
+/// # Errors
+///
+/// Fails if the path of this program is not known.
 pub fn programs() -> io::Result<PathBuf> {
     let own = std::env::current_exe()?;
-    Ok(own.parent().map(Path::to_path_buf).unwrap_or_default())
+    let folder = own.parent().unwrap_or(Path::new(""));
+    let above = folder.parent().filter(|_| folder.ends_with("deps"));
+    Ok(above.unwrap_or(folder).to_path_buf())
 }
 
 /// Starts a program and waits until it tells its address. Its messages go to a
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -1,6 +1,6 @@
 //! The report of a run: one JSON object.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use eyre::{Result, eyre};
 use serde_json::{Value, json};
@@ -10,7 +10,7 @@
 use crate::{
     analysis::{
         ServiceRun,
-        audit::audit,
+        audit::{audit, is_lost},
         bound::Terms,
         gap::{Gap, gaps},
         join::{Delays, Service, join},
@@ -159,7 +159,9 @@
         "told_completed": audit.told_completed,
         "unknown": audit.unknown,
         "other_errors": audit.other_errors,
+        "broken_once": audit.broken_once,
         "lost": audit.lost,
+        "lost_requests": lost_requests(measured),
         "crossed": audit.crossed,
         "incomplete": audit.incomplete,
         "broken_attempts": audit.broken_attempts,
@@ -188,6 +190,28 @@
     })
 }
 
+/// All attempts of the requests that were lost, to trace them in the logs.
+fn lost_requests(measured: &Measured) -> Vec<String> {
+    let lost = measured.records.iter().filter(|record| is_lost(record));
+    let lost: BTreeSet<&str> = lost.map(|record| record.name.as_str()).collect();
+    let attempts = measured.records.iter().filter(|record| lost.contains(record.name.as_str()));
+    let describe = |record: &Record| {
+        let since_start_ms = |us: u64| us.saturating_sub(measured.started_us) / 1000;
+        format!(
+            "{} {} at {} from {} ms to {} ms: {} status {} outcome {:?}",
+            record.nonce,
+            record.repeat,
+            record.entry,
+            since_start_ms(record.sent_us),
+            since_start_ms(record.ended_us),
+            record.answer,
+            record.status,
+            record.outcome,
+        )
+    };
+    attempts.map(describe).collect()
+}
+
 fn service(judged: &Judged, measured: &Measured, workspaces: &[(String, f64)]) -> Value {
     let pair = judged.worst.map(|gap| {
         let from_s = gap.interval.from_us.saturating_sub(measured.started_us) as f64 / US_PER_S;
--- a/crates/bench/tests/audit.rs
+++ b/crates/bench/tests/audit.rs
@@ -96,6 +96,18 @@
             vec![ran.clone()],
             Audit { lost: 1, incomplete: 1, broken_attempts: 1, ..one.clone() },
         ),
+        (
+            "no answer to a request that may run once and has no key",
+            vec![Record { repeat: Repeat::Once, ..record("a#0", Answer::Missing, None) }],
+            vec![ran.clone()],
+            Audit { broken_once: 1, broken_attempts: 1, ..one.clone() },
+        ),
+        (
+            "another request's answer to a request that may run once",
+            vec![Record { repeat: Repeat::Once, ..record("a#0", Answer::Foreign, completed) }],
+            vec![ran.clone()],
+            Audit { lost: 1, crossed: 1, ..one.clone() },
+        ),
         (
             "no answer, then a whole one",
             vec![
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -26,7 +26,10 @@
 /// Longest pause after a rejection, so that short runs keep their load.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Time after the end of the load in which failed requests are still repeated.
-const REPEAT_AFTER_END: Duration = Duration::from_secs(5);
+/// It exceeds the 10 s after which a caller gives up on a silent connection:
+/// otherwise a request sent shortly before the end on such a connection was
+/// never repeated and counted as lost.
+const REPEAT_AFTER_END: Duration = Duration::from_secs(15);
 /// Open-loop callers have numbers from here.
 const OPEN_CALLER: u32 = 1_000_000;
 
@@ -115,9 +118,14 @@
     async fn request(&self, planned: &Planned, number: u32) -> Duration {
         let minted = self.mint(planned, number).await;
         let mut attempt = 0;
+        let mut failed = Vec::new();
         loop {
-            let mut record = self.attempt(planned, number, attempt, minted.as_ref()).await;
+            let minted = minted.as_ref();
+            let mut record = self.attempt(planned, number, attempt, minted, &failed).await;
             attempt += 1;
+            if matches!(record.answer, Answer::Partial | Answer::Missing | Answer::Refused) {
+                failed.push(Arc::clone(&record.entry));
+            }
             let again = attempt < MAX_ATTEMPTS && self.may_repeat(&record);
             record.last = !again;
             let (answer, pause) = (record.answer, pause(&record));
@@ -128,7 +136,7 @@
                 continue;
             }
             if planned.resend && answer == Answer::Whole {
-                let resent = self.attempt(planned, number, attempt, minted.as_ref()).await;
+                let resent = self.attempt(planned, number, attempt, minted, &failed).await;
                 self.keep(resent);
             }
             return pause;
@@ -141,7 +149,7 @@
         if planned.repeat != Repeat::Minted {
             return None;
         }
-        let entry = self.entry(planned, number, 0).await;
+        let entry = self.entry(planned, number, 0, &[]).await;
         key::mint(&self.client, &entry, &self.workspace.key).await
     }
 
@@ -151,13 +159,15 @@
         number: u32,
         attempt: u32,
         minted: Option<&MintedKey>,
+        failed: &[Arc<str>],
     ) -> Record {
         // Other routers have to find out what became of a minted key, so every
         // second attempt goes to one.
         let minting = minted.filter(|_| attempt.is_multiple_of(2));
-        let entry = match minting.and_then(|minted| self.known(&minted.instance)) {
+        let minting = minting.and_then(|minted| self.known(&minted.instance));
+        let entry = match minting.filter(|entry| !failed.contains(&entry.name)) {
             Some(entry) => entry,
-            None => self.entry(planned, number, attempt).await,
+            None => self.entry(planned, number, attempt, failed).await,
         };
         let context = Context {
             client: &self.client,
@@ -173,15 +183,26 @@
     }
 
     /// The router for an attempt: the addresses told are spread over the
-    /// callers of the workspace; each further attempt uses the next address.
-    async fn entry(&self, planned: &Planned, number: u32, attempt: u32) -> Entry {
+    /// callers of the workspace; each further attempt uses the next address at
+    /// which this request has not failed yet. A list that was told before a
+    /// router died still names it, and a request must not spend all its
+    /// attempts there.
+    async fn entry(
+        &self,
+        planned: &Planned,
+        number: u32,
+        attempt: u32,
+        failed: &[Arc<str>],
+    ) -> Entry {
         let given = &self.fleet.entries;
-        let ask = &given[(planned.entry + attempt as usize) % given.len()];
+        let first = planned.entry + attempt as usize;
+        let ask = &given[first % given.len()];
         let told = self.book.entries(&self.client, ask, &self.workspace.key, given).await;
-        match told.len() {
-            0 => ask.clone(),
-            len => told[(number + attempt) as usize % len].clone(),
-        }
+        let told_from = (number + attempt) as usize;
+        let told = (0..told.len()).map(|n| &told[(told_from + n) % told.len()]);
+        let given = (0..given.len()).map(|n| &given[(first + n) % given.len()]);
+        let mut candidates = told.chain(given).filter(|entry| !failed.contains(&entry.name));
+        candidates.next().unwrap_or(ask).clone()
     }
 
     fn may_repeat(&self, record: &Record) -> bool {
