--- a/crates/bench/src/intents.rs
+++ b/crates/bench/src/intents.rs
@@ -60,15 +60,39 @@
     ///
     /// Fails if the plan or its confirmation is refused.
     pub async fn change(&self, document: &Document) -> Result<()> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let plan = self.plan(number, document).await?;
+        self.confirm(number, &plan).await
+    }
+
+    /// Plans a change to `document` at process `number` and returns its id.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the plan is refused.
+    pub async fn plan(&self, number: usize, document: &Document) -> Result<String> {
         let text = export(document).map_err(Report::msg)?;
-        let number = self.next.fetch_add(1, Ordering::Relaxed) % self.processes.len();
-        let (_, intent) = &self.processes[number];
         let files = json!({ "files": [{ "name": "fleet.yaml", "text": text }] });
+        let intent = self.process(number);
         let planned: Planned = intent.post_as(OPERATOR_KEY, "/v1/plans", &files).await?;
-        let path = format!("/v1/plans/{}/confirm", planned.plan.id);
+        Ok(planned.plan.id)
+    }
+
+    /// Confirms a plan at process `number`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the confirmation is refused.
+    pub async fn confirm(&self, number: usize, plan: &str) -> Result<()> {
+        let path = format!("/v1/plans/{plan}/confirm");
+        let intent = self.process(number);
         let _: serde_json::Value = intent.post_as(OPERATOR_KEY, &path, &json!({})).await?;
         Ok(())
     }
+
+    fn process(&self, number: usize) -> &Rest {
+        &self.processes[number % self.processes.len()].1
+    }
 }
 
 async fn start_one(fleet: &Fleet, router: &str) -> Result<(Process, Rest)> {
--- a/crates/bench/tests/fleet/mod.rs
+++ b/crates/bench/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 use span_bench::{
     analysis::audit::{Audit, audit},
+    args::Policy,
     fleet::{ADMIN_KEY, Fleet, Plan, knows_key, start, workspace},
     intents::Intents,
     schedule::Fault,
@@ -24,7 +25,7 @@
 };
 
 /// Ends a test that hangs; far above what any wait takes.
-const HANG_LIMIT: Duration = Duration::from_secs(60);
+pub const HANG_LIMIT: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(25);
 /// Fleets at a time: more would measure the load of the machine.
 const FLEETS: usize = 4;
@@ -82,6 +83,22 @@
     revision: u64,
 }
 
+/// A mixed load of one large and three small workspaces.
+pub fn workload(seed: u64, duration_ms: u64) -> Workload {
+    generate(&Spec {
+        seed,
+        workspaces: 4,
+        large: 1,
+        large_callers: 8,
+        small_callers: 3,
+        open_per_second: 1.0,
+        plain_fraction: 0.5,
+        routers: ROUTERS,
+        duration_ms,
+        max_output_tokens: 100,
+    })
+}
+
 /// A running fleet with its load.
 pub struct Rig {
     pub fleet: Fleet,
@@ -94,28 +111,21 @@
 }
 
 impl Rig {
+    /// A fleet with the usual mixed load.
     pub async fn start(name: &str, seed: u64, duration_ms: u64) -> Self {
+        Self::start_with(name, workload(seed, duration_ms), None).await
+    }
+
+    pub async fn start_with(name: &str, workload: Workload, policy: Option<Policy>) -> Self {
         let turn = RUNNING.acquire().await.expect("never closed");
         let folder = format!("span-proof-{name}-{}", std::process::id()).replace(' ', "-");
         let folder = std::env::temp_dir().join(folder);
         std::fs::create_dir_all(&folder).expect("folder");
-        let workload = generate(&Spec {
-            seed,
-            workspaces: 4,
-            large: 1,
-            large_callers: 8,
-            small_callers: 3,
-            open_per_second: 1.0,
-            plain_fraction: 0.5,
-            routers: ROUTERS,
-            duration_ms,
-            max_output_tokens: 100,
-        });
         let plan = Plan {
             topology: &TOPOLOGY,
             workload: &workload,
             routers: ROUTERS,
-            policy: None,
+            policy,
             relay_upstreams: true,
             folder: &folder,
         };
--- a/crates/router/src/front/dispatch.rs
+++ b/crates/router/src/front/dispatch.rs
@@ -89,8 +89,12 @@
     outgoing: &Outgoing,
     live: &Live,
 ) -> Result<Response<Incoming>, SendError> {
-    // An error on a pooled connection leaves open whether the request ran.
-    let client = if run.idempotent { &front.client } else { &front.fresh };
+    // An error on a pooled connection leaves open whether the request ran. A
+    // pooled connection may also have gone silent: an engine's answer is resumed
+    // elsewhere after a short silence, but a plain call may take long, so one
+    // that was sent on such a connection waited for 120 s.
+    let pooled = run.idempotent && outgoing.engine;
+    let client = if pooled { &front.client } else { &front.fresh };
     let sent = outgoing.send(client, live, None).instrument(live.span.clone()).await;
     match sent {
         Err(error) if outgoing.engine && error != SendError::Refused => {
