--- a/crates/bench/tests/promises.rs
+++ b/crates/bench/tests/promises.rs
@@ -129,8 +129,12 @@
 async fn a_graceful_shutdown_cuts_nothing() {
     let mut rig = Rig::start("shutdown", 24, 12_000).await;
     let load = rig.load();
-    wait_until("executions", || async { !rig.executions().await.is_empty() }).await;
     let name = rig.fleet.routers[0].name.clone();
+    wait_until("a request through the router that will leave", || async {
+        // Ids name the router that minted them.
+        rig.executions().await.iter().any(|execution| execution.request_id.contains(&name))
+    })
+    .await;
     let mut process = rig.fleet.routers[0].process.take().expect("running");
     process.signal(Signal::TERM).expect("running");
     assert!(process.ended(HANG_LIMIT).await, "the router does not end");
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -20,6 +20,11 @@
     settings::Settings,
 };
 
+/// Time in which a leaving router's peers may still hand out its address, and
+/// callers' requests may still be on their way: without it, requests that were
+/// sent at the end of the address lifetime met a closed connection.
+const LEAVING_SPREAD_MS: u64 = 1_000;
+
 /// The router could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum SpawnError {
@@ -58,7 +63,7 @@
     }
 
     /// Announces that the router is leaving, refuses connections once the
-    /// address lifetime is over, and finishes what waits and runs. When `hurry`
+    /// lifetime of the last address handed out is over, and finishes what waits and runs. When `hurry`
     /// is ready or the deadline passes, what is left is ended; those requests
     /// are returned.
     pub async fn shutdown(self, hurry: impl Future<Output = ()>) -> Vec<CutRequest> {
@@ -67,7 +72,8 @@
         self.front.control.leave();
         let Self { server, front, follower } = self;
         let drain = async {
-            tokio::time::sleep(Duration::from_millis(timeouts.address_lifetime_ms)).await;
+            let handed_out_ms = timeouts.address_lifetime_ms + LEAVING_SPREAD_MS;
+            tokio::time::sleep(Duration::from_millis(handed_out_ms)).await;
             front.close();
             server.shutdown().await;
         };
