Test calls whose connection breaks behind the send

Change: a test closes the connections to both services 20 times under load.

Conclusion: this test guards at-most-once; the others did not.

--- a/crates/bench/tests/promises.rs
+++ b/crates/bench/tests/promises.rs
@@ -14,7 +14,8 @@
     fleet::{knows_key, workspace},
 };
 use span_load::{Answer, Record};
-use span_standin::Execution;
+use span_standin::{Execution, relay};
+use span_types::Outcome;
 
 #[derive(Deserialize)]
 struct Load {
@@ -182,3 +183,27 @@
     rig.assert_never_reverted("operators");
     rig.stop().await;
 }
+
+/// Guards against a call that may run once and is sent again, or is told
+/// `not_run`, after its connection to the service broke behind the send.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_whose_connection_broke_is_unknown() {
+    const CLOSINGS: usize = 20;
+    const PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+    let mut load = workload(26, 2_500);
+    load.spec.plain_fraction = 1.0;
+    let rig = Rig::start_with("broken", load, None).await;
+    let load = rig.load();
+    for _ in 0..CLOSINGS {
+        for name in ["upstream-booking-desk-0", "upstream-booking-desk-1"] {
+            let faults = relay::Faults { close_open: true, ..relay::Faults::default() };
+            rig.fleet.relay_faults(name, faults).await.expect("the relay answers");
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    let records = finish(load).await;
+    let audit = assert_promises("broken", &records, &rig.executions().await);
+    let told = records.iter().filter(|record| record.outcome == Some(Outcome::Unknown)).count();
+    assert!(told > 0, "no call broke, so the test shows nothing: {audit:?}");
+    rig.stop().await;
+}
