--- a/crates/router/src/control/core.rs
+++ b/crates/router/src/control/core.rs
@@ -169,6 +169,7 @@
         let Some(finished) = state.and_then(|state| state.finish(now_ms, ticket, cost, end)) else {
             return;
         };
+        self.counters.add(Counter::SettledCost, cost);
         self.note_end(now_ms, &finished.upstream, finished.end);
         self.pump(service);
     }
--- a/crates/router/src/control/counters.rs
+++ b/crates/router/src/control/counters.rs
@@ -35,6 +35,8 @@
     Admitted,
     /// Requests refused or given up on.
     Rejected,
+    /// Cost of ended attempts, in cost units.
+    SettledCost,
     /// Attempts at upstreams that failed.
     UpstreamFailures,
     /// Attempts at upstreams that went silent.
--- a/crates/router/src/front/auth.rs
+++ b/crates/router/src/front/auth.rs
@@ -1,5 +1,7 @@
 //! Which workspace a caller belongs to.
 
+use std::sync::Arc;
+
 use http::{HeaderMap, StatusCode, header::AUTHORIZATION};
 use span_config::{KeyHash, Workspace};
 use span_types::{ServiceName, WorkspaceName};
@@ -8,11 +10,11 @@
 
 /// An authenticated caller.
 #[derive(Clone, Debug)]
-pub(super) struct Caller {
+pub(crate) struct Caller {
     /// Workspace that the key belongs to.
     pub workspace: WorkspaceName,
     /// Its configuration.
-    pub settings: Workspace,
+    pub settings: Arc<Workspace>,
 }
 
 fn refused(message: &str) -> Failure {
@@ -44,14 +46,8 @@
 
 /// Finds the workspace of the bearer key.
 pub(super) fn authenticate(index: &Index, headers: &HeaderMap) -> Result<Caller, Failure> {
-    let workspace = index.workspace(&key_hash(headers)?);
-    let settings = workspace.and_then(|name| index.document.workspaces.get(name));
-    match (workspace, settings) {
-        (Some(workspace), Some(settings)) => {
-            Ok(Caller { workspace: workspace.clone(), settings: settings.clone() })
-        }
-        _ => Err(refused("the key is not known")),
-    }
+    let caller = index.caller(&key_hash(headers)?);
+    caller.cloned().ok_or_else(|| refused("the key is not known"))
 }
 
 /// The scheme's name has no case (RFC 9110, section 11.1).
--- a/crates/router/src/front/chat.rs
+++ b/crates/router/src/front/chat.rs
@@ -59,16 +59,30 @@
     let (name, service) = service(index, &head.model)?;
     caller.may_reach(name)?;
     let prompt_cost = prompt_cost(&head);
-    let admit = admit(&caller, name, prompt_cost, &parts.headers);
+    let mut admit = admit(&caller, name, prompt_cost, &parts.headers);
     let mut run = once::begin(front, id, &caller, service, &parts.headers).await?;
     let streamed = head.stream;
     let outgoing = outgoing(front, &parts.headers, body.clone(), streamed);
-    let (answer, live) = dispatch(front, &mut run, admit, &outgoing).await?;
-    if streamed && answer.status().is_success() {
-        let relay = stream::Relay { front: Arc::clone(front), run, outgoing, live, prompt_cost };
-        return Ok(stream::answer(relay, answer));
+    front.earn_retry();
+    let mut lost: Option<Failure> = None;
+    let mut retries = 0;
+    loop {
+        let sent = dispatch(front, &mut run, &mut admit, &outgoing).await;
+        // A retry that was not sent does not undo the run that was lost.
+        let (answer, live) = sent.map_err(|error| lost.take().unwrap_or(error))?;
+        if streamed && answer.status().is_success() {
+            let front = Arc::clone(front);
+            let request = stream::Streamed { front, run, admit, outgoing, live, prompt_cost };
+            return Ok(stream::answer(request, answer));
+        }
+        match whole::answer(front, &mut run, &outgoing, live, answer, prompt_cost).await {
+            // The engine lost the answer, and the caller has nothing of it.
+            Err(failure) if run.idempotent && front.spend_retry() => lost = Some(failure),
+            answer => return answer,
+        }
+        front.back_off(retries).await;
+        retries += 1;
     }
-    whole::answer(front, &mut run, &outgoing, live, answer, prompt_cost).await
 }
 
 fn invalid(error: &serde_json::Error) -> Failure {
--- a/crates/router/src/front/dispatch.rs
+++ b/crates/router/src/front/dispatch.rs
@@ -18,14 +18,14 @@
 /// Resumptions tried in a row without a byte of progress.
 pub(super) const MAX_RESUMES: u32 = 4;
 
-/// Sends the request until an upstream answers.
+/// Sends the request until an upstream answers. Upstreams that fail are added to
+/// those that `admit` avoids.
 pub(super) async fn dispatch(
     front: &Arc<Front>,
     run: &mut Run,
-    mut admit: AdmitRequest,
+    admit: &mut AdmitRequest,
     outgoing: &Outgoing,
 ) -> Result<(Response<Incoming>, Live), Failure> {
-    front.earn_retry();
     let mut attempt = 0;
     let mut last: Option<Failure> = None;
     loop {
@@ -129,15 +129,18 @@
 }
 
 impl Front {
-    fn earn_retry(&self) {
+    /// Counts a request, which earns a part of a retry.
+    pub(super) fn earn_retry(&self) {
         self.budget.lock().unwrap_or_else(std::sync::PoisonError::into_inner).earn();
     }
 
-    fn spend_retry(&self) -> bool {
+    /// Takes one retry; false if none is left.
+    pub(super) fn spend_retry(&self) -> bool {
         self.budget.lock().unwrap_or_else(std::sync::PoisonError::into_inner).spend()
     }
 
-    async fn back_off(&self, attempt: u32) {
+    /// Waits before retry number `attempt`, from 0.
+    pub(super) async fn back_off(&self, attempt: u32) {
         let delay_ms = {
             let mut rng = self.rng.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
             Backoff::default().delay_ms(attempt, &mut *rng)
--- a/crates/router/src/front/index.rs
+++ b/crates/router/src/front/index.rs
@@ -3,7 +3,9 @@
 use std::{collections::HashMap, sync::Arc};
 
 use span_config::{Document, KeyHash};
-use span_types::{ServiceName, WorkspaceName};
+use span_types::ServiceName;
+
+use super::auth::Caller;
 
 /// A configuration with its indexes; rebuilt when the configuration changes,
 /// so that no request scans all workspaces or services.
@@ -11,31 +13,35 @@
 pub(crate) struct Index {
     /// The configuration.
     pub document: Arc<Document>,
-    workspaces: HashMap<KeyHash, WorkspaceName>,
+    callers: HashMap<KeyHash, Caller>,
     models: HashMap<Arc<str>, ServiceName>,
 }
 
 impl Index {
     /// Indexes a configuration.
     pub fn new(document: Arc<Document>) -> Self {
-        let keys = document
-            .workspaces
-            .iter()
-            .flat_map(|(name, workspace)| workspace.keys.iter().map(move |key| (key, name)));
+        let mut callers = HashMap::new();
+        for (name, workspace) in &document.workspaces {
+            let settings = Arc::new(workspace.clone());
+            for key in &workspace.keys {
+                let caller = Caller { workspace: name.clone(), settings: Arc::clone(&settings) };
+                callers.insert(key.clone(), caller);
+            }
+        }
         let models = document
             .services
             .iter()
             .flat_map(|(name, service)| service.models.iter().map(move |model| (model, name)));
         Self {
-            workspaces: keys.map(|(key, name)| (key.clone(), name.clone())).collect(),
+            callers,
             models: models.map(|(model, name)| (Arc::clone(model), name.clone())).collect(),
             document,
         }
     }
 
-    /// Workspace that a key belongs to.
-    pub fn workspace(&self, key: &KeyHash) -> Option<&WorkspaceName> {
-        self.workspaces.get(key)
+    /// Caller that a key belongs to.
+    pub fn caller(&self, key: &KeyHash) -> Option<&Caller> {
+        self.callers.get(key)
     }
 
     /// Service that has a model.
--- a/crates/router/src/front/plain.rs
+++ b/crates/router/src/front/plain.rs
@@ -52,7 +52,7 @@
     let pace_ms = front.settings.timeouts.body_ms;
     let body = Source::take(&parts.headers, body, limit_bytes, pace_ms).await?;
     let mut run = once::begin(front, id, &caller, service, &parts.headers).await?;
-    let admit = admit(&caller, &name, PLAIN_CALL_COST, &parts.headers);
+    let mut admit = admit(&caller, &name, PLAIN_CALL_COST, &parts.headers);
     let outgoing = Outgoing {
         method: parts.method,
         target,
@@ -63,7 +63,8 @@
         silence_ms: front.settings.timeouts.answer_ms,
         answer_ms: front.settings.timeouts.answer_ms,
     };
-    let (answer, mut live) = dispatch(front, &mut run, admit, &outgoing).await?;
+    front.earn_retry();
+    let (answer, mut live) = dispatch(front, &mut run, &mut admit, &outgoing).await?;
     live.permit.add_cost(PLAIN_CALL_COST);
     Ok(pass_on(answer, run, live, outgoing.silence_ms))
 }
--- /dev/null
+++ b/crates/router/tests/cost.rs
@@ -0,0 +1,146 @@
+//! Guards against cost that is counted twice, lost, or taken from a hint
+//! instead of from what the engine did.
+
+mod common;
+
+use std::ops::RangeInclusive;
+
+use common::{ADMIN_KEY, Running, World, any, call, chat_body, quick_engine, runs, until};
+use http::Method;
+use span_standin::engine::{self, Engine, Faults};
+use span_types::COST_HINT_HEADER;
+
+const TOKENS: u64 = 20;
+
+fn none() -> Faults {
+    Faults::default()
+}
+
+async fn settled(world: &Running) -> u64 {
+    let bearer = format!("Bearer {ADMIN_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let address = world.router.http_address();
+    let answer = call(&world.client, address, Method::GET, "/metrics", &headers, "").await;
+    let text = answer.text();
+    let line = text.lines().find_map(|line| line.strip_prefix("rosemaryspan_router_settled_cost "));
+    line.expect("it is counted").parse().expect("it is a number")
+}
+
+async fn settles(world: &Running, holds: impl Fn(u64) -> bool) -> u64 {
+    loop {
+        let cost = settled(world).await;
+        if world.router.in_flight().is_empty() && holds(cost) {
+            return cost;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+fn executed(engine: &Engine, nonce: &str) -> u64 {
+    runs(engine, nonce).iter().map(|run| run.prompt_cost + run.output_cost).sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_settled_cost_is_what_the_engine_did() {
+    struct Case {
+        name: &'static str,
+        stream: bool,
+        hint: Option<&'static str>,
+        faults: Faults,
+    }
+    let fault = |faults: Faults| Faults { answers: 1, ..faults };
+    let broken = || fault(Faults { break_after: Some(4), ..none() });
+    let crossed = || fault(Faults { cross_after: Some(4), ..none() });
+    let late = || fault(Faults { break_after: Some(TOKENS + 1), ..none() });
+    let whole = || fault(Faults { break_after: Some(0), ..none() });
+    let cases = [
+        Case { name: "streamed", stream: true, hint: None, faults: none() },
+        Case { name: "whole", stream: false, hint: None, faults: none() },
+        Case { name: "resumed", stream: true, hint: None, faults: broken() },
+        Case { name: "resumed after the usage", stream: true, hint: None, faults: late() },
+        Case { name: "crossed", stream: true, hint: None, faults: crossed() },
+        Case { name: "whole and read again", stream: false, hint: None, faults: whole() },
+        Case { name: "hint 10 times too high", stream: true, hint: Some("270"), faults: none() },
+        Case { name: "hint 10 times too low", stream: true, hint: Some("3"), faults: none() },
+        Case { name: "whole, high hint", stream: false, hint: Some("270"), faults: none() },
+        Case { name: "whole, low hint", stream: false, hint: Some("3"), faults: none() },
+    ];
+    for Case { name, stream, hint, faults } in cases {
+        let settings = engine::Settings { faults, ..quick_engine() };
+        let engine = engine::bind(any(), settings).await.expect("it binds");
+        let world = World::new().upstream("stitch-assist", engine.address()).start().await;
+        let headers: Vec<_> = hint.map(|hint| (COST_HINT_HEADER, hint)).into_iter().collect();
+        let body = chat_body(name, TOKENS, stream).to_string();
+        let answer = world.call(Method::POST, "/v1/chat/completions", &headers, &body).await;
+        assert_eq!(answer.outcome().as_deref(), Some("completed"), "{name}");
+        let cost = settles(&world, |cost| cost > 0).await;
+        assert_eq!(cost, executed(&engine, name), "{name}");
+    }
+}
+
+/// A cancelled stream pays for its prompt, as estimated, and for the tokens
+/// that reached the router, not for the whole answer or the hint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_stream_settles_what_it_had() {
+    let settings = engine::Settings { token_us: 20_000, ..quick_engine() };
+    let engine = engine::bind(any(), settings).await.expect("it binds");
+    let world = World::new().upstream("stitch-assist", engine.address()).start().await;
+    let body = chat_body("left", 100_000, true).to_string();
+    let headers = [(COST_HINT_HEADER, "100000")];
+    tokio::select! {
+        _ = world.call(Method::POST, "/v1/chat/completions", &headers, &body) => {
+            panic!("it cannot complete")
+        }
+        () = until(|| runs(&engine, "left").iter().any(|run| run.output_cost > 4)) => {}
+    }
+    until(|| runs(&engine, "left")[0].cancelled).await;
+    let cost = settles(&world, |cost| cost > 0).await;
+    let prompt = chat_body("left", 1, true)["messages"][0].to_string().len() as u64 / 4 + 1;
+    let most = runs(&engine, "left")[0].output_cost + prompt;
+    assert!((prompt + 1..=most).contains(&cost), "{cost} of {prompt} to {most}");
+}
+
+/// Guards against an idempotent generation that is lost before the caller has
+/// a byte of it, against retries without end, and against a lost run that is
+/// told as not run because its retry was not sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_lost_before_any_byte_is_retried_within_the_budget() {
+    /// Retries saved up at the start, and the first run.
+    const MOST_RUNS: usize = 21;
+    struct Case {
+        name: &'static str,
+        /// Answers that each of the two engines loses.
+        lost: u32,
+        idempotent: &'static str,
+        outcome: &'static str,
+        runs: RangeInclusive<usize>,
+    }
+    let case =
+        |name, lost, idempotent, outcome, runs| Case { name, lost, idempotent, outcome, runs };
+    let cases = [
+        case("lost at both engines", 1, "true", "completed", 2..=3),
+        case("not idempotent", 1, "false", "unknown", 1..=1),
+        case("always lost", 1_000, "true", "unknown", 2..=MOST_RUNS),
+    ];
+    for Case { name, lost, idempotent, outcome, runs: expected } in cases {
+        for stream in [true, false] {
+            let fault = Faults { answers: lost, break_after: Some(0), forget: true, ..none() };
+            let faulty = || engine::Settings { faults: fault.clone(), ..quick_engine() };
+            let engines = [
+                engine::bind(any(), faulty()).await.expect("it binds"),
+                engine::bind(any(), faulty()).await.expect("it binds"),
+            ];
+            let world = World { deadline_ms: 2_000, ..World::new() };
+            let world = engines
+                .iter()
+                .fold(world, |world, engine| world.upstream("stitch-assist", engine.address()));
+            let world = world.start().await;
+            let headers = [("x-span-idempotent", idempotent)];
+            let body = chat_body(name, 5, stream).to_string();
+            let answer = world.call(Method::POST, "/v1/chat/completions", &headers, &body).await;
+            assert_eq!(answer.outcome().as_deref(), Some(outcome), "{name}, stream {stream}");
+            let count = engines.iter().map(|engine| runs(engine, name).len()).sum();
+            assert!(expected.contains(&count), "{name}, stream {stream}: {count} runs");
+        }
+    }
+}
