Split the router queue's workspace and policy into their own files

Change: workspace.rs has one workspace's requests and use, policy.rs the order of dispatch; no behaviour changes. Conclusion: one job per file.

--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -14,16 +14,19 @@
 mod limit;
 mod message;
 mod owner;
+mod policy;
 mod queue;
 mod request;
 mod shard;
 mod slots;
+mod workspace;
 
 pub use estimate::EstimateTable;
 pub use message::{
     Allocation, LoadReport, PeerRow, ShardReport, SlotRow, Standing, UpstreamSlots, WorkspaceRow,
 };
 pub use owner::{ShardOwner, gap_bound, report_period_ms};
-pub use queue::{Policy, RouterQueue};
+pub use policy::Policy;
+pub use queue::RouterQueue;
 pub use request::{Dispatch, Expired, Rejection, Request, Ticket, WorkspaceLimits};
 pub use shard::{SHARD_UPSTREAMS, assign_shards};
