--- a/crates/router/src/control/settings.rs
+++ b/crates/router/src/control/settings.rs
@@ -38,7 +38,7 @@
 /// Routers up to which a fleet is small.
 const SMALL_FLEET: usize = 8;
 /// Control traffic of a router in a small fleet. At 6 routers 2,500 bytes per
-/// second left slots idle while work waited and made the gap four times larger.
+/// second left slots idle while work waited and made the gap 2.8 times larger.
 const SMALL_FLEET_BUDGET_BYTES_PER_S: u64 = 12_000;
 /// Control traffic of a router in a larger fleet, below the 3,000 bytes per
 /// second that a node may use, since pacing reacts only after traffic has risen.
