Correct what dropping a server does

Cause: the doc comment said that the accept loop goes on; it ends, because the stop channel closes. Change: the comment. Conclusion: comment and code agree.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -43,8 +43,7 @@
     }
 }
 
-/// A running server; dropping it leaves the accept loop running until the
-/// runtime ends.
+/// A running server; dropping it stops accepting, while open requests finish.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
