--- /dev/null
+++ b/crates/edge/src/clock.rs
@@ -0,0 +1,42 @@
+//! Time of the process.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
+use tokio::time::Instant;
+
+/// Milliseconds of the steady clock since the process started, and the time
+/// for which the instance was suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// Starts at zero.
+    pub fn start() -> Self {
+        Self { started: Instant::now() }
+    }
+
+    /// Time since the start, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// The moment `at_ms` on this clock.
+    pub fn instant(&self, at_ms: u64) -> Instant {
+        self.started + std::time::Duration::from_millis(at_ms)
+    }
+}
+
+/// Time since boot that includes suspension, in milliseconds.
+pub fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
+/// Time of day, in microseconds since the Unix epoch.
+pub fn unix_us() -> u64 {
+    // Fails only for a clock before 1970.
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_micros() as u64)
+}
--- /dev/null
+++ b/crates/edge/src/config.rs
@@ -0,0 +1,182 @@
+//! The configuration in force: routes, services and workspaces.
+
+use std::{collections::HashMap, sync::Arc};
+
+use bytes::Bytes;
+use span_types::{ServiceName, WorkspaceName};
+
+/// What may be repeated of a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RouteKind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+    /// An event stream that runs at most once.
+    Stream,
+    /// An event stream that another upstream may continue.
+    ResumableStream,
+}
+
+impl RouteKind {
+    /// Whether a request that may have run may be sent again.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+
+    /// Whether the answer is an event stream.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
+/// A part of a route's requests and the service that takes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Service that takes the requests.
+    pub service: ServiceName,
+    /// Weight against the other targets of the route.
+    pub weight: u32,
+}
+
+/// How requests of one host and path prefix are handled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name, for logs.
+    pub name: Arc<str>,
+    /// Host that callers name, in lower case.
+    pub host: Arc<str>,
+    /// Start of the path, with a slash at both ends.
+    pub path_prefix: Arc<str>,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that a caller is kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time to the answer, or to the first event, that callers aim for, in
+    /// milliseconds.
+    pub target_ms: u64,
+    /// Longest pause between events that callers accept, in milliseconds.
+    pub target_gap_ms: u64,
+    /// Upstreams that one request may be sent to.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub anonymous: bool,
+    /// Services that take the requests; at least one has a weight above 0.
+    pub targets: Vec<Target>,
+}
+
+/// Model engine behind a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Engine {
+    /// Tokens that an engine's memory holds.
+    pub memory_tokens: u64,
+    /// Tokens in an event of a stream.
+    pub tokens_per_event: u64,
+}
+
+/// A service that requests are forwarded to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceName,
+    /// Connections that one upstream accepts from the whole fleet.
+    pub max_connections: u32,
+    /// Present if the upstreams are model engines.
+    pub engine: Option<Engine>,
+}
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest request head, in bytes.
+    pub head_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Time for which a caller's connection may be idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// One accepted configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Grows with each change.
+    pub version: u64,
+    /// Routes by host, longest path prefix first.
+    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// Services by name.
+    pub services: HashMap<ServiceName, Service>,
+    /// Workspace that holds each key.
+    pub keys: HashMap<Arc<str>, WorkspaceName>,
+    /// All workspaces; empty if requests need no key.
+    pub workspaces: Vec<WorkspaceName>,
+    /// Bounds on callers.
+    pub limits: CallerLimits,
+    /// The document as the store holds it, for peers.
+    pub document: Bytes,
+}
+
+impl Config {
+    /// Makes a configuration and indexes its routes.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        workspaces: Vec<(WorkspaceName, Vec<Arc<str>>)>,
+        limits: CallerLimits,
+        document: Bytes,
+    ) -> Self {
+        let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let mut keys = HashMap::new();
+        for (name, workspace_keys) in &workspaces {
+            keys.extend(workspace_keys.iter().map(|key| (key.clone(), name.clone())));
+        }
+        Self {
+            version,
+            routes: by_host,
+            services: services.into_iter().map(|service| (service.name.clone(), service)).collect(),
+            keys,
+            workspaces: workspaces.into_iter().map(|(name, _)| name).collect(),
+            limits,
+            document,
+        }
+    }
+
+    /// The route with the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(&*route.path_prefix))
+    }
+
+    /// Tokens in an event of a stream of a service.
+    pub fn tokens_per_event(&self, service: &ServiceName) -> u64 {
+        let engine = self.services.get(service).and_then(|service| service.engine);
+        engine.map_or(1, |engine| engine.tokens_per_event.max(1))
+    }
+
+    /// Whether requests carry the key of a workspace.
+    pub fn needs_key(&self) -> bool {
+        !self.workspaces.is_empty()
+    }
+}
+
+/// Chooses a target by weight; `draw` is uniform in 0 to 1.
+pub fn choose_target(targets: &[Target], draw: f64) -> Option<&ServiceName> {
+    let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut left = (draw * total as f64) as u64;
+    let weighted = targets.iter().filter(|target| target.weight > 0);
+    for target in weighted.clone() {
+        let weight = u64::from(target.weight);
+        if left < weight {
+            return Some(&target.service);
+        }
+        left -= weight;
+    }
+    weighted.last().map(|target| &target.service)
+}
--- /dev/null
+++ b/crates/edge/src/forward/flight.rs
@@ -0,0 +1,110 @@
+//! A request's place and upstream, given back when it ends however it ends.
+
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+use span_fair::Ticket;
+use span_types::{ServiceName, UpstreamName};
+
+use crate::{
+    node::Node,
+    placement::{SharedPrompt, Verdict},
+};
+
+/// A request that waits for a place. Dropping it gives up the wait.
+pub(crate) struct Wait {
+    node: Rc<Node>,
+    service: ServiceName,
+    ticket: Ticket,
+    start: oneshot::Receiver<UpstreamName>,
+    done: bool,
+}
+
+impl Wait {
+    pub(crate) fn new(
+        node: &Rc<Node>,
+        service: &ServiceName,
+        ticket: Ticket,
+        start: oneshot::Receiver<UpstreamName>,
+    ) -> Self {
+        Self { node: node.clone(), service: service.clone(), ticket, start, done: false }
+    }
+
+    /// Waits until the request starts; `None` if `until_ms` passes first or
+    /// the workspace is gone.
+    pub(crate) async fn started(mut self, until_ms: u64) -> Option<Flight> {
+        let until = self.node.clock.instant(until_ms);
+        let start = tokio::time::timeout_at(until, &mut self.start).await;
+        let upstream = match start {
+            Ok(Ok(upstream)) => upstream,
+            // The wait is given up when this is dropped.
+            Ok(Err(_)) | Err(_) => return None,
+        };
+        self.done = true;
+        Some(Flight {
+            node: self.node.clone(),
+            service: self.service.clone(),
+            ticket: self.ticket,
+            upstream: Some(upstream),
+            cost: 0,
+        })
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        if self.done || self.node.cancel(&self.service, self.ticket) {
+            return;
+        }
+        // It started while the caller left.
+        if let Ok(Some(upstream)) = self.start.try_recv() {
+            self.node.ended(&self.service, &upstream, Verdict::Unknown);
+            self.node.finish(&self.service, self.ticket, 0);
+        }
+    }
+}
+
+/// A request that has a place and, most of the time, an upstream.
+pub(crate) struct Flight {
+    node: Rc<Node>,
+    service: ServiceName,
+    ticket: Ticket,
+    upstream: Option<UpstreamName>,
+    /// Cost so far, in cost units.
+    pub(crate) cost: u64,
+}
+
+impl Flight {
+    pub(crate) fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    pub(crate) fn upstream(&self) -> Option<&UpstreamName> {
+        self.upstream.as_ref()
+    }
+
+    /// Ends the attempt at the present upstream.
+    pub(crate) fn judge(&mut self, verdict: Verdict) {
+        if let Some(upstream) = self.upstream.take() {
+            self.node.ended(&self.service, &upstream, verdict);
+        }
+    }
+
+    /// Goes on at another upstream, if there is one.
+    pub(crate) fn move_on(
+        &mut self,
+        shared: Option<SharedPrompt>,
+        avoid: &[UpstreamName],
+    ) -> Option<UpstreamName> {
+        self.judge(Verdict::Unknown);
+        self.upstream = self.node.choose_again(&self.service, shared, avoid);
+        self.upstream.clone()
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.judge(Verdict::Unknown);
+        self.node.finish(&self.service, self.ticket, self.cost);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/forward/reply.rs
@@ -0,0 +1,28 @@
+//! Answers of this process itself.
+
+use http::{HeaderValue, Response, StatusCode, header};
+
+use super::body::EdgeBody;
+
+/// Shortest advice on when to come back, in milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 50;
+
+/// An answer with a line of text.
+pub(crate) fn text(status: StatusCode, message: &str) -> Response<EdgeBody> {
+    let mut response = Response::new(EdgeBody::whole(format!("{message}\n").into()));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    response
+}
+
+/// The request did not run and will not; the caller may come back.
+pub(crate) fn not_run(message: &str, retry_after_ms: u64) -> Response<EdgeBody> {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, message);
+    let retry_after_ms = retry_after_ms.max(MIN_RETRY_AFTER_MS);
+    let seconds = format!("{}.{:03}", retry_after_ms / 1_000, retry_after_ms % 1_000);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,29 @@
+//! The entry process for small instances without a disk: one thread carries
+//! callers' requests, membership and configuration.
+//!
+//! What must last lies in the platform's store. The modules [`admission`],
+//! [`placement`], [`budget`], [`registry`], [`config`] and [`sse`] decide,
+//! without I/O and with the present time as an argument; the others feed them.
+
+pub mod admission;
+pub mod budget;
+pub mod clock;
+pub mod config;
+pub mod dialect;
+mod follow;
+mod forward;
+pub mod http_call;
+mod listen;
+pub mod log;
+pub mod metrics;
+mod node;
+pub mod peers;
+pub mod placement;
+mod pool;
+pub mod registry;
+mod run;
+pub mod settings;
+pub mod sse;
+pub mod store;
+
+pub use run::{StartError, run};
--- /dev/null
+++ b/crates/edge/src/log.rs
@@ -0,0 +1,99 @@
+//! Structured log lines that never block the process.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use tracing_subscriber::fmt::MakeWriter;
+
+/// Bytes of log lines that may wait to be written. Lines beyond are dropped
+/// and counted.
+const BUFFER_BYTES: usize = 256 * 1024;
+/// Pause between two writes, so that many lines cost one system call.
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A running log; lines wait in a bounded buffer and are written by a thread
+/// of their own.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    buffer: Arc<Mutex<Vec<u8>>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Log {
+    /// Lines dropped because standard output did not keep up.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Writes all waiting lines; for the end of the process.
+    pub fn flush(&self) {
+        let lines = std::mem::take(&mut *self.lock());
+        // Nobody is left to tell that standard output is closed.
+        let _ = io::stdout().write_all(&lines);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<u8>> {
+        self.buffer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn append(&self, line: &[u8]) {
+        let mut buffer = self.lock();
+        if buffer.len() + line.len() > BUFFER_BYTES {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        } else {
+            buffer.extend_from_slice(line);
+        }
+    }
+}
+
+/// One line.
+#[derive(Debug)]
+pub struct LineWriter(Log);
+
+impl Write for LineWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.append(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for Log {
+    type Writer = LineWriter;
+
+    fn make_writer(&'a self) -> LineWriter {
+        LineWriter(self.clone())
+    }
+}
+
+/// Sends all log lines of the process to standard output as JSON.
+pub fn open() -> Log {
+    let log = Log::default();
+    let writer = log.clone();
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_max_level(tracing::Level::INFO)
+        .with_writer(log.clone())
+        .finish();
+    // Fails only if a test has installed another subscriber.
+    let _ = tracing::subscriber::set_global_default(subscriber);
+    thread::spawn(move || {
+        loop {
+            thread::sleep(WRITE_INTERVAL);
+            writer.flush();
+        }
+    });
+    log
+}
--- /dev/null
+++ b/crates/edge/src/node.rs
@@ -0,0 +1,435 @@
+//! State of the process: plain data and the decisions on it, without I/O.
+
+use std::{
+    cell::{Cell, RefCell, RefMut},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+};
+
+use futures::channel::oneshot;
+use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
+use span_fair::Ticket;
+use span_member::{LiveView, Router, Timing as ViewTiming};
+use span_types::{Member, MemberState, ServiceName, UpstreamName, WorkspaceName};
+use tracing::info;
+
+use crate::{
+    admission::{Admission, Ask, Refusal},
+    budget::{Allowance, RetryBudget},
+    clock::Clock,
+    config::Config,
+    dialect::Dialect,
+    metrics::{Counter, Metrics},
+    placement::{Need, Placement, SharedPrompt, Verdict},
+    pool::Pool,
+    registry::{Change, Registry},
+    settings::Settings,
+};
+
+/// Part of the connections that an upstream accepts which the routers known
+/// now use; the rest is for routers that join.
+const CONNECTIONS_PART: f64 = 0.8;
+/// Heartbeat silence after which a router is suspect, then dead, and how long
+/// a dead one is remembered, in milliseconds. Three heartbeats may be lost.
+const VIEW_TIMING: ViewTiming =
+    ViewTiming { suspect_after_ms: 1_300, remove_after_ms: 2_600, forget_after_ms: 60_000 };
+
+struct Waiter {
+    started: oneshot::Sender<UpstreamName>,
+    workspace: WorkspaceName,
+    shared: Option<SharedPrompt>,
+}
+
+/// One service at this router.
+pub(crate) struct ServiceState {
+    pub(crate) admission: Admission,
+    pub(crate) placement: Placement,
+    pub(crate) budget: RetryBudget,
+    waiters: HashMap<Ticket, Waiter>,
+}
+
+/// What the process knows.
+pub(crate) struct State {
+    pub(crate) config: Option<Rc<Config>>,
+    pub(crate) registry: Registry,
+    pub(crate) services: HashMap<ServiceName, ServiceState>,
+    pub(crate) view: LiveView,
+    /// Configuration version that each router stated last.
+    pub(crate) versions: BTreeMap<Member, u64>,
+    pub(crate) metrics: Metrics,
+    pub(crate) rng: SmallRng,
+}
+
+/// The process; shared by all its tasks, which run on one thread.
+pub struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Dialect,
+    pub(crate) clock: Clock,
+    pub(crate) pool: Pool,
+    pub(crate) leaving_since_ms: Cell<Option<u64>>,
+    /// Requests whose answer has not ended.
+    pub(crate) open_requests: Cell<usize>,
+    /// Bytes of request bodies in memory.
+    pub(crate) body_bytes: Cell<u64>,
+    state: RefCell<State>,
+}
+
+/// Why a request found no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum NoPlace {
+    /// No upstream of the service takes requests.
+    NoUpstream,
+    /// The wait would be longer than the caller's aim allows.
+    Busy { retry_after_ms: u64 },
+}
+
+impl Node {
+    pub(crate) fn new(settings: Settings, dialect: Dialect, me: Router, seed: u64) -> Rc<Self> {
+        let state = State {
+            config: None,
+            registry: Registry::default(),
+            services: HashMap::new(),
+            view: LiveView::new(me, VIEW_TIMING),
+            versions: BTreeMap::new(),
+            metrics: Metrics::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        Rc::new(Self {
+            settings,
+            dialect,
+            clock: Clock::start(),
+            pool: Pool::default(),
+            leaving_since_ms: Cell::new(None),
+            open_requests: Cell::new(0),
+            body_bytes: Cell::new(0),
+            state: RefCell::new(state),
+        })
+    }
+
+    /// The state, for the time of one decision.
+    pub(crate) fn state(&self) -> RefMut<'_, State> {
+        self.state.borrow_mut()
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    pub(crate) fn count(&self, counter: Counter) {
+        self.state().metrics.count(counter);
+    }
+
+    pub(crate) fn config(&self) -> Option<Rc<Config>> {
+        self.state().config.clone()
+    }
+
+    pub(crate) fn config_version(&self) -> u64 {
+        self.state().config.as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Uniform in 0 to 1.
+    pub(crate) fn draw(&self) -> f64 {
+        self.state().rng.random()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving_since_ms.get().is_some()
+    }
+
+    /// Puts a configuration in force, unless it is not newer. Returns whether
+    /// it was.
+    pub(crate) fn apply_config(&self, config: Config, source: &'static str) -> bool {
+        let version = config.version;
+        if version <= self.config_version() {
+            return false;
+        }
+        let config = Rc::new(config);
+        let mut state = self.state();
+        state.metrics.count(Counter::ConfigsApplied);
+        state.config = Some(config.clone());
+        let now_ms = self.now_ms();
+        state.follow_config(now_ms, &self.settings);
+        let routers = state.routers();
+        drop(state);
+        info!(version, source, routers, "configuration in force");
+        true
+    }
+
+    /// Takes changes of upstreams.
+    pub(crate) fn apply_changes(&self, changes: &[Change]) {
+        if changes.is_empty() {
+            return;
+        }
+        let mut state = self.state();
+        for change in changes {
+            match change {
+                Change::Started(name) => {
+                    self.pool.forget(name);
+                    for service in state.services.values_mut() {
+                        service.placement.reset(name);
+                    }
+                }
+                Change::Gone(name) => self.pool.forget(name),
+                Change::Draining(_) => {}
+            }
+        }
+        state.follow_upstreams(&self.settings);
+        let known = state.registry.len();
+        drop(state);
+        for change in changes {
+            let (name, what) = match change {
+                Change::Started(name) => (name, "started"),
+                Change::Draining(name) => (name, "draining"),
+                Change::Gone(name) => (name, "gone"),
+            };
+            info!(upstream = name.as_str(), change = what, known, "upstream changed");
+        }
+        self.pump_all();
+    }
+
+    /// Takes a change of the number of routers.
+    pub(crate) fn fleet_changed(&self) {
+        self.state().follow_fleet(&self.settings);
+    }
+
+    /// Asks for a place for a request of `service`.
+    pub(crate) fn ask(
+        &self,
+        service: &ServiceName,
+        ask: &Ask,
+        shared: Option<SharedPrompt>,
+    ) -> Result<(Ticket, oneshot::Receiver<UpstreamName>), NoPlace> {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let service_state = state.services.get_mut(service).ok_or(NoPlace::NoUpstream)?;
+        service_state.budget.earn(now_ms);
+        if service_state.placement.capacity(now_ms) == 0 {
+            return Err(NoPlace::NoUpstream);
+        }
+        let room = service_state.placement.room(now_ms);
+        let ticket = service_state
+            .admission
+            .submit(now_ms, room, ask)
+            .map_err(|Refusal { retry_after_ms }| NoPlace::Busy { retry_after_ms })?;
+        let (started, start) = oneshot::channel();
+        let waiter = Waiter { started, workspace: ask.workspace.clone(), shared };
+        service_state.waiters.insert(ticket, waiter);
+        drop(state);
+        self.pump(service);
+        Ok((ticket, start))
+    }
+
+    /// Gives up on a waiting request. Returns false if it has started.
+    pub(crate) fn cancel(&self, service: &ServiceName, ticket: Ticket) -> bool {
+        let mut state = self.state();
+        let Some(service) = state.services.get_mut(service) else {
+            return false;
+        };
+        if !service.admission.cancel(ticket) {
+            return false;
+        }
+        if let Some(waiter) = service.waiters.remove(&ticket) {
+            service.admission.left(&waiter.workspace);
+        }
+        true
+    }
+
+    /// Ends a started request.
+    pub(crate) fn finish(&self, service: &ServiceName, ticket: Ticket, cost: u64) {
+        let now_ms = self.now_ms();
+        if let Some(service) = self.state().services.get_mut(service) {
+            service.admission.finish(now_ms, ticket, cost);
+        }
+        self.pump(service);
+    }
+
+    /// Chooses a further upstream for a request that has a place.
+    pub(crate) fn choose_again(
+        &self,
+        service: &ServiceName,
+        shared: Option<SharedPrompt>,
+        avoid: &[UpstreamName],
+    ) -> Option<UpstreamName> {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let draw = state.rng.next_u64();
+        let service = state.services.get_mut(service)?;
+        let need = Need { shared, avoid };
+        let chosen = service.placement.choose(now_ms, need, draw, false);
+        let chosen = chosen.or_else(|| service.placement.choose(now_ms, need, draw, true))?;
+        service.placement.sent(now_ms, &chosen, shared);
+        Some(chosen)
+    }
+
+    /// Takes a repeated send from the fleet's budget.
+    pub(crate) fn may_repeat(&self, service: &ServiceName) -> bool {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let routers = state.known_routers();
+        let allowed = state
+            .services
+            .get_mut(service)
+            .is_some_and(|service| service.budget.spend(now_ms, routers));
+        let counter = if allowed { Counter::Repeated } else { Counter::RepeatsDenied };
+        state.metrics.count(counter);
+        allowed
+    }
+
+    /// Notes that a request at an upstream has ended.
+    pub(crate) fn ended(&self, service: &ServiceName, upstream: &UpstreamName, verdict: Verdict) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let Some(service_state) = state.services.get_mut(service) else {
+            return;
+        };
+        service_state.placement.ended(upstream);
+        let avoided = service_state.placement.judge(now_ms, upstream, verdict);
+        match verdict {
+            Verdict::Failed => state.metrics.count(Counter::UpstreamFailures),
+            Verdict::Full | Verdict::Replaced => state.metrics.count(Counter::UpstreamRefusals),
+            Verdict::Good | Verdict::Unknown => {}
+        }
+        drop(state);
+        if avoided {
+            info!(upstream = upstream.as_str(), verdict = %verdict, "upstream avoided");
+        }
+    }
+
+    /// Starts as many waiting requests as there is room for.
+    pub(crate) fn pump(&self, service: &ServiceName) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let state = &mut *state;
+        if let Some(service) = state.services.get_mut(service) {
+            service.pump(now_ms, &mut state.rng);
+        }
+    }
+
+    /// As [`Node::pump`] for all services: room also comes from time that
+    /// passes.
+    pub(crate) fn pump_all(&self) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let state = &mut *state;
+        for service in state.services.values_mut() {
+            service.pump(now_ms, &mut state.rng);
+        }
+    }
+
+    /// Announces that the process will end.
+    pub(crate) fn leave(&self) {
+        self.leaving_since_ms.set(Some(self.now_ms()));
+        self.state().view.leave();
+    }
+
+    /// Addresses of the routers that callers may use.
+    pub(crate) fn entries(&self) -> Vec<std::sync::Arc<str>> {
+        let state = self.state();
+        let me = &state.view.me().router.member;
+        let knows_config = |member: &Member| {
+            member == me || state.versions.get(member).is_some_and(|version| *version > 0)
+        };
+        let entries = state.view.entries();
+        let usable = entries.iter().filter(|router| knows_config(&router.member));
+        usable.map(|router| router.http_address.to_string().into()).collect()
+    }
+}
+
+impl ServiceState {
+    fn pump(&mut self, now_ms: u64, rng: &mut SmallRng) {
+        while self.admission.waiting() > 0 {
+            let room = self.placement.room(now_ms);
+            if room == 0 {
+                return;
+            }
+            let Some(dispatch) = self.admission.start(now_ms, room) else {
+                return;
+            };
+            let Some(waiter) = self.waiters.remove(&dispatch.ticket) else {
+                self.admission.finish(now_ms, dispatch.ticket, 0);
+                continue;
+            };
+            self.admission.left(&waiter.workspace);
+            let need = Need { shared: waiter.shared, avoid: &[] };
+            let Some(upstream) = self.placement.choose(now_ms, need, rng.next_u64(), false) else {
+                self.admission.finish(now_ms, dispatch.ticket, 0);
+                continue;
+            };
+            self.placement.sent(now_ms, &upstream, waiter.shared);
+            if waiter.started.send(upstream.clone()).is_err() {
+                self.placement.ended(&upstream);
+                self.admission.finish(now_ms, dispatch.ticket, 0);
+            }
+        }
+    }
+}
+
+impl State {
+    /// Routers that share the upstreams now, this one included.
+    pub(crate) fn routers(&self) -> usize {
+        self.view.live().len()
+    }
+
+    /// Routers that may be sending, dead ones included: they may only be cut
+    /// off from this one.
+    pub(crate) fn known_routers(&self) -> usize {
+        let dead = |status: &span_member::MemberStatus| status.update.state == MemberState::Dead;
+        self.routers() + self.view.status().iter().filter(|status| dead(status)).count()
+    }
+
+    fn follow_config(&mut self, now_ms: u64, settings: &Settings) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let me = self.view.me().router.member.clone();
+        let bounds = settings.bounds;
+        for name in config.services.keys() {
+            self.services.entry(name.clone()).or_insert_with(|| ServiceState {
+                admission: Admission::new(name.clone(), me.clone()),
+                placement: Placement::default(),
+                budget: RetryBudget::new(
+                    Allowance {
+                        ratio: bounds.retry_ratio,
+                        slack: bounds.retry_slack,
+                        window_ms: bounds.retry_window_ms,
+                    },
+                    now_ms,
+                ),
+                waiters: HashMap::new(),
+            });
+        }
+        for service in self.services.values_mut() {
+            for ticket in service.admission.set_workspaces(&config.workspaces) {
+                // Dropping the sender tells the request that it is refused.
+                if let Some(waiter) = service.waiters.remove(&ticket) {
+                    service.admission.left(&waiter.workspace);
+                }
+            }
+        }
+        self.follow_upstreams(settings);
+    }
+
+    fn follow_upstreams(&mut self, settings: &Settings) {
+        for (name, service) in &mut self.services {
+            let ready = self.registry.ready(name).map(|(name, entry)| (name, entry.slots));
+            service.placement.set_upstreams(ready);
+        }
+        self.follow_fleet(settings);
+    }
+
+    fn follow_fleet(&mut self, _settings: &Settings) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let (live, known) = (self.routers(), self.known_routers());
+        for (name, service) in &mut self.services {
+            let Some(service_config) = config.services.get(name) else {
+                continue;
+            };
+            let connections = f64::from(service_config.max_connections) * CONNECTIONS_PART;
+            let max_sent = (connections / known as f64) as u32;
+            service.placement.set_fleet(live, max_sent.max(1));
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,239 @@
+//! Heartbeats between routers, and configurations fetched from them.
+//!
+//! A heartbeat is one datagram: a lost one costs nothing, and a path that goes
+//! silent leaves no connection behind that has to be noticed.
+
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Request;
+use serde::{Deserialize, Serialize};
+use span_member::{Change, Router, Update, peers, targets};
+use span_types::InstanceName;
+use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
+use tracing::{info, warn};
+
+use crate::{http_call::Caller, metrics::Counter, node::Node};
+
+/// Interval between heartbeats, in milliseconds; a third of the time after
+/// which a silent router is suspect.
+const HEARTBEAT_MS: u64 = 400;
+/// Heartbeats between two contacts with routers that are listed but silent.
+const STRANGER_INTERVAL: u64 = 4;
+/// Statements about other routers in a heartbeat.
+const MAX_UPDATES: usize = 8;
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+/// Time in which the store is given the chance to bring a configuration that
+/// a peer has, in milliseconds.
+const FETCH_DELAY_MS: u64 = 100;
+/// Time to fetch a configuration from a peer, in milliseconds.
+const FETCH_TIMEOUT_MS: u64 = 1_000;
+
+/// What routers tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender about itself.
+    pub from: Update,
+    /// Version of the configuration that the sender has.
+    pub config_version: u64,
+    /// Whether the sender wants a heartbeat in return.
+    pub wants_answer: bool,
+    /// What the sender knows of others.
+    pub updates: Vec<Update>,
+}
+
+/// Running heartbeats.
+pub(crate) struct Peers {
+    node: Rc<Node>,
+    socket: UdpSocket,
+    fetching: std::cell::Cell<bool>,
+}
+
+impl Peers {
+    /// Binds the socket for heartbeats.
+    pub(crate) async fn bind(node: Rc<Node>) -> io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(node.settings.addresses.heartbeats).await?;
+        Ok(Rc::new(Self { node, socket, fetching: std::cell::Cell::new(false) }))
+    }
+
+    /// Sends heartbeats until the process ends.
+    pub(crate) async fn send_all(self: Rc<Self>) {
+        for round in 0u64.. {
+            self.beat(round);
+            sleep(Duration::from_millis(HEARTBEAT_MS)).await;
+        }
+    }
+
+    fn beat(&self, round: u64) {
+        let now_ms = self.node.now_ms();
+        let (targets, changes) = {
+            let mut state = self.node.state();
+            let me = state.view.me().router.member.instance.clone();
+            let live = state.view.live();
+            let monitored: Vec<InstanceName> = peers(&me, &live).into_iter().collect();
+            let names = targets(&me, &live);
+            let known: Vec<IpAddr> =
+                live.iter().map(|router| router.peer_address.ip()).collect();
+            let mut targets: Vec<(Option<InstanceName>, IpAddr)> = names
+                .into_iter()
+                .filter_map(|name| {
+                    let router = live.iter().find(|router| router.member.instance == name)?;
+                    Some((Some(name), router.peer_address.ip()))
+                })
+                .collect();
+            if round.is_multiple_of(STRANGER_INTERVAL) || known.len() <= 1 {
+                let strangers = state.view.strangers();
+                targets.extend(strangers.iter().map(|router| (None, router.peer_address.ip())));
+                let seeds = self.node.settings.seeds.iter().map(SocketAddr::ip);
+                targets.extend(seeds.filter(|ip| !known.contains(ip)).map(|ip| (None, ip)));
+            }
+            (targets, state.view.tick(now_ms, &monitored))
+        };
+        self.note(&changes);
+        for (name, ip) in targets {
+            self.send(ip, name.as_ref(), true);
+        }
+    }
+
+    /// Tells all live routers what this one says of itself; for news that
+    /// must not wait, such as leaving.
+    pub(crate) fn tell_all(&self) {
+        let live: Vec<(InstanceName, IpAddr)> = {
+            let state = self.node.state();
+            let me = &state.view.me().router.member.instance;
+            let others = state.view.live().into_iter().filter(|router| router.member.instance != *me);
+            others.map(|router| (router.member.instance.clone(), router.peer_address.ip())).collect()
+        };
+        for (name, ip) in live {
+            self.send(ip, Some(&name), false);
+        }
+    }
+
+    fn send(&self, ip: IpAddr, peer: Option<&InstanceName>, wants_answer: bool) {
+        let address = SocketAddr::new(ip, self.node.settings.addresses.heartbeats.port());
+        if address == self.node.settings.addresses.heartbeats {
+            return;
+        }
+        let heartbeat = {
+            let mut state = self.node.state();
+            state.metrics.count(Counter::Heartbeats);
+            let updates = match peer {
+                Some(peer) => state.view.updates(peer, MAX_UPDATES),
+                None => state.view.all().into_iter().take(MAX_UPDATES).collect(),
+            };
+            Heartbeat {
+                from: state.view.me().clone(),
+                config_version: state.config.as_ref().map_or(0, |config| config.version),
+                wants_answer,
+                updates,
+            }
+        };
+        match postcard::to_stdvec(&heartbeat) {
+            // A datagram that the link does not take counts as lost.
+            Ok(bytes) => drop(self.socket.try_send_to(&bytes, address)),
+            Err(error) => warn!(%error, "a heartbeat cannot be encoded"),
+        }
+    }
+
+    /// Receives heartbeats until the process ends.
+    pub(crate) async fn receive_all(self: Rc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
+                    Ok(heartbeat) => self.receive(heartbeat, from.ip()),
+                    Err(error) => warn!(%error, %from, "a datagram is no heartbeat"),
+                },
+                // An earlier datagram was refused at its destination.
+                Err(_) => sleep(Duration::from_millis(1)).await,
+            }
+        }
+    }
+
+    fn receive(self: &Rc<Self>, heartbeat: Heartbeat, ip: IpAddr) {
+        let now_ms = self.node.now_ms();
+        let member = heartbeat.from.router.member.clone();
+        let sender = heartbeat.from.router.clone();
+        let changes: Vec<Change> = {
+            let mut state = self.node.state();
+            if member.instance == state.view.me().router.member.instance {
+                return;
+            }
+            state.versions.retain(|other, _| other.instance != member.instance || *other == member);
+            state.versions.insert(member.clone(), heartbeat.config_version);
+            let heard = state.view.heard(now_ms, heartbeat.from);
+            let learned = heartbeat.updates.into_iter();
+            let learned: Vec<Change> =
+                learned.filter_map(|update| state.view.learn(now_ms, update)).collect();
+            heard.into_iter().chain(learned).collect()
+        };
+        self.note(&changes);
+        if heartbeat.wants_answer {
+            self.send(ip, Some(&member.instance), false);
+        }
+        if heartbeat.config_version > self.node.config_version() {
+            self.fetch_soon(sender);
+        }
+    }
+
+    fn note(&self, changes: &[Change]) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            let from = change.from.map(|state| state.to_string());
+            info!(router = %change.member, from, to = %change.to, "router changed");
+        }
+        self.node.fleet_changed();
+    }
+
+    /// Fetches the configuration from a peer that has a newer one, unless the
+    /// store brings it first.
+    fn fetch_soon(self: &Rc<Self>, peer: Router) {
+        if self.fetching.replace(true) {
+            return;
+        }
+        let peers = self.clone();
+        spawn_local(async move {
+            sleep(Duration::from_millis(FETCH_DELAY_MS)).await;
+            let (version, newest) = {
+                let state = peers.node.state();
+                let version = state.config.as_ref().map_or(0, |config| config.version);
+                (version, state.versions.get(&peer.member).copied().unwrap_or(0))
+            };
+            if newest > version {
+                peers.fetch(&peer, version).await;
+            }
+            peers.fetching.set(false);
+        });
+    }
+
+    async fn fetch(&self, peer: &Router, version: u64) {
+        let request = Request::get(format!("/config?newer={version}"));
+        let caller = Caller::new(peer.peer_address);
+        let document = match caller.call(request, Bytes::new(), FETCH_TIMEOUT_MS).await {
+            Ok((status, document)) if status.is_success() => document,
+            Ok((status, _)) => {
+                warn!(router = %peer.member, %status, "a peer gave no configuration");
+                return;
+            }
+            Err(error) => {
+                warn!(router = %peer.member, %error, "a peer gave no configuration");
+                return;
+            }
+        };
+        if document.is_empty() {
+            return;
+        }
+        match (self.node.dialect.decode_config)(&document) {
+            Ok(config) => drop(self.node.apply_config(config, "peer")),
+            Err(error) => warn!(router = %peer.member, error, "a peer's configuration is unreadable"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/placement.rs
@@ -0,0 +1,289 @@
+//! Where a request goes: the load of each upstream as this router sees it.
+
+use std::collections::HashMap;
+
+use span_types::UpstreamName;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Age at which a load report says nothing any more, in milliseconds.
+const REPORT_LIFETIME_MS: u64 = 3_000;
+/// Prompt tokens that a model engine reads in a millisecond. Used only to
+/// compare reading a shared part again with joining a longer batch.
+const PROMPT_TOKENS_PER_MS: f64 = 125.0;
+/// Time that a full batch costs a request compared to an empty one, in
+/// milliseconds; weighs load against prompt parts that are in memory.
+const FULL_BATCH_MS: f64 = 120.0;
+/// Requests beyond its slots that an upstream may be sent, as a part of the
+/// slots. They cover the time from the end of a request until the next one
+/// arrives.
+const QUEUED_PART: f64 = 0.04;
+/// Failures in a row after which an upstream is avoided.
+const FAILURES: u32 = 3;
+/// Weight of the newest result in the failure rate is one in this many.
+const RATE_WEIGHT: f64 = 8.0;
+/// Failure rate above which an upstream is avoided.
+const MAX_FAILURE_RATE: f64 = 0.3;
+/// Time for which an upstream is avoided at first, and at most, in
+/// milliseconds.
+const AVOID_MS: (u64, u64) = (500, 4_000);
+/// Prompt parts whose place is remembered.
+const MAX_PARTS: usize = 4_096;
+/// Time after which an engine has dropped a part that nobody asked for, in
+/// milliseconds.
+const PART_LIFETIME_MS: u64 = 20_000;
+
+/// Load that an upstream stated in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that it processes.
+    pub running: u32,
+    /// Requests that wait at it.
+    pub waiting: u32,
+    /// Requests that it processes at once.
+    pub slots: u32,
+}
+
+/// The part of a prompt that a request shares with others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedPrompt {
+    /// Hash of the last shared part.
+    pub part: u64,
+    /// Tokens of all shared parts.
+    pub tokens: u64,
+}
+
+/// How an attempt at an upstream ended, for judging the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Verdict {
+    /// It answered as it should.
+    Good,
+    /// It did not answer, or not properly.
+    Failed,
+    /// It had no room.
+    Full,
+    /// Another process has its address.
+    Replaced,
+    /// Nothing can be said.
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Load {
+    name_hash: u64,
+    slots: u32,
+    sent: u32,
+    report: Option<(u64, LoadReport, u32)>,
+    failures: u32,
+    failure_rate: f64,
+    avoid_ms: u64,
+    avoid_until_ms: u64,
+    probing: bool,
+    full_until_ms: u64,
+    replaced: bool,
+}
+
+impl Load {
+    /// Requests at the upstream from the whole fleet.
+    fn total(&self, now_ms: u64, routers: usize) -> f64 {
+        let own = f64::from(self.sent);
+        let Some((at_ms, report, sent)) = self.report else {
+            return own * routers as f64;
+        };
+        let age_ms = now_ms.saturating_sub(at_ms);
+        if age_ms >= REPORT_LIFETIME_MS {
+            return own * routers as f64;
+        }
+        let reported = f64::from(report.running + report.waiting);
+        (reported + own - f64::from(sent)).max(own)
+    }
+
+    fn may_use(&self, now_ms: u64) -> bool {
+        !self.replaced && now_ms >= self.full_until_ms && now_ms >= self.avoid_until_ms && !self.probing
+    }
+}
+
+/// What a request needs of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Shared part of its prompt.
+    pub shared: Option<SharedPrompt>,
+    /// Upstreams that were tried already.
+    pub avoid: &'a [UpstreamName],
+}
+
+/// Load of the upstreams of one service.
+#[derive(Debug, Default)]
+pub struct Placement {
+    upstreams: HashMap<UpstreamName, Load>,
+    /// Upstream that last read each prompt part.
+    parts: HashMap<u64, (UpstreamName, u64)>,
+    /// Requests at one upstream that this router may have open.
+    max_sent: u32,
+    routers: usize,
+}
+
+impl Placement {
+    /// Sets how many routers share the upstreams, and how many connections to
+    /// one upstream this router may open.
+    pub fn set_fleet(&mut self, routers: usize, max_sent: u32) {
+        self.routers = routers.max(1);
+        self.max_sent = max_sent.max(1);
+    }
+
+    /// Replaces the upstreams that take requests. What is known of those that
+    /// stay is kept.
+    pub fn set_upstreams<'a>(&mut self, ready: impl Iterator<Item = (&'a UpstreamName, u32)>) {
+        let mut known = std::mem::take(&mut self.upstreams);
+        for (name, slots) in ready {
+            let mut load = known.remove(name).unwrap_or_else(|| Load {
+                name_hash: xxh3_64(name.as_str().as_bytes()),
+                slots,
+                sent: 0,
+                report: None,
+                failures: 0,
+                failure_rate: 0.0,
+                avoid_ms: 0,
+                avoid_until_ms: 0,
+                probing: false,
+                full_until_ms: 0,
+                replaced: false,
+            });
+            load.slots = slots;
+            self.upstreams.insert(name.clone(), load);
+        }
+    }
+
+    /// Forgets what was learned of an upstream whose process is new.
+    pub fn reset(&mut self, name: &UpstreamName) {
+        self.upstreams.remove(name);
+        self.parts.retain(|_, (upstream, _)| upstream != name);
+    }
+
+    /// Requests that may be sent to the upstreams now.
+    pub fn room(&self, now_ms: u64) -> u32 {
+        let open = self.upstreams.values().filter(|load| load.may_use(now_ms));
+        open.map(|load| self.room_at(now_ms, load)).sum()
+    }
+
+    /// Requests that may be sent if every usable upstream were empty.
+    pub fn capacity(&self, now_ms: u64) -> u32 {
+        let open = self.upstreams.values().filter(|load| load.may_use(now_ms));
+        open.map(|load| load.slots).sum()
+    }
+
+    fn room_at(&self, now_ms: u64, load: &Load) -> u32 {
+        let limit = f64::from(load.slots) * (1.0 + QUEUED_PART);
+        // A router that acts on old reports must not fill the whole upstream.
+        let share = (f64::from(load.slots) * 2.0 / self.routers as f64).ceil() as u32;
+        let own = share.max(2).min(self.max_sent).saturating_sub(load.sent);
+        let room = (limit - load.total(now_ms, self.routers)).max(0.0) as u32;
+        room.min(own)
+    }
+
+    /// Chooses the upstream for a request; `draw` breaks ties, uniform in 0
+    /// to 1. With `crowd`, an upstream without room may be chosen.
+    pub fn choose(&self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<UpstreamName> {
+        let usable = self.upstreams.iter().filter(|(name, load)| {
+            load.may_use(now_ms)
+                && !need.avoid.contains(name)
+                && load.sent < self.max_sent
+                && (crowd || self.room_at(now_ms, load) > 0)
+        });
+        let cost = |name: &UpstreamName, load: &Load| self.cost(now_ms, need, draw, name, load);
+        let costs = usable.map(|(name, load)| (cost(name, load), name));
+        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone())
+    }
+
+    fn cost(&self, now_ms: u64, need: Need<'_>, draw: u64, name: &UpstreamName, load: &Load) -> f64 {
+        let used = load.total(now_ms, self.routers) / f64::from(load.slots.max(1));
+        let tie = xxh3_64_with_seed(&draw.to_le_bytes(), load.name_hash) as f64 / u64::MAX as f64;
+        let base = used * FULL_BATCH_MS + tie * 2.0;
+        let Some(shared) = need.shared else {
+            return base;
+        };
+        let read_ms = shared.tokens as f64 / PROMPT_TOKENS_PER_MS;
+        let here = self.parts.get(&shared.part).is_some_and(|(upstream, at_ms)| {
+            upstream == name && now_ms.saturating_sub(*at_ms) < PART_LIFETIME_MS
+        });
+        // Other routers send the part to the upstream of its highest hash.
+        let hash = xxh3_64_with_seed(&shared.part.to_le_bytes(), load.name_hash);
+        let rank = 1.0 - hash as f64 / u64::MAX as f64;
+        let missing = if here { 0.3 } else { 1.0 };
+        base + read_ms * (missing * 0.3 + 0.7 * (rank * self.upstreams.len() as f64).min(1.0))
+    }
+
+    /// Counts a request that is sent to an upstream.
+    pub fn sent(&mut self, now_ms: u64, name: &UpstreamName, shared: Option<SharedPrompt>) {
+        if let Some(load) = self.upstreams.get_mut(name) {
+            load.sent += 1;
+            if load.avoid_ms > 0 {
+                load.probing = true;
+            }
+        }
+        if let Some(shared) = shared {
+            if self.parts.len() >= MAX_PARTS {
+                self.parts.retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < PART_LIFETIME_MS / 2);
+            }
+            self.parts.insert(shared.part, (name.clone(), now_ms));
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn ended(&mut self, name: &UpstreamName) {
+        if let Some(load) = self.upstreams.get_mut(name) {
+            load.sent = load.sent.saturating_sub(1);
+        }
+    }
+
+    /// Takes the load that an upstream stated.
+    pub fn report(&mut self, now_ms: u64, name: &UpstreamName, report: LoadReport) {
+        if let Some(load) = self.upstreams.get_mut(name) {
+            load.report = Some((now_ms, report, load.sent));
+        }
+    }
+
+    /// Judges an upstream by the end of an attempt. Returns whether it is
+    /// avoided from now on.
+    pub fn judge(&mut self, now_ms: u64, name: &UpstreamName, verdict: Verdict) -> bool {
+        let Some(load) = self.upstreams.get_mut(name) else {
+            return false;
+        };
+        load.probing = false;
+        match verdict {
+            Verdict::Good => {
+                load.failures = 0;
+                load.failure_rate -= load.failure_rate / RATE_WEIGHT;
+                if load.failure_rate < MAX_FAILURE_RATE / 2.0 {
+                    load.avoid_ms = 0;
+                }
+                false
+            }
+            Verdict::Failed => {
+                load.failures += 1;
+                load.failure_rate += (1.0 - load.failure_rate) / RATE_WEIGHT;
+                let avoid = load.failures >= FAILURES || load.failure_rate > MAX_FAILURE_RATE;
+                if avoid {
+                    load.avoid_ms = (load.avoid_ms * 2).clamp(AVOID_MS.0, AVOID_MS.1);
+                    load.avoid_until_ms = now_ms + load.avoid_ms;
+                }
+                avoid
+            }
+            Verdict::Full => {
+                let report = LoadReport { running: load.slots, waiting: 1, slots: load.slots };
+                load.report = Some((now_ms, report, load.sent));
+                load.full_until_ms = now_ms + FULL_MS;
+                false
+            }
+            Verdict::Replaced => {
+                load.replaced = true;
+                true
+            }
+            Verdict::Unknown => false,
+        }
+    }
+}
+
+/// Time for which an upstream that refused a request for lack of room is left
+/// alone, in milliseconds; a few batch steps.
+const FULL_MS: u64 = 50;
--- /dev/null
+++ b/crates/edge/src/registry.rs
@@ -0,0 +1,160 @@
+//! The upstreams that the platform's store lists.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use span_types::{FailureDomain, ServiceName, UpstreamName};
+
+/// Time after the store's return in which the entries of upstreams that live
+/// are back, in milliseconds; stated by the platform as about two seconds.
+const ENTRIES_RETURN_MS: u64 = 2_200;
+
+/// An upstream as its entry describes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Service that the upstream belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain that it stands in.
+    pub failure_domain: FailureDomain,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Whether it takes no new requests.
+    pub draining: bool,
+    /// Start of the process in milliseconds since the Unix epoch, if stated.
+    /// A process that starts again under its name has a later one.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// What an update did to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A new upstream, or a new process under a known name.
+    Started(UpstreamName),
+    /// The upstream is draining.
+    Draining(UpstreamName),
+    /// The upstream takes no more requests.
+    Gone(UpstreamName),
+}
+
+#[derive(Debug)]
+struct Known {
+    entry: Entry,
+    /// The entry lapsed while the store was away; the upstream is gone if it
+    /// is not back by this time.
+    lapsed_until_ms: Option<u64>,
+}
+
+/// Upstreams by name.
+///
+/// Entries that vanish while the store is away, or shortly after its return,
+/// may have lapsed only because the upstream could not renew them; they are
+/// kept until the upstreams that live have had time to write them again.
+#[derive(Debug, Default)]
+pub struct Registry {
+    upstreams: BTreeMap<UpstreamName, Known>,
+    /// Time of the first failed contact since the last good one.
+    away_since_ms: Option<u64>,
+    /// Removals before this time may be lapses.
+    settling_until_ms: u64,
+}
+
+impl Registry {
+    /// Notes that the store did not answer.
+    pub fn store_failed(&mut self, now_ms: u64) {
+        self.away_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Notes that the store answered. Entries cannot lapse in an absence
+    /// shorter than `lapse_ms`.
+    pub fn store_answered(&mut self, now_ms: u64, lapse_ms: u64) {
+        let Some(since_ms) = self.away_since_ms.take() else {
+            return;
+        };
+        if now_ms.saturating_sub(since_ms) >= lapse_ms {
+            self.settling_until_ms = now_ms + ENTRIES_RETURN_MS;
+        }
+    }
+
+    /// Takes the whole list of entries.
+    pub fn replace(&mut self, now_ms: u64, entries: Vec<(UpstreamName, Entry)>) -> Vec<Change> {
+        let listed: BTreeMap<UpstreamName, Entry> = entries.into_iter().collect();
+        let missing = self.upstreams.keys().filter(|name| !listed.contains_key(*name));
+        let missing: Vec<UpstreamName> = missing.cloned().collect();
+        let mut changes: Vec<Change> =
+            missing.into_iter().filter_map(|name| self.remove(now_ms, &name)).collect();
+        for (name, entry) in listed {
+            changes.extend(self.update(name, entry));
+        }
+        changes
+    }
+
+    /// Takes a new or changed entry.
+    pub fn update(&mut self, name: UpstreamName, entry: Entry) -> Option<Change> {
+        let change = match self.upstreams.get(&name) {
+            None => Some(Change::Started(name.clone())),
+            Some(known) if is_new_process(&known.entry, &entry) => {
+                Some(Change::Started(name.clone()))
+            }
+            Some(known) if entry.draining && !known.entry.draining => {
+                Some(Change::Draining(name.clone()))
+            }
+            Some(_) => None,
+        };
+        self.upstreams.insert(name, Known { entry, lapsed_until_ms: None });
+        change
+    }
+
+    /// Takes the removal of an entry, or one that cannot be read.
+    pub fn remove(&mut self, now_ms: u64, name: &UpstreamName) -> Option<Change> {
+        let known = self.upstreams.get_mut(name)?;
+        if now_ms < self.settling_until_ms {
+            known.lapsed_until_ms.get_or_insert(self.settling_until_ms);
+            return None;
+        }
+        self.upstreams.remove(name);
+        Some(Change::Gone(name.clone()))
+    }
+
+    /// Removes the upstreams whose entries lapsed and did not come back.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
+        let lapsed = self.upstreams.iter().filter(|(_, known)| {
+            known.lapsed_until_ms.is_some_and(|until_ms| until_ms <= now_ms)
+        });
+        let lapsed: Vec<UpstreamName> = lapsed.map(|(name, _)| name.clone()).collect();
+        for name in &lapsed {
+            self.upstreams.remove(name);
+        }
+        lapsed.into_iter().map(Change::Gone).collect()
+    }
+
+    /// An upstream by name.
+    pub fn get(&self, name: &UpstreamName) -> Option<&Entry> {
+        self.upstreams.get(name).map(|known| &known.entry)
+    }
+
+    /// Upstreams of a service that take new requests.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (&'a UpstreamName, &'a Entry)> {
+        let entries = self.upstreams.iter().map(|(name, known)| (name, &known.entry));
+        entries.filter(move |(_, entry)| entry.service == *service && !entry.draining)
+    }
+
+    /// Number of upstreams, the draining ones included.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+}
+
+fn is_new_process(old: &Entry, new: &Entry) -> bool {
+    old.started_unix_ms != new.started_unix_ms
+        || old.address != new.address
+        || old.service != new.service
+}
