--- a/crates/edge/src/forward/flight.rs
+++ b/crates/edge/src/forward/flight.rs
@@ -6,10 +6,7 @@
 use span_fair::Ticket;
 use span_types::{ServiceName, UpstreamName};
 
-use crate::{
-    node::Node,
-    placement::{SharedPrompt, Verdict},
-};
+use crate::{dialect::Work, node::Node, placement::Verdict};
 
 /// A request that waits for a place. Dropping it gives up the wait.
 pub(crate) struct Wait {
@@ -93,11 +90,11 @@
     /// Goes on at another upstream, if there is one.
     pub(crate) fn move_on(
         &mut self,
-        shared: Option<SharedPrompt>,
+        work: &Work,
         avoid: &[UpstreamName],
     ) -> Option<UpstreamName> {
         self.judge(Verdict::Unknown);
-        self.upstream = self.node.choose_again(&self.service, shared, avoid);
+        self.upstream = self.node.choose_again(&self.service, work, avoid);
         self.upstream.clone()
     }
 }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -293,7 +293,7 @@
         let retry_after_ms = spread(retry_after_ms, left_ms, node.draw());
         Rejected::not_run(reason, retry_after_ms)
     };
-    let (ticket, start) = match node.ask(&checked.service, &ask, work.shared) {
+    let (ticket, start) = match node.ask(&checked.service, &ask, work) {
         Ok(waiting) => waiting,
         Err(NoPlace::NoUpstream) => {
             return Err(refused(RETRY_AFTER_MS, "no upstream takes requests; the request did not run"));
@@ -390,7 +390,7 @@
         let goes_on = may_move
             && !late
             && (!is_repeat || node.may_repeat(&checked.service))
-            && flight.move_on(work.shared, &tried).is_some();
+            && flight.move_on(work, &tried).is_some();
         if goes_on {
             info!(
                 request = record.id,
@@ -432,7 +432,7 @@
     record.answer_started();
     let resume = (checked.route.kind == RouteKind::ResumableStream).then(|| Resume {
         call,
-        shared: work.shared,
+        work: *work,
         attempts_left,
         tried,
         splitter: EventSplitter::default(),
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -18,7 +18,7 @@
     budget::{Allowance, RetryBudget},
     clock::Clock,
     config::Config,
-    dialect::Dialect,
+    dialect::{Dialect, Work},
     metrics::{Counter, Metrics},
     placement::{Need, Placement, SharedPrompt, Verdict},
     pool::Pool,
@@ -38,6 +38,7 @@
     started: oneshot::Sender<UpstreamName>,
     workspace: WorkspaceName,
     shared: Option<SharedPrompt>,
+    prompt_tokens: u64,
 }
 
 /// One service at this router.
@@ -198,7 +199,7 @@
         &self,
         service: &ServiceName,
         ask: &Ask,
-        shared: Option<SharedPrompt>,
+        work: &Work,
     ) -> Result<(Ticket, oneshot::Receiver<UpstreamName>), NoPlace> {
         let now_ms = self.now_ms();
         let mut state = self.state();
@@ -213,7 +214,12 @@
             .submit(now_ms, room, ask)
             .map_err(|Refusal { retry_after_ms }| NoPlace::Busy { retry_after_ms })?;
         let (started, start) = oneshot::channel();
-        let waiter = Waiter { started, workspace: ask.workspace.clone(), shared };
+        let waiter = Waiter {
+            started,
+            workspace: ask.workspace.clone(),
+            shared: work.shared,
+            prompt_tokens: work.prompt_tokens,
+        };
         service_state.waiters.insert(ticket, waiter);
         drop(state);
         self.pump(service);
@@ -248,17 +254,17 @@
     pub(crate) fn choose_again(
         &self,
         service: &ServiceName,
-        shared: Option<SharedPrompt>,
+        work: &Work,
         avoid: &[UpstreamName],
     ) -> Option<UpstreamName> {
         let now_ms = self.now_ms();
         let mut state = self.state();
         let draw = state.rng.next_u64();
         let service = state.services.get_mut(service)?;
-        let need = Need { shared, avoid };
+        let need = Need { shared: work.shared, avoid };
         let chosen = service.placement.choose(now_ms, need, draw, false);
         let chosen = chosen.or_else(|| service.placement.choose(now_ms, need, draw, true))?;
-        service.placement.sent(now_ms, &chosen, shared);
+        service.placement.sent(now_ms, &chosen, work.shared, work.prompt_tokens);
         Some(chosen)
     }
 
@@ -356,7 +362,7 @@
                 self.admission.finish(now_ms, dispatch.ticket, 0);
                 continue;
             };
-            self.placement.sent(now_ms, &upstream, waiter.shared);
+            self.placement.sent(now_ms, &upstream, waiter.shared, waiter.prompt_tokens);
             if waiter.started.send(upstream.clone()).is_err() {
                 self.placement.ended(&upstream);
                 self.admission.finish(now_ms, dispatch.ticket, 0);
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -7,12 +7,18 @@
 
 /// Age at which a load report says nothing any more, in milliseconds.
 const REPORT_LIFETIME_MS: u64 = 3_000;
-/// Prompt tokens that a model engine reads in a millisecond. Used only to
-/// compare reading a shared part again with joining a longer batch.
+/// Prompt tokens that a model engine reads in a millisecond, as the users
+/// state it for their engines.
 const PROMPT_TOKENS_PER_MS: f64 = 125.0;
 /// Time that a full batch costs a request compared to an empty one, in
-/// milliseconds; weighs load against prompt parts that are in memory.
+/// milliseconds; weighs load against the time to read a prompt.
 const FULL_BATCH_MS: f64 = 120.0;
+/// Upstreams that keep a shared part in memory. Two choices even out the load;
+/// each further one holds the part once more.
+const HOMES: usize = 2;
+/// Weight of reading a shared part again, against waiting as long: it delays
+/// every other stream at the engine too.
+const REREAD_WEIGHT: f64 = 4.0;
 /// Requests beyond its slots that an upstream may be sent, as a part of the
 /// slots. They cover the time from the end of a request until the next one
 /// arrives.
@@ -81,6 +87,8 @@
     probing: bool,
     full_until_ms: u64,
     replaced: bool,
+    /// When the engine will have read the prompts that this router sent.
+    reading_until_ms: u64,
 }
 
 impl Load {
@@ -98,6 +106,10 @@
         (reported + own - f64::from(sent)).max(own)
     }
 
+    fn hash(&self, shared: SharedPrompt) -> u64 {
+        xxh3_64_with_seed(&shared.part.to_le_bytes(), self.name_hash)
+    }
+
     fn may_use(&self, now_ms: u64) -> bool {
         !self.replaced && now_ms >= self.full_until_ms && now_ms >= self.avoid_until_ms && !self.probing
     }
@@ -148,6 +160,7 @@
                 probing: false,
                 full_until_ms: 0,
                 replaced: false,
+                reading_until_ms: 0,
             });
             load.slots = slots;
             self.upstreams.insert(name.clone(), load);
@@ -181,42 +194,75 @@
         room.min(own)
     }
 
-    /// Chooses the upstream for a request; `draw` breaks ties, uniform in 0
-    /// to 1. With `crowd`, an upstream without room may be chosen.
+    /// Chooses the upstream for a request; `draw` breaks ties. With `crowd`,
+    /// an upstream without room may be chosen.
     pub fn choose(&self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<UpstreamName> {
+        let homes = need.shared.map(|shared| self.homes_from(shared));
         let usable = self.upstreams.iter().filter(|(name, load)| {
             load.may_use(now_ms)
                 && !need.avoid.contains(name)
                 && load.sent < self.max_sent
                 && (crowd || self.room_at(now_ms, load) > 0)
         });
-        let cost = |name: &UpstreamName, load: &Load| self.cost(now_ms, need, draw, name, load);
-        let costs = usable.map(|(name, load)| (cost(name, load), name));
+        let costs = usable.map(|(name, load)| {
+            let reread_ms = match (need.shared, homes) {
+                (Some(shared), Some(homes)) if !self.holds(now_ms, name, load, shared, homes) => {
+                    shared.tokens as f64 / PROMPT_TOKENS_PER_MS
+                }
+                _ => 0.0,
+            };
+            let tie = xxh3_64_with_seed(&draw.to_le_bytes(), load.name_hash) as f64 / u64::MAX as f64;
+            let used = load.total(now_ms, self.routers) / f64::from(load.slots.max(1));
+            let reading_ms = load.reading_until_ms.saturating_sub(now_ms) as f64;
+            let cost = used * FULL_BATCH_MS + reading_ms + reread_ms * REREAD_WEIGHT + tie;
+            (cost, name)
+        });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone())
     }
 
-    fn cost(&self, now_ms: u64, need: Need<'_>, draw: u64, name: &UpstreamName, load: &Load) -> f64 {
-        let used = load.total(now_ms, self.routers) / f64::from(load.slots.max(1));
-        let tie = xxh3_64_with_seed(&draw.to_le_bytes(), load.name_hash) as f64 / u64::MAX as f64;
-        let base = used * FULL_BATCH_MS + tie * 2.0;
-        let Some(shared) = need.shared else {
-            return base;
-        };
-        let read_ms = shared.tokens as f64 / PROMPT_TOKENS_PER_MS;
-        let here = self.parts.get(&shared.part).is_some_and(|(upstream, at_ms)| {
-            upstream == name && now_ms.saturating_sub(*at_ms) < PART_LIFETIME_MS
-        });
-        // Other routers send the part to the upstream of its highest hash.
-        let hash = xxh3_64_with_seed(&shared.part.to_le_bytes(), load.name_hash);
-        let rank = 1.0 - hash as f64 / u64::MAX as f64;
-        let missing = if here { 0.3 } else { 1.0 };
-        base + read_ms * (missing * 0.3 + 0.7 * (rank * self.upstreams.len() as f64).min(1.0))
+    /// Lowest hash of the upstreams that keep a shared part. All routers choose
+    /// the same ones without a message, by rendezvous hashing.
+    fn homes_from(&self, shared: SharedPrompt) -> u64 {
+        let mut best = [0; HOMES];
+        for load in self.upstreams.values() {
+            let hash = load.hash(shared);
+            if hash > best[0] {
+                best[0] = hash;
+                best.sort_unstable();
+            }
+        }
+        best[0]
+    }
+
+    /// Whether an upstream is likely to have a shared part in memory.
+    fn holds(
+        &self,
+        now_ms: u64,
+        name: &UpstreamName,
+        load: &Load,
+        shared: SharedPrompt,
+        homes: u64,
+    ) -> bool {
+        load.hash(shared) >= homes
+            || self.parts.get(&shared.part).is_some_and(|(upstream, at_ms)| {
+                upstream == name && now_ms.saturating_sub(*at_ms) < PART_LIFETIME_MS
+            })
     }
 
-    /// Counts a request that is sent to an upstream.
-    pub fn sent(&mut self, now_ms: u64, name: &UpstreamName, shared: Option<SharedPrompt>) {
+    /// Counts a request that is sent to an upstream, with a prompt of
+    /// `prompt_tokens`.
+    pub fn sent(
+        &mut self,
+        now_ms: u64,
+        name: &UpstreamName,
+        shared: Option<SharedPrompt>,
+        prompt_tokens: u64,
+    ) {
+        let known = shared.map_or(0, |shared| shared.tokens).min(prompt_tokens);
         if let Some(load) = self.upstreams.get_mut(name) {
             load.sent += 1;
+            let reading_ms = ((prompt_tokens - known) as f64 / PROMPT_TOKENS_PER_MS) as u64;
+            load.reading_until_ms = load.reading_until_ms.max(now_ms) + reading_ms;
             if load.avoid_ms > 0 {
                 load.probing = true;
             }
