--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -160,6 +160,17 @@
         engine.map_or(1, |engine| engine.tokens_per_event.max(1))
     }
 
+    /// Shortest pause between events that callers of a service accept at most,
+    /// in milliseconds; none if no route streams from the service.
+    pub fn gap_target_ms(&self, service: &ServiceName) -> Option<u64> {
+        let routes = self.routes.values().flatten();
+        let streams = routes.filter(|route| {
+            let goes_there = route.targets.iter().any(|target| target.service == *service);
+            route.kind.is_stream() && goes_there && route.target_gap_ms > 0
+        });
+        streams.map(|route| route.target_gap_ms).min()
+    }
+
     /// Whether requests carry the key of a workspace.
     pub fn needs_key(&self) -> bool {
         !self.workspaces.is_empty()
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -48,6 +48,14 @@
     pub shared: Option<SharedPrompt>,
 }
 
+impl Work {
+    /// Prompt tokens that no other request shares.
+    pub fn own_tokens(&self) -> u64 {
+        let shared = self.shared.map_or(0, |shared| shared.tokens);
+        self.prompt_tokens.saturating_sub(shared)
+    }
+}
+
 type DecodeConfig = Rc<dyn Fn(&[u8]) -> Result<Config, String>>;
 type DecodeWork = Rc<dyn Fn(&HeaderMap) -> Work>;
 type DecodeLoad = Rc<dyn Fn(&[u8]) -> Option<LoadReport>>;
--- a/crates/edge/src/forward/flight.rs
+++ b/crates/edge/src/forward/flight.rs
@@ -14,6 +14,7 @@
     service: ServiceName,
     ticket: Ticket,
     start: oneshot::Receiver<UpstreamName>,
+    own_tokens: u64,
     done: bool,
 }
 
@@ -23,8 +24,10 @@
         service: &ServiceName,
         ticket: Ticket,
         start: oneshot::Receiver<UpstreamName>,
+        own_tokens: u64,
     ) -> Self {
-        Self { node: node.clone(), service: service.clone(), ticket, start, done: false }
+        let (node, service) = (node.clone(), service.clone());
+        Self { node, service, ticket, start, own_tokens, done: false }
     }
 
     /// Waits until the request starts; `None` if `until_ms` passes first or
@@ -43,6 +46,7 @@
             service: self.service.clone(),
             ticket: self.ticket,
             upstream: Some(upstream),
+            unread_tokens: self.own_tokens,
             cost: 0,
         })
     }
@@ -55,6 +59,7 @@
         }
         // It started while the caller left.
         if let Ok(Some(upstream)) = self.start.try_recv() {
+            self.node.read(&self.service, &upstream, self.own_tokens);
             self.node.ended(&self.service, &upstream, Verdict::Unknown);
             self.node.finish(&self.service, self.ticket, 0);
         }
@@ -67,11 +72,21 @@
     service: ServiceName,
     ticket: Ticket,
     upstream: Option<UpstreamName>,
+    /// Prompt tokens that the upstream has still to read.
+    unread_tokens: u64,
     /// Cost so far, in cost units.
     pub(crate) cost: u64,
 }
 
 impl Flight {
+    /// Notes that the upstream has read the prompt, or never will.
+    pub(crate) fn read(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(upstream) = self.upstream.as_ref().filter(|_| tokens > 0) {
+            self.node.read(&self.service, upstream, tokens);
+        }
+    }
+
     pub(crate) fn service(&self) -> &ServiceName {
         &self.service
     }
@@ -82,6 +97,7 @@
 
     /// Ends the attempt at the present upstream.
     pub(crate) fn judge(&mut self, verdict: Verdict) {
+        self.read();
         if let Some(upstream) = self.upstream.take() {
             self.node.ended(&self.service, &upstream, verdict);
         }
@@ -95,6 +111,7 @@
     ) -> Option<UpstreamName> {
         self.judge(Verdict::Unknown);
         self.upstream = self.node.choose_again(&self.service, work, avoid);
+        self.unread_tokens = work.own_tokens();
         self.upstream.clone()
     }
 }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -302,7 +302,7 @@
             return Err(refused(retry_after_ms, "the service is busy; the request did not run"));
         }
     };
-    let wait = Wait::new(node, &checked.service, ticket, start);
+    let wait = Wait::new(node, &checked.service, ticket, start, work.own_tokens());
     let flight = wait.started(until_ms).await;
     let queued_ms = node.now_ms().saturating_sub(now_ms);
     record.queued_ms = Some(queued_ms);
@@ -424,12 +424,13 @@
     call: Rc<Call>,
     checked: &Checked,
     work: &Work,
-    (answer, flight, mut record): (Answer, Flight, Record),
+    (answer, mut flight, mut record): (Answer, Flight, Record),
     (attempts_left, tried): (u32, Vec<UpstreamName>),
 ) -> Response<EdgeBody> {
     let parts = head::incoming(answer.parts.clone(), &node.dialect.headers);
     record.status = parts.status.as_u16();
     record.answer_started();
+    flight.read();
     let resume = (checked.route.kind == RouteKind::ResumableStream).then(|| Resume {
         call,
         work: *work,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -60,6 +60,8 @@
     resume: Option<Resume>,
     /// Cost of each event, in cost units.
     event_cost: u64,
+    /// Time of the last event.
+    event_ms: u64,
 }
 
 impl StreamBody {
@@ -82,11 +84,18 @@
             deadline: Box::pin(deadline),
             resume,
             event_cost,
+            event_ms: node.now_ms(),
         }
     }
 
     fn data(&mut self, bytes: Bytes) -> Result<Option<Bytes>, BrokenOff> {
         self.flight.cost += self.event_cost;
+        let now_ms = self.node.now_ms();
+        let pause_ms = now_ms.saturating_sub(std::mem::replace(&mut self.event_ms, now_ms));
+        self.record.longest_pause_ms = self.record.longest_pause_ms.max(Some(pause_ms));
+        if let Some(upstream) = self.flight.upstream().filter(|_| pause_ms > 0) {
+            self.node.event(self.flight.service(), upstream, pause_ms);
+        }
         let Some(resume) = &mut self.resume else {
             return Ok(Some(bytes));
         };
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -38,7 +38,7 @@
     started: oneshot::Sender<UpstreamName>,
     workspace: WorkspaceName,
     shared: Option<SharedPrompt>,
-    prompt_tokens: u64,
+    own_tokens: u64,
 }
 
 /// One service at this router.
@@ -218,7 +218,7 @@
             started,
             workspace: ask.workspace.clone(),
             shared: work.shared,
-            prompt_tokens: work.prompt_tokens,
+            own_tokens: work.own_tokens(),
         };
         service_state.waiters.insert(ticket, waiter);
         drop(state);
@@ -264,7 +264,7 @@
         let need = Need { shared: work.shared, avoid };
         let chosen = service.placement.choose(now_ms, need, draw, false);
         let chosen = chosen.or_else(|| service.placement.choose(now_ms, need, draw, true))?;
-        service.placement.sent(now_ms, &chosen, work.shared, work.prompt_tokens);
+        service.placement.sent(now_ms, &chosen, work.shared, work.own_tokens());
         Some(chosen)
     }
 
@@ -302,6 +302,22 @@
         }
     }
 
+    /// Takes the pause between two events of a stream.
+    pub(crate) fn event(&self, service: &ServiceName, upstream: &UpstreamName, pause_ms: u64) {
+        let now_ms = self.now_ms();
+        if let Some(service) = self.state().services.get_mut(service) {
+            service.placement.event(now_ms, upstream, pause_ms);
+        }
+    }
+
+    /// Notes that an upstream has read a prompt, or never will.
+    pub(crate) fn read(&self, service: &ServiceName, upstream: &UpstreamName, tokens: u64) {
+        if let Some(service) = self.state().services.get_mut(service) {
+            service.placement.read(upstream, tokens);
+        }
+        self.pump(service);
+    }
+
     /// Starts as many waiting requests as there is room for.
     pub(crate) fn pump(&self, service: &ServiceName) {
         let now_ms = self.now_ms();
@@ -362,8 +378,9 @@
                 self.admission.finish(now_ms, dispatch.ticket, 0);
                 continue;
             };
-            self.placement.sent(now_ms, &upstream, waiter.shared, waiter.prompt_tokens);
+            self.placement.sent(now_ms, &upstream, waiter.shared, waiter.own_tokens);
             if waiter.started.send(upstream.clone()).is_err() {
+                self.placement.read(&upstream, waiter.own_tokens);
                 self.placement.ended(&upstream);
                 self.admission.finish(now_ms, dispatch.ticket, 0);
             }
@@ -436,6 +453,7 @@
             let connections = f64::from(service_config.max_connections) * CONNECTIONS_PART;
             let max_sent = (connections / known as f64) as u32;
             service.placement.set_fleet(live, max_sent.max(1));
+            service.placement.set_gap_target(config.gap_target_ms(name));
         }
     }
 }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -5,6 +5,16 @@
 use span_types::UpstreamName;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+/// Weight of the newest pause between two events in the mean pause.
+const PAUSE_WEIGHT: f64 = 0.2;
+/// Age at which the mean pause says nothing any more, in milliseconds.
+const PAUSE_LIFETIME_MS: u64 = 600;
+/// Mean pause up to which an engine is sent prompts, as a part of the longest
+/// pause that callers accept. Reading a prompt makes all pauses longer.
+const PAUSE_PART: f64 = 0.55;
+/// Prompt tokens that this router lets an engine read at once, unless a single
+/// prompt is larger; about the work of two steps of a batch.
+const MAX_READING_TOKENS: u64 = 9_000;
 /// Age at which a load report says nothing any more, in milliseconds.
 const REPORT_LIFETIME_MS: u64 = 3_000;
 /// Prompt tokens that a model engine reads in a millisecond, as the users
@@ -87,8 +97,11 @@
     probing: bool,
     full_until_ms: u64,
     replaced: bool,
-    /// When the engine will have read the prompts that this router sent.
-    reading_until_ms: u64,
+    /// Prompt tokens that this router sent and that the engine has not
+    /// answered yet.
+    reading_tokens: u64,
+    /// Mean pause between events, and when it was last observed.
+    pause: Option<(f64, u64)>,
 }
 
 impl Load {
@@ -106,6 +119,11 @@
         (reported + own - f64::from(sent)).max(own)
     }
 
+    fn pause_ms(&self, now_ms: u64) -> f64 {
+        let recent = self.pause.filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) < PAUSE_LIFETIME_MS);
+        recent.map_or(0.0, |(mean, _)| mean)
+    }
+
     fn hash(&self, shared: SharedPrompt) -> u64 {
         xxh3_64_with_seed(&shared.part.to_le_bytes(), self.name_hash)
     }
@@ -125,7 +143,7 @@
 }
 
 /// Load of the upstreams of one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Placement {
     upstreams: HashMap<UpstreamName, Load>,
     /// Upstream that last read each prompt part.
@@ -133,9 +151,44 @@
     /// Requests at one upstream that this router may have open.
     max_sent: u32,
     routers: usize,
+    /// Longest mean pause at which an engine is sent prompts.
+    max_pause_ms: f64,
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        Self {
+            upstreams: HashMap::new(),
+            parts: HashMap::new(),
+            max_sent: 1,
+            routers: 1,
+            max_pause_ms: f64::INFINITY,
+        }
+    }
 }
 
 impl Placement {
+    /// Sets the longest pause between events that callers accept, in
+    /// milliseconds; none for a service without streams.
+    pub fn set_gap_target(&mut self, gap_ms: Option<u64>) {
+        self.max_pause_ms = gap_ms.map_or(f64::INFINITY, |gap_ms| gap_ms as f64 * PAUSE_PART);
+    }
+
+    /// Takes the pause between two events of a stream, in milliseconds.
+    pub fn event(&mut self, now_ms: u64, name: &UpstreamName, pause_ms: u64) {
+        if let Some(load) = self.upstreams.get_mut(name) {
+            let mean = load.pause.map_or(pause_ms as f64, |(mean, _)| mean);
+            load.pause = Some((mean + (pause_ms as f64 - mean) * PAUSE_WEIGHT, now_ms));
+        }
+    }
+
+    /// Notes that an upstream has read a prompt of `tokens`, or never will.
+    pub fn read(&mut self, name: &UpstreamName, tokens: u64) {
+        if let Some(load) = self.upstreams.get_mut(name) {
+            load.reading_tokens = load.reading_tokens.saturating_sub(tokens);
+        }
+    }
+
     /// Sets how many routers share the upstreams, and how many connections to
     /// one upstream this router may open.
     pub fn set_fleet(&mut self, routers: usize, max_sent: u32) {
@@ -160,7 +213,8 @@
                 probing: false,
                 full_until_ms: 0,
                 replaced: false,
-                reading_until_ms: 0,
+                reading_tokens: 0,
+                pause: None,
             });
             load.slots = slots;
             self.upstreams.insert(name.clone(), load);
@@ -186,6 +240,9 @@
     }
 
     fn room_at(&self, now_ms: u64, load: &Load) -> u32 {
+        if load.reading_tokens >= MAX_READING_TOKENS || load.pause_ms(now_ms) > self.max_pause_ms {
+            return 0;
+        }
         let limit = f64::from(load.slots) * (1.0 + QUEUED_PART);
         // A router that acts on old reports must not fill the whole upstream.
         let share = (f64::from(load.slots) * 2.0 / self.routers as f64).ceil() as u32;
@@ -213,7 +270,7 @@
             };
             let tie = xxh3_64_with_seed(&draw.to_le_bytes(), load.name_hash) as f64 / u64::MAX as f64;
             let used = load.total(now_ms, self.routers) / f64::from(load.slots.max(1));
-            let reading_ms = load.reading_until_ms.saturating_sub(now_ms) as f64;
+            let reading_ms = load.reading_tokens as f64 / PROMPT_TOKENS_PER_MS + load.pause_ms(now_ms);
             let cost = used * FULL_BATCH_MS + reading_ms + reread_ms * REREAD_WEIGHT + tie;
             (cost, name)
         });
@@ -249,20 +306,18 @@
             })
     }
 
-    /// Counts a request that is sent to an upstream, with a prompt of
-    /// `prompt_tokens`.
+    /// Counts a request that is sent to an upstream, which has to read
+    /// `unread_tokens` of its prompt.
     pub fn sent(
         &mut self,
         now_ms: u64,
         name: &UpstreamName,
         shared: Option<SharedPrompt>,
-        prompt_tokens: u64,
+        unread_tokens: u64,
     ) {
-        let known = shared.map_or(0, |shared| shared.tokens).min(prompt_tokens);
         if let Some(load) = self.upstreams.get_mut(name) {
             load.sent += 1;
-            let reading_ms = ((prompt_tokens - known) as f64 / PROMPT_TOKENS_PER_MS) as u64;
-            load.reading_until_ms = load.reading_until_ms.max(now_ms) + reading_ms;
+            load.reading_tokens += unread_tokens;
             if load.avoid_ms > 0 {
                 load.probing = true;
             }
