--- a/crates/edge/src/forward/flight.rs
+++ b/crates/edge/src/forward/flight.rs
@@ -3,16 +3,15 @@
 use std::rc::Rc;
 
 use futures::channel::oneshot;
-use span_fair::Ticket;
 use span_types::{ServiceName, UpstreamName};
 
-use crate::{dialect::Work, node::Node, placement::Verdict};
+use crate::{dialect::Work, node::{Node, Place}, placement::Verdict};
 
 /// A request that waits for a place. Dropping it gives up the wait.
 pub(crate) struct Wait {
     node: Rc<Node>,
     service: ServiceName,
-    ticket: Ticket,
+    place: Place,
     start: oneshot::Receiver<UpstreamName>,
     own_tokens: u64,
     done: bool,
@@ -22,12 +21,12 @@
     pub(crate) fn new(
         node: &Rc<Node>,
         service: &ServiceName,
-        ticket: Ticket,
+        place: Place,
         start: oneshot::Receiver<UpstreamName>,
         own_tokens: u64,
     ) -> Self {
         let (node, service) = (node.clone(), service.clone());
-        Self { node, service, ticket, start, own_tokens, done: false }
+        Self { node, service, place, start, own_tokens, done: false }
     }
 
     /// Waits until the request starts; `None` if `until_ms` passes first or
@@ -44,7 +43,7 @@
         Some(Flight {
             node: self.node.clone(),
             service: self.service.clone(),
-            ticket: self.ticket,
+            place: self.place,
             upstream: Some(upstream),
             unread_tokens: self.own_tokens,
             cost: 0,
@@ -54,14 +53,14 @@
 
 impl Drop for Wait {
     fn drop(&mut self) {
-        if self.done || self.node.cancel(&self.service, self.ticket) {
+        if self.done || self.node.cancel(&self.service, self.place) {
             return;
         }
         // It started while the caller left.
         if let Ok(Some(upstream)) = self.start.try_recv() {
             self.node.read(&self.service, &upstream, self.own_tokens);
             self.node.ended(&self.service, &upstream, Verdict::Unknown);
-            self.node.finish(&self.service, self.ticket, 0);
+            self.node.finish(&self.service, self.place, 0);
         }
     }
 }
@@ -70,7 +69,7 @@
 pub(crate) struct Flight {
     node: Rc<Node>,
     service: ServiceName,
-    ticket: Ticket,
+    place: Place,
     upstream: Option<UpstreamName>,
     /// Prompt tokens that the upstream has still to read.
     unread_tokens: u64,
@@ -119,6 +118,6 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         self.judge(Verdict::Unknown);
-        self.node.finish(&self.service, self.ticket, self.cost);
+        self.node.finish(&self.service, self.place, self.cost);
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http_call;
 mod listen;
 pub mod log;
+pub mod long_load;
 pub mod metrics;
 mod node;
 pub mod peers;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -9,6 +9,7 @@
 use futures::channel::oneshot;
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
 use span_fair::Ticket;
+use strum::{EnumCount, IntoEnumIterator};
 use span_member::{LiveView, Router, Timing as ViewTiming};
 use span_types::{Member, MemberState, ServiceName, UpstreamName, WorkspaceName};
 use tracing::info;
@@ -20,7 +21,8 @@
     config::Config,
     dialect::{Dialect, Work},
     metrics::{Counter, Metrics},
-    placement::{Need, Placement, SharedPrompt, Verdict},
+    long_load::LongLoad,
+    placement::{Lane, Need, Placement, SharedPrompt, Verdict},
     pool::Pool,
     registry::{Change, Registry},
     settings::Settings,
@@ -43,12 +45,25 @@
 
 /// One service at this router.
 pub(crate) struct ServiceState {
-    pub(crate) admission: Admission,
     pub(crate) placement: Placement,
     pub(crate) budget: RetryBudget,
+    lanes: [LaneState; Lane::COUNT],
+    long_load: LongLoad,
+}
+
+/// The requests of one lane.
+struct LaneState {
+    admission: Admission,
     waiters: HashMap<Ticket, Waiter>,
 }
 
+/// A request's place in a lane.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Place {
+    lane: Lane,
+    ticket: Ticket,
+}
+
 /// What the process knows.
 pub(crate) struct State {
     pub(crate) config: Option<Rc<Config>>,
@@ -57,6 +72,8 @@
     pub(crate) view: LiveView,
     /// Configuration version that each router stated last.
     pub(crate) versions: BTreeMap<Member, u64>,
+    /// Tokens of long prompts per second that each router stated last.
+    pub(crate) long_loads: BTreeMap<Member, BTreeMap<ServiceName, u64>>,
     pub(crate) metrics: Metrics,
     pub(crate) rng: SmallRng,
 }
@@ -93,6 +110,7 @@
             services: HashMap::new(),
             view: LiveView::new(me, VIEW_TIMING),
             versions: BTreeMap::new(),
+            long_loads: BTreeMap::new(),
             metrics: Metrics::default(),
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -200,16 +218,23 @@
         service: &ServiceName,
         ask: &Ask,
         work: &Work,
-    ) -> Result<(Ticket, oneshot::Receiver<UpstreamName>), NoPlace> {
+    ) -> Result<(Place, oneshot::Receiver<UpstreamName>), NoPlace> {
         let now_ms = self.now_ms();
         let mut state = self.state();
         let service_state = state.services.get_mut(service).ok_or(NoPlace::NoUpstream)?;
-        service_state.budget.earn(now_ms);
-        if service_state.placement.capacity(now_ms) == 0 {
+        let ServiceState { placement, budget, lanes, long_load } = service_state;
+        budget.earn(now_ms);
+        if placement.capacity(now_ms) == 0 {
             return Err(NoPlace::NoUpstream);
         }
-        let room = service_state.placement.room(now_ms);
-        let ticket = service_state
+        let unread_tokens = work.own_tokens();
+        if placement.is_long(unread_tokens) {
+            long_load.add(now_ms, unread_tokens);
+        }
+        let lane = placement.lane(unread_tokens);
+        let room = placement.room(now_ms, lane);
+        let lane_state = &mut lanes[lane as usize];
+        let ticket = lane_state
             .admission
             .submit(now_ms, room, ask)
             .map_err(|Refusal { retry_after_ms }| NoPlace::Busy { retry_after_ms })?;
@@ -218,38 +243,64 @@
             started,
             workspace: ask.workspace.clone(),
             shared: work.shared,
-            own_tokens: work.own_tokens(),
+            own_tokens: unread_tokens,
         };
-        service_state.waiters.insert(ticket, waiter);
+        lane_state.waiters.insert(ticket, waiter);
         drop(state);
         self.pump(service);
-        Ok((ticket, start))
+        Ok((Place { lane, ticket }, start))
     }
 
     /// Gives up on a waiting request. Returns false if it has started.
-    pub(crate) fn cancel(&self, service: &ServiceName, ticket: Ticket) -> bool {
+    pub(crate) fn cancel(&self, service: &ServiceName, place: Place) -> bool {
         let mut state = self.state();
         let Some(service) = state.services.get_mut(service) else {
             return false;
         };
-        if !service.admission.cancel(ticket) {
+        let lane = &mut service.lanes[place.lane as usize];
+        if !lane.admission.cancel(place.ticket) {
             return false;
         }
-        if let Some(waiter) = service.waiters.remove(&ticket) {
-            service.admission.left(&waiter.workspace);
+        if let Some(waiter) = lane.waiters.remove(&place.ticket) {
+            lane.admission.left(&waiter.workspace);
         }
         true
     }
 
     /// Ends a started request.
-    pub(crate) fn finish(&self, service: &ServiceName, ticket: Ticket, cost: u64) {
+    pub(crate) fn finish(&self, service: &ServiceName, place: Place, cost: u64) {
         let now_ms = self.now_ms();
         if let Some(service) = self.state().services.get_mut(service) {
-            service.admission.finish(now_ms, ticket, cost);
+            service.lanes[place.lane as usize].admission.finish(now_ms, place.ticket, cost);
         }
         self.pump(service);
     }
 
+    /// Tokens of long prompts that this router receives per second.
+    pub(crate) fn long_tokens_per_s(&self) -> BTreeMap<ServiceName, u64> {
+        let now_ms = self.now_ms();
+        let state = self.state();
+        let rates = state.services.iter().map(|(name, service)| {
+            (name.clone(), service.long_load.tokens_per_s(now_ms))
+        });
+        rates.filter(|(_, rate)| *rate > 0).collect()
+    }
+
+    /// Divides the engines between long and short prompts, by what all
+    /// routers receive.
+    pub(crate) fn divide_engines(&self) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let State { services, long_loads, view, .. } = &mut *state;
+        let live: Vec<&Member> = view.live().into_iter().map(|router| &router.member).collect();
+        for (name, service) in services {
+            let others = long_loads.iter().filter(|(member, _)| live.contains(member));
+            let others = others.filter_map(|(_, rates)| rates.get(name));
+            let rate = others.sum::<u64>() + service.long_load.tokens_per_s(now_ms);
+            service.placement.set_long_load(now_ms, rate);
+        }
+    }
+
     /// Chooses a further upstream for a request that has a place.
     pub(crate) fn choose_again(
         &self,
@@ -261,7 +312,8 @@
         let mut state = self.state();
         let draw = state.rng.next_u64();
         let service = state.services.get_mut(service)?;
-        let need = Need { shared: work.shared, avoid };
+        let lane = service.placement.lane(work.own_tokens());
+        let need = Need { shared: work.shared, lane, avoid };
         let chosen = service.placement.choose(now_ms, need, draw, false);
         let chosen = chosen.or_else(|| service.placement.choose(now_ms, need, draw, true))?;
         service.placement.sent(now_ms, &chosen, work.shared, work.own_tokens());
@@ -360,29 +412,37 @@
 
 impl ServiceState {
     fn pump(&mut self, now_ms: u64, rng: &mut SmallRng) {
-        while self.admission.waiting() > 0 {
-            let room = self.placement.room(now_ms);
+        for lane in Lane::iter() {
+            self.pump_lane(now_ms, lane, rng);
+        }
+    }
+
+    fn pump_lane(&mut self, now_ms: u64, lane: Lane, rng: &mut SmallRng) {
+        let Self { placement, lanes, .. } = self;
+        let LaneState { admission, waiters } = &mut lanes[lane as usize];
+        while admission.waiting() > 0 {
+            let room = placement.room(now_ms, lane);
             if room == 0 {
                 return;
             }
-            let Some(dispatch) = self.admission.start(now_ms, room) else {
+            let Some(dispatch) = admission.start(now_ms, room) else {
                 return;
             };
-            let Some(waiter) = self.waiters.remove(&dispatch.ticket) else {
-                self.admission.finish(now_ms, dispatch.ticket, 0);
+            let Some(waiter) = waiters.remove(&dispatch.ticket) else {
+                admission.finish(now_ms, dispatch.ticket, 0);
                 continue;
             };
-            self.admission.left(&waiter.workspace);
-            let need = Need { shared: waiter.shared, avoid: &[] };
-            let Some(upstream) = self.placement.choose(now_ms, need, rng.next_u64(), false) else {
-                self.admission.finish(now_ms, dispatch.ticket, 0);
+            admission.left(&waiter.workspace);
+            let need = Need { shared: waiter.shared, lane, avoid: &[] };
+            let Some(upstream) = placement.choose(now_ms, need, rng.next_u64(), false) else {
+                admission.finish(now_ms, dispatch.ticket, 0);
                 continue;
             };
-            self.placement.sent(now_ms, &upstream, waiter.shared, waiter.own_tokens);
+            placement.sent(now_ms, &upstream, waiter.shared, waiter.own_tokens);
             if waiter.started.send(upstream.clone()).is_err() {
-                self.placement.read(&upstream, waiter.own_tokens);
-                self.placement.ended(&upstream);
-                self.admission.finish(now_ms, dispatch.ticket, 0);
+                placement.read(&upstream, waiter.own_tokens);
+                placement.ended(&upstream);
+                admission.finish(now_ms, dispatch.ticket, 0);
             }
         }
     }
@@ -409,7 +469,6 @@
         let bounds = settings.bounds;
         for name in config.services.keys() {
             self.services.entry(name.clone()).or_insert_with(|| ServiceState {
-                admission: Admission::new(name.clone(), me.clone()),
                 placement: Placement::default(),
                 budget: RetryBudget::new(
                     Allowance {
@@ -419,14 +478,19 @@
                     },
                     now_ms,
                 ),
-                waiters: HashMap::new(),
+                lanes: [(); Lane::COUNT].map(|()| LaneState {
+                    admission: Admission::new(name.clone(), me.clone()),
+                    waiters: HashMap::new(),
+                }),
+                long_load: LongLoad::default(),
             });
         }
-        for service in self.services.values_mut() {
-            for ticket in service.admission.set_workspaces(&config.workspaces) {
+        let lanes = self.services.values_mut().flat_map(|service| &mut service.lanes);
+        for lane in lanes {
+            for ticket in lane.admission.set_workspaces(&config.workspaces) {
                 // Dropping the sender tells the request that it is refused.
-                if let Some(waiter) = service.waiters.remove(&ticket) {
-                    service.admission.left(&waiter.workspace);
+                if let Some(waiter) = lane.waiters.remove(&ticket) {
+                    lane.admission.left(&waiter.workspace);
                 }
             }
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,6 +4,7 @@
 //! silent leaves no connection behind that has to be noticed.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -14,7 +15,7 @@
 use http::Request;
 use serde::{Deserialize, Serialize};
 use span_member::{Change, Router, Update, peers, targets};
-use span_types::InstanceName;
+use span_types::{InstanceName, ServiceName};
 use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
 use tracing::{info, warn};
 
@@ -42,6 +43,8 @@
     pub from: Update,
     /// Version of the configuration that the sender has.
     pub config_version: u64,
+    /// Tokens of long prompts that the sender receives per second, by service.
+    pub long_tokens_per_s: BTreeMap<ServiceName, u64>,
     /// Whether the sender wants a heartbeat in return.
     pub wants_answer: bool,
     /// What the sender knows of others.
@@ -96,6 +99,7 @@
             (targets, state.view.tick(now_ms, &monitored))
         };
         self.note(&changes);
+        self.node.divide_engines();
         for (name, ip) in targets {
             self.send(ip, name.as_ref(), true);
         }
@@ -120,6 +124,7 @@
         if address == self.node.settings.addresses.heartbeats {
             return;
         }
+        let long_tokens_per_s = self.node.long_tokens_per_s();
         let heartbeat = {
             let mut state = self.node.state();
             state.metrics.count(Counter::Heartbeats);
@@ -130,6 +135,7 @@
             Heartbeat {
                 from: state.view.me().clone(),
                 config_version: state.config.as_ref().map_or(0, |config| config.version),
+                long_tokens_per_s,
                 wants_answer,
                 updates,
             }
@@ -167,6 +173,8 @@
             }
             state.versions.retain(|other, _| other.instance != member.instance || *other == member);
             state.versions.insert(member.clone(), heartbeat.config_version);
+            state.long_loads.retain(|other, _| other.instance != member.instance);
+            state.long_loads.insert(member.clone(), heartbeat.long_tokens_per_s);
             let heard = state.view.heard(now_ms, heartbeat.from);
             let learned = heartbeat.updates.into_iter();
             let learned: Vec<Change> =
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -48,6 +48,35 @@
 /// milliseconds.
 const PART_LIFETIME_MS: u64 = 20_000;
 
+/// Tokens for each millisecond of the accepted pause from which a prompt is
+/// long: reading it takes a fifth of the pause, and with the attention over
+/// what was read before nearly a third.
+const LONG_TOKENS_PER_MS: u64 = 25;
+/// Time that the attention over earlier tokens adds to reading a long prompt.
+const ATTENTION_FACTOR: f64 = 1.4;
+/// Part of its time that an engine for long prompts may spend on reading.
+const READING_PART: f64 = 0.65;
+/// Fewest engines of which some are kept for long prompts.
+const MIN_SEPARATED: usize = 4;
+/// Time for which fewer engines for long prompts have to suffice before their
+/// number falls, in milliseconds.
+const SHRINK_AFTER_MS: u64 = 5_000;
+
+/// Requests that go to the same upstreams.
+///
+/// An engine that reads a long prompt makes every stream beside it pause, so
+/// some engines are kept for long prompts, and the streams elsewhere flow.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumCount, strum::EnumIter,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Lane {
+    /// Requests without a prompt, or with one that is read quickly.
+    Short,
+    /// Requests whose prompt takes long to read.
+    Long,
+}
+
 /// Load that an upstream stated in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -97,6 +126,8 @@
     probing: bool,
     full_until_ms: u64,
     replaced: bool,
+    /// Kept for long prompts.
+    lane: Lane,
     /// Prompt tokens that this router sent and that the engine has not
     /// answered yet.
     reading_tokens: u64,
@@ -138,6 +169,8 @@
 pub struct Need<'a> {
     /// Shared part of its prompt.
     pub shared: Option<SharedPrompt>,
+    /// Upstreams that it goes to.
+    pub lane: Lane,
     /// Upstreams that were tried already.
     pub avoid: &'a [UpstreamName],
 }
@@ -153,6 +186,11 @@
     routers: usize,
     /// Longest mean pause at which an engine is sent prompts.
     max_pause_ms: f64,
+    /// Prompt tokens from which a prompt is long.
+    long_tokens: u64,
+    /// Engines kept for long prompts, and since when fewer would suffice.
+    long_engines: usize,
+    fewer_since_ms: Option<u64>,
 }
 
 impl Default for Placement {
@@ -163,6 +201,9 @@
             max_sent: 1,
             routers: 1,
             max_pause_ms: f64::INFINITY,
+            long_tokens: u64::MAX,
+            long_engines: 0,
+            fewer_since_ms: None,
         }
     }
 }
@@ -172,6 +213,50 @@
     /// milliseconds; none for a service without streams.
     pub fn set_gap_target(&mut self, gap_ms: Option<u64>) {
         self.max_pause_ms = gap_ms.map_or(f64::INFINITY, |gap_ms| gap_ms as f64 * PAUSE_PART);
+        self.long_tokens = gap_ms.map_or(u64::MAX, |gap_ms| gap_ms * LONG_TOKENS_PER_MS);
+    }
+
+    /// The lane of a request whose upstream has to read `unread_tokens`.
+    pub fn lane(&self, unread_tokens: u64) -> Lane {
+        let separated = self.long_engines > 0 && unread_tokens >= self.long_tokens;
+        if separated { Lane::Long } else { Lane::Short }
+    }
+
+    /// Whether a prompt is long.
+    pub fn is_long(&self, unread_tokens: u64) -> bool {
+        unread_tokens >= self.long_tokens
+    }
+
+    /// Sets how many engines are kept for long prompts, from the tokens of
+    /// long prompts that the whole fleet receives per second.
+    pub fn set_long_load(&mut self, now_ms: u64, tokens_per_s: u64) {
+        let engines = self.upstreams.len();
+        let reading_ms = tokens_per_s as f64 / PROMPT_TOKENS_PER_MS * ATTENTION_FACTOR;
+        let wanted = (reading_ms / 1_000.0 / READING_PART).ceil() as usize;
+        let wanted = if engines < MIN_SEPARATED { 0 } else { wanted.min(engines / 2) };
+        if wanted >= self.long_engines {
+            self.fewer_since_ms = None;
+        } else {
+            let since_ms = *self.fewer_since_ms.get_or_insert(now_ms);
+            if now_ms.saturating_sub(since_ms) < SHRINK_AFTER_MS {
+                return;
+            }
+            self.fewer_since_ms = None;
+        }
+        self.long_engines = wanted;
+        self.assign_lanes();
+    }
+
+    /// All routers keep the same engines for long prompts, without a message:
+    /// those with the lowest hashes.
+    fn assign_lanes(&mut self) {
+        let mut hashes: Vec<u64> = self.upstreams.values().map(|load| load.name_hash).collect();
+        hashes.sort_unstable();
+        let first_short = hashes.get(self.long_engines).copied().unwrap_or(u64::MAX);
+        for load in self.upstreams.values_mut() {
+            let long = load.name_hash < first_short && self.long_engines > 0;
+            load.lane = if long { Lane::Long } else { Lane::Short };
+        }
     }
 
     /// Takes the pause between two events of a stream, in milliseconds.
@@ -213,12 +298,14 @@
                 probing: false,
                 full_until_ms: 0,
                 replaced: false,
+                lane: Lane::Short,
                 reading_tokens: 0,
                 pause: None,
             });
             load.slots = slots;
             self.upstreams.insert(name.clone(), load);
         }
+        self.assign_lanes();
     }
 
     /// Forgets what was learned of an upstream whose process is new.
@@ -227,9 +314,10 @@
         self.parts.retain(|_, (upstream, _)| upstream != name);
     }
 
-    /// Requests that may be sent to the upstreams now.
-    pub fn room(&self, now_ms: u64) -> u32 {
-        let open = self.upstreams.values().filter(|load| load.may_use(now_ms));
+    /// Requests that may be sent to the upstreams of a lane now.
+    pub fn room(&self, now_ms: u64, lane: Lane) -> u32 {
+        let open = self.upstreams.values();
+        let open = open.filter(|load| load.lane == lane && load.may_use(now_ms));
         open.map(|load| self.room_at(now_ms, load)).sum()
     }
 
@@ -240,7 +328,8 @@
     }
 
     fn room_at(&self, now_ms: u64, load: &Load) -> u32 {
-        if load.reading_tokens >= MAX_READING_TOKENS || load.pause_ms(now_ms) > self.max_pause_ms {
+        let pauses = load.lane == Lane::Short && load.pause_ms(now_ms) > self.max_pause_ms;
+        if load.reading_tokens >= MAX_READING_TOKENS || pauses {
             return 0;
         }
         let limit = f64::from(load.slots) * (1.0 + QUEUED_PART);
@@ -254,12 +343,12 @@
     /// Chooses the upstream for a request; `draw` breaks ties. With `crowd`,
     /// an upstream without room may be chosen.
     pub fn choose(&self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<UpstreamName> {
-        let homes = need.shared.map(|shared| self.homes_from(shared));
+        let homes = need.shared.map(|shared| self.homes_from(shared, need.lane));
         let usable = self.upstreams.iter().filter(|(name, load)| {
             load.may_use(now_ms)
                 && !need.avoid.contains(name)
                 && load.sent < self.max_sent
-                && (crowd || self.room_at(now_ms, load) > 0)
+                && (crowd || (load.lane == need.lane && self.room_at(now_ms, load) > 0))
         });
         let costs = usable.map(|(name, load)| {
             let reread_ms = match (need.shared, homes) {
@@ -279,9 +368,9 @@
 
     /// Lowest hash of the upstreams that keep a shared part. All routers choose
     /// the same ones without a message, by rendezvous hashing.
-    fn homes_from(&self, shared: SharedPrompt) -> u64 {
+    fn homes_from(&self, shared: SharedPrompt, lane: Lane) -> u64 {
         let mut best = [0; HOMES];
-        for load in self.upstreams.values() {
+        for load in self.upstreams.values().filter(|load| load.lane == lane) {
             let hash = load.hash(shared);
             if hash > best[0] {
                 best[0] = hash;
