Copy shared prompt parts from their home engine

A request that goes elsewhere than the part's home now names the home, from which the engine copies.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -31,6 +31,9 @@
     pub load: HeaderName,
     /// Id of the last event that the reader of a stream has.
     pub last_event: HeaderName,
+    /// Address of an engine from which another one copies prompt parts that it
+    /// would have to read.
+    pub copy_from: HeaderName,
     /// Headers that only this system may set.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::head::{self, Reading};
 use crate::{
+    dialect::Work,
     metrics::{Counter, Timing},
     node::Node,
     placement::Verdict,
@@ -25,6 +26,8 @@
     /// Head without what differs between attempts.
     pub(crate) parts: request::Parts,
     pub(crate) body: Bytes,
+    /// What the request says of its work.
+    pub(crate) work: Work,
     /// Id of the request.
     pub(crate) id: HeaderValue,
     /// When the caller gives up, in milliseconds.
@@ -134,7 +137,8 @@
     let names = &node.dialect.headers;
     let mut parts = call.parts.clone();
     let left_ms = call.deadline_ms.saturating_sub(now_ms).max(1);
-    head::address_to(&mut parts.headers, names, upstream, left_ms);
+    let copy_from = call.work.shared.and_then(|shared| node.holder(upstream, shared));
+    head::address_to(&mut parts.headers, names, upstream, copy_from, left_ms);
     if let Some(value) = last_event.and_then(|id| HeaderValue::from_str(id).ok()) {
         parts.headers.insert(names.last_event.clone(), value);
     }
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and answers on their way through.
 
+use std::net::SocketAddr;
+
 use http::{
     HeaderMap, HeaderName, HeaderValue, Uri, Version,
     header::{
@@ -68,6 +70,7 @@
     headers.remove(&names.key);
     headers.remove(&names.workspace);
     headers.remove(&names.expected_upstream);
+    headers.remove(&names.copy_from);
     for name in &names.reserved {
         headers.remove(name);
     }
@@ -89,8 +92,13 @@
     headers: &mut HeaderMap,
     names: &Headers,
     upstream: &UpstreamName,
+    copy_from: Option<SocketAddr>,
     time_left_ms: u64,
 ) {
+    let copy_from = copy_from.and_then(|from| HeaderValue::from_str(&from.to_string()).ok());
+    if let Some(value) = copy_from {
+        headers.insert(names.copy_from.clone(), value);
+    }
     if let Ok(value) = HeaderValue::from_str(upstream.as_str()) {
         headers.insert(names.expected_upstream.clone(), value);
     }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -198,10 +198,11 @@
     let call = Call {
         parts: head::outgoing(parts, names, workspace, held.bytes.len()),
         body: held.bytes.clone(),
+        work,
         id: checked.id.clone(),
         deadline_ms,
     };
-    run(node, Rc::new(call), &checked, &work, flight, record).await
+    run(node, Rc::new(call), &checked, flight, record).await
 }
 
 /// A request body in memory, counted until it is dropped.
@@ -331,11 +332,11 @@
     node: &Rc<Node>,
     call: Rc<Call>,
     checked: &Checked,
-    work: &Work,
     mut flight: Flight,
     mut record: Record,
 ) -> Forwarded {
     let kind = checked.route.kind;
+    let work = call.work;
     let mut tried: Vec<UpstreamName> = Vec::new();
     let mut unsent = 0;
     let mut sent = 0;
@@ -354,7 +355,7 @@
             Ok(answer) if kind.is_stream() || attempt::is_large(&answer) => {
                 let left = checked.route.max_attempts.saturating_sub(sent);
                 let body = (answer, flight, record);
-                return Ok(pass_stream(node, call, checked, work, body, (left, tried)));
+                return Ok(pass_stream(node, call, checked, body, (left, tried)));
             }
             Ok(answer) => match attempt::whole(node, &upstream, answer, until_ms).await {
                 Ok((parts, bytes)) => {
@@ -390,7 +391,7 @@
         let goes_on = may_move
             && !late
             && (!is_repeat || node.may_repeat(&checked.service))
-            && flight.move_on(work, &tried).is_some();
+            && flight.move_on(&work, &tried).is_some();
         if goes_on {
             info!(
                 request = record.id,
@@ -423,7 +424,6 @@
     node: &Rc<Node>,
     call: Rc<Call>,
     checked: &Checked,
-    work: &Work,
     (answer, mut flight, mut record): (Answer, Flight, Record),
     (attempts_left, tried): (u32, Vec<UpstreamName>),
 ) -> Response<EdgeBody> {
@@ -433,8 +433,7 @@
     flight.read();
     let resume = (checked.route.kind == RouteKind::ResumableStream).then(|| Resume {
         call,
-        work: *work,
-        attempts_left,
+                attempts_left,
         tried,
         splitter: EventSplitter::default(),
     });
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -22,7 +22,6 @@
     record::{Outcome, Record},
 };
 use crate::{
-    dialect::Work,
     metrics::Counter,
     node::Node,
     placement::Verdict,
@@ -33,7 +32,6 @@
 /// What a stream needs to go on at another upstream.
 pub(crate) struct Resume {
     pub(crate) call: Rc<Call>,
-    pub(crate) work: Work,
     pub(crate) attempts_left: u32,
     pub(crate) tried: Vec<UpstreamName>,
     pub(crate) splitter: EventSplitter,
@@ -140,7 +138,7 @@
         if !self.node.may_repeat(self.flight.service()) {
             return false;
         }
-        let Some(upstream) = self.flight.move_on(&resume.work, &resume.tried) else {
+        let Some(upstream) = self.flight.move_on(&resume.call.work, &resume.tried) else {
             return false;
         };
         resume.attempts_left -= 1;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,6 +1,7 @@
 //! State of the process: plain data and the decisions on it, without I/O.
 
 use std::{
+    net::SocketAddr,
     cell::{Cell, RefCell, RefMut},
     collections::{BTreeMap, HashMap},
     rc::Rc,
@@ -320,6 +321,17 @@
         Some(chosen)
     }
 
+    /// Address of another engine that is likely to hold the shared part of a
+    /// prompt that goes to `upstream`.
+    pub(crate) fn holder(&self, upstream: &UpstreamName, shared: SharedPrompt) -> Option<SocketAddr> {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let State { services, registry, .. } = &mut *state;
+        let service = services.get_mut(&registry.get(upstream)?.service)?;
+        let holder = service.placement.holder(now_ms, upstream, shared)?;
+        registry.get(&holder).map(|entry| entry.address)
+    }
+
     /// Takes a repeated send from the fleet's budget.
     pub(crate) fn may_repeat(&self, service: &ServiceName) -> bool {
         let now_ms = self.now_ms();
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -23,12 +23,15 @@
 /// Time that a full batch costs a request compared to an empty one, in
 /// milliseconds; weighs load against the time to read a prompt.
 const FULL_BATCH_MS: f64 = 120.0;
-/// Upstreams that keep a shared part in memory. Two choices even out the load;
-/// each further one holds the part once more.
-const HOMES: usize = 2;
+/// Upstreams that a shared part is kept at. One, since engines keep a part only
+/// for seconds: with more, each is asked for it too seldom. Others copy it.
+const HOMES: usize = 1;
+/// Tokens of a shared part from which copying it is worth the two
+/// milliseconds that a copy takes to begin.
+const MIN_COPIED_TOKENS: u64 = 128;
 /// Weight of reading a shared part again, against waiting as long: it delays
 /// every other stream at the engine too.
-const REREAD_WEIGHT: f64 = 4.0;
+const REREAD_WEIGHT: f64 = 1.0;
 /// Requests beyond its slots that an upstream may be sent, as a part of the
 /// slots. They cover the time from the end of a request until the next one
 /// arrives.
@@ -343,7 +346,7 @@
     /// Chooses the upstream for a request; `draw` breaks ties. With `crowd`,
     /// an upstream without room may be chosen.
     pub fn choose(&self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<UpstreamName> {
-        let homes = need.shared.map(|shared| self.homes_from(shared, need.lane));
+        let homes = need.shared.map(|shared| self.homes_from(shared));
         let usable = self.upstreams.iter().filter(|(name, load)| {
             load.may_use(now_ms)
                 && !need.avoid.contains(name)
@@ -366,11 +369,27 @@
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone())
     }
 
+    /// The upstream from which `upstream` can copy a shared part: the home of
+    /// the part, which every router sends it to when it can.
+    pub fn holder(
+        &self,
+        now_ms: u64,
+        upstream: &UpstreamName,
+        shared: SharedPrompt,
+    ) -> Option<UpstreamName> {
+        if shared.tokens < MIN_COPIED_TOKENS {
+            return None;
+        }
+        let usable = self.upstreams.iter().filter(|(_, load)| load.may_use(now_ms));
+        let (home, _) = usable.max_by_key(|(_, load)| load.hash(shared))?;
+        (home != upstream).then(|| home.clone())
+    }
+
     /// Lowest hash of the upstreams that keep a shared part. All routers choose
     /// the same ones without a message, by rendezvous hashing.
-    fn homes_from(&self, shared: SharedPrompt, lane: Lane) -> u64 {
+    fn homes_from(&self, shared: SharedPrompt) -> u64 {
         let mut best = [0; HOMES];
-        for load in self.upstreams.values().filter(|load| load.lane == lane) {
+        for load in self.upstreams.values() {
             let hash = load.hash(shared);
             if hash > best[0] {
                 best[0] = hash;
