--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -56,41 +56,45 @@
     TimedOut,
 }
 
+/// Where and how one attempt is sent.
+pub(crate) struct To<'a> {
+    pub(crate) upstream: &'a UpstreamName,
+    /// Engine from which the upstream can copy the shared part of the prompt.
+    pub(crate) holder: Option<&'a UpstreamName>,
+    /// Last event that the caller has.
+    pub(crate) last_event: Option<&'a str>,
+}
+
 /// Sends the request to an upstream and reads the head of the answer.
 pub(crate) async fn attempt(
     node: &Rc<Node>,
     call: &Call,
-    upstream: &UpstreamName,
-    last_event: Option<&str>,
+    to: &To<'_>,
     until_ms: u64,
 ) -> Result<Answer, Failure> {
     let now_ms = node.now_ms();
     let wait = Duration::from_millis(until_ms.saturating_sub(now_ms));
-    match timeout(wait, send(node, call, upstream, last_event)).await {
+    match timeout(wait, send(node, call, to)).await {
         Ok(result) => result,
         Err(_) => Err(Failure::TimedOut),
     }
 }
 
-async fn send(
-    node: &Rc<Node>,
-    call: &Call,
-    upstream: &UpstreamName,
-    last_event: Option<&str>,
-) -> Result<Answer, Failure> {
+async fn send(node: &Rc<Node>, call: &Call, to: &To<'_>) -> Result<Answer, Failure> {
+    let upstream = to.upstream;
     let mut connection = match node.pool.take(node.now_ms(), upstream) {
         Some(connection) => connection,
         None => open(node, upstream).await?,
     };
     let sent_ms = node.now_ms();
-    let request = request(node, call, upstream, last_event, sent_ms);
+    let request = request(node, call, to, sent_ms);
     node.count(Counter::Sent);
     let response = match connection.send(request).await {
         Ok(response) => response,
         // An idle connection that the upstream has closed meanwhile.
         Err(SendError::NotSent(_)) if connection.reused => {
             connection = open(node, upstream).await?;
-            let request = self::request(node, call, upstream, last_event, node.now_ms());
+            let request = self::request(node, call, to, node.now_ms());
             connection.send(request).await.map_err(failure)?
         }
         Err(error) => return Err(failure(error)),
@@ -130,16 +134,18 @@
 fn request(
     node: &Node,
     call: &Call,
-    upstream: &UpstreamName,
-    last_event: Option<&str>,
+    to: &To<'_>,
     now_ms: u64,
 ) -> Request<Full<Bytes>> {
     let names = &node.dialect.headers;
     let mut parts = call.parts.clone();
     let left_ms = call.deadline_ms.saturating_sub(now_ms).max(1);
-    let copy_from = call.work.shared.and_then(|shared| node.holder(upstream, shared));
-    head::address_to(&mut parts.headers, names, upstream, copy_from, left_ms);
-    if let Some(value) = last_event.and_then(|id| HeaderValue::from_str(id).ok()) {
+    let copy_from = to.holder.and_then(|holder| {
+        let state = node.state();
+        state.registry.get(holder).map(|entry| entry.address)
+    });
+    head::address_to(&mut parts.headers, names, to.upstream, copy_from, left_ms);
+    if let Some(value) = to.last_event.and_then(|id| HeaderValue::from_str(id).ok()) {
         parts.headers.insert(names.last_event.clone(), value);
     }
     Request::from_parts(parts, Full::new(call.body.clone()))
--- a/crates/edge/src/forward/flight.rs
+++ b/crates/edge/src/forward/flight.rs
@@ -5,14 +5,14 @@
 use futures::channel::oneshot;
 use span_types::{ServiceName, UpstreamName};
 
-use crate::{dialect::Work, node::{Node, Place}, placement::Verdict};
+use crate::{dialect::Work, node::{Node, Place}, placement::{Chosen, Verdict}};
 
 /// A request that waits for a place. Dropping it gives up the wait.
 pub(crate) struct Wait {
     node: Rc<Node>,
     service: ServiceName,
     place: Place,
-    start: oneshot::Receiver<UpstreamName>,
+    start: oneshot::Receiver<Chosen>,
     own_tokens: u64,
     done: bool,
 }
@@ -22,7 +22,7 @@
         node: &Rc<Node>,
         service: &ServiceName,
         place: Place,
-        start: oneshot::Receiver<UpstreamName>,
+        start: oneshot::Receiver<Chosen>,
         own_tokens: u64,
     ) -> Self {
         let (node, service) = (node.clone(), service.clone());
@@ -34,8 +34,8 @@
     pub(crate) async fn started(mut self, until_ms: u64) -> Option<Flight> {
         let until = self.node.clock.instant(until_ms);
         let start = tokio::time::timeout_at(until, &mut self.start).await;
-        let upstream = match start {
-            Ok(Ok(upstream)) => upstream,
+        let chosen = match start {
+            Ok(Ok(chosen)) => chosen,
             // The wait is given up when this is dropped.
             Ok(Err(_)) | Err(_) => return None,
         };
@@ -44,7 +44,7 @@
             node: self.node.clone(),
             service: self.service.clone(),
             place: self.place,
-            upstream: Some(upstream),
+            chosen: Some(chosen),
             unread_tokens: self.own_tokens,
             cost: 0,
         })
@@ -57,7 +57,7 @@
             return;
         }
         // It started while the caller left.
-        if let Ok(Some(upstream)) = self.start.try_recv() {
+        if let Ok(Some(Chosen { upstream, .. })) = self.start.try_recv() {
             self.node.read(&self.service, &upstream, self.own_tokens);
             self.node.ended(&self.service, &upstream, Verdict::Unknown);
             self.node.finish(&self.service, self.place, 0);
@@ -70,7 +70,7 @@
     node: Rc<Node>,
     service: ServiceName,
     place: Place,
-    upstream: Option<UpstreamName>,
+    chosen: Option<Chosen>,
     /// Prompt tokens that the upstream has still to read.
     unread_tokens: u64,
     /// Cost so far, in cost units.
@@ -81,8 +81,8 @@
     /// Notes that the upstream has read the prompt, or never will.
     pub(crate) fn read(&mut self) {
         let tokens = std::mem::take(&mut self.unread_tokens);
-        if let Some(upstream) = self.upstream.as_ref().filter(|_| tokens > 0) {
-            self.node.read(&self.service, upstream, tokens);
+        if let Some(chosen) = self.chosen.as_ref().filter(|_| tokens > 0) {
+            self.node.read(&self.service, &chosen.upstream, tokens);
         }
     }
 
@@ -91,14 +91,19 @@
     }
 
     pub(crate) fn upstream(&self) -> Option<&UpstreamName> {
-        self.upstream.as_ref()
+        self.chosen.as_ref().map(|chosen| &chosen.upstream)
+    }
+
+    /// Another upstream that is likely to hold the shared part of the prompt.
+    pub(crate) fn holder(&self) -> Option<&UpstreamName> {
+        self.chosen.as_ref().and_then(|chosen| chosen.holder.as_ref())
     }
 
     /// Ends the attempt at the present upstream.
     pub(crate) fn judge(&mut self, verdict: Verdict) {
         self.read();
-        if let Some(upstream) = self.upstream.take() {
-            self.node.ended(&self.service, &upstream, verdict);
+        if let Some(chosen) = self.chosen.take() {
+            self.node.ended(&self.service, &chosen.upstream, verdict);
         }
     }
 
@@ -109,9 +114,9 @@
         avoid: &[UpstreamName],
     ) -> Option<UpstreamName> {
         self.judge(Verdict::Unknown);
-        self.upstream = self.node.choose_again(&self.service, work, avoid);
+        self.chosen = self.node.choose_again(&self.service, work, avoid);
         self.unread_tokens = work.own_tokens();
-        self.upstream.clone()
+        self.upstream().cloned()
     }
 }
 
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -27,7 +27,7 @@
     placement::Verdict,
     sse::EventSplitter,
 };
-use attempt::{Answer, Call, Failure};
+use attempt::{Answer, Call, Failure, To};
 pub(crate) use body::EdgeBody;
 use flight::{Flight, Wait};
 use record::{Outcome, Record};
@@ -350,7 +350,8 @@
         record.attempts += 1;
         sent += 1;
         let until_ms = attempt_until_ms(node.now_ms(), checked, sent);
-        let result = attempt::attempt(node, &call, &upstream, None, until_ms).await;
+        let to = To { upstream: &upstream, holder: flight.holder(), last_event: None };
+        let result = attempt::attempt(node, &call, &to, until_ms).await;
         let failure = match result {
             Ok(answer) if kind.is_stream() || attempt::is_large(&answer) => {
                 let left = checked.route.max_attempts.saturating_sub(sent);
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -16,7 +16,7 @@
 use tracing::info;
 
 use super::{
-    attempt::{self, Answer, Call, Failure},
+    attempt::{self, Answer, Call, Failure, To},
     body::BrokenOff,
     flight::Flight,
     record::{Outcome, Record},
@@ -156,9 +156,12 @@
         self.record.upstream = Some(upstream.to_string());
         self.node.count(Counter::Resumed);
         let (node, call) = (self.node.clone(), resume.call.clone());
+        let holder = self.flight.holder().cloned();
         self.source = Source::Resuming(Box::pin(async move {
             let until_ms = call.deadline_ms;
-            attempt::attempt(&node, &call, &upstream, last_event.as_deref(), until_ms).await
+            let last_event = last_event.as_deref();
+            let to = To { upstream: &upstream, holder: holder.as_ref(), last_event };
+            attempt::attempt(&node, &call, &to, until_ms).await
         }));
         true
     }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,7 +1,6 @@
 //! State of the process: plain data and the decisions on it, without I/O.
 
 use std::{
-    net::SocketAddr,
     cell::{Cell, RefCell, RefMut},
     collections::{BTreeMap, HashMap},
     rc::Rc,
@@ -23,7 +22,7 @@
     dialect::{Dialect, Work},
     metrics::{Counter, Metrics},
     long_load::LongLoad,
-    placement::{Lane, Need, Placement, SharedPrompt, Verdict},
+    placement::{Chosen, Lane, Need, Placement, SharedPrompt, Verdict},
     pool::Pool,
     registry::{Change, Registry},
     settings::Settings,
@@ -38,7 +37,7 @@
     ViewTiming { suspect_after_ms: 1_300, remove_after_ms: 2_600, forget_after_ms: 60_000 };
 
 struct Waiter {
-    started: oneshot::Sender<UpstreamName>,
+    started: oneshot::Sender<Chosen>,
     workspace: WorkspaceName,
     shared: Option<SharedPrompt>,
     own_tokens: u64,
@@ -219,7 +218,7 @@
         service: &ServiceName,
         ask: &Ask,
         work: &Work,
-    ) -> Result<(Place, oneshot::Receiver<UpstreamName>), NoPlace> {
+    ) -> Result<(Place, oneshot::Receiver<Chosen>), NoPlace> {
         let now_ms = self.now_ms();
         let mut state = self.state();
         let service_state = state.services.get_mut(service).ok_or(NoPlace::NoUpstream)?;
@@ -308,28 +307,16 @@
         service: &ServiceName,
         work: &Work,
         avoid: &[UpstreamName],
-    ) -> Option<UpstreamName> {
+    ) -> Option<Chosen> {
         let now_ms = self.now_ms();
         let mut state = self.state();
         let draw = state.rng.next_u64();
         let service = state.services.get_mut(service)?;
-        let lane = service.placement.lane(work.own_tokens());
-        let need = Need { shared: work.shared, lane, avoid };
-        let chosen = service.placement.choose(now_ms, need, draw, false);
-        let chosen = chosen.or_else(|| service.placement.choose(now_ms, need, draw, true))?;
-        service.placement.sent(now_ms, &chosen, work.shared, work.own_tokens());
-        Some(chosen)
-    }
-
-    /// Address of another engine that is likely to hold the shared part of a
-    /// prompt that goes to `upstream`.
-    pub(crate) fn holder(&self, upstream: &UpstreamName, shared: SharedPrompt) -> Option<SocketAddr> {
-        let now_ms = self.now_ms();
-        let mut state = self.state();
-        let State { services, registry, .. } = &mut *state;
-        let service = services.get_mut(&registry.get(upstream)?.service)?;
-        let holder = service.placement.holder(now_ms, upstream, shared)?;
-        registry.get(&holder).map(|entry| entry.address)
+        let unread_tokens = work.own_tokens();
+        let lane = service.placement.lane(unread_tokens);
+        let need = Need { shared: work.shared, unread_tokens, lane, avoid };
+        let placed = service.placement.place(now_ms, need, draw, false);
+        placed.or_else(|| service.placement.place(now_ms, need, draw, true))
     }
 
     /// Takes a repeated send from the fleet's budget.
@@ -445,13 +432,13 @@
                 continue;
             };
             admission.left(&waiter.workspace);
-            let need = Need { shared: waiter.shared, lane, avoid: &[] };
-            let Some(upstream) = placement.choose(now_ms, need, rng.next_u64(), false) else {
+            let (shared, unread_tokens) = (waiter.shared, waiter.own_tokens);
+            let need = Need { shared, unread_tokens, lane, avoid: &[] };
+            let Some(chosen) = placement.place(now_ms, need, rng.next_u64(), false) else {
                 admission.finish(now_ms, dispatch.ticket, 0);
                 continue;
             };
-            placement.sent(now_ms, &upstream, waiter.shared, waiter.own_tokens);
-            if waiter.started.send(upstream.clone()).is_err() {
+            if let Err(Chosen { upstream, .. }) = waiter.started.send(chosen) {
                 placement.read(&upstream, waiter.own_tokens);
                 placement.ended(&upstream);
                 admission.finish(now_ms, dispatch.ticket, 0);
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -47,6 +47,9 @@
 const AVOID_MS: (u64, u64) = (500, 4_000);
 /// Prompt parts whose place is remembered.
 const MAX_PARTS: usize = 4_096;
+/// Time for which an engine surely keeps a part that it was sent, in
+/// milliseconds; its memory is read through in about twice that.
+const PART_FRESH_MS: u64 = 4_000;
 /// Time after which an engine has dropped a part that nobody asked for, in
 /// milliseconds.
 const PART_LIFETIME_MS: u64 = 20_000;
@@ -172,12 +175,23 @@
 pub struct Need<'a> {
     /// Shared part of its prompt.
     pub shared: Option<SharedPrompt>,
+    /// Prompt tokens that no other request shares.
+    pub unread_tokens: u64,
     /// Upstreams that it goes to.
     pub lane: Lane,
     /// Upstreams that were tried already.
     pub avoid: &'a [UpstreamName],
 }
 
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chosen {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Another upstream that is likely to hold the shared part of its prompt.
+    pub holder: Option<UpstreamName>,
+}
+
 /// Load of the upstreams of one service.
 #[derive(Debug)]
 pub struct Placement {
@@ -343,9 +357,17 @@
         room.min(own)
     }
 
-    /// Chooses the upstream for a request; `draw` breaks ties. With `crowd`,
-    /// an upstream without room may be chosen.
-    pub fn choose(&self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<UpstreamName> {
+    /// Chooses the upstream for a request and counts the request as sent;
+    /// `draw` breaks ties. With `crowd`, an upstream without room may be
+    /// chosen.
+    pub fn place(&mut self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<Chosen> {
+        let upstream = self.choose(now_ms, need, draw, crowd)?;
+        let holder = need.shared.and_then(|shared| self.holder(now_ms, &upstream, shared));
+        self.sent(now_ms, &upstream, need);
+        Some(Chosen { upstream, holder })
+    }
+
+    fn choose(&self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<UpstreamName> {
         let homes = need.shared.map(|shared| self.homes_from(shared));
         let usable = self.upstreams.iter().filter(|(name, load)| {
             load.may_use(now_ms)
@@ -371,7 +393,7 @@
 
     /// The upstream from which `upstream` can copy a shared part: the home of
     /// the part, which every router sends it to when it can.
-    pub fn holder(
+    fn holder(
         &self,
         now_ms: u64,
         upstream: &UpstreamName,
@@ -380,7 +402,13 @@
         if shared.tokens < MIN_COPIED_TOKENS {
             return None;
         }
-        let usable = self.upstreams.iter().filter(|(_, load)| load.may_use(now_ms));
+        let sent = self.parts.get(&shared.part);
+        let recent = sent.filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) < PART_FRESH_MS);
+        if let Some((last, _)) = recent {
+            return (last != upstream && self.upstreams.contains_key(last)).then(|| last.clone());
+        }
+        let usable = self.upstreams.iter();
+        let usable = usable.filter(|(_, load)| load.lane == Lane::Short && load.may_use(now_ms));
         let (home, _) = usable.max_by_key(|(_, load)| load.hash(shared))?;
         (home != upstream).then(|| home.clone())
     }
@@ -389,7 +417,7 @@
     /// the same ones without a message, by rendezvous hashing.
     fn homes_from(&self, shared: SharedPrompt) -> u64 {
         let mut best = [0; HOMES];
-        for load in self.upstreams.values() {
+        for load in self.upstreams.values().filter(|load| load.lane == Lane::Short) {
             let hash = load.hash(shared);
             if hash > best[0] {
                 best[0] = hash;
@@ -414,23 +442,15 @@
             })
     }
 
-    /// Counts a request that is sent to an upstream, which has to read
-    /// `unread_tokens` of its prompt.
-    pub fn sent(
-        &mut self,
-        now_ms: u64,
-        name: &UpstreamName,
-        shared: Option<SharedPrompt>,
-        unread_tokens: u64,
-    ) {
+    fn sent(&mut self, now_ms: u64, name: &UpstreamName, need: Need<'_>) {
         if let Some(load) = self.upstreams.get_mut(name) {
             load.sent += 1;
-            load.reading_tokens += unread_tokens;
+            load.reading_tokens += need.unread_tokens;
             if load.avoid_ms > 0 {
                 load.probing = true;
             }
         }
-        if let Some(shared) = shared {
+        if let Some(shared) = need.shared {
             if self.parts.len() >= MAX_PARTS {
                 self.parts.retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < PART_LIFETIME_MS / 2);
             }
