Divide capacity by what routers state of their callers' demand

Routers now state demand by workspace in heartbeats and compute the same max-min level and parts. Ruled out: the exchange of the fair crate, which needs an owner per service and a round trip.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -1,180 +1,245 @@
 //! Which request goes next, and which is refused.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use span_fair::{Dispatch, Policy, Request, RouterQueue, SlotRow, Ticket, WorkspaceLimits};
-use span_types::{Member, ServiceName, ShardId, UpstreamName, WorkspaceName};
+use span_types::WorkspaceName;
+
+use crate::shares::Rate;
 
 /// Requests of one workspace that may wait at this router.
-const QUEUE_LIMIT: u32 = 64;
+const QUEUE_LIMIT: usize = 64;
 /// Window over which starts are counted, in milliseconds.
 const RATE_WINDOW_MS: u64 = 1_000;
-/// Longest wait that the queue itself allows, in milliseconds; the patience of
-/// a request is shorter.
-const MAX_WAIT_MS: u64 = 60_000;
+/// Unused allowance that a workspace may save up, in milliseconds of its
+/// limit: bursts shorter than that are served whole.
+const SAVED_MS: f64 = 1_500.0;
+/// Part of the places that has to be free before a workspace may use more
+/// than its share: capacity must not idle, but what is started cannot be
+/// taken back when others ask.
+const SPARE_PART: f64 = 0.3;
 /// Workspace of requests that carry no key.
 pub const ANONYMOUS: &str = "-";
 
+/// Identifies a waiting request within its queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
 /// A request that asks for a place.
 #[derive(Clone, Debug)]
 pub struct Ask {
     /// Workspace that is charged.
     pub workspace: WorkspaceName,
-    /// Cost of the prompt, in cost units.
-    pub prompt_cost: u64,
-    /// Whole cost that the caller expects, in cost units.
-    pub cost_hint: Option<u64>,
+    /// Cost that is expected, in cost units.
+    pub cost: u64,
     /// Longest wait after which the answer would be late, in milliseconds.
     pub patience_ms: u64,
 }
 
+/// Places for requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Places {
+    /// Free now.
+    pub free: u32,
+    /// Free and taken.
+    pub all: u32,
+}
+
+impl Places {
+    /// Whether a workspace may use more than its share.
+    fn spare(&self) -> bool {
+        f64::from(self.free) > SPARE_PART * f64::from(self.all)
+    }
+}
+
+/// Why a request is refused; it did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// The wait would be longer than the request's patience.
+    Busy,
+    /// The workspace has used its share and others need the rest.
+    OverShare,
+}
+
 /// A request was refused; it did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
+    /// Why.
+    pub cause: Cause,
     /// When a place is likely to be free, in milliseconds.
     pub retry_after_ms: u64,
 }
 
-/// The requests of one service at this router, in fair order over the
-/// workspaces.
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    cost: u64,
+}
+
+#[derive(Debug, Default)]
+struct Workspace {
+    waiting: VecDeque<Waiting>,
+    /// Cost started lately.
+    usage: Rate,
+    /// Limit in cost units per second, and the allowance that is left.
+    limit_per_s: Option<f64>,
+    allowance: f64,
+    refilled_ms: u64,
+}
+
+impl Workspace {
+    fn set_limit(&mut self, now_ms: u64, limit_per_s: Option<f64>) {
+        self.refill(now_ms);
+        if self.limit_per_s.is_none() {
+            self.allowance = limit_per_s.map_or(0.0, |limit| limit * SAVED_MS / 2_000.0);
+        }
+        self.limit_per_s = limit_per_s;
+    }
+
+    fn refill(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.refilled_ms) as f64;
+        self.refilled_ms = now_ms;
+        if let Some(limit) = self.limit_per_s {
+            let most = limit * SAVED_MS / 1_000.0;
+            self.allowance = (self.allowance + limit * elapsed_ms / 1_000.0).min(most);
+        }
+    }
+
+    fn over_share(&self) -> bool {
+        self.limit_per_s.is_some() && self.allowance <= 0.0
+    }
+
+    /// Time until the workspace is within its share again, in milliseconds.
+    fn recovers_ms(&self) -> u64 {
+        let limit = self.limit_per_s.unwrap_or(f64::INFINITY).max(1.0);
+        (-self.allowance / limit * 1_000.0).max(0.0) as u64
+    }
+}
+
+/// The requests of one lane of a service at this router, in fair order over
+/// the workspaces.
 ///
 /// A place is the right to have one request at some upstream. Where it goes is
-/// decided when it starts.
-#[derive(Debug)]
+/// decided when it starts. Workspaces within their share go first, and among
+/// them the one that started least lately.
+#[derive(Debug, Default)]
 pub struct Admission {
-    queue: RouterQueue,
-    shard: ShardId,
-    places: UpstreamName,
-    held: u32,
+    workspaces: BTreeMap<WorkspaceName, Workspace>,
+    places: BTreeMap<Ticket, WorkspaceName>,
     next: u64,
-    starts: (u64, u32, u32),
-    workspaces: HashMap<WorkspaceName, u32>,
+    window_ms: u64,
+    starts: u32,
+    last_starts: u32,
 }
 
 impl Admission {
-    /// An empty queue.
-    pub fn new(service: ServiceName, router: Member) -> Self {
-        let shard = ShardId { service: service.clone(), index: 0 };
-        let mut queue = RouterQueue::new(Policy::Local, service, router);
-        queue.set_shards(std::slice::from_ref(&shard));
-        Self {
-            queue,
-            shard,
-            places: "places".into(),
-            held: 0,
-            next: 0,
-            starts: (0, 0, 0),
-            workspaces: HashMap::new(),
+    /// Gives up on the requests of workspaces that are not named and returns
+    /// them; they did not run.
+    pub fn retain(&mut self, names: &[WorkspaceName]) -> Vec<Ticket> {
+        let keep = |name: &WorkspaceName| names.contains(name) || name.as_str() == ANONYMOUS;
+        let removed = self.workspaces.iter().filter(|(name, _)| !keep(name));
+        let removed = removed.flat_map(|(_, workspace)| &workspace.waiting);
+        let removed: Vec<Ticket> = removed.map(|waiting| waiting.ticket).collect();
+        self.workspaces.retain(|name, _| keep(name));
+        for ticket in &removed {
+            self.places.remove(ticket);
         }
+        removed
     }
 
-    /// Sets the workspaces. Returns the requests of workspaces that are gone;
-    /// they did not run.
-    pub fn set_workspaces(&mut self, names: &[WorkspaceName]) -> Vec<Ticket> {
-        let limits = |workspace: WorkspaceName| WorkspaceLimits {
-            workspace,
-            share: 1,
-            queue_limit: QUEUE_LIMIT,
-            deadline_ms: MAX_WAIT_MS,
-        };
-        let names = names.iter().cloned().chain([ANONYMOUS.into()]);
-        let limits: Vec<WorkspaceLimits> = names.map(limits).collect();
-        let removed = self.queue.set_workspaces(&limits);
-        removed.into_iter().map(|expired| expired.ticket).collect()
+    /// Sets the limits of workspaces whose demand exceeds their share, in cost
+    /// units per second; the others have none.
+    pub fn set_limits(&mut self, now_ms: u64, limits: &BTreeMap<WorkspaceName, f64>) {
+        for (name, workspace) in &mut self.workspaces {
+            workspace.set_limit(now_ms, limits.get(name).copied());
+        }
     }
 
-    /// Adds a request, unless its wait is likely to exceed its patience.
-    /// `room` is the number of places free now.
+    /// Adds a request, unless it cannot start in time.
     ///
     /// # Errors
     ///
     /// The request is refused and will not run.
-    pub fn submit(&mut self, now_ms: u64, room: u32, ask: &Ask) -> Result<Ticket, Refusal> {
-        let own = self.workspaces.get(&ask.workspace).copied().unwrap_or(0);
-        let wait_ms = self.expected_wait_ms(now_ms, own, room);
-        if wait_ms > ask.patience_ms {
-            return Err(Refusal { retry_after_ms: wait_ms });
+    pub fn submit(&mut self, now_ms: u64, places: Places, ask: &Ask) -> Result<Ticket, Refusal> {
+        let own = self.workspaces.get(&ask.workspace).map_or(0, |own| own.waiting.len());
+        let wait_ms = self.expected_wait_ms(now_ms, own, places.free);
+        let workspace = self.workspaces.entry(ask.workspace.clone()).or_default();
+        workspace.refill(now_ms);
+        if workspace.over_share() && !places.spare() {
+            let retry_after_ms = workspace.recovers_ms();
+            return Err(Refusal { cause: Cause::OverShare, retry_after_ms });
+        }
+        if wait_ms > ask.patience_ms || own >= QUEUE_LIMIT {
+            return Err(Refusal { cause: Cause::Busy, retry_after_ms: wait_ms });
         }
         self.next += 1;
         let ticket = Ticket(self.next);
-        let request = Request {
-            ticket,
-            workspace: ask.workspace.clone(),
-            arrived_ms: now_ms,
-            prompt_cost: ask.prompt_cost,
-            cost_hint: ask.cost_hint,
-            prefix: None,
-            avoid: Vec::new(),
-        };
-        match self.queue.submit(now_ms, request) {
-            Ok(()) => {
-                *self.workspaces.entry(ask.workspace.clone()).or_default() += 1;
-                Ok(ticket)
-            }
-            Err(_) => Err(Refusal { retry_after_ms: wait_ms.max(ask.patience_ms) }),
-        }
+        workspace.waiting.push_back(Waiting { ticket, cost: ask.cost });
+        self.places.insert(ticket, ask.workspace.clone());
+        Ok(ticket)
     }
 
     /// Wait of one more request of a workspace that has `own` waiting: those
     /// ahead of it are its own, and as many of each other waiting workspace.
-    fn expected_wait_ms(&self, now_ms: u64, own: u32, room: u32) -> u64 {
-        let ahead: u32 = self.workspaces.values().map(|waiting| (*waiting).min(own + 1)).sum();
-        let ahead = ahead.saturating_sub(room);
-        if ahead == 0 {
-            return 0;
-        }
-        u64::from(ahead) * 1_000 / u64::from(self.starts_per_s(now_ms).max(1))
+    fn expected_wait_ms(&self, now_ms: u64, own: usize, free: u32) -> u64 {
+        let waiting = self.workspaces.values().map(|workspace| workspace.waiting.len());
+        let ahead: usize = waiting.map(|waiting| waiting.min(own + 1)).sum();
+        let ahead = (ahead as u64).saturating_sub(u64::from(free));
+        ahead * 1_000 / u64::from(self.starts_per_s(now_ms).max(1))
     }
 
     fn starts_per_s(&self, now_ms: u64) -> u32 {
-        let (since_ms, count, last) = self.starts;
-        if now_ms.saturating_sub(since_ms) > 2 * RATE_WINDOW_MS { count } else { last.max(count) }
+        let stale = now_ms.saturating_sub(self.window_ms) > 2 * RATE_WINDOW_MS;
+        if stale { self.starts } else { self.starts.max(self.last_starts) }
     }
 
-    /// Starts the next request, if a place is free. `room` counts the places
-    /// that are free now.
-    pub fn start(&mut self, now_ms: u64, room: u32) -> Option<Dispatch> {
-        let held = self.queue.in_flight() as u32 + room;
-        if held != self.held {
-            self.held = held;
-            let row = SlotRow { upstream: self.places.clone(), held, in_flight: 0 };
-            self.queue.set_fixed_slots(&self.shard, &[row]);
+    /// Starts the next request, if a place is free for it.
+    pub fn start(&mut self, now_ms: u64, places: Places) -> Option<Ticket> {
+        if places.free == 0 {
+            return None;
         }
-        let dispatch = self.queue.dispatch(now_ms)?;
-        if now_ms.saturating_sub(self.starts.0) >= RATE_WINDOW_MS {
-            self.starts = (now_ms, 0, self.starts.1);
+        let spare = places.spare();
+        let waiting = self.workspaces.values_mut().filter(|own| !own.waiting.is_empty());
+        let mut best: Option<((bool, f64), &mut Workspace)> = None;
+        for workspace in waiting {
+            workspace.refill(now_ms);
+            let over = workspace.over_share();
+            if over && !spare {
+                continue;
+            }
+            let key = (over, workspace.usage.per_s(now_ms));
+            if best.as_ref().is_none_or(|(other, _)| key < *other) {
+                best = Some((key, workspace));
+            }
+        }
+        let (_, workspace) = best?;
+        let Waiting { ticket, cost } = workspace.waiting.pop_front()?;
+        workspace.usage.add(now_ms, cost);
+        if workspace.limit_per_s.is_some() {
+            workspace.allowance -= cost as f64;
+        }
+        self.places.remove(&ticket);
+        if now_ms.saturating_sub(self.window_ms) >= RATE_WINDOW_MS {
+            self.window_ms = now_ms;
+            self.last_starts = std::mem::take(&mut self.starts);
         }
-        self.starts.1 += 1;
-        Some(dispatch)
+        self.starts += 1;
+        Some(ticket)
     }
 
     /// Removes a waiting request. Returns false if it has started.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        self.queue.cancel(ticket)
-    }
-
-    /// Notes that a request of the workspace no longer waits.
-    pub fn left(&mut self, workspace: &WorkspaceName) {
-        if let Some(waiting) = self.workspaces.get_mut(workspace) {
-            *waiting = waiting.saturating_sub(1);
-            if *waiting == 0 {
-                self.workspaces.remove(workspace);
-            }
+        let Some(name) = self.places.remove(&ticket) else {
+            return false;
+        };
+        if let Some(workspace) = self.workspaces.get_mut(&name) {
+            workspace.waiting.retain(|waiting| waiting.ticket != ticket);
         }
-    }
-
-    /// Ends a started request and settles its cost.
-    pub fn finish(&mut self, now_ms: u64, ticket: Ticket, cost: u64) {
-        self.queue.finish(now_ms, ticket, cost);
+        true
     }
 
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
-        self.queue.waiting()
-    }
-
-    /// Requests in flight.
-    pub fn in_flight(&self) -> usize {
-        self.queue.in_flight()
+        self.places.len()
     }
 }
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -112,6 +112,8 @@
     pub workspaces: Vec<WorkspaceName>,
     /// Bounds on callers.
     pub limits: CallerLimits,
+    /// Cost units that all model engines together serve per second, if stated.
+    pub capacity_per_s: Option<u64>,
     /// The document as the store holds it, for peers.
     pub document: Bytes,
 }
@@ -124,6 +126,7 @@
         services: Vec<Service>,
         workspaces: Vec<(WorkspaceName, Vec<Arc<str>>)>,
         limits: CallerLimits,
+        capacity_per_s: Option<u64>,
         document: Bytes,
     ) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
@@ -144,6 +147,7 @@
             keys,
             workspaces: workspaces.into_iter().map(|(name, _)| name).collect(),
             limits,
+            capacity_per_s,
             document,
         }
     }
@@ -154,6 +158,11 @@
         routes.iter().find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// Whether the upstreams of a service are model engines.
+    pub fn is_engine(&self, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|service| service.engine.is_some())
+    }
+
     /// Tokens in an event of a stream of a service.
     pub fn tokens_per_event(&self, service: &ServiceName) -> u64 {
         let engine = self.services.get(service).and_then(|service| service.engine);
--- a/crates/edge/src/forward/flight.rs
+++ b/crates/edge/src/forward/flight.rs
@@ -43,10 +43,8 @@
         Some(Flight {
             node: self.node.clone(),
             service: self.service.clone(),
-            place: self.place,
             chosen: Some(chosen),
             unread_tokens: self.own_tokens,
-            cost: 0,
         })
     }
 }
@@ -60,7 +58,7 @@
         if let Ok(Some(Chosen { upstream, .. })) = self.start.try_recv() {
             self.node.read(&self.service, &upstream, self.own_tokens);
             self.node.ended(&self.service, &upstream, Verdict::Unknown);
-            self.node.finish(&self.service, self.place, 0);
+            self.node.pump(&self.service);
         }
     }
 }
@@ -69,12 +67,9 @@
 pub(crate) struct Flight {
     node: Rc<Node>,
     service: ServiceName,
-    place: Place,
     chosen: Option<Chosen>,
     /// Prompt tokens that the upstream has still to read.
     unread_tokens: u64,
-    /// Cost so far, in cost units.
-    pub(crate) cost: u64,
 }
 
 impl Flight {
@@ -123,6 +118,6 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         self.judge(Verdict::Unknown);
-        self.node.finish(&self.service, self.place, self.cost);
+        self.node.pump(&self.service);
     }
 }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -285,8 +285,7 @@
     let now_ms = node.now_ms();
     let ask = Ask {
         workspace: checked.workspace.clone().unwrap_or_else(|| ANONYMOUS.into()),
-        prompt_cost: if work.prompt_tokens == 0 { PLAIN_CALL_COST } else { work.prompt_tokens },
-        cost_hint: (work.prompt_tokens > 0).then(|| expected_cost(work)),
+        cost: if work.prompt_tokens == 0 { PLAIN_CALL_COST } else { expected_cost(work) },
         patience_ms: until_ms.saturating_sub(now_ms),
     };
     let refused = |retry_after_ms, reason: &str| {
@@ -299,6 +298,10 @@
         Err(NoPlace::NoUpstream) => {
             return Err(refused(RETRY_AFTER_MS, "no upstream takes requests; the request did not run"));
         }
+        Err(NoPlace::OverShare { retry_after_ms }) => {
+            let reason = "the workspace has used its share of a busy service; the request did not run";
+            return Err(refused(retry_after_ms, reason));
+        }
         Err(NoPlace::Busy { retry_after_ms }) => {
             return Err(refused(retry_after_ms, "the service is busy; the request did not run"));
         }
@@ -340,7 +343,6 @@
     let mut tried: Vec<UpstreamName> = Vec::new();
     let mut unsent = 0;
     let mut sent = 0;
-    flight.cost = if work.prompt_tokens == 0 { PLAIN_CALL_COST } else { work.prompt_tokens };
     loop {
         let Some(upstream) = flight.upstream().cloned() else {
             let message = "no other upstream takes requests; the request did not run";
@@ -438,8 +440,7 @@
         tried,
         splitter: EventSplitter::default(),
     });
-    let event_cost = 2 * checked.config.tokens_per_event(&checked.service);
-    let body = StreamBody::new(node, answer, flight, record, checked.deadline_ms, resume, event_cost);
+    let body = StreamBody::new(node, answer, flight, record, checked.deadline_ms, resume);
     Response::from_parts(parts, EdgeBody::Stream(Box::pin(body)))
 }
 
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -56,8 +56,6 @@
     record: Record,
     deadline: Pin<Box<Sleep>>,
     resume: Option<Resume>,
-    /// Cost of each event, in cost units.
-    event_cost: u64,
     /// Time of the last event.
     event_ms: u64,
 }
@@ -70,7 +68,6 @@
         record: Record,
         deadline_ms: u64,
         resume: Option<Resume>,
-        event_cost: u64,
     ) -> Self {
         let Answer { body, connection, idle_ms, .. } = answer;
         let deadline = tokio::time::sleep_until(node.clock.instant(deadline_ms));
@@ -81,13 +78,11 @@
             record,
             deadline: Box::pin(deadline),
             resume,
-            event_cost,
             event_ms: node.now_ms(),
         }
     }
 
     fn data(&mut self, bytes: Bytes) -> Result<Option<Bytes>, BrokenOff> {
-        self.flight.cost += self.event_cost;
         let now_ms = self.node.now_ms();
         let pause_ms = now_ms.saturating_sub(std::mem::replace(&mut self.event_ms, now_ms));
         self.record.longest_pause_ms = self.record.longest_pause_ms.max(Some(pause_ms));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,7 +2,7 @@
 //! callers' requests, membership and configuration.
 //!
 //! What must last lies in the platform's store. The modules [`admission`],
-//! [`placement`], [`budget`], [`registry`], [`config`] and [`sse`] decide,
+//! [`shares`], [`placement`], [`budget`], [`registry`], [`config`] and [`sse`] decide,
 //! without I/O and with the present time as an argument; the others feed them.
 
 pub mod admission;
@@ -15,15 +15,15 @@
 pub mod http_call;
 mod listen;
 pub mod log;
-pub mod long_load;
 pub mod metrics;
-mod node;
+pub mod node;
 pub mod peers;
 pub mod placement;
 mod pool;
 pub mod registry;
 mod run;
 pub mod settings;
+pub mod shares;
 pub mod sse;
 pub mod store;
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -8,24 +8,23 @@
 
 use futures::channel::oneshot;
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
-use span_fair::Ticket;
 use strum::{EnumCount, IntoEnumIterator};
 use span_member::{LiveView, Router, Timing as ViewTiming};
-use span_types::{Member, MemberState, ServiceName, UpstreamName, WorkspaceName};
+use span_types::{Member, MemberState, ServiceName, UpstreamName};
 use tracing::info;
 
 use crate::{
-    admission::{Admission, Ask, Refusal},
+    admission::{Admission, Ask, Cause, Refusal, Ticket},
     budget::{Allowance, RetryBudget},
     clock::Clock,
     config::Config,
     dialect::{Dialect, Work},
     metrics::{Counter, Metrics},
-    long_load::LongLoad,
     placement::{Chosen, Lane, Need, Placement, SharedPrompt, Verdict},
     pool::Pool,
     registry::{Change, Registry},
     settings::Settings,
+    shares::{self, Demand, DemandMeter, Rate},
 };
 
 /// Part of the connections that an upstream accepts which the routers known
@@ -38,7 +37,6 @@
 
 struct Waiter {
     started: oneshot::Sender<Chosen>,
-    workspace: WorkspaceName,
     shared: Option<SharedPrompt>,
     own_tokens: u64,
 }
@@ -48,10 +46,39 @@
     pub(crate) placement: Placement,
     pub(crate) budget: RetryBudget,
     lanes: [LaneState; Lane::COUNT],
-    long_load: LongLoad,
+    pub(crate) load: RouterLoad,
+}
+
+/// What this router's callers ask of a service.
+#[derive(Debug, Default)]
+pub(crate) struct RouterLoad {
+    demand: DemandMeter,
+    long_prompts: Rate,
+}
+
+/// What a router states of its callers, by service.
+pub type Loads = BTreeMap<ServiceName, Load>;
+
+/// What a router's callers ask of one service.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Load {
+    /// Cost units per second, by workspace.
+    pub demand: Demand,
+    /// Tokens of long prompts per second.
+    pub long_tokens_per_s: u64,
+}
+
+impl RouterLoad {
+    fn state(&mut self, now_ms: u64) -> Load {
+        Load {
+            demand: self.demand.demand(now_ms),
+            long_tokens_per_s: self.long_prompts.per_s(now_ms) as u64,
+        }
+    }
 }
 
 /// The requests of one lane.
+#[derive(Default)]
 struct LaneState {
     admission: Admission,
     waiters: HashMap<Ticket, Waiter>,
@@ -72,8 +99,8 @@
     pub(crate) view: LiveView,
     /// Configuration version that each router stated last.
     pub(crate) versions: BTreeMap<Member, u64>,
-    /// Tokens of long prompts per second that each router stated last.
-    pub(crate) long_loads: BTreeMap<Member, BTreeMap<ServiceName, u64>>,
+    /// What each router stated last of its callers.
+    pub(crate) loads: BTreeMap<Member, Loads>,
     pub(crate) metrics: Metrics,
     pub(crate) rng: SmallRng,
 }
@@ -100,6 +127,16 @@
     NoUpstream,
     /// The wait would be longer than the caller's aim allows.
     Busy { retry_after_ms: u64 },
+    /// The workspace has used its share.
+    OverShare { retry_after_ms: u64 },
+}
+
+fn no_place(refusal: Refusal) -> NoPlace {
+    let Refusal { cause, retry_after_ms } = refusal;
+    match cause {
+        Cause::Busy => NoPlace::Busy { retry_after_ms },
+        Cause::OverShare => NoPlace::OverShare { retry_after_ms },
+    }
 }
 
 impl Node {
@@ -110,7 +147,7 @@
             services: HashMap::new(),
             view: LiveView::new(me, VIEW_TIMING),
             versions: BTreeMap::new(),
-            long_loads: BTreeMap::new(),
+            loads: BTreeMap::new(),
             metrics: Metrics::default(),
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -222,29 +259,22 @@
         let now_ms = self.now_ms();
         let mut state = self.state();
         let service_state = state.services.get_mut(service).ok_or(NoPlace::NoUpstream)?;
-        let ServiceState { placement, budget, lanes, long_load } = service_state;
+        let ServiceState { placement, budget, lanes, load } = service_state;
         budget.earn(now_ms);
+        load.demand.add(now_ms, &ask.workspace, ask.cost);
         if placement.capacity(now_ms) == 0 {
             return Err(NoPlace::NoUpstream);
         }
         let unread_tokens = work.own_tokens();
         if placement.is_long(unread_tokens) {
-            long_load.add(now_ms, unread_tokens);
+            load.long_prompts.add(now_ms, unread_tokens);
         }
         let lane = placement.lane(unread_tokens);
-        let room = placement.room(now_ms, lane);
+        let places = placement.places(now_ms, lane);
         let lane_state = &mut lanes[lane as usize];
-        let ticket = lane_state
-            .admission
-            .submit(now_ms, room, ask)
-            .map_err(|Refusal { retry_after_ms }| NoPlace::Busy { retry_after_ms })?;
+        let ticket = lane_state.admission.submit(now_ms, places, ask).map_err(no_place)?;
         let (started, start) = oneshot::channel();
-        let waiter = Waiter {
-            started,
-            workspace: ask.workspace.clone(),
-            shared: work.shared,
-            own_tokens: unread_tokens,
-        };
+        let waiter = Waiter { started, shared: work.shared, own_tokens: unread_tokens };
         lane_state.waiters.insert(ticket, waiter);
         drop(state);
         self.pump(service);
@@ -258,46 +288,48 @@
             return false;
         };
         let lane = &mut service.lanes[place.lane as usize];
-        if !lane.admission.cancel(place.ticket) {
-            return false;
-        }
-        if let Some(waiter) = lane.waiters.remove(&place.ticket) {
-            lane.admission.left(&waiter.workspace);
-        }
-        true
-    }
-
-    /// Ends a started request.
-    pub(crate) fn finish(&self, service: &ServiceName, place: Place, cost: u64) {
-        let now_ms = self.now_ms();
-        if let Some(service) = self.state().services.get_mut(service) {
-            service.lanes[place.lane as usize].admission.finish(now_ms, place.ticket, cost);
-        }
-        self.pump(service);
+        lane.waiters.remove(&place.ticket);
+        lane.admission.cancel(place.ticket)
     }
 
-    /// Tokens of long prompts that this router receives per second.
-    pub(crate) fn long_tokens_per_s(&self) -> BTreeMap<ServiceName, u64> {
+    /// What this router's callers ask for.
+    pub(crate) fn loads(&self) -> Loads {
         let now_ms = self.now_ms();
-        let state = self.state();
-        let rates = state.services.iter().map(|(name, service)| {
-            (name.clone(), service.long_load.tokens_per_s(now_ms))
+        let mut state = self.state();
+        let loads = state.services.iter_mut().map(|(name, service)| {
+            (name.clone(), service.load.state(now_ms))
         });
-        rates.filter(|(_, rate)| *rate > 0).collect()
+        loads.filter(|(_, load)| !load.demand.is_empty()).collect()
     }
 
-    /// Divides the engines between long and short prompts, by what all
-    /// routers receive.
-    pub(crate) fn divide_engines(&self) {
+    /// Divides capacity among routers and workspaces, and engines between long
+    /// and short prompts, by what all routers state.
+    pub(crate) fn divide(&self) {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        let State { services, long_loads, view, .. } = &mut *state;
+        let routers = state.routers();
+        let State { services, loads, view, config, .. } = &mut *state;
         let live: Vec<&Member> = view.live().into_iter().map(|router| &router.member).collect();
+        let heard: Vec<&Loads> =
+            loads.iter().filter(|(member, _)| live.contains(member)).map(|(_, loads)| loads).collect();
+        let capacity = config.as_ref().and_then(|config| config.capacity_per_s);
         for (name, service) in services {
-            let others = long_loads.iter().filter(|(member, _)| live.contains(member));
-            let others = others.filter_map(|(_, rates)| rates.get(name));
-            let rate = others.sum::<u64>() + service.long_load.tokens_per_s(now_ms);
-            service.placement.set_long_load(now_ms, rate);
+            let own = service.load.state(now_ms);
+            let nothing = Load::default();
+            let others: Vec<&Load> =
+                heard.iter().map(|loads| loads.get(name).unwrap_or(&nothing)).collect();
+            let scale = routers as f64 / (others.len() + 1) as f64;
+            let long_tokens: u64 = others.iter().map(|load| load.long_tokens_per_s).sum();
+            let long_tokens = (long_tokens + own.long_tokens_per_s) as f64 * scale.max(1.0);
+            service.placement.set_long_load(now_ms, long_tokens as u64);
+            let is_engine = config.as_ref().is_some_and(|config| config.is_engine(name));
+            let demands: Vec<&Demand> = others.iter().map(|load| &load.demand).collect();
+            let capacity = capacity.filter(|_| is_engine);
+            let shares = shares::divide(&own.demand, &demands, routers, capacity);
+            service.placement.set_part(shares.part);
+            for lane in &mut service.lanes {
+                lane.admission.set_limits(now_ms, &shares.limits);
+            }
         }
     }
 
@@ -420,28 +452,22 @@
         let Self { placement, lanes, .. } = self;
         let LaneState { admission, waiters } = &mut lanes[lane as usize];
         while admission.waiting() > 0 {
-            let room = placement.room(now_ms, lane);
-            if room == 0 {
-                return;
-            }
-            let Some(dispatch) = admission.start(now_ms, room) else {
+            let places = placement.places(now_ms, lane);
+            let Some(ticket) = admission.start(now_ms, places) else {
                 return;
             };
-            let Some(waiter) = waiters.remove(&dispatch.ticket) else {
-                admission.finish(now_ms, dispatch.ticket, 0);
+            let Some(waiter) = waiters.remove(&ticket) else {
                 continue;
             };
-            admission.left(&waiter.workspace);
             let (shared, unread_tokens) = (waiter.shared, waiter.own_tokens);
             let need = Need { shared, unread_tokens, lane, avoid: &[] };
+            // Without an upstream the waiter is dropped, which refuses it.
             let Some(chosen) = placement.place(now_ms, need, rng.next_u64(), false) else {
-                admission.finish(now_ms, dispatch.ticket, 0);
                 continue;
             };
             if let Err(Chosen { upstream, .. }) = waiter.started.send(chosen) {
                 placement.read(&upstream, waiter.own_tokens);
                 placement.ended(&upstream);
-                admission.finish(now_ms, dispatch.ticket, 0);
             }
         }
     }
@@ -464,7 +490,6 @@
         let Some(config) = self.config.clone() else {
             return;
         };
-        let me = self.view.me().router.member.clone();
         let bounds = settings.bounds;
         for name in config.services.keys() {
             self.services.entry(name.clone()).or_insert_with(|| ServiceState {
@@ -477,20 +502,15 @@
                     },
                     now_ms,
                 ),
-                lanes: [(); Lane::COUNT].map(|()| LaneState {
-                    admission: Admission::new(name.clone(), me.clone()),
-                    waiters: HashMap::new(),
-                }),
-                long_load: LongLoad::default(),
+                lanes: [(); Lane::COUNT].map(|()| LaneState::default()),
+                load: RouterLoad::default(),
             });
         }
         let lanes = self.services.values_mut().flat_map(|service| &mut service.lanes);
         for lane in lanes {
-            for ticket in lane.admission.set_workspaces(&config.workspaces) {
+            for ticket in lane.admission.retain(&config.workspaces) {
                 // Dropping the sender tells the request that it is refused.
-                if let Some(waiter) = lane.waiters.remove(&ticket) {
-                    lane.admission.left(&waiter.workspace);
-                }
+                lane.waiters.remove(&ticket);
             }
         }
         self.follow_upstreams(settings);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,7 +4,6 @@
 //! silent leaves no connection behind that has to be noticed.
 
 use std::{
-    collections::BTreeMap,
     io,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -15,11 +14,11 @@
 use http::Request;
 use serde::{Deserialize, Serialize};
 use span_member::{Change, Router, Update, peers, targets};
-use span_types::{InstanceName, ServiceName};
+use span_types::InstanceName;
 use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
 use tracing::{info, warn};
 
-use crate::{http_call::Caller, metrics::Counter, node::Node};
+use crate::{http_call::Caller, metrics::Counter, node::{Loads, Node}};
 
 /// Interval between heartbeats, in milliseconds; a third of the time after
 /// which a silent router is suspect.
@@ -43,8 +42,8 @@
     pub from: Update,
     /// Version of the configuration that the sender has.
     pub config_version: u64,
-    /// Tokens of long prompts that the sender receives per second, by service.
-    pub long_tokens_per_s: BTreeMap<ServiceName, u64>,
+    /// What the sender's callers ask for.
+    pub loads: Loads,
     /// Whether the sender wants a heartbeat in return.
     pub wants_answer: bool,
     /// What the sender knows of others.
@@ -99,7 +98,7 @@
             (targets, state.view.tick(now_ms, &monitored))
         };
         self.note(&changes);
-        self.node.divide_engines();
+        self.node.divide();
         for (name, ip) in targets {
             self.send(ip, name.as_ref(), true);
         }
@@ -124,7 +123,7 @@
         if address == self.node.settings.addresses.heartbeats {
             return;
         }
-        let long_tokens_per_s = self.node.long_tokens_per_s();
+        let loads = self.node.loads();
         let heartbeat = {
             let mut state = self.node.state();
             state.metrics.count(Counter::Heartbeats);
@@ -135,7 +134,7 @@
             Heartbeat {
                 from: state.view.me().clone(),
                 config_version: state.config.as_ref().map_or(0, |config| config.version),
-                long_tokens_per_s,
+                loads,
                 wants_answer,
                 updates,
             }
@@ -173,8 +172,8 @@
             }
             state.versions.retain(|other, _| other.instance != member.instance || *other == member);
             state.versions.insert(member.clone(), heartbeat.config_version);
-            state.long_loads.retain(|other, _| other.instance != member.instance);
-            state.long_loads.insert(member.clone(), heartbeat.long_tokens_per_s);
+            state.loads.retain(|other, _| other.instance != member.instance);
+            state.loads.insert(member.clone(), heartbeat.loads);
             let heard = state.view.heard(now_ms, heartbeat.from);
             let learned = heartbeat.updates.into_iter();
             let learned: Vec<Change> =
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -5,6 +5,8 @@
 use span_types::UpstreamName;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::admission::Places;
+
 /// Weight of the newest pause between two events in the mean pause.
 const PAUSE_WEIGHT: f64 = 0.2;
 /// Age at which the mean pause says nothing any more, in milliseconds.
@@ -12,9 +14,14 @@
 /// Mean pause up to which an engine is sent prompts, as a part of the longest
 /// pause that callers accept. Reading a prompt makes all pauses longer.
 const PAUSE_PART: f64 = 0.55;
-/// Prompt tokens that this router lets an engine read at once, unless a single
-/// prompt is larger; about the work of two steps of a batch.
-const MAX_READING_TOKENS: u64 = 9_000;
+/// Prompt tokens that all routers together let an engine read at once, unless
+/// a single prompt is larger; about a third of a second of its work.
+const MAX_READING_TOKENS: u64 = 36_000;
+/// Requests at an upstream that a router may have, as a multiple of its
+/// callers' part of the slots.
+const OWN_FACTOR: f64 = 1.6;
+/// Requests at an upstream that a router may have however few callers it has.
+const MIN_OWN: u32 = 2;
 /// Age at which a load report says nothing any more, in milliseconds.
 const REPORT_LIFETIME_MS: u64 = 3_000;
 /// Prompt tokens that a model engine reads in a millisecond, as the users
@@ -201,6 +208,8 @@
     /// Requests at one upstream that this router may have open.
     max_sent: u32,
     routers: usize,
+    /// Part of the capacity that this router's callers are entitled to.
+    part: f64,
     /// Longest mean pause at which an engine is sent prompts.
     max_pause_ms: f64,
     /// Prompt tokens from which a prompt is long.
@@ -217,6 +226,7 @@
             parts: HashMap::new(),
             max_sent: 1,
             routers: 1,
+            part: 1.0,
             max_pause_ms: f64::INFINITY,
             long_tokens: u64::MAX,
             long_engines: 0,
@@ -226,6 +236,12 @@
 }
 
 impl Placement {
+    /// Sets the part of the capacity that this router's callers are entitled
+    /// to, 0 to 1.
+    pub fn set_part(&mut self, part: f64) {
+        self.part = part;
+    }
+
     /// Sets the longest pause between events that callers accept, in
     /// milliseconds; none for a service without streams.
     pub fn set_gap_target(&mut self, gap_ms: Option<u64>) {
@@ -331,11 +347,16 @@
         self.parts.retain(|_, (upstream, _)| upstream != name);
     }
 
-    /// Requests that may be sent to the upstreams of a lane now.
-    pub fn room(&self, now_ms: u64, lane: Lane) -> u32 {
-        let open = self.upstreams.values();
-        let open = open.filter(|load| load.lane == lane && load.may_use(now_ms));
-        open.map(|load| self.room_at(now_ms, load)).sum()
+    /// Places of the upstreams of a lane.
+    pub fn places(&self, now_ms: u64, lane: Lane) -> Places {
+        let usable = self.upstreams.values();
+        let usable = usable.filter(|load| load.lane == lane && load.may_use(now_ms));
+        let mut places = Places { free: 0, all: 0 };
+        for load in usable {
+            places.free += self.room_at(now_ms, load);
+            places.all += self.own_limit(load);
+        }
+        places
     }
 
     /// Requests that may be sent if every usable upstream were empty.
@@ -346,15 +367,22 @@
 
     fn room_at(&self, now_ms: u64, load: &Load) -> u32 {
         let pauses = load.lane == Lane::Short && load.pause_ms(now_ms) > self.max_pause_ms;
-        if load.reading_tokens >= MAX_READING_TOKENS || pauses {
+        let reading_limit = (MAX_READING_TOKENS as f64 * self.part) as u64;
+        if load.reading_tokens > reading_limit || pauses {
             return 0;
         }
         let limit = f64::from(load.slots) * (1.0 + QUEUED_PART);
-        // A router that acts on old reports must not fill the whole upstream.
-        let share = (f64::from(load.slots) * 2.0 / self.routers as f64).ceil() as u32;
-        let own = share.max(2).min(self.max_sent).saturating_sub(load.sent);
         let room = (limit - load.total(now_ms, self.routers)).max(0.0) as u32;
-        room.min(own)
+        room.min(self.own_limit(load).saturating_sub(load.sent))
+    }
+
+    /// Requests that this router may have at an upstream. It knows the others'
+    /// only from reports that are old, so it keeps to somewhat more than its
+    /// callers' part.
+    fn own_limit(&self, load: &Load) -> u32 {
+        let part = (self.part * OWN_FACTOR).min(1.0);
+        let share = (f64::from(load.slots) * part).ceil() as u32;
+        share.max(MIN_OWN).min(self.max_sent)
     }
 
     /// Chooses the upstream for a request and counts the request as sent;
