--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -190,7 +190,7 @@
 pub fn choose_target(targets: &[Target], draw: f64) -> Option<&ServiceName> {
     let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
     let mut left = (draw * total as f64) as u64;
-    let weighted = targets.iter().filter(|target| target.weight > 0);
+    let mut weighted = targets.iter().filter(|target| target.weight > 0);
     for target in weighted.clone() {
         let weight = u64::from(target.weight);
         if left < weight {
@@ -198,5 +198,5 @@
         }
         left -= weight;
     }
-    weighted.last().map(|target| &target.service)
+    weighted.next_back().map(|target| &target.service)
 }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -65,32 +65,42 @@
     deadline_ms: u64,
 }
 
-/// A request that is answered without being forwarded.
+/// A request that this process answers itself.
 struct Rejected {
-    response: Response<EdgeBody>,
+    status: StatusCode,
+    message: &'static str,
+    /// When to come back; only for requests that did not run.
+    retry_after_ms: Option<u64>,
     outcome: Outcome,
-    reason: String,
+    /// Cause for the log, if the message does not name it.
+    cause: Option<String>,
 }
 
 impl Rejected {
-    fn denied(status: StatusCode, message: &str) -> Self {
-        Self {
-            response: reply::text(status, message),
-            outcome: Outcome::Denied,
-            reason: message.to_owned(),
-        }
+    fn denied(status: StatusCode, message: &'static str) -> Self {
+        Self { status, message, retry_after_ms: None, outcome: Outcome::Denied, cause: None }
     }
 
-    fn not_run(message: &str, retry_after_ms: u64) -> Self {
+    fn not_run(message: &'static str, retry_after_ms: u64) -> Self {
         Self {
-            response: reply::not_run(message, retry_after_ms),
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            message,
+            retry_after_ms: Some(retry_after_ms),
             outcome: Outcome::Refused,
-            reason: message.to_owned(),
+            cause: None,
         }
     }
 
-    fn failed(status: StatusCode, message: &str, reason: String) -> Self {
-        Self { response: reply::text(status, message), outcome: Outcome::Failed, reason }
+    fn failed(status: StatusCode, message: &'static str, cause: String) -> Self {
+        let cause = Some(cause);
+        Self { status, message, retry_after_ms: None, outcome: Outcome::Failed, cause }
+    }
+
+    fn response(&self) -> Response<EdgeBody> {
+        match self.retry_after_ms {
+            Some(retry_after_ms) => reply::not_run(self.status, self.message, retry_after_ms),
+            None => reply::text(self.status, self.message),
+        }
     }
 }
 
@@ -109,10 +119,11 @@
     let mut response = match answer {
         Ok(response) => response,
         Err((rejected, mut record)) => {
-            let status = rejected.response.status().as_u16();
-            record.end(status, rejected.outcome, rejected.reason);
+            let response = rejected.response();
+            let cause = rejected.cause.unwrap_or_else(|| rejected.message.to_owned());
+            record.end(rejected.status.as_u16(), rejected.outcome, cause);
             record.answer_started();
-            rejected.response
+            response
         }
     };
     if node.is_leaving() {
@@ -262,7 +273,7 @@
         Err(_) => {
             let message = "the body did not arrive in time; the request did not run";
             let mut rejected = Rejected::not_run(message, RETRY_AFTER_MS);
-            *rejected.response.status_mut() = StatusCode::REQUEST_TIMEOUT;
+            rejected.status = StatusCode::REQUEST_TIMEOUT;
             Err(rejected)
         }
     }
@@ -289,7 +300,7 @@
         cost: if work.prompt_tokens == 0 { PLAIN_CALL_COST } else { expected_cost(work) },
         patience_ms: until_ms.saturating_sub(now_ms),
     };
-    let refused = |retry_after_ms, reason: &str| {
+    let refused = |retry_after_ms, reason: &'static str| {
         let left_ms = checked.deadline_ms.saturating_sub(node.now_ms());
         let retry_after_ms = spread(retry_after_ms, left_ms, node.draw());
         Rejected::not_run(reason, retry_after_ms)
@@ -478,7 +489,7 @@
         Failure::NotSent(_) | Failure::NotRun(_) => {
             let mut rejected =
                 Rejected::not_run("no upstream took the request; it did not run", RETRY_AFTER_MS);
-            rejected.reason = cause;
+            rejected.cause = Some(cause);
             Err((rejected, record))
         }
         Failure::Upstream(answer) => {
--- a/crates/edge/src/forward/reply.rs
+++ b/crates/edge/src/forward/reply.rs
@@ -17,8 +17,12 @@
 }
 
 /// The request did not run and will not; the caller may come back.
-pub(crate) fn not_run(message: &str, retry_after_ms: u64) -> Response<EdgeBody> {
-    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, message);
+pub(crate) fn not_run(
+    status: StatusCode,
+    message: &str,
+    retry_after_ms: u64,
+) -> Response<EdgeBody> {
+    let mut response = text(status, message);
     let retry_after_ms = retry_after_ms.max(MIN_RETRY_AFTER_MS);
     let seconds = format!("{}.{:03}", retry_after_ms / 1_000, retry_after_ms % 1_000);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -1,5 +1,7 @@
 //! Guards the order of requests and the refusals under load.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::BTreeMap;
 
 use span_edge::admission::{Admission, Ask, Cause, Places, Ticket};
--- a/crates/edge/tests/budget.rs
+++ b/crates/edge/tests/budget.rs
@@ -1,5 +1,7 @@
 //! Guards the fleet's bound on repeated sends.
 
+#![allow(clippy::unwrap_used)]
+
 use span_edge::budget::{Allowance, RetryBudget};
 
 const ALLOWANCE: Allowance = Allowance { ratio: 0.2, slack: 52, window_ms: 10_000 };
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -1,6 +1,8 @@
 //! Guards where requests go: load, long prompts, shared prompt parts, failing
 //! upstreams.
 
+#![allow(clippy::unwrap_used)]
+
 use span_edge::placement::{Lane, LoadReport, Need, Placement, SharedPrompt, Verdict};
 use span_types::UpstreamName;
 
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -1,5 +1,7 @@
 //! Guards which upstreams take requests as entries come, lapse and go.
 
+#![allow(clippy::unwrap_used)]
+
 use span_edge::registry::{Change, Entry, Registry};
 use span_types::{ServiceName, UpstreamName};
 
--- a/crates/edge/tests/shares.rs
+++ b/crates/edge/tests/shares.rs
@@ -1,5 +1,7 @@
 //! Guards the division of capacity among workspaces and routers.
 
+#![allow(clippy::unwrap_used)]
+
 use span_edge::shares::{Demand, DemandMeter, divide, fair_level};
 
 #[test]
--- a/crates/edge/tests/sse.rs
+++ b/crates/edge/tests/sse.rs
@@ -1,5 +1,7 @@
 //! Guards the joining of two runs of one stream.
 
+#![allow(clippy::unwrap_used)]
+
 use span_edge::sse::EventSplitter;
 
 #[test]
