--- a/crates/intent/tests/operations.rs
+++ b/crates/intent/tests/operations.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use span_intent::settings::Settings;
 
-const PAGE: &str = include_str!("../../../docs/operations.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 #[test]
 fn the_page_lists_each_setting_with_its_default() {
--- a/crates/router/tests/operations.rs
+++ b/crates/router/tests/operations.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use span_router::{control::Counter, settings};
 
-const PAGE: &str = include_str!("../../../docs/operations.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 const REQUIRED: &str = "
 instance: r1
 failure_domain: d1
