--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -13,10 +13,10 @@
 /// Unused allowance that a workspace may save up, in milliseconds of its
 /// limit: bursts shorter than that are served whole.
 const SAVED_MS: f64 = 1_500.0;
-/// Part of the places that has to be free before a workspace may use more
-/// than its share: capacity must not idle, but what is started cannot be
-/// taken back when others ask.
-const SPARE_PART: f64 = 0.3;
+/// Part of the upstreams' slots up to which workspaces may use more than their
+/// share. Capacity must not idle, but fuller batches make all streams slower,
+/// and what is started cannot be taken back when others ask.
+const SPARE_PART: f64 = 0.5;
 /// Workspace of requests that carry no key.
 pub const ANONYMOUS: &str = "-";
 
@@ -38,16 +38,18 @@
 /// Places for requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Places {
-    /// Free now.
+    /// Free for this router's requests now.
     pub free: u32,
-    /// Free and taken.
+    /// Slots of the upstreams that the whole fleet uses now.
+    pub taken: u32,
+    /// Slots of the upstreams.
     pub all: u32,
 }
 
 impl Places {
     /// Whether a workspace may use more than its share.
     fn spare(&self) -> bool {
-        f64::from(self.free) > SPARE_PART * f64::from(self.all)
+        f64::from(self.taken) < SPARE_PART * f64::from(self.all)
     }
 }
 
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -353,10 +353,11 @@
     pub fn places(&self, now_ms: u64, lane: Lane) -> Places {
         let usable = self.upstreams.values();
         let usable = usable.filter(|load| load.lane == lane && load.may_use(now_ms));
-        let mut places = Places { free: 0, all: 0 };
+        let mut places = Places { free: 0, taken: 0, all: 0 };
         for load in usable {
             places.free += self.room_at(now_ms, load);
-            places.all += self.own_limit(load);
+            places.taken += load.total(now_ms, self.routers) as u32;
+            places.all += load.slots;
         }
         places
     }
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -6,14 +6,14 @@
 
 use span_edge::admission::{Admission, Ask, Cause, Places, Ticket};
 
-const FULL: Places = Places { free: 0, all: 10 };
+const FULL: Places = Places { free: 0, taken: 10, all: 10 };
 
 fn ask(workspace: &str, cost: u64) -> Ask {
     Ask { workspace: workspace.into(), cost, patience_ms: 1_000_000 }
 }
 
 fn places(free: u32) -> Places {
-    Places { free, all: 10 }
+    Places { free, taken: 10 - free, all: 10 }
 }
 
 /// One workspace floods: the requests of the others must not wait behind it.
@@ -52,8 +52,8 @@
     }
     let cases = [
         Case { name: "no place is free", free: 0, refused: true },
-        Case { name: "few places are free", free: 3, refused: true },
-        Case { name: "capacity would idle", free: 4, refused: false },
+        Case { name: "half of the slots are taken", free: 5, refused: true },
+        Case { name: "capacity would idle", free: 6, refused: false },
     ];
     for case in cases {
         let mut admission = Admission::default();
