Hold less memory for each connection; move runs only in code that is off

Cause: an idle connection of a caller kept the state of a whole request, and callers left a connection behind with each refusal.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -71,8 +71,8 @@
 pub struct Engine {
     /// Tokens that an engine's memory holds.
     pub memory_tokens: u64,
-    /// Tokens in an event of a stream.
-    pub tokens_per_event: u64,
+    /// Whether the run of a request can be moved to another engine.
+    pub moves_runs: bool,
 }
 
 /// A service that requests are forwarded to.
@@ -163,10 +163,10 @@
         self.services.get(service).is_some_and(|service| service.engine.is_some())
     }
 
-    /// Tokens in an event of a stream of a service.
-    pub fn tokens_per_event(&self, service: &ServiceName) -> u64 {
+    /// Whether runs of a service's requests can be moved.
+    pub fn moves_runs(&self, service: &ServiceName) -> bool {
         let engine = self.services.get(service).and_then(|service| service.engine);
-        engine.map_or(1, |engine| engine.tokens_per_event.max(1))
+        engine.is_some_and(|engine| engine.moves_runs)
     }
 
     /// Shortest pause between events that callers of a service accept at most,
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -116,6 +116,7 @@
         Ok(checked) => forward(&node, parts, body, checked, arrived_ms, record).await,
         Err(rejected) => Err((rejected, record)),
     };
+    let mut closes = node.is_leaving();
     let mut response = match answer {
         Ok(response) => response,
         Err((rejected, mut record)) => {
@@ -123,10 +124,13 @@
             let cause = rejected.cause.unwrap_or_else(|| rejected.message.to_owned());
             record.end(rejected.status.as_u16(), rejected.outcome, cause);
             record.answer_started();
+            // A refused caller comes back on a new connection, and the old one
+            // would only take memory until it is idle for too long.
+            closes |= rejected.outcome == Outcome::Refused;
             response
         }
     };
-    if node.is_leaving() {
+    if closes {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -368,7 +372,8 @@
         record.attempts += 1;
         sent += 1;
         let until_ms = attempt_until_ms(node.now_ms(), checked, sent);
-        let to = To { upstream: &upstream, holder: flight.holder(), last_event: None };
+        let (holder, last_event, continue_from) = (flight.holder(), None, None);
+        let to = To { upstream: &upstream, holder, last_event, continue_from };
         let result = attempt::attempt(node, &call, &to, until_ms).await;
         let failure = match result {
             Ok(answer) if kind.is_stream() || attempt::is_large(&answer) => {
@@ -450,11 +455,14 @@
     record.status = parts.status.as_u16();
     record.answer_started();
     flight.read();
-    let resume = (checked.route.kind == RouteKind::ResumableStream).then(|| Resume {
+    let resumable = checked.route.kind == RouteKind::ResumableStream;
+    let moves = false && checked.config.moves_runs(&checked.service) && flight.is_long(&call.work);
+    let resume = (resumable || moves).then(|| Resume {
         call,
-        attempts_left,
+        attempts_left: if resumable { attempts_left } else { 0 },
         tried,
         splitter: EventSplitter::default(),
+        moves,
     });
     let body = StreamBody::new(node, answer, flight, record, checked.deadline_ms, resume);
     Response::from_parts(parts, EdgeBody::Stream(Box::pin(body)))
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -80,7 +80,9 @@
         let (node, open) = (node.clone(), open.clone());
         spawn_local(async move {
             let handled = node.clone();
-            let handler = move |request| forward::handle(handled.clone(), request);
+            // Boxed, so that an idle connection does not hold a whole request's
+            // state.
+            let handler = move |request| Box::pin(forward::handle(handled.clone(), request));
             serve(&node, stream, handler).await;
             open.set(open.get() - 1);
         });
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -34,6 +34,10 @@
 /// no longer used, in milliseconds: the close may be on its way.
 const IDLE_MARGIN_MS: u64 = 600;
 
+/// Bytes read ahead on a connection to an upstream. The memory of a small
+/// instance is divided among thousands of connections.
+const BUFFER_BYTES: usize = 16 * 1024;
+
 /// A request did not get an answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum SendError {
@@ -163,6 +167,7 @@
         .map_err(not_sent)?;
     detect_silence(&stream, UNACKNOWLEDGED_MS).map_err(not_sent)?;
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| SendError::NotSent(error.to_string()))?;
