--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -38,7 +38,7 @@
 const MIN_COPIED_TOKENS: u64 = 128;
 /// Weight of reading a shared part again, against waiting as long: it delays
 /// every other stream at the engine too.
-const REREAD_WEIGHT: f64 = 1.0;
+const REREAD_WEIGHT: f64 = 3.0;
 /// Requests beyond its slots that an upstream may be sent, as a part of the
 /// slots. They cover the time from the end of a request until the next one
 /// arrives.
