--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -30,6 +30,10 @@
 /// Time for which nothing may be open before the process ends, in
 /// milliseconds; the last answers are on their way.
 const QUIET_MS: u64 = 200;
+/// Time after the start in which shares and lanes are computed at each tick
+/// and not only with each heartbeat, in milliseconds: a process that replaces
+/// another one meets full traffic and knows nothing of it.
+const LEARNING_MS: u64 = 5_000;
 /// Suspension of the instance that is worth a log line, in milliseconds.
 const SUSPENDED_MS: u64 = 500;
 
@@ -131,6 +135,9 @@
         let changes = node.state().registry.expire(now_ms);
         node.apply_changes(&changes);
         node.state().metrics.set(Counter::LogLinesDropped, log.dropped());
+        if now_ms < LEARNING_MS {
+            node.divide();
+        }
         node.pump_all();
     }
 }
--- a/crates/edge/src/shares.rs
+++ b/crates/edge/src/shares.rs
@@ -9,6 +9,8 @@
 /// seconds over which the users judge shares, longer than the pause between
 /// two large requests of a busy workspace.
 const WINDOW_MS: f64 = 1_500.0;
+/// Least part of a window from which a mean is drawn.
+const MIN_SEEN: f64 = 0.1;
 /// Demand below which a workspace is forgotten, in cost units per second.
 const FORGOTTEN_PER_S: f64 = 1.0;
 /// Part of the capacity beyond which shares are enforced. The cost of a
@@ -29,9 +31,12 @@
         self.at_ms = now_ms;
     }
 
-    /// Cost units per second.
+    /// Cost units per second. `now_ms` counts from the start of the process:
+    /// until a window has passed, what came before the start is missing from
+    /// the mean.
     pub fn per_s(&self, now_ms: u64) -> f64 {
-        self.decayed(now_ms) * 1_000.0 / WINDOW_MS
+        let seen = (1.0 - (-(now_ms as f64) / WINDOW_MS).exp()).max(MIN_SEEN);
+        self.decayed(now_ms) * 1_000.0 / (WINDOW_MS * seen)
     }
 
     fn decayed(&self, now_ms: u64) -> f64 {
--- a/crates/edge/tests/shares.rs
+++ b/crates/edge/tests/shares.rs
@@ -87,3 +87,15 @@
     assert!(meter.demand(9_000)["a"] < busy / 5);
     assert!(meter.demand(60_000).is_empty());
 }
+
+/// All processes were killed and start again under full traffic: demand must
+/// not look small until a window has passed.
+#[test]
+fn demand_is_not_underrated_after_a_start() {
+    let mut meter = DemandMeter::default();
+    for now_ms in (0..600).step_by(10) {
+        meter.add(now_ms, &"a".into(), 10);
+    }
+    let demand = meter.demand(600)["a"];
+    assert!((900..1_100).contains(&demand), "{demand}");
+}
