--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -29,6 +29,10 @@
 /// those that no heartbeat reaches.
 const ROUTERS_INTERVAL_MS: u64 = 15_000;
 
+/// Pause between two checks of whether the collector can be relied on, in
+/// milliseconds.
+const RELIED_CHECK_MS: u64 = 100;
+
 struct Backoff {
     failures: u32,
 }
@@ -49,7 +53,10 @@
     let lapse_ms = node.settings.entry_interval_ms;
     match result {
         Ok(_) | Err(StoreError::HistoryDropped) => {
-            node.state().registry.store_answered(now_ms, lapse_ms);
+            let mut state = node.state();
+            state.registry.store_answered(now_ms, lapse_ms);
+            state.store_answered_ms = now_ms;
+            drop(state);
             if failures > 0 {
                 info!(what, failures, "the store answers again");
             }
@@ -64,10 +71,18 @@
     }
 }
 
+/// Waits for as long as this router can rely on its collector.
+async fn relied(node: &Node) {
+    while !node.follows_store() {
+        sleep(Duration::from_millis(RELIED_CHECK_MS)).await;
+    }
+}
+
 /// Follows the configuration until the process ends.
 pub(crate) async fn config(node: Rc<Node>, store: Store) {
     let mut backoff = Backoff { failures: 0 };
     loop {
+        relied(&node).await;
         let read = (store.read_config)().await;
         note(&node, "config", &read, backoff.failures);
         let Ok(listing) = read else {
@@ -79,7 +94,7 @@
             node.apply_config(config, "store");
         }
         let mut revision = listing.revision;
-        loop {
+        while node.follows_store() {
             let watched = (store.watch_config)(revision, WATCH_WAIT_MS).await;
             note(&node, "config", &watched, backoff.failures);
             match watched {
@@ -101,6 +116,7 @@
 pub(crate) async fn upstreams(node: Rc<Node>, store: Store) {
     let mut backoff = Backoff { failures: 0 };
     loop {
+        relied(&node).await;
         let read = (store.read_upstreams)().await;
         note(&node, "upstreams", &read, backoff.failures);
         let Ok(listing) = read else {
@@ -110,7 +126,7 @@
         backoff.failures = 0;
         replace(&node, listing.items);
         let mut revision = listing.revision;
-        loop {
+        while node.follows_store() {
             let watched = (store.watch_upstreams)(revision, WATCH_WAIT_MS).await;
             note(&node, "upstreams", &watched, backoff.failures);
             match watched {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod settings;
 pub mod shares;
 pub mod sse;
+pub mod statement;
 pub mod store;
 
 pub use run::{StartError, run};
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -14,6 +14,8 @@
     task::spawn_local,
 };
 
+use tracing::warn;
+
 use crate::{
     forward::{self, EdgeBody},
     metrics::Counter,
@@ -156,8 +158,26 @@
     json((node.dialect.encode_addresses)(&entries, lifetime_ms))
 }
 
+/// What this router knows, for other routers.
+pub(crate) fn peer(node: &Node, request: &Request<Incoming>) -> Response<EdgeBody> {
+    match request.uri().path() {
+        "/config" => peer_config(node, request),
+        "/upstreams" => {
+            let entries = node.state().registry.entries();
+            match postcard::to_stdvec(&entries) {
+                Ok(bytes) => Response::new(EdgeBody::whole(bytes.into())),
+                Err(error) => {
+                    warn!(%error, "the entries of upstreams cannot be encoded");
+                    status(StatusCode::INTERNAL_SERVER_ERROR)
+                }
+            }
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
 /// The configuration, if it is newer than the version that the peer has.
-pub(crate) fn peer_config(node: &Node, request: &Request<Incoming>) -> Response<EdgeBody> {
+fn peer_config(node: &Node, request: &Request<Incoming>) -> Response<EdgeBody> {
     let has = request.uri().query().and_then(|query| query.strip_prefix("newer="));
     let has = has.and_then(|version| version.parse::<u64>().ok()).unwrap_or(0);
     match node.config() {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -3,14 +3,16 @@
 use std::{
     cell::{Cell, RefCell, RefMut},
     collections::{BTreeMap, HashMap},
+    net::IpAddr,
     rc::Rc,
 };
 
 use futures::channel::oneshot;
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
-use span_member::{LiveView, Router, Timing as ViewTiming};
-use span_types::{Member, MemberState, ServiceName, UpstreamName};
+use span_member::{FULL_MESH_PEERS, LiveView, Router, Timing as ViewTiming};
+use span_types::{FailureDomain, Member, MemberState, ServiceName, UpstreamName};
 use strum::{EnumCount, IntoEnumIterator};
+use tokio::sync::Notify;
 use tracing::info;
 
 use crate::{
@@ -24,7 +26,8 @@
     pool::Pool,
     registry::{Change, Registry},
     settings::Settings,
-    shares::{self, Demand, DemandMeter, Rate},
+    shares::{self, DemandMeter, Rate},
+    statement::{Collected, FleetSum, Load, Loads, Statement},
 };
 
 /// Part of the connections that an upstream accepts which the routers known
@@ -56,18 +59,6 @@
     long_prompts: Rate,
 }
 
-/// What a router states of its callers, by service.
-pub type Loads = BTreeMap<ServiceName, Load>;
-
-/// What a router's callers ask of one service.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct Load {
-    /// Cost units per second, by workspace.
-    pub demand: Demand,
-    /// Tokens of long prompts per second.
-    pub long_tokens_per_s: u64,
-}
-
 impl RouterLoad {
     fn state(&mut self, now_ms: u64) -> Load {
         Load {
@@ -99,8 +90,17 @@
     pub(crate) view: LiveView,
     /// Configuration version that each router stated last.
     pub(crate) versions: BTreeMap<Member, u64>,
-    /// What each router stated last of its callers.
+    /// What each router stated last, in a fleet where every router hears
+    /// every other.
     pub(crate) loads: BTreeMap<Member, Loads>,
+    /// What this router collected for its failure domain.
+    pub(crate) collected: Collected,
+    /// What the collector returned.
+    pub(crate) fleet_sum: FleetSum,
+    /// When the collector, with a store that answers it, was last heard.
+    pub(crate) collector_heard_ms: Option<u64>,
+    /// When the store last answered this router.
+    pub(crate) store_answered_ms: u64,
     pub(crate) metrics: Metrics,
     pub(crate) rng: SmallRng,
 }
@@ -116,9 +116,27 @@
     pub(crate) open_requests: Cell<usize>,
     /// Bytes of request bodies in memory.
     pub(crate) body_bytes: Cell<u64>,
+    /// Told of news that the failure domain's routers wait for.
+    pub(crate) news: Notify,
     state: RefCell<State>,
 }
 
+/// What a router does in the exchange of statements.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Role {
+    /// It states its load to the collector of its failure domain.
+    Member { collector: IpAddr },
+    /// It collects for its failure domain.
+    Collector { domain: FailureDomain, members: Vec<IpAddr>, others: Vec<IpAddr> },
+}
+
+/// Bucket for the choice of collectors.
+const COLLECTOR_BUCKET: u32 = 0;
+/// Time without news of the collector after which a router follows the store
+/// itself, in milliseconds; two statements may be lost. Less than half of the
+/// time in which an upstream that leaves has to be left.
+pub(crate) const COLLECTOR_SILENCE_MS: u64 = 1_300;
+
 /// Why a request found no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -148,6 +166,10 @@
             view: LiveView::new(me, VIEW_TIMING),
             versions: BTreeMap::new(),
             loads: BTreeMap::new(),
+            collected: Collected::default(),
+            fleet_sum: FleetSum::default(),
+            collector_heard_ms: None,
+            store_answered_ms: 0,
             metrics: Metrics::default(),
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -159,6 +181,7 @@
             leaving_since_ms: Cell::new(None),
             open_requests: Cell::new(0),
             body_bytes: Cell::new(0),
+            news: Notify::new(),
             state: RefCell::new(state),
         })
     }
@@ -208,6 +231,7 @@
         state.follow_config(now_ms, &self.settings);
         let routers = state.routers();
         drop(state);
+        self.news.notify_one();
         info!(version, source, routers, "configuration in force");
         true
     }
@@ -233,6 +257,7 @@
         state.follow_upstreams(&self.settings);
         let known = state.registry.len();
         drop(state);
+        self.news.notify_one();
         for change in changes {
             let (name, what) = match change {
                 Change::Started(name) => (name, "started"),
@@ -294,13 +319,18 @@
 
     /// What this router's callers ask for.
     pub(crate) fn loads(&self) -> Loads {
+        let now_ms = self.now_ms();
+        self.state().own_loads(now_ms)
+    }
+
+    /// What this router states to the collector of its failure domain.
+    pub(crate) fn statement(&self) -> Statement {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        let loads = state
-            .services
-            .iter_mut()
-            .map(|(name, service)| (name.clone(), service.load.state(now_ms)));
-        loads.filter(|(_, load)| !load.demand.is_empty()).collect()
+        let loads = state.own_loads(now_ms);
+        let services = state.services.values();
+        let upstreams = services.flat_map(|service| service.placement.seen(now_ms));
+        Statement { routers: 1, loads, upstreams: upstreams.collect() }
     }
 
     /// Divides capacity among routers and workspaces, and engines between long
@@ -309,27 +339,21 @@
         let now_ms = self.now_ms();
         let mut state = self.state();
         let routers = state.routers();
-        let State { services, loads, view, config, .. } = &mut *state;
-        let live: Vec<&Member> = view.live().into_iter().map(|router| &router.member).collect();
-        let heard: Vec<&Loads> = loads
-            .iter()
-            .filter(|(member, _)| live.contains(member))
-            .map(|(_, loads)| loads)
-            .collect();
-        let capacity = config.as_ref().and_then(|config| config.capacity_per_s);
+        let own = state.own_loads(now_ms);
+        let fleet = state.fleet(now_ms, &own);
+        let State { services, config, .. } = &mut *state;
+        let heard = fleet.routers.max(1) as usize;
+        let scale = routers.max(heard) as f64 / heard as f64;
+        let nothing = Load::default();
         for (name, service) in services {
-            let own = service.load.state(now_ms);
-            let nothing = Load::default();
-            let others: Vec<&Load> =
-                heard.iter().map(|loads| loads.get(name).unwrap_or(&nothing)).collect();
-            let scale = routers as f64 / (others.len() + 1) as f64;
-            let long_tokens: u64 = others.iter().map(|load| load.long_tokens_per_s).sum();
-            let long_tokens = (long_tokens + own.long_tokens_per_s) as f64 * scale.max(1.0);
-            service.placement.set_long_load(now_ms, long_tokens as u64);
-            let is_engine = config.as_ref().is_some_and(|config| config.is_engine(name));
-            let demands: Vec<&Demand> = others.iter().map(|load| &load.demand).collect();
-            let capacity = capacity.filter(|_| is_engine);
-            let shares = shares::divide(&own.demand, &demands, routers, capacity);
+            let all = fleet.loads.get(name).unwrap_or(&nothing);
+            let own = own.get(name).unwrap_or(&nothing);
+            let long_tokens = (all.long_tokens_per_s as f64 * scale) as u64;
+            service.placement.set_long_load(now_ms, long_tokens);
+            service.placement.hear(now_ms, &fleet.upstreams);
+            let config = config.as_ref().filter(|config| config.is_engine(name));
+            let capacity = config.and_then(|config| config.capacity_per_s);
+            let shares = shares::divide(&own.demand, &all.demand, heard, routers, capacity);
             service.placement.set_part(shares.part);
             for lane in &mut service.lanes {
                 lane.admission.set_limits(now_ms, &shares.limits);
@@ -451,6 +475,17 @@
         }
     }
 
+    /// Whether this router follows the store itself. In a large fleet a
+    /// router relies on its collector for as long as it hears from it.
+    pub(crate) fn follows_store(&self) -> bool {
+        let now_ms = self.now_ms();
+        let state = self.state();
+        let heard = state.collector_heard_ms;
+        let relies = heard.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < COLLECTOR_SILENCE_MS);
+        let member = matches!(state.collectors(), Some(Role::Member { .. }));
+        !(relies && member)
+    }
+
     /// Announces that the process will end.
     pub(crate) fn leave(&self) {
         self.leaving_since_ms.set(Some(self.now_ms()));
@@ -508,6 +543,55 @@
         self.view.live().len()
     }
 
+    fn own_loads(&mut self, now_ms: u64) -> Loads {
+        let services = self.services.iter_mut();
+        let loads = services.map(|(name, service)| (name.clone(), service.load.state(now_ms)));
+        loads.filter(|(_, load)| !load.demand.is_empty()).collect()
+    }
+
+    /// What is known of the load of the whole fleet.
+    fn fleet(&self, now_ms: u64, own: &Loads) -> Statement {
+        if let Some(sum) = self.fleet_sum.get(now_ms).filter(|_| self.is_large()) {
+            return sum.clone();
+        }
+        let mut sum = Statement { routers: 1, loads: own.clone(), ..Statement::default() };
+        let live: Vec<&Member> =
+            self.view.live().into_iter().map(|router| &router.member).collect();
+        for (_, loads) in self.loads.iter().filter(|(member, _)| live.contains(member)) {
+            sum.add(&Statement { routers: 1, loads: loads.clone(), ..Statement::default() }, 0);
+        }
+        sum
+    }
+
+    /// What this router does in the exchange of statements; none in a fleet
+    /// where every router hears every other.
+    pub(crate) fn collectors(&self) -> Option<Role> {
+        if !self.is_large() {
+            return None;
+        }
+        let entries = self.view.entries();
+        let mut domains: BTreeMap<&FailureDomain, Vec<&Router>> = BTreeMap::new();
+        for router in &entries {
+            domains.entry(&router.failure_domain).or_default().push(router);
+        }
+        let me = &self.view.me().router;
+        let own = domains.remove(&me.failure_domain).unwrap_or_default();
+        let collector = span_member::home(COLLECTOR_BUCKET, &own)?;
+        if collector.member != me.member {
+            return Some(Role::Member { collector: collector.peer_address.ip() });
+        }
+        let members = own.iter().filter(|router| router.member != me.member);
+        let members = members.map(|router| router.peer_address.ip()).collect();
+        let others = domains.values().filter_map(|all| span_member::home(COLLECTOR_BUCKET, all));
+        let others = others.map(|router| router.peer_address.ip()).collect();
+        Some(Role::Collector { domain: me.failure_domain.clone(), members, others })
+    }
+
+    /// Whether the fleet is too large for every router to hear every other.
+    pub(crate) fn is_large(&self) -> bool {
+        self.routers() > FULL_MESH_PEERS + 1
+    }
+
     /// Routers that may be sending, dead ones included: they may only be cut
     /// off from this one.
     pub(crate) fn known_routers(&self) -> usize {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,6 +4,7 @@
 //! silent leaves no connection behind that has to be noticed.
 
 use std::{
+    cell::Cell,
     io,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -14,14 +15,16 @@
 use http::Request;
 use serde::{Deserialize, Serialize};
 use span_member::{Change, Router, Update, peers, targets};
-use span_types::InstanceName;
+use span_types::{FailureDomain, InstanceName, UpstreamName};
 use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
 use tracing::{info, warn};
 
 use crate::{
     http_call::Caller,
     metrics::Counter,
-    node::{Loads, Node},
+    node::{COLLECTOR_SILENCE_MS, Node, Role},
+    registry::Entry,
+    statement::{Loads, Statement},
 };
 
 /// Interval between heartbeats, in milliseconds; a third of the time after
@@ -32,15 +35,45 @@
 /// Statements about other routers in a heartbeat.
 const MAX_UPDATES: usize = 8;
 /// Largest datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 /// Time in which the store is given the chance to bring a configuration that
 /// a peer has, in milliseconds.
 const FETCH_DELAY_MS: u64 = 100;
 /// Time to fetch a configuration from a peer, in milliseconds.
 const FETCH_TIMEOUT_MS: u64 = 1_000;
 
+/// Interval between statements in a large fleet, in milliseconds.
+const STATEMENT_MS: u64 = 500;
 /// What routers tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Packet {
+    /// A router is alive.
+    Heartbeat(Heartbeat),
+    /// A router states its load to the collector of its failure domain.
+    Router(InstanceName, Statement),
+    /// A collector states the sum of its failure domain to the others.
+    Domain(FailureDomain, Statement),
+    /// A collector returns the sum of the fleet.
+    Fleet(FleetNews),
+}
+
+/// What a collector tells the routers of its failure domain.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetNews {
+    /// The collector.
+    pub from: Router,
+    /// Sum of the fleet.
+    pub sum: Statement,
+    /// Version of the configuration that the collector has.
+    pub config_version: u64,
+    /// Hash of the entries of upstreams that the collector has.
+    pub registry_digest: u64,
+    /// Time since the store last answered the collector, in milliseconds.
+    pub store_age_ms: u64,
+}
+
+/// A router's statement about itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender about itself.
     pub from: Update,
@@ -58,14 +91,20 @@
 pub(crate) struct Peers {
     node: Rc<Node>,
     socket: UdpSocket,
-    fetching: std::cell::Cell<bool>,
+    fetching: Cell<bool>,
+    fetching_upstreams: Cell<bool>,
 }
 
 impl Peers {
     /// Binds the socket for heartbeats.
     pub(crate) async fn bind(node: Rc<Node>) -> io::Result<Rc<Self>> {
         let socket = UdpSocket::bind(node.settings.addresses.heartbeats).await?;
-        Ok(Rc::new(Self { node, socket, fetching: std::cell::Cell::new(false) }))
+        Ok(Rc::new(Self {
+            node,
+            socket,
+            fetching: Cell::new(false),
+            fetching_upstreams: Cell::new(false),
+        }))
     }
 
     /// Sends heartbeats until the process ends.
@@ -107,6 +146,125 @@
         }
     }
 
+    /// Exchanges statements of load until the process ends; only in a large
+    /// fleet.
+    pub(crate) async fn state_all(self: Rc<Self>) {
+        loop {
+            // News for the routers of the failure domain must not wait.
+            let news = self.node.news.notified();
+            let _ = tokio::time::timeout(Duration::from_millis(STATEMENT_MS), news).await;
+            let role = self.node.state().collectors();
+            let Some(role) = role else {
+                continue;
+            };
+            let own = self.node.statement();
+            match role {
+                Role::Member { collector } => self.state_to(collector, own),
+                Role::Collector { domain, members, others } => {
+                    self.collect(own, domain, members, others);
+                }
+            }
+        }
+    }
+
+    fn state_to(&self, collector: IpAddr, own: Statement) {
+        let me = self.node.state().view.me().router.member.instance.clone();
+        self.send_packet(collector, &Packet::Router(me, own));
+    }
+
+    fn collect(
+        &self,
+        own: Statement,
+        domain: FailureDomain,
+        members: Vec<IpAddr>,
+        others: Vec<IpAddr>,
+    ) {
+        let now_ms = self.node.now_ms();
+        let news = {
+            let mut state = self.node.state();
+            let sum = state.collected.fleet_sum(now_ms, &own);
+            state.fleet_sum.set(now_ms, sum.clone());
+            FleetNews {
+                from: state.view.me().router.clone(),
+                sum,
+                config_version: state.config.as_ref().map_or(0, |config| config.version),
+                registry_digest: state.registry.digest(),
+                store_age_ms: now_ms.saturating_sub(state.store_answered_ms),
+            }
+        };
+        let domain_sum = self.node.state().collected.domain_sum(now_ms, &own);
+        let packet = Packet::Domain(domain, domain_sum);
+        others.into_iter().for_each(|ip| self.send_packet(ip, &packet));
+        let packet = Packet::Fleet(news);
+        members.into_iter().for_each(|ip| self.send_packet(ip, &packet));
+        self.node.divide();
+    }
+
+    fn receive_news(self: &Rc<Self>, news: FleetNews) {
+        let now_ms = self.node.now_ms();
+        let (version, digest) = {
+            let mut state = self.node.state();
+            state.fleet_sum.set(now_ms, news.sum);
+            if news.store_age_ms < COLLECTOR_SILENCE_MS {
+                state.collector_heard_ms = Some(now_ms);
+            }
+            let version = state.config.as_ref().map_or(0, |config| config.version);
+            (version, state.registry.digest())
+        };
+        self.node.divide();
+        if news.config_version > version {
+            self.node.state().versions.insert(news.from.member.clone(), news.config_version);
+            self.fetch_soon(news.from.clone());
+        }
+        let follows = self.node.follows_store();
+        if !follows && news.registry_digest != digest && !self.fetching_upstreams.replace(true) {
+            let peers = self.clone();
+            spawn_local(async move {
+                peers.fetch_upstreams(&news.from).await;
+                peers.fetching_upstreams.set(false);
+            });
+        }
+    }
+
+    /// Takes the entries of upstreams that the collector has.
+    async fn fetch_upstreams(&self, collector: &Router) {
+        let caller = Caller::new(collector.peer_address);
+        let call = caller.call(Request::get("/upstreams"), Bytes::new(), FETCH_TIMEOUT_MS);
+        let entries = match call.await {
+            Ok((status, body)) if status.is_success() => postcard::from_bytes(&body),
+            Ok((status, _)) => {
+                warn!(router = %collector.member, %status, "the collector gave no upstreams");
+                return;
+            }
+            Err(error) => {
+                warn!(router = %collector.member, %error, "the collector gave no upstreams");
+                return;
+            }
+        };
+        let entries: Vec<(UpstreamName, Entry)> = match entries {
+            Ok(entries) => entries,
+            Err(error) => {
+                warn!(router = %collector.member, %error, "the collector's upstreams are unreadable");
+                return;
+            }
+        };
+        if self.node.follows_store() {
+            return;
+        }
+        let now_ms = self.node.now_ms();
+        let changes = self.node.state().registry.replace(now_ms, entries);
+        self.node.apply_changes(&changes);
+    }
+
+    fn send_packet(&self, ip: IpAddr, packet: &Packet) {
+        let address = SocketAddr::new(ip, self.node.settings.addresses.heartbeats.port());
+        match postcard::to_stdvec(packet) {
+            // A datagram that the link does not take counts as lost.
+            Ok(bytes) => drop(self.socket.try_send_to(&bytes, address)),
+            Err(error) => warn!(%error, "a packet cannot be encoded"),
+        }
+    }
+
     /// Tells all live routers what this one says of itself; for news that
     /// must not wait, such as leaving.
     pub(crate) fn tell_all(&self) {
@@ -129,7 +287,8 @@
         if address == self.node.settings.addresses.heartbeats {
             return;
         }
-        let loads = self.node.loads();
+        let large = self.node.state().is_large();
+        let loads = if large { Loads::new() } else { self.node.loads() };
         let heartbeat = {
             let mut state = self.node.state();
             state.metrics.count(Counter::Heartbeats);
@@ -145,11 +304,7 @@
                 updates,
             }
         };
-        match postcard::to_stdvec(&heartbeat) {
-            // A datagram that the link does not take counts as lost.
-            Ok(bytes) => drop(self.socket.try_send_to(&bytes, address)),
-            Err(error) => warn!(%error, "a heartbeat cannot be encoded"),
-        }
+        self.send_packet(ip, &Packet::Heartbeat(heartbeat));
     }
 
     /// Receives heartbeats until the process ends.
@@ -158,8 +313,17 @@
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
-                    Ok(heartbeat) => self.receive(heartbeat, from.ip()),
-                    Err(error) => warn!(%error, %from, "a datagram is no heartbeat"),
+                    Ok(Packet::Heartbeat(heartbeat)) => self.receive(heartbeat, from.ip()),
+                    Ok(Packet::Router(name, statement)) => {
+                        let now_ms = self.node.now_ms();
+                        self.node.state().collected.router(now_ms, name, statement);
+                    }
+                    Ok(Packet::Domain(domain, statement)) => {
+                        let now_ms = self.node.now_ms();
+                        self.node.state().collected.domain(now_ms, domain, statement);
+                    }
+                    Ok(Packet::Fleet(news)) => self.receive_news(news),
+                    Err(error) => warn!(%error, %from, "a datagram cannot be read"),
                 },
                 // An earlier datagram was refused at its destination.
                 Err(_) => sleep(Duration::from_millis(1)).await,
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -1,12 +1,15 @@
 //! Where a request goes: the load of each upstream as this router sees it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use span_types::UpstreamName;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::admission::Places;
+use crate::{admission::Places, statement::Seen};
 
+/// Age up to which a load report is passed on to other routers, in
+/// milliseconds; the period of statements.
+const SHARED_REPORT_MS: u64 = 600;
 /// Weight of the newest pause between two events in the mean pause.
 const PAUSE_WEIGHT: f64 = 0.2;
 /// Age at which the mean pause says nothing any more, in milliseconds.
@@ -511,6 +514,33 @@
         }
     }
 
+    /// What the upstreams stated lately, by the hash of their name.
+    pub fn seen(&self, now_ms: u64) -> Vec<(u32, Seen)> {
+        let loads = self.upstreams.values();
+        let reports = loads.filter_map(|load| load.report.map(|report| (load, report)));
+        let recent = reports.filter_map(|(load, (at_ms, report, _))| {
+            let age_ms = now_ms.saturating_sub(at_ms);
+            let requests = report.running + report.waiting;
+            let seen = Seen { requests, age_ms: age_ms as u32 };
+            (age_ms < SHARED_REPORT_MS).then_some((load.name_hash as u32, seen))
+        });
+        recent.collect()
+    }
+
+    /// Takes what other routers heard from the upstreams, where it is newer.
+    pub fn hear(&mut self, now_ms: u64, seen: &BTreeMap<u32, Seen>) {
+        for load in self.upstreams.values_mut() {
+            let Some(seen) = seen.get(&(load.name_hash as u32)) else {
+                continue;
+            };
+            let at_ms = now_ms.saturating_sub(u64::from(seen.age_ms));
+            if load.report.is_none_or(|(known_ms, _, _)| known_ms < at_ms) {
+                let report = LoadReport { running: seen.requests, waiting: 0, slots: load.slots };
+                load.report = Some((at_ms, report, load.sent));
+            }
+        }
+    }
+
     /// Judges an upstream by the end of an attempt. Returns whether it is
     /// avoided from now on.
     pub fn judge(&mut self, now_ms: u64, name: &UpstreamName, verdict: Verdict) -> bool {
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -2,14 +2,16 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
+use serde::{Deserialize, Serialize};
 use span_types::{FailureDomain, ServiceName, UpstreamName};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time after the store's return in which the entries of upstreams that live
 /// are back, in milliseconds; stated by the platform as about two seconds.
 const ENTRIES_RETURN_MS: u64 = 2_200;
 
 /// An upstream as its entry describes it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Service that the upstream belongs to.
     pub service: ServiceName,
@@ -143,6 +145,23 @@
         entries.filter(move |(_, entry)| entry.service == *service && !entry.draining)
     }
 
+    /// All entries.
+    pub fn entries(&self) -> Vec<(UpstreamName, Entry)> {
+        let entries = self.upstreams.iter();
+        entries.map(|(name, known)| (name.clone(), known.entry.clone())).collect()
+    }
+
+    /// Hash of all entries, equal at two routers that know the same.
+    pub fn digest(&self) -> u64 {
+        let entries = self.upstreams.iter();
+        let hashes = entries.map(|(name, known)| {
+            let Entry { service, address, slots, draining, started_unix_ms, .. } = &known.entry;
+            let text = format!("{name} {service} {address} {slots} {draining} {started_unix_ms:?}");
+            xxh3_64(text.as_bytes())
+        });
+        hashes.fold(0, u64::wrapping_add)
+    }
+
     /// Number of upstreams, the draining ones included.
     pub fn len(&self) -> usize {
         self.upstreams.len()
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -92,7 +92,7 @@
     let listener = bind(addresses.directory, "the directory")?;
     spawn_local(listen::answers(node.clone(), listener, listen::directory));
     let listener = bind(addresses.peers, "peers")?;
-    spawn_local(listen::answers(node.clone(), listener, listen::peer_config));
+    spawn_local(listen::answers(node.clone(), listener, listen::peer));
     let listener = bind(addresses.metrics, "metrics")?;
     spawn_local(listen::answers(node.clone(), listener, listen::metrics));
     let peers = Peers::bind(node.clone()).await.map_err(|source| StartError::Bind {
@@ -102,6 +102,7 @@
     })?;
     spawn_local(peers.clone().send_all());
     spawn_local(peers.clone().receive_all());
+    spawn_local(peers.clone().state_all());
     spawn_local(follow::config(node.clone(), store.clone()));
     spawn_local(follow::upstreams(node.clone(), store.clone()));
     spawn_local(follow::routers(node.clone(), store));
--- a/crates/edge/src/shares.rs
+++ b/crates/edge/src/shares.rs
@@ -105,32 +105,32 @@
     pub limits: BTreeMap<WorkspaceName, f64>,
 }
 
-/// Divides the capacity by what the routers state. `others` are the demands
-/// that other routers stated, of `routers` in all; those that were not heard
-/// are taken to be like those that were.
-pub fn divide(own: &Demand, others: &[&Demand], routers: usize, capacity: Option<u64>) -> Shares {
-    let mut fleet: BTreeMap<&WorkspaceName, f64> = BTreeMap::new();
-    for demand in others.iter().copied().chain([own]) {
-        for (name, rate) in demand {
-            *fleet.entry(name).or_default() += *rate as f64;
-        }
-    }
-    let heard = others.len() + 1;
-    let scale = routers.max(heard) as f64 / heard as f64;
-    let demands: Vec<f64> = fleet.values().map(|rate| rate * scale).collect();
+/// Divides the capacity. `fleet` is the demand at all routers, this one
+/// included, of which `heard` of `routers` were heard; the others are taken to
+/// be like them.
+pub fn divide(
+    own: &Demand,
+    fleet: &Demand,
+    heard: usize,
+    routers: usize,
+    capacity: Option<u64>,
+) -> Shares {
+    let scale = routers.max(heard) as f64 / heard.max(1) as f64;
+    let demands: Vec<f64> = fleet.values().map(|rate| *rate as f64 * scale).collect();
     let level = capacity.and_then(|capacity| fair_level(&demands, capacity as f64 * ENFORCED_PART));
     let entitled = |rate: f64| level.map_or(rate, |level| rate.min(level));
     let all: f64 = demands.iter().map(|rate| entitled(*rate)).sum();
     let mut mine = 0.0;
     let mut limits = BTreeMap::new();
     for (name, rate) in own {
-        let asked = fleet[name] * scale;
+        // The sum may be older than the own demand.
+        let asked = (fleet.get(name).copied().unwrap_or(0) as f64 * scale).max(*rate as f64);
         let here = *rate as f64 / asked.max(1.0);
         mine += entitled(asked) * here;
         if let Some(level) = level.filter(|level| asked > *level) {
             limits.insert(name.clone(), level * here);
         }
     }
-    let part = if all > 0.0 { mine / all } else { 1.0 / routers.max(1) as f64 };
+    let part = if all > 0.0 { (mine / all).min(1.0) } else { 1.0 / routers.max(1) as f64 };
     Shares { part, limits }
 }
--- a/crates/edge/tests/shares.rs
+++ b/crates/edge/tests/shares.rs
@@ -37,14 +37,23 @@
     rows.iter().map(|(name, rate)| ((*name).into(), *rate)).collect()
 }
 
+fn sum(demands: &[&Demand]) -> Demand {
+    let mut sum = Demand::new();
+    for (name, rate) in demands.iter().copied().flatten() {
+        *sum.entry(name.clone()).or_default() += rate;
+    }
+    sum
+}
+
 /// A large workspace enters through one router; the others must not be held to
 /// less there than elsewhere (FAIR on scale-1 of both sites).
 #[test]
 fn a_router_with_a_large_workspace_gets_what_its_callers_are_entitled_to() {
     let busy = demand(&[("large", 9_000), ("small", 100)]);
     let calm = demand(&[("other", 400)]);
-    let at_busy = divide(&busy, &[&calm], 2, Some(1_000));
-    let at_calm = divide(&calm, &[&busy], 2, Some(1_000));
+    let fleet = sum(&[&busy, &calm]);
+    let at_busy = divide(&busy, &fleet, 2, 2, Some(1_000));
+    let at_calm = divide(&calm, &fleet, 2, 2, Some(1_000));
     // 1,100 are divided: 100 and 400 are met, 600 are left for the large one.
     assert_eq!(at_busy.limits.get("large").map(|limit| limit.round()), Some(600.0));
     assert!(!at_busy.limits.contains_key("small"));
@@ -59,10 +68,8 @@
 fn a_workspace_has_one_limit_over_all_routers() {
     let here = demand(&[("large", 3_000), ("a", 100)]);
     let there = demand(&[("large", 6_000), ("b", 100)]);
-    let limits = [
-        divide(&here, &[&there], 2, Some(1_000)).limits["large"],
-        divide(&there, &[&here], 2, Some(1_000)).limits["large"],
-    ];
+    let fleet = sum(&[&here, &there]);
+    let limits = [&here, &there].map(|own| divide(own, &fleet, 2, 2, Some(1_000)).limits["large"]);
     assert!((limits[0] + limits[1] - 900.0).abs() < 1.0, "{limits:?}");
     assert!((limits[1] / limits[0] - 2.0).abs() < 0.01, "{limits:?}");
 }
@@ -71,7 +78,7 @@
 fn routers_that_are_not_heard_count_as_like_the_others() {
     let own = demand(&[("a", 500)]);
     let other = demand(&[("a", 500)]);
-    let shares = divide(&own, &[&other], 10, Some(1_000));
+    let shares = divide(&own, &sum(&[&own, &other]), 2, 10, Some(1_000));
     assert!((shares.limits["a"] - 110.0).abs() < 1.0, "{shares:?}");
     assert!((shares.part - 0.1).abs() < 0.01, "{shares:?}");
 }
