Let a few routers use each upstream in a large fleet

Cause: with 66 routers and 112 engines every router knew the load of none, and first events took 235 to 345 ms at the median because requests queued at the engines.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -10,7 +10,7 @@
 use futures::channel::oneshot;
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
 use span_member::{FULL_MESH_PEERS, LiveView, Router, Timing as ViewTiming};
-use span_types::{FailureDomain, Member, MemberState, ServiceName, UpstreamName};
+use span_types::{FailureDomain, InstanceName, Member, MemberState, ServiceName, UpstreamName};
 use strum::{EnumCount, IntoEnumIterator};
 use tokio::sync::Notify;
 use tracing::info;
@@ -641,14 +641,19 @@
         let Some(config) = self.config.clone() else {
             return;
         };
-        let (live, known) = (self.routers(), self.known_routers());
+        let me = self.view.me().router.member.instance.clone();
+        let live = self.view.live();
+        let live: Vec<&InstanceName> = live.iter().map(|router| &router.member.instance).collect();
+        // Dead routers may only be cut off, with their connections open.
+        let known = self.known_routers() as f64;
+        let present = live.len() as f64 / known;
         for (name, service) in &mut self.services {
             let Some(service_config) = config.services.get(name) else {
                 continue;
             };
-            let connections = f64::from(service_config.max_connections) * CONNECTIONS_PART;
-            let max_sent = (connections / known as f64) as u32;
-            service.placement.set_fleet(live, max_sent.max(1));
+            let accepted = f64::from(service_config.max_connections);
+            let connections = accepted * CONNECTIONS_PART * present;
+            service.placement.set_fleet(&me, &live, connections);
             service.placement.set_gap_target(config.gap_target_ms(name));
         }
     }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use span_types::UpstreamName;
+use span_types::{InstanceName, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{admission::Places, statement::Seen};
@@ -91,6 +91,20 @@
     Long,
 }
 
+/// Routers that use an upstream in a large fleet. Each of them sees a tenth of
+/// its answers, so that reports of its load are as fresh as in a small fleet.
+const MAX_ROUTERS: usize = 10;
+/// Upstreams of a service that each router uses on average at least, if there
+/// are so many.
+const MIN_UPSTREAMS: usize = 12;
+/// Most that an upstream without a recent report is taken to be filled by
+/// others, as a part of its slots.
+const UNKNOWN_PART: f64 = 0.5;
+/// Requests that all routers together send to an upstream that is no engine,
+/// as a multiple of its slots. Its requests end within milliseconds, before a
+/// report of its load has arrived anywhere, and it queues a few.
+const PLAIN_FACTOR: f64 = 2.0;
+
 /// Load that an upstream stated in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -142,6 +156,8 @@
     replaced: bool,
     /// Kept for long prompts.
     lane: Lane,
+    /// Whether this router sends requests to it.
+    mine: bool,
     /// Prompt tokens that this router sent and that the engine has not
     /// answered yet.
     reading_tokens: u64,
@@ -153,13 +169,14 @@
     /// Requests at the upstream from the whole fleet.
     fn total(&self, now_ms: u64, routers: usize) -> f64 {
         let own = f64::from(self.sent);
-        let Some((at_ms, report, sent)) = self.report else {
-            return own * routers as f64;
+        let fresh =
+            self.report.filter(|(at_ms, _, _)| now_ms.saturating_sub(*at_ms) < REPORT_LIFETIME_MS);
+        let Some((_, report, sent)) = fresh else {
+            // As many from each other router, but a single request of this one
+            // says nothing about a large fleet.
+            let others = own * (routers - 1) as f64;
+            return own + others.min(f64::from(self.slots) * UNKNOWN_PART);
         };
-        let age_ms = now_ms.saturating_sub(at_ms);
-        if age_ms >= REPORT_LIFETIME_MS {
-            return own * routers as f64;
-        }
         let reported = f64::from(report.running + report.waiting);
         (reported + own - f64::from(sent)).max(own)
     }
@@ -175,7 +192,8 @@
     }
 
     fn may_use(&self, now_ms: u64) -> bool {
-        !self.replaced
+        self.mine
+            && !self.replaced
             && now_ms >= self.full_until_ms
             && now_ms >= self.avoid_until_ms
             && !self.probing
@@ -212,7 +230,13 @@
     parts: HashMap<u64, (UpstreamName, u64)>,
     /// Requests at one upstream that this router may have open.
     max_sent: u32,
+    /// Routers that use an upstream.
     routers: usize,
+    /// Hashes of this router's name and of all routers' names.
+    me: u64,
+    fleet: Vec<u64>,
+    /// Connections that all routers together may open to an upstream.
+    connections: f64,
     /// Part of the capacity that this router's callers are entitled to.
     part: f64,
     /// Longest mean pause at which an engine is sent prompts.
@@ -231,6 +255,9 @@
             parts: HashMap::new(),
             max_sent: 1,
             routers: 1,
+            me: 0,
+            fleet: Vec::new(),
+            connections: f64::INFINITY,
             part: 1.0,
             max_pause_ms: f64::INFINITY,
             long_tokens: u64::MAX,
@@ -254,6 +281,11 @@
         self.long_tokens = gap_ms.map_or(u64::MAX, |gap_ms| gap_ms * LONG_TOKENS_PER_MS);
     }
 
+    /// Whether the upstreams stream from model engines.
+    fn is_engine(&self) -> bool {
+        self.max_pause_ms.is_finite()
+    }
+
     /// The lane of a request whose upstream has to read `unread_tokens`.
     pub fn lane(&self, unread_tokens: u64) -> Lane {
         let separated = self.long_engines > 0 && unread_tokens >= self.long_tokens;
@@ -312,11 +344,31 @@
         }
     }
 
-    /// Sets how many routers share the upstreams, and how many connections to
-    /// one upstream this router may open.
-    pub fn set_fleet(&mut self, routers: usize, max_sent: u32) {
-        self.routers = routers.max(1);
+    /// Sets the routers that share the upstreams, of which `me` is one, and
+    /// how many connections all of them may open to one upstream.
+    pub fn set_fleet(&mut self, me: &InstanceName, routers: &[&InstanceName], connections: f64) {
+        self.me = xxh3_64(me.as_str().as_bytes());
+        self.fleet = routers.iter().map(|name| xxh3_64(name.as_str().as_bytes())).collect();
+        self.connections = connections;
+        self.assign_routers();
+    }
+
+    /// Chooses the upstreams that this router uses. In a large fleet each is
+    /// used by a few routers, chosen by rendezvous hashing: they know its load
+    /// better, and it has fewer connections.
+    fn assign_routers(&mut self) {
+        let fleet = self.fleet.len().max(1);
+        let wanted = (fleet * MIN_UPSTREAMS).div_ceil(self.upstreams.len().max(1));
+        self.routers = wanted.max(MAX_ROUTERS).min(fleet);
+        let max_sent = (self.connections / self.routers as f64) as u32;
         self.max_sent = max_sent.max(1);
+        let score =
+            |load: &Load, router: u64| xxh3_64_with_seed(&router.to_le_bytes(), load.name_hash);
+        for load in self.upstreams.values_mut() {
+            let mine = score(load, self.me);
+            let better = self.fleet.iter().filter(|router| score(load, **router) > mine).count();
+            load.mine = better < self.routers;
+        }
     }
 
     /// Replaces the upstreams that take requests. What is known of those that
@@ -337,6 +389,7 @@
                 full_until_ms: 0,
                 replaced: false,
                 lane: Lane::Short,
+                mine: true,
                 reading_tokens: 0,
                 pause: None,
             });
@@ -344,6 +397,7 @@
             self.upstreams.insert(name.clone(), load);
         }
         self.assign_lanes();
+        self.assign_routers();
     }
 
     /// Forgets what was learned of an upstream whose process is new.
@@ -378,10 +432,14 @@
 
     fn room_at(&self, now_ms: u64, load: &Load) -> u32 {
         let pauses = load.lane == Lane::Short && load.pause_ms(now_ms) > self.max_pause_ms;
-        let reading_limit = (MAX_READING_TOKENS as f64 * self.part) as u64;
+        let shared_by = self.fleet.len().max(1) as f64 / self.routers as f64;
+        let reading_limit = (MAX_READING_TOKENS as f64 * self.part * shared_by) as u64;
         if load.reading_tokens > reading_limit || pauses {
             return 0;
         }
+        if !self.is_engine() {
+            return self.own_limit(load).saturating_sub(load.sent);
+        }
         let limit = f64::from(load.slots) * (1.0 + QUEUED_PART);
         let room = (limit - load.total(now_ms, self.routers)).max(0.0) as u32;
         room.min(self.own_limit(load).saturating_sub(load.sent))
@@ -391,7 +449,10 @@
     /// only from reports that are old, so it keeps to somewhat more than its
     /// callers' part.
     fn own_limit(&self, load: &Load) -> u32 {
-        let part = (self.part * OWN_FACTOR).min(1.0);
+        let factor = if self.is_engine() { OWN_FACTOR } else { PLAIN_FACTOR };
+        // Only some routers use the upstream, and their parts add up to less.
+        let shared_by = self.fleet.len().max(1) as f64 / self.routers as f64;
+        let part = (self.part * shared_by * factor).min(1.0);
         let share = (f64::from(load.slots) * part).ceil() as u32;
         share.max(MIN_OWN).min(self.max_sent)
     }
@@ -449,7 +510,7 @@
             return (last != upstream && self.upstreams.contains_key(last)).then(|| last.clone());
         }
         let usable = self.upstreams.iter();
-        let usable = usable.filter(|(_, load)| load.lane == Lane::Short && load.may_use(now_ms));
+        let usable = usable.filter(|(_, load)| load.lane == Lane::Short && !load.replaced);
         let (home, _) = usable.max_by_key(|(_, load)| load.hash(shared))?;
         (home != upstream).then(|| home.clone())
     }
@@ -458,7 +519,8 @@
     /// the same ones without a message, by rendezvous hashing.
     fn homes_from(&self, shared: SharedPrompt) -> u64 {
         let mut best = [0; HOMES];
-        for load in self.upstreams.values().filter(|load| load.lane == Lane::Short) {
+        let short = self.upstreams.values().filter(|load| load.lane == Lane::Short);
+        for load in short.filter(|load| load.mine) {
             let hash = load.hash(shared);
             if hash > best[0] {
                 best[0] = hash;
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 use span_edge::placement::{Lane, LoadReport, Need, Placement, SharedPrompt, Verdict};
-use span_types::UpstreamName;
+use span_types::{InstanceName, UpstreamName};
 
 fn names(count: usize) -> Vec<UpstreamName> {
     (0..count).map(|index| format!("u{index}").into()).collect()
@@ -13,12 +13,15 @@
 fn placement(count: usize, slots: u32) -> Placement {
     let mut placement = Placement::default();
     let names = names(count);
-    placement.set_fleet(1, 1_000);
     placement.set_upstreams(names.iter().map(|name| (name, slots)));
     placement.set_gap_target(Some(300));
     placement
 }
 
+fn fleet(count: usize) -> Vec<InstanceName> {
+    (0..count).map(|index| format!("r{index}").into()).collect()
+}
+
 const NEED: Need<'static> =
     Need { shared: None, unread_tokens: 100, lane: Lane::Short, avoid: &[] };
 
@@ -178,7 +181,45 @@
 #[test]
 fn the_limit_on_connections_holds_even_without_room() {
     let mut placement = placement(1, 48);
-    placement.set_fleet(6, 3);
+    placement.set_fleet(&"r0".into(), &fleet(6).iter().collect::<Vec<_>>(), 18.0);
     let placed = (0..10).filter_map(|draw| placement.place(0, NEED, draw, true)).count();
     assert_eq!(placed, 3);
 }
+
+/// In a large fleet every router opened connections to every upstream and knew
+/// the load of none (scale-1 of magnolia-fit-grown).
+#[test]
+fn in_a_large_fleet_few_routers_use_an_upstream() {
+    let routers = fleet(66);
+    let all: Vec<&InstanceName> = routers.iter().collect();
+    let mut users = std::collections::BTreeMap::new();
+    for me in &routers {
+        let mut placement = placement(112, 12);
+        placement.set_fleet(me, &all, 400.0);
+        let mut own = std::collections::BTreeSet::new();
+        for draw in 0..400 {
+            let Some(chosen) = placement.place(0, NEED, draw, false) else { break };
+            placement.read(&chosen.upstream, 100);
+            own.insert(chosen.upstream);
+        }
+        assert!(own.len() >= 6, "{me} uses {} upstreams", own.len());
+        for upstream in own {
+            *users.entry(upstream).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(users.len(), 112);
+    assert!(users.values().all(|count| *count == 10), "{users:?}");
+}
+
+/// A service with three upstreams is used by all routers of a large fleet.
+#[test]
+fn every_router_has_upstreams_of_a_small_service() {
+    let routers = fleet(66);
+    let all: Vec<&InstanceName> = routers.iter().collect();
+    for me in &routers {
+        let mut placement = placement(3, 6);
+        placement.set_gap_target(None);
+        placement.set_fleet(me, &all, 400.0);
+        assert!(placement.place(0, NEED, 1, false).is_some(), "{me}");
+    }
+}
