--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -97,6 +97,12 @@
 /// Upstreams of a service that each router uses on average at least, if there
 /// are so many.
 const MIN_UPSTREAMS: usize = 12;
+/// Tokens of a shared part from which its home is used also by routers that
+/// otherwise do not use that upstream.
+const MIN_FAR_TOKENS: u64 = 1_024;
+/// Part of its slots up to which such a home is used; its load is known only
+/// from the statements of others.
+const MAX_FAR_USE: f64 = 0.8;
 /// Most that an upstream without a recent report is taken to be filled by
 /// others, as a part of its slots.
 const UNKNOWN_PART: f64 = 0.5;
@@ -192,8 +198,11 @@
     }
 
     fn may_use(&self, now_ms: u64) -> bool {
-        self.mine
-            && !self.replaced
+        self.mine && self.is_sound(now_ms)
+    }
+
+    fn is_sound(&self, now_ms: u64) -> bool {
+        !self.replaced
             && now_ms >= self.full_until_ms
             && now_ms >= self.avoid_until_ms
             && !self.probing
@@ -469,8 +478,9 @@
 
     fn choose(&self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<UpstreamName> {
         let homes = need.shared.map(|shared| self.homes_from(shared));
+        let far_home = need.shared.and_then(|shared| self.far_home(now_ms, shared));
         let usable = self.upstreams.iter().filter(|(name, load)| {
-            load.may_use(now_ms)
+            (load.may_use(now_ms) || far_home == Some(load.name_hash))
                 && !need.avoid.contains(name)
                 && load.sent < self.max_sent
                 && (crowd || (load.lane == need.lane && self.room_at(now_ms, load) > 0))
@@ -515,12 +525,26 @@
         (home != upstream).then(|| home.clone())
     }
 
+    /// The home of a large shared part if other routers use it: reading the
+    /// part at an upstream of this router's own costs more than a connection.
+    fn far_home(&self, now_ms: u64, shared: SharedPrompt) -> Option<u64> {
+        if shared.tokens < MIN_FAR_TOKENS {
+            return None;
+        }
+        let short = self.upstreams.values().filter(|load| load.lane == Lane::Short);
+        let home = short.max_by_key(|load| load.hash(shared))?;
+        let used = home.total(now_ms, self.routers) / f64::from(home.slots.max(1));
+        let usable = !home.mine && home.is_sound(now_ms) && used < MAX_FAR_USE;
+        usable.then_some(home.name_hash)
+    }
+
     /// Lowest hash of the upstreams that keep a shared part. All routers choose
     /// the same ones without a message, by rendezvous hashing.
     fn homes_from(&self, shared: SharedPrompt) -> u64 {
         let mut best = [0; HOMES];
         let short = self.upstreams.values().filter(|load| load.lane == Lane::Short);
-        for load in short.filter(|load| load.mine) {
+        let far = self.fleet.len() > self.routers && shared.tokens >= MIN_FAR_TOKENS;
+        for load in short.filter(|load| load.mine || far) {
             let hash = load.hash(shared);
             if hash > best[0] {
                 best[0] = hash;
