Tell a lapse of entries from a store that turned away one router

Just after, an upstream's entry was removed; a router that had been turned away took it for a lapse and used the upstream for 2.5 s more (DRAIN, bound 2 s). Routers now state when the store last answered them, and entries cannot lapse while the store serves others. Ruled out: a shorter time to return, which the platform states as two seconds.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -70,6 +70,12 @@
     pub cause: Cause,
     /// When a place is likely to be free, in milliseconds.
     pub retry_after_ms: u64,
+    /// Places at that moment.
+    pub places: Places,
+    /// Expected wait, in milliseconds.
+    pub wait_ms: u64,
+    /// Limit of the workspace at this router, in cost units per second.
+    pub limit_per_s: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -167,12 +173,15 @@
         let wait_ms = self.expected_wait_ms(now_ms, own, places.free);
         let workspace = self.workspaces.entry(ask.workspace.clone()).or_default();
         workspace.refill(now_ms);
+        let limit_per_s = workspace.limit_per_s.map(|limit| limit as u64);
+        let refuse = |cause, retry_after_ms| {
+            Err(Refusal { cause, retry_after_ms, places, wait_ms, limit_per_s })
+        };
         if workspace.over_share() && !places.spare() {
-            let retry_after_ms = workspace.recovers_ms();
-            return Err(Refusal { cause: Cause::OverShare, retry_after_ms });
+            return refuse(Cause::OverShare, workspace.recovers_ms());
         }
         if wait_ms > ask.patience_ms || own >= QUEUE_LIMIT {
-            return Err(Refusal { cause: Cause::Busy, retry_after_ms: wait_ms });
+            return refuse(Cause::Busy, wait_ms);
         }
         self.next += 1;
         let ticket = Ticket(self.next);
--- a/crates/edge/src/budget.rs
+++ b/crates/edge/src/budget.rs
@@ -39,6 +39,11 @@
         Self { allowance, started_ms, intervals: VecDeque::new() }
     }
 
+    /// Sets the bound anew; what was spent still counts.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
     /// Counts a request that a caller sent.
     pub fn earn(&mut self, now_ms: u64) {
         self.interval(now_ms).1 += 1;
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -23,7 +23,7 @@
 const UPSTREAM_PAUSE_MS: u64 = 500;
 /// Pause after the first failed call to the store, and at most, in
 /// milliseconds; doubled with each failure.
-const BACKOFF_MS: (u64, u64) = (100, 800);
+const BACKOFF_MS: (u64, u64) = (100, 500);
 /// Interval between two reads of the registered routers, in milliseconds.
 /// Heartbeats spread the news of new routers much faster; the list finds
 /// those that no heartbeat reaches.
@@ -50,7 +50,7 @@
 fn note<T>(node: &Node, what: &'static str, result: &Result<T, StoreError>, failures: u32) {
     node.count(Counter::StoreCalls);
     let now_ms = node.now_ms();
-    let lapse_ms = node.settings.entry_interval_ms;
+    let lapse_ms = node.settings().entry_interval_ms;
     match result {
         Ok(_) | Err(StoreError::HistoryDropped) => {
             let mut state = node.state();
--- a/crates/edge/src/forward/flight.rs
+++ b/crates/edge/src/forward/flight.rs
@@ -93,6 +93,12 @@
         self.chosen.as_ref().map(|chosen| &chosen.upstream)
     }
 
+    /// Requests at the upstream when it was chosen, and the age of the report
+    /// that says so, in milliseconds.
+    pub(crate) fn load(&self) -> Option<(u32, Option<u64>)> {
+        self.chosen.as_ref().map(|chosen| (chosen.requests, chosen.report_age_ms))
+    }
+
     /// Whether the request runs at an engine for long prompts.
     pub(crate) fn is_long(&self, work: &Work) -> bool {
         let upstream = self.upstream();
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -19,7 +19,7 @@
 use tracing::info;
 
 use crate::{
-    admission::{ANONYMOUS, Ask},
+    admission::{ANONYMOUS, Ask, Cause},
     config::{Config, Route, RouteKind, choose_target},
     dialect::Work,
     metrics::{Counter, Timing},
@@ -121,6 +121,7 @@
         Ok(response) => response,
         Err((rejected, mut record)) => {
             let response = rejected.response();
+            record.retry_after_ms = rejected.retry_after_ms;
             let cause = rejected.cause.unwrap_or_else(|| rejected.message.to_owned());
             record.end(rejected.status.as_u16(), rejected.outcome, cause);
             record.answer_started();
@@ -255,7 +256,7 @@
                 continue;
             };
             let all = node.body_bytes.get() + data.len() as u64;
-            if all > node.settings.resources.memory_bytes / BODY_MEMORY_PART {
+            if all > node.settings().resources.memory_bytes / BODY_MEMORY_PART {
                 let message = "too many request bodies are in memory; the request did not run";
                 return Err(Rejected::not_run(message, RETRY_AFTER_MS));
             }
@@ -317,13 +318,15 @@
                 "no upstream takes requests; the request did not run",
             ));
         }
-        Err(NoPlace::OverShare { retry_after_ms }) => {
-            let reason =
-                "the workspace has used its share of a busy service; the request did not run";
-            return Err(refused(retry_after_ms, reason));
-        }
-        Err(NoPlace::Busy { retry_after_ms }) => {
-            return Err(refused(retry_after_ms, "the service is busy; the request did not run"));
+        Err(NoPlace::Refused(refusal)) => {
+            record.refusal = Some(refusal);
+            let reason = match refusal.cause {
+                Cause::OverShare => {
+                    "the workspace has used its share of a busy service; the request did not run"
+                }
+                Cause::Busy => "the service is busy; the request did not run",
+            };
+            return Err(refused(refusal.retry_after_ms, reason));
         }
     };
     let wait = Wait::new(node, &checked.service, ticket, start, work.own_tokens());
@@ -368,8 +371,7 @@
             let message = "no other upstream takes requests; the request did not run";
             return Err((Rejected::not_run(message, RETRY_AFTER_MS), record));
         };
-        record.upstream = Some(upstream.to_string());
-        record.attempts += 1;
+        record.sent_to(&upstream, flight.load());
         sent += 1;
         let until_ms = attempt_until_ms(node.now_ms(), checked, sent);
         let (holder, last_event, continue_from) = (flight.holder(), None, None);
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -2,9 +2,11 @@
 
 use std::{rc::Rc, sync::Arc};
 
+use span_types::UpstreamName;
 use tracing::info;
 
 use crate::{
+    admission::Refusal,
     metrics::{Counter, Timing},
     node::Node,
 };
@@ -37,6 +39,13 @@
     pub(crate) upstream: Option<String>,
     pub(crate) config_version: u64,
     pub(crate) attempts: u32,
+    /// Requests at the upstream when it was chosen, and the age of the report
+    /// that says so.
+    load: Option<(u32, Option<u64>)>,
+    /// What decided a refusal.
+    pub(crate) refusal: Option<Refusal>,
+    /// Advice that a refused caller was given.
+    pub(crate) retry_after_ms: Option<u64>,
     pub(crate) queued_ms: Option<u64>,
     pub(crate) first_byte_ms: Option<u64>,
     /// Longest pause between two events of a stream.
@@ -59,6 +68,9 @@
             upstream: None,
             config_version: 0,
             attempts: 0,
+            load: None,
+            refusal: None,
+            retry_after_ms: None,
             queued_ms: None,
             first_byte_ms: None,
             longest_pause_ms: None,
@@ -75,6 +87,13 @@
         self.reason = reason.into();
     }
 
+    /// Notes an attempt at an upstream.
+    pub(crate) fn sent_to(&mut self, upstream: &UpstreamName, load: Option<(u32, Option<u64>)>) {
+        self.upstream = Some(upstream.to_string());
+        self.load = load;
+        self.attempts += 1;
+    }
+
     /// Notes the start of the answer.
     pub(crate) fn answer_started(&mut self) {
         let first_byte_ms = self.node.now_ms().saturating_sub(self.arrived_ms);
@@ -106,6 +125,14 @@
             upstream = self.upstream,
             version = self.config_version,
             attempts = self.attempts,
+            upstream_requests = self.load.map(|(requests, _)| requests),
+            report_age_ms = self.load.and_then(|(_, age_ms)| age_ms),
+            free = self.refusal.map(|refusal| refusal.places.free),
+            taken = self.refusal.map(|refusal| refusal.places.taken),
+            slots = self.refusal.map(|refusal| refusal.places.all),
+            wait_ms = self.refusal.map(|refusal| refusal.wait_ms),
+            limit_per_s = self.refusal.and_then(|refusal| refusal.limit_per_s),
+            retry_after_ms = self.retry_after_ms,
             queued_ms = self.queued_ms,
             first_byte_ms = self.first_byte_ms,
             longest_pause_ms = self.longest_pause_ms,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,4 +28,4 @@
 pub mod statement;
 pub mod store;
 
-pub use run::{StartError, run};
+pub use run::{ReadSettings, StartError, run};
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -63,7 +63,7 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let open = Rc::new(Cell::new(0usize));
-    let most = (node.settings.resources.sockets as f64 * CALLER_SOCKETS_PART) as usize;
+    let most = (node.settings().resources.sockets as f64 * CALLER_SOCKETS_PART) as usize;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -154,7 +154,7 @@
     if entries.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let lifetime_ms = DIRECTORY_LIFETIME_MS.min(node.settings.bounds.directory_lifetime_ms);
+    let lifetime_ms = DIRECTORY_LIFETIME_MS.min(node.settings().bounds.directory_lifetime_ms);
     json((node.dialect.encode_addresses)(&entries, lifetime_ms))
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -16,7 +16,7 @@
 use tracing::info;
 
 use crate::{
-    admission::{Admission, Ask, Cause, Refusal, Ticket},
+    admission::{Admission, Ask, Refusal, Ticket},
     budget::{Allowance, RetryBudget},
     clock::Clock,
     config::Config,
@@ -107,7 +107,7 @@
 
 /// The process; shared by all its tasks, which run on one thread.
 pub struct Node {
-    pub(crate) settings: Settings,
+    settings: RefCell<Rc<Settings>>,
     pub(crate) dialect: Dialect,
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
@@ -138,23 +138,12 @@
 pub(crate) const COLLECTOR_SILENCE_MS: u64 = 1_300;
 
 /// Why a request found no place.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoPlace {
     /// No upstream of the service takes requests.
     NoUpstream,
-    /// The wait would be longer than the caller's aim allows.
-    Busy { retry_after_ms: u64 },
-    /// The workspace has used its share.
-    OverShare { retry_after_ms: u64 },
-}
-
-fn no_place(refusal: Refusal) -> NoPlace {
-    let Refusal { cause, retry_after_ms } = refusal;
-    match cause {
-        Cause::Busy => NoPlace::Busy { retry_after_ms },
-        Cause::OverShare => NoPlace::OverShare { retry_after_ms },
-    }
+    /// The service is too busy for it.
+    Refused(Refusal),
 }
 
 impl Node {
@@ -174,7 +163,7 @@
             rng: SmallRng::seed_from_u64(seed),
         };
         Rc::new(Self {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             dialect,
             clock: Clock::start(),
             pool: Pool::default(),
@@ -191,6 +180,27 @@
         self.state.borrow_mut()
     }
 
+    pub(crate) fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Takes settings that were read again. Returns whether they differ in
+    /// something that only a new process can follow.
+    pub(crate) fn reload(&self, settings: Settings) -> bool {
+        let old = self.settings();
+        let needs_restart =
+            old.addresses != settings.addresses || old.instance != settings.instance;
+        let addresses = old.addresses;
+        let instance = old.instance.clone();
+        let settings = Settings { addresses, instance, ..settings };
+        let allowance = allowance(&settings);
+        *self.settings.borrow_mut() = Rc::new(settings);
+        for service in self.state().services.values_mut() {
+            service.budget.set_allowance(allowance);
+        }
+        needs_restart
+    }
+
     pub(crate) fn now_ms(&self) -> u64 {
         self.clock.now_ms()
     }
@@ -228,7 +238,7 @@
         state.metrics.count(Counter::ConfigsApplied);
         state.config = Some(config.clone());
         let now_ms = self.now_ms();
-        state.follow_config(now_ms, &self.settings);
+        state.follow_config(now_ms, &self.settings());
         let routers = state.routers();
         drop(state);
         self.news.notify_one();
@@ -254,7 +264,7 @@
                 Change::Draining(_) => {}
             }
         }
-        state.follow_upstreams(&self.settings);
+        state.follow_upstreams();
         let known = state.registry.len();
         drop(state);
         self.news.notify_one();
@@ -271,7 +281,7 @@
 
     /// Takes a change of the number of routers.
     pub(crate) fn fleet_changed(&self) {
-        self.state().follow_fleet(&self.settings);
+        self.state().follow_fleet();
     }
 
     /// Asks for a place for a request of `service`.
@@ -297,7 +307,7 @@
         let lane = placement.lane(unread_tokens);
         let places = placement.places(now_ms, lane);
         let lane_state = &mut lanes[lane as usize];
-        let ticket = lane_state.admission.submit(now_ms, places, ask).map_err(no_place)?;
+        let ticket = lane_state.admission.submit(now_ms, places, ask).map_err(NoPlace::Refused)?;
         let (started, start) = oneshot::channel();
         let waiter = Waiter { started, shared: work.shared, own_tokens: unread_tokens };
         lane_state.waiters.insert(ticket, waiter);
@@ -505,6 +515,15 @@
     }
 }
 
+fn allowance(settings: &Settings) -> Allowance {
+    let bounds = settings.bounds;
+    Allowance {
+        ratio: bounds.retry_ratio,
+        slack: bounds.retry_slack,
+        window_ms: bounds.retry_window_ms,
+    }
+}
+
 impl ServiceState {
     fn pump(&mut self, now_ms: u64, rng: &mut SmallRng) {
         for lane in Lane::iter() {
@@ -603,18 +622,11 @@
         let Some(config) = self.config.clone() else {
             return;
         };
-        let bounds = settings.bounds;
+        let allowance = allowance(settings);
         for name in config.services.keys() {
             self.services.entry(name.clone()).or_insert_with(|| ServiceState {
                 placement: Placement::default(),
-                budget: RetryBudget::new(
-                    Allowance {
-                        ratio: bounds.retry_ratio,
-                        slack: bounds.retry_slack,
-                        window_ms: bounds.retry_window_ms,
-                    },
-                    now_ms,
-                ),
+                budget: RetryBudget::new(allowance, now_ms),
                 lanes: [(); Lane::COUNT].map(|()| LaneState::default()),
                 load: RouterLoad::default(),
             });
@@ -626,18 +638,18 @@
                 lane.waiters.remove(&ticket);
             }
         }
-        self.follow_upstreams(settings);
+        self.follow_upstreams();
     }
 
-    fn follow_upstreams(&mut self, settings: &Settings) {
+    fn follow_upstreams(&mut self) {
         for (name, service) in &mut self.services {
             let ready = self.registry.ready(name).map(|(name, entry)| (name, entry.slots));
             service.placement.set_upstreams(ready);
         }
-        self.follow_fleet(settings);
+        self.follow_fleet();
     }
 
-    fn follow_fleet(&mut self, _settings: &Settings) {
+    fn follow_fleet(&mut self) {
         let Some(config) = self.config.clone() else {
             return;
         };
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -81,6 +81,8 @@
     pub config_version: u64,
     /// What the sender's callers ask for.
     pub loads: Loads,
+    /// Time since the store last answered the sender, in milliseconds.
+    pub store_age_ms: u64,
     /// Whether the sender wants a heartbeat in return.
     pub wants_answer: bool,
     /// What the sender knows of others.
@@ -98,7 +100,7 @@
 impl Peers {
     /// Binds the socket for heartbeats.
     pub(crate) async fn bind(node: Rc<Node>) -> io::Result<Rc<Self>> {
-        let socket = UdpSocket::bind(node.settings.addresses.heartbeats).await?;
+        let socket = UdpSocket::bind(node.settings().addresses.heartbeats).await?;
         Ok(Rc::new(Self {
             node,
             socket,
@@ -134,7 +136,8 @@
             if round.is_multiple_of(STRANGER_INTERVAL) || known.len() <= 1 {
                 let strangers = state.view.strangers();
                 targets.extend(strangers.iter().map(|router| (None, router.peer_address.ip())));
-                let seeds = self.node.settings.seeds.iter().map(SocketAddr::ip);
+                let settings = self.node.settings();
+                let seeds = settings.seeds.iter().map(SocketAddr::ip);
                 targets.extend(seeds.filter(|ip| !known.contains(ip)).map(|ip| (None, ip)));
             }
             (targets, state.view.tick(now_ms, &monitored))
@@ -205,6 +208,7 @@
         let (version, digest) = {
             let mut state = self.node.state();
             state.fleet_sum.set(now_ms, news.sum);
+            state.registry.store_served_others(now_ms.saturating_sub(news.store_age_ms));
             if news.store_age_ms < COLLECTOR_SILENCE_MS {
                 state.collector_heard_ms = Some(now_ms);
             }
@@ -257,7 +261,7 @@
     }
 
     fn send_packet(&self, ip: IpAddr, packet: &Packet) {
-        let address = SocketAddr::new(ip, self.node.settings.addresses.heartbeats.port());
+        let address = SocketAddr::new(ip, self.node.settings().addresses.heartbeats.port());
         match postcard::to_stdvec(packet) {
             // A datagram that the link does not take counts as lost.
             Ok(bytes) => drop(self.socket.try_send_to(&bytes, address)),
@@ -283,12 +287,13 @@
     }
 
     fn send(&self, ip: IpAddr, peer: Option<&InstanceName>, wants_answer: bool) {
-        let address = SocketAddr::new(ip, self.node.settings.addresses.heartbeats.port());
-        if address == self.node.settings.addresses.heartbeats {
+        let address = SocketAddr::new(ip, self.node.settings().addresses.heartbeats.port());
+        if address == self.node.settings().addresses.heartbeats {
             return;
         }
         let large = self.node.state().is_large();
         let loads = if large { Loads::new() } else { self.node.loads() };
+        let now_ms = self.node.now_ms();
         let heartbeat = {
             let mut state = self.node.state();
             state.metrics.count(Counter::Heartbeats);
@@ -300,6 +305,7 @@
                 from: state.view.me().clone(),
                 config_version: state.config.as_ref().map_or(0, |config| config.version),
                 loads,
+                store_age_ms: now_ms.saturating_sub(state.store_answered_ms),
                 wants_answer,
                 updates,
             }
@@ -342,6 +348,7 @@
             }
             state.versions.retain(|other, _| other.instance != member.instance || *other == member);
             state.versions.insert(member.clone(), heartbeat.config_version);
+            state.registry.store_served_others(now_ms.saturating_sub(heartbeat.store_age_ms));
             state.loads.retain(|other, _| other.instance != member.instance);
             state.loads.insert(member.clone(), heartbeat.loads);
             let heard = state.view.heard(now_ms, heartbeat.from);
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -229,6 +229,10 @@
     pub upstream: UpstreamName,
     /// Another upstream that is likely to hold the shared part of its prompt.
     pub holder: Option<UpstreamName>,
+    /// Requests at the upstream, as far as is known.
+    pub requests: u32,
+    /// Age of the report of its load, in milliseconds; none without a report.
+    pub report_age_ms: Option<u64>,
 }
 
 /// Load of the upstreams of one service.
@@ -472,8 +476,11 @@
     pub fn place(&mut self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<Chosen> {
         let upstream = self.choose(now_ms, need, draw, crowd)?;
         let holder = need.shared.and_then(|shared| self.holder(now_ms, &upstream, shared));
+        let load = self.upstreams.get(&upstream)?;
+        let requests = load.total(now_ms, self.routers) as u32;
+        let report_age_ms = load.report.map(|(at_ms, _, _)| now_ms.saturating_sub(at_ms));
         self.sent(now_ms, &upstream, need);
-        Some(Chosen { upstream, holder })
+        Some(Chosen { upstream, holder, requests, report_age_ms })
     }
 
     fn choose(&self, now_ms: u64, need: Need<'_>, draw: u64, crowd: bool) -> Option<UpstreamName> {
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -10,6 +10,11 @@
 /// are back, in milliseconds; stated by the platform as about two seconds.
 const ENTRIES_RETURN_MS: u64 = 2_200;
 
+/// Time from the first failed contact on in which an answer to another router
+/// shows that the store was away only for this one, in milliseconds; answers
+/// before it may have preceded the same outage.
+const OTHERS_SERVED_MS: u64 = 800;
+
 /// An upstream as its entry describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -57,6 +62,8 @@
     upstreams: BTreeMap<UpstreamName, Known>,
     /// Time of the first failed contact since the last good one.
     away_since_ms: Option<u64>,
+    /// Latest time at which the store is known to have served another router.
+    served_others_ms: u64,
     /// Removals before this time may be lapses.
     settling_until_ms: u64,
 }
@@ -67,13 +74,20 @@
         self.away_since_ms.get_or_insert(now_ms);
     }
 
+    /// Notes that the store served another router at `at_ms`.
+    pub fn store_served_others(&mut self, at_ms: u64) {
+        self.served_others_ms = self.served_others_ms.max(at_ms);
+    }
+
     /// Notes that the store answered. Entries cannot lapse in an absence
     /// shorter than `lapse_ms`.
     pub fn store_answered(&mut self, now_ms: u64, lapse_ms: u64) {
         let Some(since_ms) = self.away_since_ms.take() else {
             return;
         };
-        if now_ms.saturating_sub(since_ms) >= lapse_ms {
+        // A store that serves others takes the renewals of upstreams too.
+        let only_here = self.served_others_ms >= since_ms + OTHERS_SERVED_MS;
+        if now_ms.saturating_sub(since_ms) >= lapse_ms && !only_here {
             self.settling_until_ms = now_ms + ENTRIES_RETURN_MS;
         }
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -59,6 +59,13 @@
     listen::bind(address).map_err(|source| StartError::Bind { address, purpose, source })
 }
 
+/// Reads the settings again; the error says what is wrong with them.
+pub type ReadSettings = Box<dyn Fn() -> Result<Settings, String>>;
+
+/// Interval at which the settings are read again without a signal, in
+/// milliseconds; the platform may change them silently.
+const SETTINGS_INTERVAL_MS: u64 = 5_000;
+
 /// Runs the process until it is told to end. Has to be called on a
 /// [`tokio::task::LocalSet`].
 ///
@@ -69,6 +76,7 @@
     settings: Settings,
     dialect: Dialect,
     store: Store,
+    read_settings: ReadSettings,
     log: Log,
 ) -> Result<(), StartError> {
     let addresses = settings.addresses;
@@ -112,9 +120,9 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => {
-                // Nothing that the settings name can change while it runs.
-                info!("settings file changed; the running process keeps its settings");
+            _ = hang_up.recv() => reload(&node, &read_settings, true),
+            () = sleep(Duration::from_millis(SETTINGS_INTERVAL_MS)) => {
+                reload(&node, &read_settings, false);
             }
         }
     }
@@ -122,6 +130,23 @@
     Ok(())
 }
 
+/// Reads the settings again and follows what can change while the process
+/// runs.
+fn reload(node: &Node, read_settings: &ReadSettings, told: bool) {
+    match read_settings() {
+        Ok(settings) if settings == *node.settings() => {
+            if told {
+                info!("settings read again; nothing has changed");
+            }
+        }
+        Ok(settings) => {
+            let needs_restart = node.reload(settings);
+            info!(told, needs_restart, "settings have changed");
+        }
+        Err(error) => warn!(error, "the settings cannot be read; the old ones stay in force"),
+    }
+}
+
 async fn keep_house(node: Rc<Node>, log: Log) {
     let mut suspended_ms = clock::boot_ms().saturating_sub(node.now_ms());
     loop {
@@ -149,8 +174,8 @@
     node.leave();
     peers.tell_all();
     info!(open_requests = node.open_requests.get(), "process leaves");
-    let end_ms = since_ms + node.settings.bounds.grace_ms.saturating_sub(END_MARGIN_MS);
-    let accept_ms = ACCEPT_MS.min(node.settings.bounds.grace_ms * 3 / 4);
+    let end_ms = since_ms + node.settings().bounds.grace_ms.saturating_sub(END_MARGIN_MS);
+    let accept_ms = ACCEPT_MS.min(node.settings().bounds.grace_ms * 3 / 4);
     let mut quiet_since_ms = None;
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -115,3 +115,30 @@
     assert_eq!(ready(&registry), ["u2"]);
     assert!(registry.get(&"u1".into()).is_some());
 }
+
+/// The store turned away this router only, so no entry could lapse; an
+/// upstream that left just after the return was used for 2.5 s more, because
+/// its removal counted as a lapse (DRAIN on trouble-1 of cordillera-rosemary).
+#[test]
+fn removals_count_at_once_if_the_store_served_others_meanwhile() {
+    struct Case {
+        name: &'static str,
+        others_ms: Option<u64>,
+        at_once: bool,
+    }
+    let cases = [
+        Case { name: "nobody was served", others_ms: None, at_once: false },
+        Case { name: "others were served before", others_ms: Some(900), at_once: false },
+        Case { name: "others were served meanwhile", others_ms: Some(4_000), at_once: true },
+    ];
+    for case in cases {
+        let mut registry = two();
+        registry.store_failed(1_000);
+        if let Some(at_ms) = case.others_ms {
+            registry.store_served_others(at_ms);
+        }
+        registry.store_answered(5_000, LAPSE_MS);
+        let removed = registry.remove(5_100, &"u1".into());
+        assert_eq!(removed.is_some(), case.at_once, "{}", case.name);
+    }
+}
