--- a/crates/intent/src/args.rs
+++ b/crates/intent/src/args.rs
@@ -13,6 +13,17 @@
     Unknown(Vec<OsString>),
 }
 
+/// Text for `--help`.
+pub const HELP: &str = "\
+Runs one intent process.
+
+Usage: rosemaryspan-intent --settings FILE
+
+Options:
+  --settings FILE  settings, YAML; docs/OPERATIONS.md lists them
+  -h, --help       print this help
+";
+
 /// Arguments of the intent process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Args {
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,19 +1,46 @@
 //! `span-load`: sends chat completions to one router.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, process::ExitCode, time::Duration};
 
-use eyre::{Result, ensure};
+use eyre::{Result, WrapErr, ensure};
 use futures::future::join_all;
 use span_load::{Target, chat};
 
+const HELP: &str = "\
+Sends chat completions to one router.
+
+Usage: span-load --router IP:PORT --key KEY --model MODEL [--requests N]
+
+Options:
+  --router IP:PORT  address of the router
+  --key KEY         key of a workspace
+  --model MODEL     model to ask for, such as stitch-assist-1
+  --requests N      requests to send at once [default: 10]
+  -h, --help        print this help
+";
+
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("span-load: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<()> {
     let mut args = pico_args::Arguments::from_env();
-    let router: SocketAddr = args.value_from_str("--router")?;
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let router: SocketAddr = args.value_from_str("--router").wrap_err("see --help")?;
     let target = Target {
         router,
-        key: args.value_from_str("--key")?,
-        model: args.value_from_str("--model")?,
+        key: args.value_from_str("--key").wrap_err("see --help")?,
+        model: args.value_from_str("--model").wrap_err("see --help")?,
     };
     let requests: u64 = args.opt_value_from_str("--requests")?.unwrap_or(10);
     let left = args.finish();
--- a/crates/router/src/args.rs
+++ b/crates/router/src/args.rs
@@ -13,6 +13,18 @@
     Unknown(Vec<OsString>),
 }
 
+/// Text for `--help`.
+pub const HELP: &str = "\
+Runs one router.
+
+Usage: rosemaryspan-router --settings FILE [--check]
+
+Options:
+  --settings FILE  settings, YAML; docs/OPERATIONS.md lists them
+  --check          check the settings and exit
+  -h, --help       print this help
+";
+
 /// Arguments of the router.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Args {
--- a/crates/router/src/front/answer.rs
+++ b/crates/router/src/front/answer.rs
@@ -95,11 +95,18 @@
     response.headers_mut().insert(HeaderName::from_static(OUTCOME_HEADER), outcome);
 }
 
+/// Whether the same request may succeed later; a caller that is told when to
+/// come back with any other would only repeat its mistake.
+fn passes_with_time(status: StatusCode) -> bool {
+    let waits = [StatusCode::REQUEST_TIMEOUT, StatusCode::CONFLICT, StatusCode::TOO_MANY_REQUESTS];
+    status.is_server_error() || waits.contains(&status)
+}
+
 /// The answer to a request that did not complete.
 pub(super) fn failure(id: &RequestId, error: &Failure) -> Response<Body> {
     let mut response = json_response(error.status, &error.json(id));
     stamp(&mut response, id, error.outcome);
-    if error.outcome == Outcome::NotRun {
+    if error.outcome == Outcome::NotRun && passes_with_time(error.status) {
         let seconds = error.retry_after_ms.div_ceil(1_000).max(1);
         response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
--- a/crates/router/src/front/auth.rs
+++ b/crates/router/src/front/auth.rs
@@ -46,6 +46,10 @@
 
 /// Finds the workspace of the bearer key.
 pub(super) fn authenticate(index: &Index, headers: &HeaderMap) -> Result<Caller, Failure> {
+    if !index.known {
+        let message = "no configuration is known yet; the request did not run";
+        return Err(Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_configured", message));
+    }
     let caller = index.caller(&key_hash(headers)?);
     caller.cloned().ok_or_else(|| refused("the key is not known"))
 }
--- a/crates/router/src/front/index.rs
+++ b/crates/router/src/front/index.rs
@@ -11,6 +11,9 @@
 /// so that no request scans all workspaces or services.
 #[derive(Debug, Default)]
 pub(crate) struct Index {
+    /// Whether any configuration has been in force. Until then the router does
+    /// not know which keys there are.
+    pub known: bool,
     /// The configuration.
     pub document: Arc<Document>,
     callers: HashMap<KeyHash, Caller>,
@@ -33,6 +36,7 @@
             .iter()
             .flat_map(|(name, service)| service.models.iter().map(move |model| (model, name)));
         Self {
+            known: true,
             callers,
             models: models.map(|(model, name)| (Arc::clone(model), name.clone())).collect(),
             document,
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -2,13 +2,31 @@
 
 use std::process::ExitCode;
 
-use eyre::Result;
-use span_router::{args::Args, settings, trace};
+use eyre::{Result, WrapErr};
+use span_router::{
+    args::{Args, HELP},
+    settings, trace,
+};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 #[tokio::main]
-async fn main() -> Result<ExitCode> {
-    let args = Args::parse(pico_args::Arguments::from_env())?;
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("rosemaryspan-router: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<ExitCode> {
+    let mut raw = pico_args::Arguments::from_env();
+    if raw.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let args = Args::parse(raw).wrap_err("see --help")?;
     let settings = settings::load(&args.settings)?;
     if args.check {
         return Ok(ExitCode::SUCCESS);
--- a/crates/router/tests/admin.rs
+++ b/crates/router/tests/admin.rs
@@ -44,3 +44,24 @@
     assert_eq!(status["revision"], 1, "{status}");
     assert_eq!(status["members"][0]["instance"], "r1", "{status}");
 }
+
+/// All routers were killed and the object API is away: a router that knows no
+/// configuration answered that keys are not known.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_without_configuration_does_not_deny_keys() {
+    let world = World::new().start().await;
+    let settings = span_router::settings::Settings {
+        instance: "r2".into(),
+        platform_address: common::any(),
+        ..world.settings.clone()
+    };
+    let router = span_router::spawn(settings).await.expect("the router starts");
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let path = "/v1/chat/completions";
+    let address = router.http_address();
+    let answer = call(&world.client, address, Method::POST, path, &headers, "{}").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.outcome().as_deref(), Some("not_run"));
+    assert!(!answer.header("retry-after").is_empty());
+}
