--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -10,7 +10,7 @@
 use futures::channel::oneshot;
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
 use span_member::{FULL_MESH_PEERS, LiveView, Router, Timing as ViewTiming};
-use span_types::{FailureDomain, InstanceName, Member, MemberState, ServiceName, UpstreamName};
+use span_types::{FailureDomain, Member, MemberState, ServiceName, UpstreamName};
 use strum::{EnumCount, IntoEnumIterator};
 use tokio::sync::Notify;
 use tracing::info;
@@ -654,18 +654,16 @@
             return;
         };
         let me = self.view.me().router.member.instance.clone();
-        let live = self.view.live();
-        let live: Vec<&InstanceName> = live.iter().map(|router| &router.member.instance).collect();
         // Dead routers may only be cut off, with their connections open.
-        let known = self.known_routers() as f64;
-        let present = live.len() as f64 / known;
+        let (live, known) = (self.routers(), self.known_routers());
+        let present = live as f64 / known as f64;
         for (name, service) in &mut self.services {
             let Some(service_config) = config.services.get(name) else {
                 continue;
             };
             let accepted = f64::from(service_config.max_connections);
             let connections = accepted * CONNECTIONS_PART * present;
-            service.placement.set_fleet(&me, &live, connections);
+            service.placement.set_fleet(&me, live, connections);
             service.placement.set_gap_target(config.gap_target_ms(name));
         }
     }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -97,6 +97,9 @@
 /// Upstreams of a service that each router uses on average at least, if there
 /// are so many.
 const MIN_UPSTREAMS: usize = 12;
+/// Factor by which the part of the upstreams in use falls with each division
+/// of capacity; a few seconds until a router that was busy has left most.
+const SHRINK_FACTOR: f64 = 0.9;
 /// Tokens of a shared part from which its home is used also by routers that
 /// otherwise do not use that upstream.
 const MIN_FAR_TOKENS: u64 = 1_024;
@@ -245,9 +248,12 @@
     max_sent: u32,
     /// Routers that use an upstream.
     routers: usize,
-    /// Hashes of this router's name and of all routers' names.
+    /// Hash of this router's name.
     me: u64,
-    fleet: Vec<u64>,
+    /// Routers in all.
+    fleet: usize,
+    /// Part of the upstreams that this router uses, 0 to 1.
+    used_part: f64,
     /// Connections that all routers together may open to an upstream.
     connections: f64,
     /// Part of the capacity that this router's callers are entitled to.
@@ -269,7 +275,8 @@
             max_sent: 1,
             routers: 1,
             me: 0,
-            fleet: Vec::new(),
+            fleet: 1,
+            used_part: 1.0,
             connections: f64::INFINITY,
             part: 1.0,
             max_pause_ms: f64::INFINITY,
@@ -285,6 +292,7 @@
     /// to, 0 to 1.
     pub fn set_part(&mut self, part: f64) {
         self.part = part;
+        self.assign_routers();
     }
 
     /// Sets the longest pause between events that callers accept, in
@@ -357,30 +365,30 @@
         }
     }
 
-    /// Sets the routers that share the upstreams, of which `me` is one, and
-    /// how many connections all of them may open to one upstream.
-    pub fn set_fleet(&mut self, me: &InstanceName, routers: &[&InstanceName], connections: f64) {
+    /// Sets how many routers share the upstreams, and how many connections all
+    /// of them together may open to one upstream.
+    pub fn set_fleet(&mut self, me: &InstanceName, routers: usize, connections: f64) {
         self.me = xxh3_64(me.as_str().as_bytes());
-        self.fleet = routers.iter().map(|name| xxh3_64(name.as_str().as_bytes())).collect();
+        self.fleet = routers.max(1);
         self.connections = connections;
         self.assign_routers();
     }
 
     /// Chooses the upstreams that this router uses. In a large fleet each is
-    /// used by a few routers, chosen by rendezvous hashing: they know its load
-    /// better, and it has fewer connections.
+    /// used by a few routers: they know its load better, and it has fewer
+    /// connections. A router whose callers are entitled to more uses more.
     fn assign_routers(&mut self) {
-        let fleet = self.fleet.len().max(1);
-        let wanted = (fleet * MIN_UPSTREAMS).div_ceil(self.upstreams.len().max(1));
-        self.routers = wanted.max(MAX_ROUTERS).min(fleet);
+        let all = self.upstreams.len().max(1);
+        let fewest = MIN_UPSTREAMS as f64 / all as f64;
+        let wanted = (self.part * MAX_ROUTERS as f64).max(fewest).min(1.0);
+        let small = self.fleet <= MAX_ROUTERS;
+        self.used_part = if small { 1.0 } else { wanted.max(self.used_part * SHRINK_FACTOR) };
+        self.routers = if small { self.fleet } else { MAX_ROUTERS };
         let max_sent = (self.connections / self.routers as f64) as u32;
         self.max_sent = max_sent.max(1);
-        let score =
-            |load: &Load, router: u64| xxh3_64_with_seed(&router.to_le_bytes(), load.name_hash);
         for load in self.upstreams.values_mut() {
-            let mine = score(load, self.me);
-            let better = self.fleet.iter().filter(|router| score(load, **router) > mine).count();
-            load.mine = better < self.routers;
+            let hash = xxh3_64_with_seed(&self.me.to_le_bytes(), load.name_hash);
+            load.mine = hash as f64 / u64::MAX as f64 <= self.used_part;
         }
     }
 
@@ -445,8 +453,8 @@
 
     fn room_at(&self, now_ms: u64, load: &Load) -> u32 {
         let pauses = load.lane == Lane::Short && load.pause_ms(now_ms) > self.max_pause_ms;
-        let shared_by = self.fleet.len().max(1) as f64 / self.routers as f64;
-        let reading_limit = (MAX_READING_TOKENS as f64 * self.part * shared_by) as u64;
+        let part = self.part / self.used_part;
+        let reading_limit = (MAX_READING_TOKENS as f64 * part) as u64;
         if load.reading_tokens > reading_limit || pauses {
             return 0;
         }
@@ -463,9 +471,8 @@
     /// callers' part.
     fn own_limit(&self, load: &Load) -> u32 {
         let factor = if self.is_engine() { OWN_FACTOR } else { PLAIN_FACTOR };
-        // Only some routers use the upstream, and their parts add up to less.
-        let shared_by = self.fleet.len().max(1) as f64 / self.routers as f64;
-        let part = (self.part * shared_by * factor).min(1.0);
+        // What the callers are entitled to is spread over the upstreams in use.
+        let part = (self.part / self.used_part * factor).min(1.0);
         let share = (f64::from(load.slots) * part).ceil() as u32;
         share.max(MIN_OWN).min(self.max_sent)
     }
@@ -550,7 +557,7 @@
     fn homes_from(&self, shared: SharedPrompt) -> u64 {
         let mut best = [0; HOMES];
         let short = self.upstreams.values().filter(|load| load.lane == Lane::Short);
-        let far = self.fleet.len() > self.routers && shared.tokens >= MIN_FAR_TOKENS;
+        let far = self.fleet > self.routers && shared.tokens >= MIN_FAR_TOKENS;
         for load in short.filter(|load| load.mine || far) {
             let hash = load.hash(shared);
             if hash > best[0] {
