--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -17,6 +17,12 @@
 /// share. Capacity must not idle, but fuller batches make all streams slower,
 /// and what is started cannot be taken back when others ask.
 const SPARE_PART: f64 = 0.5;
+/// Limit of a workspace while slots are spare, as a multiple of its share. With
+/// twice, no workspace gets more than double of what another one that is held
+/// to its share gets.
+const SPARE_FACTOR: f64 = 2.0;
+/// Part of the upstreams' slots up to which there are no limits at all.
+const IDLE_PART: f64 = 0.25;
 /// Workspace of requests that carry no key.
 pub const ANONYMOUS: &str = "-";
 
@@ -47,12 +53,29 @@
 }
 
 impl Places {
-    /// Whether a workspace may use more than its share.
-    fn spare(&self) -> bool {
-        f64::from(self.taken) < SPARE_PART * f64::from(self.all)
+    fn use_of(&self) -> Use {
+        let (taken, all) = (f64::from(self.taken), f64::from(self.all));
+        if taken < IDLE_PART * all {
+            Use::Idle
+        } else if taken < SPARE_PART * all {
+            Use::Spare
+        } else {
+            Use::Busy
+        }
     }
 }
 
+/// How much of the upstreams' slots is in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Use {
+    /// Limits would only leave capacity idle.
+    Idle,
+    /// Workspaces may use more than their share.
+    Spare,
+    /// Workspaces are held to their share.
+    Busy,
+}
+
 /// Why a request is refused; it did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -92,6 +115,8 @@
     /// Limit in cost units per second, and the allowance that is left.
     limit_per_s: Option<f64>,
     allowance: f64,
+    /// The same for what may be used while slots are spare.
+    spare_allowance: f64,
     refilled_ms: u64,
 }
 
@@ -100,6 +125,7 @@
         self.refill(now_ms);
         if self.limit_per_s.is_none() {
             self.allowance = limit_per_s.map_or(0.0, |limit| limit * SAVED_MS / 2_000.0);
+            self.spare_allowance = self.allowance * SPARE_FACTOR;
         }
         self.limit_per_s = limit_per_s;
     }
@@ -109,7 +135,10 @@
         self.refilled_ms = now_ms;
         if let Some(limit) = self.limit_per_s {
             let most = limit * SAVED_MS / 1_000.0;
-            self.allowance = (self.allowance + limit * elapsed_ms / 1_000.0).min(most);
+            let more = limit * elapsed_ms / 1_000.0;
+            self.allowance = (self.allowance + more).min(most);
+            self.spare_allowance =
+                (self.spare_allowance + more * SPARE_FACTOR).min(most * SPARE_FACTOR);
         }
     }
 
@@ -117,6 +146,23 @@
         self.limit_per_s.is_some() && self.allowance <= 0.0
     }
 
+    /// Whether the workspace may start a request.
+    fn may_start(&self, current: Use) -> bool {
+        match current {
+            Use::Idle => true,
+            Use::Spare => self.limit_per_s.is_none() || self.spare_allowance > 0.0,
+            Use::Busy => !self.over_share(),
+        }
+    }
+
+    fn charge(&mut self, cost: u64) {
+        if self.limit_per_s.is_some() {
+            self.spare_allowance -= cost as f64;
+            // What was used while slots were spare is no debt afterwards.
+            self.allowance = (self.allowance - cost as f64).max(-(cost as f64));
+        }
+    }
+
     /// Time until the workspace is within its share again, in milliseconds.
     fn recovers_ms(&self) -> u64 {
         let limit = self.limit_per_s.unwrap_or(f64::INFINITY).max(1.0);
@@ -177,7 +223,7 @@
         let refuse = |cause, retry_after_ms| {
             Err(Refusal { cause, retry_after_ms, places, wait_ms, limit_per_s })
         };
-        if workspace.over_share() && !places.spare() {
+        if !workspace.may_start(places.use_of()) {
             return refuse(Cause::OverShare, workspace.recovers_ms());
         }
         if wait_ms > ask.patience_ms || own >= QUEUE_LIMIT {
@@ -209,13 +255,13 @@
         if places.free == 0 {
             return None;
         }
-        let spare = places.spare();
+        let current = places.use_of();
         let waiting = self.workspaces.values_mut().filter(|own| !own.waiting.is_empty());
         let mut best: Option<((bool, f64), &mut Workspace)> = None;
         for workspace in waiting {
             workspace.refill(now_ms);
             let over = workspace.over_share();
-            if over && !spare {
+            if !workspace.may_start(current) {
                 continue;
             }
             let key = (over, workspace.usage.per_s(now_ms));
@@ -226,9 +272,7 @@
         let (_, workspace) = best?;
         let Waiting { ticket, cost } = workspace.waiting.pop_front()?;
         workspace.usage.add(now_ms, cost);
-        if workspace.limit_per_s.is_some() {
-            workspace.allowance -= cost as f64;
-        }
+        workspace.charge(cost);
         self.places.remove(&ticket);
         if now_ms.saturating_sub(self.window_ms) >= RATE_WINDOW_MS {
             self.window_ms = now_ms;
