--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -71,8 +71,6 @@
 pub struct Engine {
     /// Tokens that an engine's memory holds.
     pub memory_tokens: u64,
-    /// Whether the run of a request can be moved to another engine.
-    pub moves_runs: bool,
 }
 
 /// A service that requests are forwarded to.
@@ -163,12 +161,6 @@
         self.services.get(service).is_some_and(|service| service.engine.is_some())
     }
 
-    /// Whether runs of a service's requests can be moved.
-    pub fn moves_runs(&self, service: &ServiceName) -> bool {
-        let engine = self.services.get(service).and_then(|service| service.engine);
-        engine.is_some_and(|engine| engine.moves_runs)
-    }
-
     /// Shortest pause between events that callers of a service accept at most,
     /// in milliseconds; none if no route streams from the service.
     pub fn gap_target_ms(&self, service: &ServiceName) -> Option<u64> {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -1,10 +1,8 @@
 //! What the users' platform calls things on the wire, as plain data.
 
-use std::{fmt, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{fmt, rc::Rc, sync::Arc};
 
-use bytes::Bytes;
-use http::{HeaderMap, HeaderName, StatusCode, request::Builder};
-use span_types::UpstreamName;
+use http::{HeaderMap, HeaderName};
 
 use crate::{
     config::Config,
@@ -35,8 +33,6 @@
     /// Address of an engine from which another one copies prompt parts that it
     /// would have to read.
     pub copy_from: HeaderName,
-    /// Memory of a stopped run from which an engine goes on.
-    pub continue_from: HeaderName,
     /// Headers that only this system may set.
     pub reserved: Vec<HeaderName>,
 }
@@ -65,10 +61,7 @@
 type DecodeConfig = Rc<dyn Fn(&[u8]) -> Result<Config, String>>;
 type DecodeWork = Rc<dyn Fn(&HeaderMap) -> Work>;
 type DecodeLoad = Rc<dyn Fn(&[u8]) -> Option<LoadReport>>;
-type EncodeMove = Rc<dyn Fn(&str, SocketAddr) -> (Builder, Bytes)>;
-type DecodeMove = Rc<dyn Fn(StatusCode, &[u8]) -> Option<String>>;
 type EncodeAddresses = Rc<dyn Fn(&[Arc<str>], u64) -> String>;
-type DecodeUpstream = Rc<dyn Fn(&HeaderMap) -> Option<UpstreamName>>;
 
 /// How the platform's pages spell what the product says.
 #[derive(Clone)]
@@ -85,14 +78,6 @@
     pub decode_work: DecodeWork,
     /// Reads the load that an upstream states.
     pub decode_load: DecodeLoad,
-    /// Reads which upstream answered.
-    pub decode_upstream: DecodeUpstream,
-    /// Makes the call that stops the run of a request and copies its memory to
-    /// the engine at an address.
-    pub encode_move: EncodeMove,
-    /// Reads the answer of that call: the handle under which the memory is
-    /// kept, if the run was stopped.
-    pub decode_move: DecodeMove,
     /// Writes an answer of the directory: addresses and their lifetime in
     /// milliseconds.
     pub encode_addresses: EncodeAddresses,
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -12,7 +12,6 @@
 use super::head::{self, Reading};
 use crate::{
     dialect::Work,
-    http_call::Caller,
     metrics::{Counter, Timing},
     node::Node,
     placement::Verdict,
@@ -64,33 +63,8 @@
     pub(crate) holder: Option<&'a UpstreamName>,
     /// Last event that the caller has.
     pub(crate) last_event: Option<&'a str>,
-    /// Memory of the stopped run that goes on.
-    pub(crate) continue_from: Option<&'a str>,
 }
 
-/// Stops the run of a request at `from` and copies its memory to `to`. Returns
-/// where the memory is, as the engine that goes on is told; none if the run
-/// goes on where it is, or is lost.
-pub(crate) async fn move_run(
-    node: &Rc<Node>,
-    call: &Call,
-    from: &UpstreamName,
-    to: &UpstreamName,
-) -> Option<String> {
-    let address = |name: &UpstreamName| node.state().registry.get(name).map(|entry| entry.address);
-    let (source, destination) = (address(from)?, address(to)?);
-    let id = call.id.to_str().ok()?;
-    let (request, body) = (node.dialect.encode_move)(id, destination);
-    let caller = Caller::new(source);
-    let (status, answer) = caller.call(request, body, MOVE_TIMEOUT_MS).await.ok()?;
-    let handle = (node.dialect.decode_move)(status, &answer)?;
-    Some(format!("{source}/{handle}"))
-}
-
-/// Time for moving a run, in milliseconds; the memory of a large prompt takes
-/// a tenth of that over a link that others use too.
-const MOVE_TIMEOUT_MS: u64 = 1_000;
-
 /// Sends the request to an upstream and reads the head of the answer.
 pub(crate) async fn attempt(
     node: &Rc<Node>,
@@ -169,9 +143,6 @@
     if let Some(value) = to.last_event.and_then(|id| HeaderValue::from_str(id).ok()) {
         parts.headers.insert(names.last_event.clone(), value);
     }
-    if let Some(value) = to.continue_from.and_then(|from| HeaderValue::from_str(from).ok()) {
-        parts.headers.insert(names.continue_from.clone(), value);
-    }
     Request::from_parts(parts, Full::new(call.body.clone()))
 }
 
--- a/crates/edge/src/forward/flight.rs
+++ b/crates/edge/src/forward/flight.rs
@@ -99,28 +99,6 @@
         self.chosen.as_ref().map(|chosen| (chosen.requests, chosen.report_age_ms))
     }
 
-    /// Whether the request runs at an engine for long prompts.
-    pub(crate) fn is_long(&self, work: &Work) -> bool {
-        let upstream = self.upstream();
-        upstream.is_some_and(|upstream| self.node.is_long(&self.service, upstream, work))
-    }
-
-    /// Chooses an engine at which the run of a long prompt goes on.
-    pub(crate) fn place_run(&self) -> Option<Chosen> {
-        self.node.place_run(&self.service)
-    }
-
-    /// Gives back the engine that [`Flight::place_run`] chose.
-    pub(crate) fn leave_run(&self, chosen: &Chosen) {
-        self.node.ended(&self.service, &chosen.upstream, Verdict::Unknown);
-    }
-
-    /// Goes on at an engine that [`Flight::place_run`] chose.
-    pub(crate) fn moved(&mut self, chosen: Chosen) {
-        self.judge(Verdict::Good);
-        self.chosen = Some(chosen);
-    }
-
     /// Another upstream that is likely to hold the shared part of the prompt.
     pub(crate) fn holder(&self) -> Option<&UpstreamName> {
         self.chosen.as_ref().and_then(|chosen| chosen.holder.as_ref())
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -71,7 +71,6 @@
     headers.remove(&names.workspace);
     headers.remove(&names.expected_upstream);
     headers.remove(&names.copy_from);
-    headers.remove(&names.continue_from);
     for name in &names.reserved {
         headers.remove(name);
     }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -374,8 +374,7 @@
         record.sent_to(&upstream, flight.load());
         sent += 1;
         let until_ms = attempt_until_ms(node.now_ms(), checked, sent);
-        let (holder, last_event, continue_from) = (flight.holder(), None, None);
-        let to = To { upstream: &upstream, holder, last_event, continue_from };
+        let to = To { upstream: &upstream, holder: flight.holder(), last_event: None };
         let result = attempt::attempt(node, &call, &to, until_ms).await;
         let failure = match result {
             Ok(answer) if kind.is_stream() || attempt::is_large(&answer) => {
@@ -458,13 +457,11 @@
     record.answer_started();
     flight.read();
     let resumable = checked.route.kind == RouteKind::ResumableStream;
-    let moves = false && checked.config.moves_runs(&checked.service) && flight.is_long(&call.work);
-    let resume = (resumable || moves).then(|| Resume {
+    let resume = resumable.then(|| Resume {
         call,
-        attempts_left: if resumable { attempts_left } else { 0 },
+        attempts_left,
         tried,
         splitter: EventSplitter::default(),
-        moves,
     });
     let body = StreamBody::new(node, answer, flight, record, checked.deadline_ms, resume);
     Response::from_parts(parts, EdgeBody::Stream(Box::pin(body)))
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -22,11 +22,7 @@
     record::{Outcome, Record},
 };
 use crate::{
-    metrics::Counter,
-    node::Node,
-    placement::{Chosen, Verdict},
-    pool::Connection,
-    sse::EventSplitter,
+    metrics::Counter, node::Node, placement::Verdict, pool::Connection, sse::EventSplitter,
 };
 
 /// What a stream needs to go on at another upstream.
@@ -35,29 +31,12 @@
     pub(crate) attempts_left: u32,
     pub(crate) tried: Vec<UpstreamName>,
     pub(crate) splitter: EventSplitter,
-    /// Whether the run is to be moved to another engine once its prompt has
-    /// been read: where it is, the prompts of others would make it pause.
-    pub(crate) moves: bool,
-}
-
-/// A run on its way to another engine.
-struct Move {
-    to: Chosen,
-    answer: LocalBoxFuture<'static, Option<String>>,
-    /// The answer, once it is there.
-    memory: Option<Option<String>>,
 }
 
 type NextAttempt = LocalBoxFuture<'static, Result<Answer, Failure>>;
 
 enum Source {
-    Body {
-        body: Incoming,
-        connection: Connection,
-        idle_ms: Option<u64>,
-    },
-    /// The run was stopped to be moved.
-    Stopped,
+    Body { body: Incoming, connection: Connection, idle_ms: Option<u64> },
     Resuming(NextAttempt),
     Ended,
 }
@@ -75,7 +54,6 @@
     resume: Option<Resume>,
     /// Time of the last event.
     event_ms: u64,
-    moving: Option<Move>,
 }
 
 impl StreamBody {
@@ -97,7 +75,6 @@
             deadline: Box::pin(deadline),
             resume,
             event_ms: node.now_ms(),
-            moving: None,
         }
     }
 
@@ -112,87 +89,10 @@
             return Ok(Some(bytes));
         };
         let whole = resume.splitter.push(&bytes).map_err(|error| BrokenOff(error.to_string()))?;
-        if !whole.is_empty() && std::mem::take(&mut resume.moves) {
-            self.start_move();
-        }
         Ok((!whole.is_empty()).then_some(whole))
     }
 
-    /// Has the run moved to an engine for short prompts, if one has room.
-    fn start_move(&mut self) {
-        let Some(resume) = &self.resume else {
-            return;
-        };
-        let Some(from) = self.flight.upstream().cloned() else {
-            return;
-        };
-        let Some(to) = self.flight.place_run() else {
-            return;
-        };
-        if !self.node.may_repeat(self.flight.service()) {
-            self.flight.leave_run(&to);
-            return;
-        }
-        let (node, call, upstream) = (self.node.clone(), resume.call.clone(), to.upstream.clone());
-        let answer = async move { attempt::move_run(&node, &call, &from, &upstream).await };
-        self.moving = Some(Move { to, answer: Box::pin(answer), memory: None });
-    }
-
-    /// Waits for the end of a move. A run that was not stopped goes on where
-    /// it is.
-    fn poll_move(&mut self, cx: &mut Context<'_>) {
-        let Some(moving) = &mut self.moving else {
-            return;
-        };
-        if moving.memory.is_some() {
-            return;
-        }
-        let Poll::Ready(memory) = moving.answer.as_mut().poll(cx) else {
-            return;
-        };
-        if memory.is_some() {
-            moving.memory = Some(memory);
-        } else {
-            self.node.count(Counter::MovesFailed);
-            self.give_up_move();
-        }
-    }
-
-    fn give_up_move(&mut self) {
-        if let Some(moving) = self.moving.take() {
-            self.flight.leave_run(&moving.to);
-        }
-    }
-
-    /// Goes on at the engine that the run was moved to, after the stream of
-    /// the first one has ended without its end.
-    fn follow_move(&mut self, memory: String) {
-        let (Some(moving), Some(resume)) = (self.moving.take(), &mut self.resume) else {
-            return;
-        };
-        resume.splitter.take_partial();
-        let last_event = resume.splitter.last_id().map(str::to_owned);
-        let (node, call) = (self.node.clone(), resume.call.clone());
-        let upstream = moving.to.upstream.clone();
-        info!(
-            request = self.record.id,
-            from = self.flight.upstream().map(UpstreamName::as_str),
-            to = upstream.as_str(),
-            last_event,
-            "run moves to another engine"
-        );
-        self.node.count(Counter::Moved);
-        self.record.upstream = Some(upstream.to_string());
-        self.flight.moved(moving.to);
-        self.source = Source::Resuming(Box::pin(async move {
-            let (last_event, continue_from) = (last_event.as_deref(), Some(memory.as_str()));
-            let to = To { upstream: &upstream, holder: None, last_event, continue_from };
-            attempt::attempt(&node, &call, &to, call.deadline_ms).await
-        }));
-    }
-
     fn end(&mut self) -> Option<Bytes> {
-        self.give_up_move();
         let source = std::mem::replace(&mut self.source, Source::Ended);
         if let (Source::Body { connection, idle_ms, .. }, Some(upstream)) =
             (source, self.flight.upstream())
@@ -206,7 +106,6 @@
     }
 
     fn fail(&mut self, verdict: Verdict, cause: String) -> BrokenOff {
-        self.give_up_move();
         self.source = Source::Ended;
         self.flight.judge(verdict);
         self.record.outcome = Outcome::Failed;
@@ -252,20 +151,13 @@
         self.source = Source::Resuming(Box::pin(async move {
             let until_ms = call.deadline_ms;
             let last_event = last_event.as_deref();
-            let (holder, continue_from) = (holder.as_ref(), None);
-            let to = To { upstream: &upstream, holder, last_event, continue_from };
+            let to = To { upstream: &upstream, holder: holder.as_ref(), last_event };
             attempt::attempt(&node, &call, &to, until_ms).await
         }));
         true
     }
 }
 
-impl Drop for StreamBody {
-    fn drop(&mut self) {
-        self.give_up_move();
-    }
-}
-
 impl StreamBody {
     pub(crate) fn poll_frame(
         mut self: Pin<&mut Self>,
@@ -276,19 +168,8 @@
             return Poll::Ready(Some(Err(self.fail(Verdict::Unknown, cause))));
         }
         loop {
-            self.poll_move(cx);
             match &mut self.source {
                 Source::Ended => return Poll::Ready(None),
-                Source::Stopped => match self.moving.as_mut().map(|moving| moving.memory.take()) {
-                    Some(Some(Some(memory))) => self.follow_move(memory),
-                    Some(_) => return Poll::Pending,
-                    None => {
-                        let cause = "the run was stopped and is lost".to_owned();
-                        if !self.go_on(&cause) {
-                            return Poll::Ready(Some(Err(self.fail(Verdict::Failed, cause))));
-                        }
-                    }
-                },
                 Source::Resuming(next) => match ready!(next.as_mut().poll(cx)) {
                     Ok(Answer { body, connection, idle_ms, .. }) => {
                         self.source = Source::Body { body, connection, idle_ms };
@@ -312,10 +193,6 @@
                         }
                     }
                     None => return Poll::Ready(self.end().map(|rest| Ok(Frame::data(rest)))),
-                    // The engine ends the stream of a run that it has stopped.
-                    Some(Err(_)) if self.moving.is_some() => {
-                        self.source = Source::Stopped;
-                    }
                     Some(Err(error)) => {
                         let cause = error.to_string();
                         if !self.go_on(&cause) {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -31,10 +31,6 @@
     RepeatsDenied,
     /// Streams that another upstream continued.
     Resumed,
-    /// Runs moved to another engine after their prompt was read.
-    Moved,
-    /// Runs that could not be moved.
-    MovesFailed,
     /// Requests that an upstream refused.
     UpstreamRefusals,
     /// Attempts at an upstream that failed.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -389,31 +389,6 @@
         placed.or_else(|| service.placement.place(now_ms, need, draw, true))
     }
 
-    /// Whether an upstream reads the long prompt of a request for the others.
-    pub(crate) fn is_long(
-        &self,
-        service: &ServiceName,
-        upstream: &UpstreamName,
-        work: &Work,
-    ) -> bool {
-        let state = self.state();
-        let service = state.services.get(service);
-        service.is_some_and(|service| {
-            service.placement.lane(work.own_tokens()) == Lane::Long
-                && service.placement.lane_of(upstream) == Some(Lane::Long)
-        })
-    }
-
-    /// Chooses an engine for the rest of a run whose prompt has been read.
-    pub(crate) fn place_run(&self, service: &ServiceName) -> Option<Chosen> {
-        let now_ms = self.now_ms();
-        let mut state = self.state();
-        let draw = state.rng.next_u64();
-        let service = state.services.get_mut(service)?;
-        let need = Need { shared: None, unread_tokens: 0, lane: Lane::Short, avoid: &[] };
-        service.placement.place(now_ms, need, draw, false)
-    }
-
     /// Takes a repeated send from the fleet's budget.
     pub(crate) fn may_repeat(&self, service: &ServiceName) -> bool {
         let now_ms = self.now_ms();
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -427,11 +427,6 @@
         self.parts.retain(|_, (upstream, _)| upstream != name);
     }
 
-    /// The lane that an upstream is kept for.
-    pub fn lane_of(&self, name: &UpstreamName) -> Option<Lane> {
-        self.upstreams.get(name).map(|load| load.lane)
-    }
-
     /// Places of the upstreams of a lane.
     pub fn places(&self, now_ms: u64, lane: Lane) -> Places {
         let usable = self.upstreams.values();
