--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -4,10 +4,7 @@
 
 use http::{HeaderMap, HeaderName};
 
-use crate::{
-    config::Config,
-    placement::{LoadReport, SharedPrompt},
-};
+use crate::{config::Config, placement::SharedPrompt, upstream_load::LoadReport};
 
 /// Names of headers.
 #[derive(Clone, Debug)]
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -14,8 +14,8 @@
     dialect::Work,
     metrics::{Counter, Timing},
     node::Node,
-    placement::Verdict,
     pool::{self, Connection, SendError},
+    upstream_load::Verdict,
 };
 
 /// Largest answer that is held back until it is whole, in bytes.
--- a/crates/edge/src/forward/flight.rs
+++ b/crates/edge/src/forward/flight.rs
@@ -5,11 +5,7 @@
 use futures::channel::oneshot;
 use span_types::{ServiceName, UpstreamName};
 
-use crate::{
-    dialect::Work,
-    node::{Node, Place},
-    placement::{Chosen, Verdict},
-};
+use crate::{dialect::Work, node::Node, placement::Chosen, state::Place, upstream_load::Verdict};
 
 /// A request that waits for a place. Dropping it gives up the wait.
 pub(crate) struct Wait {
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     dialect::{Dialect, Headers},
-    placement::Verdict,
+    upstream_load::Verdict,
 };
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -24,8 +24,8 @@
     dialect::Work,
     metrics::{Counter, Timing},
     node::{NoPlace, Node},
-    placement::Verdict,
     sse::EventSplitter,
+    upstream_load::Verdict,
 };
 use attempt::{Answer, Call, Failure, To};
 pub(crate) use body::EdgeBody;
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -22,7 +22,7 @@
     record::{Outcome, Record},
 };
 use crate::{
-    metrics::Counter, node::Node, placement::Verdict, pool::Connection, sse::EventSplitter,
+    metrics::Counter, node::Node, pool::Connection, sse::EventSplitter, upstream_load::Verdict,
 };
 
 /// What a stream needs to go on at another upstream.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,109 +1,39 @@
-//! State of the process: plain data and the decisions on it, without I/O.
+//! The process: its state as the tasks that feed it use it.
 
 use std::{
     cell::{Cell, RefCell, RefMut},
-    collections::{BTreeMap, HashMap},
-    net::IpAddr,
     rc::Rc,
+    sync::Arc,
 };
 
 use futures::channel::oneshot;
-use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
-use span_member::{FULL_MESH_PEERS, LiveView, Router, Timing as ViewTiming};
-use span_types::{FailureDomain, Member, MemberState, ServiceName, UpstreamName};
-use strum::{EnumCount, IntoEnumIterator};
+use rand::{Rng, RngExt};
+use span_member::Router;
+use span_types::{Member, ServiceName, UpstreamName};
 use tokio::sync::Notify;
 use tracing::info;
 
 use crate::{
-    admission::{Admission, Ask, Refusal, Ticket},
-    budget::{Allowance, RetryBudget},
+    admission::{Ask, Refusal},
     clock::Clock,
     config::Config,
     dialect::{Dialect, Work},
-    metrics::{Counter, Metrics},
-    placement::{Chosen, Lane, Need, Placement, SharedPrompt, Verdict},
+    metrics::Counter,
+    placement::{Chosen, Need},
     pool::Pool,
-    registry::{Change, Registry},
+    registry::Change,
+    role::Role,
     settings::Settings,
-    shares::{self, DemandMeter, Rate},
-    statement::{Collected, FleetSum, Load, Loads, Statement},
+    shares,
+    state::{Place, ServiceState, State, Waiter, allowance},
+    statement::{Load, Loads, Statement},
+    upstream_load::Verdict,
 };
 
-/// Part of the connections that an upstream accepts which the routers known
-/// now use; the rest is for routers that join.
-const CONNECTIONS_PART: f64 = 0.8;
-/// Heartbeat silence after which a router is suspect, then dead, and how long
-/// a dead one is remembered, in milliseconds. Three heartbeats may be lost.
-const VIEW_TIMING: ViewTiming =
-    ViewTiming { suspect_after_ms: 1_300, remove_after_ms: 2_600, forget_after_ms: 60_000 };
-
-struct Waiter {
-    started: oneshot::Sender<Chosen>,
-    shared: Option<SharedPrompt>,
-    own_tokens: u64,
-}
-
-/// One service at this router.
-pub(crate) struct ServiceState {
-    pub(crate) placement: Placement,
-    pub(crate) budget: RetryBudget,
-    lanes: [LaneState; Lane::COUNT],
-    pub(crate) load: RouterLoad,
-}
-
-/// What this router's callers ask of a service.
-#[derive(Debug, Default)]
-pub(crate) struct RouterLoad {
-    demand: DemandMeter,
-    long_prompts: Rate,
-}
-
-impl RouterLoad {
-    fn state(&mut self, now_ms: u64) -> Load {
-        Load {
-            demand: self.demand.demand(now_ms),
-            long_tokens_per_s: self.long_prompts.per_s(now_ms) as u64,
-        }
-    }
-}
-
-/// The requests of one lane.
-#[derive(Default)]
-struct LaneState {
-    admission: Admission,
-    waiters: HashMap<Ticket, Waiter>,
-}
-
-/// A request's place in a lane.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Place {
-    lane: Lane,
-    ticket: Ticket,
-}
-
-/// What the process knows.
-pub(crate) struct State {
-    pub(crate) config: Option<Rc<Config>>,
-    pub(crate) registry: Registry,
-    pub(crate) services: HashMap<ServiceName, ServiceState>,
-    pub(crate) view: LiveView,
-    /// Configuration version that each router stated last.
-    pub(crate) versions: BTreeMap<Member, u64>,
-    /// What each router stated last, in a fleet where every router hears
-    /// every other.
-    pub(crate) loads: BTreeMap<Member, Loads>,
-    /// What this router collected for its failure domain.
-    pub(crate) collected: Collected,
-    /// What the collector returned.
-    pub(crate) fleet_sum: FleetSum,
-    /// When the collector, with a store that answers it, was last heard.
-    pub(crate) collector_heard_ms: Option<u64>,
-    /// When the store last answered this router.
-    pub(crate) store_answered_ms: u64,
-    pub(crate) metrics: Metrics,
-    pub(crate) rng: SmallRng,
-}
+/// Time without news of the collector after which a router follows the store
+/// itself, in milliseconds; two statements may be lost. Less than half of the
+/// time in which an upstream that leaves has to be left.
+pub(crate) const COLLECTOR_SILENCE_MS: u64 = 1_300;
 
 /// The process; shared by all its tasks, which run on one thread.
 pub struct Node {
@@ -121,22 +51,6 @@
     state: RefCell<State>,
 }
 
-/// What a router does in the exchange of statements.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Role {
-    /// It states its load to the collector of its failure domain.
-    Member { collector: IpAddr },
-    /// It collects for its failure domain.
-    Collector { domain: FailureDomain, members: Vec<IpAddr>, others: Vec<IpAddr> },
-}
-
-/// Bucket for the choice of collectors.
-const COLLECTOR_BUCKET: u32 = 0;
-/// Time without news of the collector after which a router follows the store
-/// itself, in milliseconds; two statements may be lost. Less than half of the
-/// time in which an upstream that leaves has to be left.
-pub(crate) const COLLECTOR_SILENCE_MS: u64 = 1_300;
-
 /// Why a request found no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoPlace {
@@ -148,20 +62,6 @@
 
 impl Node {
     pub(crate) fn new(settings: Settings, dialect: Dialect, me: Router, seed: u64) -> Rc<Self> {
-        let state = State {
-            config: None,
-            registry: Registry::default(),
-            services: HashMap::new(),
-            view: LiveView::new(me, VIEW_TIMING),
-            versions: BTreeMap::new(),
-            loads: BTreeMap::new(),
-            collected: Collected::default(),
-            fleet_sum: FleetSum::default(),
-            collector_heard_ms: None,
-            store_answered_ms: 0,
-            metrics: Metrics::default(),
-            rng: SmallRng::seed_from_u64(seed),
-        };
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             dialect,
@@ -171,7 +71,7 @@
             open_requests: Cell::new(0),
             body_bytes: Cell::new(0),
             news: Notify::new(),
-            state: RefCell::new(state),
+            state: RefCell::new(State::new(me, seed)),
         })
     }
 
@@ -467,7 +367,7 @@
         let state = self.state();
         let heard = state.collector_heard_ms;
         let relies = heard.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < COLLECTOR_SILENCE_MS);
-        let member = matches!(state.collectors(), Some(Role::Member { .. }));
+        let member = matches!(state.role(), Some(Role::Member { .. }));
         !(relies && member)
     }
 
@@ -478,7 +378,7 @@
     }
 
     /// Addresses of the routers that callers may use.
-    pub(crate) fn entries(&self) -> Vec<std::sync::Arc<str>> {
+    pub(crate) fn entries(&self) -> Vec<Arc<str>> {
         let state = self.state();
         let me = &state.view.me().router.member;
         let knows_config = |member: &Member| {
@@ -489,157 +389,3 @@
         usable.map(|router| router.http_address.to_string().into()).collect()
     }
 }
-
-fn allowance(settings: &Settings) -> Allowance {
-    let bounds = settings.bounds;
-    Allowance {
-        ratio: bounds.retry_ratio,
-        slack: bounds.retry_slack,
-        window_ms: bounds.retry_window_ms,
-    }
-}
-
-impl ServiceState {
-    fn pump(&mut self, now_ms: u64, rng: &mut SmallRng) {
-        for lane in Lane::iter() {
-            self.pump_lane(now_ms, lane, rng);
-        }
-    }
-
-    fn pump_lane(&mut self, now_ms: u64, lane: Lane, rng: &mut SmallRng) {
-        let Self { placement, lanes, .. } = self;
-        let LaneState { admission, waiters } = &mut lanes[lane as usize];
-        while admission.waiting() > 0 {
-            let places = placement.places(now_ms, lane);
-            let Some(ticket) = admission.start(now_ms, places) else {
-                return;
-            };
-            let Some(waiter) = waiters.remove(&ticket) else {
-                continue;
-            };
-            let (shared, unread_tokens) = (waiter.shared, waiter.own_tokens);
-            let need = Need { shared, unread_tokens, lane, avoid: &[] };
-            // Without an upstream the waiter is dropped, which refuses it.
-            let Some(chosen) = placement.place(now_ms, need, rng.next_u64(), false) else {
-                continue;
-            };
-            if let Err(Chosen { upstream, .. }) = waiter.started.send(chosen) {
-                placement.read(&upstream, waiter.own_tokens);
-                placement.ended(&upstream);
-            }
-        }
-    }
-}
-
-impl State {
-    /// Routers that share the upstreams now, this one included.
-    pub(crate) fn routers(&self) -> usize {
-        self.view.live().len()
-    }
-
-    fn own_loads(&mut self, now_ms: u64) -> Loads {
-        let services = self.services.iter_mut();
-        let loads = services.map(|(name, service)| (name.clone(), service.load.state(now_ms)));
-        loads.filter(|(_, load)| !load.demand.is_empty()).collect()
-    }
-
-    /// What is known of the load of the whole fleet.
-    fn fleet(&self, now_ms: u64, own: &Loads) -> Statement {
-        if let Some(sum) = self.fleet_sum.get(now_ms).filter(|_| self.is_large()) {
-            return sum.clone();
-        }
-        let mut sum = Statement { routers: 1, loads: own.clone(), ..Statement::default() };
-        let live: Vec<&Member> =
-            self.view.live().into_iter().map(|router| &router.member).collect();
-        for (_, loads) in self.loads.iter().filter(|(member, _)| live.contains(member)) {
-            sum.add(&Statement { routers: 1, loads: loads.clone(), ..Statement::default() }, 0);
-        }
-        sum
-    }
-
-    /// What this router does in the exchange of statements; none in a fleet
-    /// where every router hears every other.
-    pub(crate) fn collectors(&self) -> Option<Role> {
-        if !self.is_large() {
-            return None;
-        }
-        let entries = self.view.entries();
-        let mut domains: BTreeMap<&FailureDomain, Vec<&Router>> = BTreeMap::new();
-        for router in &entries {
-            domains.entry(&router.failure_domain).or_default().push(router);
-        }
-        let me = &self.view.me().router;
-        let own = domains.remove(&me.failure_domain).unwrap_or_default();
-        let collector = span_member::home(COLLECTOR_BUCKET, &own)?;
-        if collector.member != me.member {
-            return Some(Role::Member { collector: collector.peer_address.ip() });
-        }
-        let members = own.iter().filter(|router| router.member != me.member);
-        let members = members.map(|router| router.peer_address.ip()).collect();
-        let others = domains.values().filter_map(|all| span_member::home(COLLECTOR_BUCKET, all));
-        let others = others.map(|router| router.peer_address.ip()).collect();
-        Some(Role::Collector { domain: me.failure_domain.clone(), members, others })
-    }
-
-    /// Whether the fleet is too large for every router to hear every other.
-    pub(crate) fn is_large(&self) -> bool {
-        self.routers() > FULL_MESH_PEERS + 1
-    }
-
-    /// Routers that may be sending, dead ones included: they may only be cut
-    /// off from this one.
-    pub(crate) fn known_routers(&self) -> usize {
-        let dead = |status: &span_member::MemberStatus| status.update.state == MemberState::Dead;
-        self.routers() + self.view.status().iter().filter(|status| dead(status)).count()
-    }
-
-    fn follow_config(&mut self, now_ms: u64, settings: &Settings) {
-        let Some(config) = self.config.clone() else {
-            return;
-        };
-        let allowance = allowance(settings);
-        for name in config.services.keys() {
-            self.services.entry(name.clone()).or_insert_with(|| ServiceState {
-                placement: Placement::default(),
-                budget: RetryBudget::new(allowance, now_ms),
-                lanes: [(); Lane::COUNT].map(|()| LaneState::default()),
-                load: RouterLoad::default(),
-            });
-        }
-        let lanes = self.services.values_mut().flat_map(|service| &mut service.lanes);
-        for lane in lanes {
-            for ticket in lane.admission.retain(&config.workspaces) {
-                // Dropping the sender tells the request that it is refused.
-                lane.waiters.remove(&ticket);
-            }
-        }
-        self.follow_upstreams();
-    }
-
-    fn follow_upstreams(&mut self) {
-        for (name, service) in &mut self.services {
-            let ready = self.registry.ready(name).map(|(name, entry)| (name, entry.slots));
-            service.placement.set_upstreams(ready);
-        }
-        self.follow_fleet();
-    }
-
-    fn follow_fleet(&mut self) {
-        let Some(config) = self.config.clone() else {
-            return;
-        };
-        let me = self.view.me().router.member.instance.clone();
-        // Dead routers may only be cut off, with their connections open.
-        let (live, known) = (self.routers(), self.known_routers());
-        let present = live as f64 / known as f64;
-        for (name, service) in &mut self.services {
-            let Some(service_config) = config.services.get(name) else {
-                continue;
-            };
-            let accepted = f64::from(service_config.max_connections);
-            let connections = accepted * CONNECTIONS_PART * present;
-            service.placement.set_fleet(&me, live, connections);
-            service.placement.set_gap_target(config.gap_target_ms(name));
-        }
-    }
-}
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -22,8 +22,9 @@
 use crate::{
     http_call::Caller,
     metrics::Counter,
-    node::{COLLECTOR_SILENCE_MS, Node, Role},
+    node::{COLLECTOR_SILENCE_MS, Node},
     registry::Entry,
+    role::Role,
     statement::{Loads, Statement},
 };
 
@@ -156,7 +157,7 @@
             // News for the routers of the failure domain must not wait.
             let news = self.node.news.notified();
             let _ = tokio::time::timeout(Duration::from_millis(STATEMENT_MS), news).await;
-            let role = self.node.state().collectors();
+            let role = self.node.state().role();
             let Some(role) = role else {
                 continue;
             };
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -5,15 +5,16 @@
 use span_types::{InstanceName, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{admission::Places, statement::Seen};
+use crate::{
+    admission::Places,
+    lane::{Division, Lane, PROMPT_TOKENS_PER_MS},
+    statement::Seen,
+    upstream_load::{Load, LoadReport, Verdict},
+};
 
 /// Age up to which a load report is passed on to other routers, in
 /// milliseconds; the period of statements.
 const SHARED_REPORT_MS: u64 = 600;
-/// Weight of the newest pause between two events in the mean pause.
-const PAUSE_WEIGHT: f64 = 0.2;
-/// Age at which the mean pause says nothing any more, in milliseconds.
-const PAUSE_LIFETIME_MS: u64 = 600;
 /// Mean pause up to which an engine is sent prompts, as a part of the longest
 /// pause that callers accept. Reading a prompt makes all pauses longer.
 const PAUSE_PART: f64 = 0.55;
@@ -25,11 +26,6 @@
 const OWN_FACTOR: f64 = 1.6;
 /// Requests at an upstream that a router may have however few callers it has.
 const MIN_OWN: u32 = 2;
-/// Age at which a load report says nothing any more, in milliseconds.
-const REPORT_LIFETIME_MS: u64 = 3_000;
-/// Prompt tokens that a model engine reads in a millisecond, as the users
-/// state it for their engines.
-const PROMPT_TOKENS_PER_MS: f64 = 125.0;
 /// Time that a full batch costs a request compared to an empty one, in
 /// milliseconds; weighs load against the time to read a prompt.
 const FULL_BATCH_MS: f64 = 120.0;
@@ -46,15 +42,6 @@
 /// slots. They cover the time from the end of a request until the next one
 /// arrives.
 const QUEUED_PART: f64 = 0.04;
-/// Failures in a row after which an upstream is avoided.
-const FAILURES: u32 = 3;
-/// Weight of the newest result in the failure rate is one in this many.
-const RATE_WEIGHT: f64 = 8.0;
-/// Failure rate above which an upstream is avoided.
-const MAX_FAILURE_RATE: f64 = 0.3;
-/// Time for which an upstream is avoided at first, and at most, in
-/// milliseconds.
-const AVOID_MS: (u64, u64) = (500, 4_000);
 /// Prompt parts whose place is remembered.
 const MAX_PARTS: usize = 4_096;
 /// Time for which an engine surely keeps a part that it was sent, in
@@ -64,33 +51,6 @@
 /// milliseconds.
 const PART_LIFETIME_MS: u64 = 20_000;
 
-/// Tokens for each millisecond of the accepted pause from which a prompt is
-/// long: reading it takes a fifth of the pause, and with the attention over
-/// what was read before nearly a third.
-const LONG_TOKENS_PER_MS: u64 = 25;
-/// Time that the attention over earlier tokens adds to reading a long prompt.
-const ATTENTION_FACTOR: f64 = 1.4;
-/// Part of its time that an engine for long prompts may spend on reading.
-const READING_PART: f64 = 0.65;
-/// Fewest engines of which some are kept for long prompts.
-const MIN_SEPARATED: usize = 4;
-/// Time for which fewer engines for long prompts have to suffice before their
-/// number falls, in milliseconds.
-const SHRINK_AFTER_MS: u64 = 5_000;
-
-/// Requests that go to the same upstreams.
-///
-/// An engine that reads a long prompt makes every stream beside it pause, so
-/// some engines are kept for long prompts, and the streams elsewhere flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumCount, strum::EnumIter)]
-#[strum(serialize_all = "snake_case")]
-pub enum Lane {
-    /// Requests without a prompt, or with one that is read quickly.
-    Short,
-    /// Requests whose prompt takes long to read.
-    Long,
-}
-
 /// Routers that use an upstream in a large fleet. Each of them sees a tenth of
 /// its answers, so that reports of its load are as fresh as in a small fleet.
 const MAX_ROUTERS: usize = 10;
@@ -106,25 +66,11 @@
 /// Part of its slots up to which such a home is used; its load is known only
 /// from the statements of others.
 const MAX_FAR_USE: f64 = 0.8;
-/// Most that an upstream without a recent report is taken to be filled by
-/// others, as a part of its slots.
-const UNKNOWN_PART: f64 = 0.5;
 /// Requests that all routers together send to an upstream that is no engine,
 /// as a multiple of its slots. Its requests end within milliseconds, before a
 /// report of its load has arrived anywhere, and it queues a few.
 const PLAIN_FACTOR: f64 = 2.0;
 
-/// Load that an upstream stated in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests that it processes.
-    pub running: u32,
-    /// Requests that wait at it.
-    pub waiting: u32,
-    /// Requests that it processes at once.
-    pub slots: u32,
-}
-
 /// The part of a prompt that a request shares with others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SharedPrompt {
@@ -134,84 +80,6 @@
     pub tokens: u64,
 }
 
-/// How an attempt at an upstream ended, for judging the upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum Verdict {
-    /// It answered as it should.
-    Good,
-    /// It did not answer, or not properly.
-    Failed,
-    /// It had no room.
-    Full,
-    /// Another process has its address.
-    Replaced,
-    /// Nothing can be said.
-    Unknown,
-}
-
-#[derive(Debug)]
-struct Load {
-    name_hash: u64,
-    slots: u32,
-    sent: u32,
-    report: Option<(u64, LoadReport, u32)>,
-    failures: u32,
-    failure_rate: f64,
-    avoid_ms: u64,
-    avoid_until_ms: u64,
-    probing: bool,
-    full_until_ms: u64,
-    replaced: bool,
-    /// Kept for long prompts.
-    lane: Lane,
-    /// Whether this router sends requests to it.
-    mine: bool,
-    /// Prompt tokens that this router sent and that the engine has not
-    /// answered yet.
-    reading_tokens: u64,
-    /// Mean pause between events, and when it was last observed.
-    pause: Option<(f64, u64)>,
-}
-
-impl Load {
-    /// Requests at the upstream from the whole fleet.
-    fn total(&self, now_ms: u64, routers: usize) -> f64 {
-        let own = f64::from(self.sent);
-        let fresh =
-            self.report.filter(|(at_ms, _, _)| now_ms.saturating_sub(*at_ms) < REPORT_LIFETIME_MS);
-        let Some((_, report, sent)) = fresh else {
-            // As many from each other router, but a single request of this one
-            // says nothing about a large fleet.
-            let others = own * (routers - 1) as f64;
-            return own + others.min(f64::from(self.slots) * UNKNOWN_PART);
-        };
-        let reported = f64::from(report.running + report.waiting);
-        (reported + own - f64::from(sent)).max(own)
-    }
-
-    fn pause_ms(&self, now_ms: u64) -> f64 {
-        let recent =
-            self.pause.filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) < PAUSE_LIFETIME_MS);
-        recent.map_or(0.0, |(mean, _)| mean)
-    }
-
-    fn hash(&self, shared: SharedPrompt) -> u64 {
-        xxh3_64_with_seed(&shared.part.to_le_bytes(), self.name_hash)
-    }
-
-    fn may_use(&self, now_ms: u64) -> bool {
-        self.mine && self.is_sound(now_ms)
-    }
-
-    fn is_sound(&self, now_ms: u64) -> bool {
-        !self.replaced
-            && now_ms >= self.full_until_ms
-            && now_ms >= self.avoid_until_ms
-            && !self.probing
-    }
-}
-
 /// What a request needs of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -260,11 +128,8 @@
     part: f64,
     /// Longest mean pause at which an engine is sent prompts.
     max_pause_ms: f64,
-    /// Prompt tokens from which a prompt is long.
-    long_tokens: u64,
-    /// Engines kept for long prompts, and since when fewer would suffice.
-    long_engines: usize,
-    fewer_since_ms: Option<u64>,
+    /// Engines for long and short prompts.
+    division: Division,
 }
 
 impl Default for Placement {
@@ -280,9 +145,7 @@
             connections: f64::INFINITY,
             part: 1.0,
             max_pause_ms: f64::INFINITY,
-            long_tokens: u64::MAX,
-            long_engines: 0,
-            fewer_since_ms: None,
+            division: Division::default(),
         }
     }
 }
@@ -299,7 +162,7 @@
     /// milliseconds; none for a service without streams.
     pub fn set_gap_target(&mut self, gap_ms: Option<u64>) {
         self.max_pause_ms = gap_ms.map_or(f64::INFINITY, |gap_ms| gap_ms as f64 * PAUSE_PART);
-        self.long_tokens = gap_ms.map_or(u64::MAX, |gap_ms| gap_ms * LONG_TOKENS_PER_MS);
+        self.division.set_gap_target(gap_ms);
     }
 
     /// Whether the upstreams stream from model engines.
@@ -309,32 +172,18 @@
 
     /// The lane of a request whose upstream has to read `unread_tokens`.
     pub fn lane(&self, unread_tokens: u64) -> Lane {
-        let separated = self.long_engines > 0 && unread_tokens >= self.long_tokens;
-        if separated { Lane::Long } else { Lane::Short }
+        self.division.lane(unread_tokens)
     }
 
     /// Whether a prompt is long.
     pub fn is_long(&self, unread_tokens: u64) -> bool {
-        unread_tokens >= self.long_tokens
+        self.division.is_long(unread_tokens)
     }
 
     /// Sets how many engines are kept for long prompts, from the tokens of
     /// long prompts that the whole fleet receives per second.
     pub fn set_long_load(&mut self, now_ms: u64, tokens_per_s: u64) {
-        let engines = self.upstreams.len();
-        let reading_ms = tokens_per_s as f64 / PROMPT_TOKENS_PER_MS * ATTENTION_FACTOR;
-        let wanted = (reading_ms / 1_000.0 / READING_PART).ceil() as usize;
-        let wanted = if engines < MIN_SEPARATED { 0 } else { wanted.min(engines / 2) };
-        if wanted >= self.long_engines {
-            self.fewer_since_ms = None;
-        } else {
-            let since_ms = *self.fewer_since_ms.get_or_insert(now_ms);
-            if now_ms.saturating_sub(since_ms) < SHRINK_AFTER_MS {
-                return;
-            }
-            self.fewer_since_ms = None;
-        }
-        self.long_engines = wanted;
+        self.division.set_load(now_ms, self.upstreams.len(), tokens_per_s);
         self.assign_lanes();
     }
 
@@ -343,9 +192,10 @@
     fn assign_lanes(&mut self) {
         let mut hashes: Vec<u64> = self.upstreams.values().map(|load| load.name_hash).collect();
         hashes.sort_unstable();
-        let first_short = hashes.get(self.long_engines).copied().unwrap_or(u64::MAX);
+        let engines = self.division.long_engines();
+        let first_short = hashes.get(engines).copied().unwrap_or(u64::MAX);
         for load in self.upstreams.values_mut() {
-            let long = load.name_hash < first_short && self.long_engines > 0;
+            let long = load.name_hash < first_short && engines > 0;
             load.lane = if long { Lane::Long } else { Lane::Short };
         }
     }
@@ -353,8 +203,7 @@
     /// Takes the pause between two events of a stream, in milliseconds.
     pub fn event(&mut self, now_ms: u64, name: &UpstreamName, pause_ms: u64) {
         if let Some(load) = self.upstreams.get_mut(name) {
-            let mean = load.pause.map_or(pause_ms as f64, |(mean, _)| mean);
-            load.pause = Some((mean + (pause_ms as f64 - mean) * PAUSE_WEIGHT, now_ms));
+            load.event(now_ms, pause_ms);
         }
     }
 
@@ -397,23 +246,7 @@
     pub fn set_upstreams<'a>(&mut self, ready: impl Iterator<Item = (&'a UpstreamName, u32)>) {
         let mut known = std::mem::take(&mut self.upstreams);
         for (name, slots) in ready {
-            let mut load = known.remove(name).unwrap_or_else(|| Load {
-                name_hash: xxh3_64(name.as_str().as_bytes()),
-                slots,
-                sent: 0,
-                report: None,
-                failures: 0,
-                failure_rate: 0.0,
-                avoid_ms: 0,
-                avoid_until_ms: 0,
-                probing: false,
-                full_until_ms: 0,
-                replaced: false,
-                lane: Lane::Short,
-                mine: true,
-                reading_tokens: 0,
-                pause: None,
-            });
+            let mut load = known.remove(name).unwrap_or_else(|| Load::new(name, slots));
             load.slots = slots;
             self.upstreams.insert(name.clone(), load);
         }
@@ -639,44 +472,6 @@
     /// Judges an upstream by the end of an attempt. Returns whether it is
     /// avoided from now on.
     pub fn judge(&mut self, now_ms: u64, name: &UpstreamName, verdict: Verdict) -> bool {
-        let Some(load) = self.upstreams.get_mut(name) else {
-            return false;
-        };
-        load.probing = false;
-        match verdict {
-            Verdict::Good => {
-                load.failures = 0;
-                load.failure_rate -= load.failure_rate / RATE_WEIGHT;
-                if load.failure_rate < MAX_FAILURE_RATE / 2.0 {
-                    load.avoid_ms = 0;
-                }
-                false
-            }
-            Verdict::Failed => {
-                load.failures += 1;
-                load.failure_rate += (1.0 - load.failure_rate) / RATE_WEIGHT;
-                let avoid = load.failures >= FAILURES || load.failure_rate > MAX_FAILURE_RATE;
-                if avoid {
-                    load.avoid_ms = (load.avoid_ms * 2).clamp(AVOID_MS.0, AVOID_MS.1);
-                    load.avoid_until_ms = now_ms + load.avoid_ms;
-                }
-                avoid
-            }
-            Verdict::Full => {
-                let report = LoadReport { running: load.slots, waiting: 1, slots: load.slots };
-                load.report = Some((now_ms, report, load.sent));
-                load.full_until_ms = now_ms + FULL_MS;
-                false
-            }
-            Verdict::Replaced => {
-                load.replaced = true;
-                true
-            }
-            Verdict::Unknown => false,
-        }
+        self.upstreams.get_mut(name).is_some_and(|load| load.judge(now_ms, verdict))
     }
 }
-
-/// Time for which an upstream that refused a request for lack of room is left
-/// alone, in milliseconds; a few batch steps.
-const FULL_MS: u64 = 50;
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -3,7 +3,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-use span_edge::placement::{Lane, LoadReport, Need, Placement, SharedPrompt, Verdict};
+use span_edge::{
+    lane::Lane,
+    placement::{Need, Placement, SharedPrompt},
+    upstream_load::{LoadReport, Verdict},
+};
 use span_types::{InstanceName, UpstreamName};
 
 fn names(count: usize) -> Vec<UpstreamName> {
