--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -66,13 +66,6 @@
     pub targets: Vec<Target>,
 }
 
-/// Model engine behind a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Engine {
-    /// Tokens that an engine's memory holds.
-    pub memory_tokens: u64,
-}
-
 /// A service that requests are forwarded to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
@@ -80,8 +73,8 @@
     pub name: ServiceName,
     /// Connections that one upstream accepts from the whole fleet.
     pub max_connections: u32,
-    /// Present if the upstreams are model engines.
-    pub engine: Option<Engine>,
+    /// Whether the upstreams are model engines.
+    pub is_engine: bool,
 }
 
 /// Bounds on what a caller may send.
@@ -158,7 +151,7 @@
 
     /// Whether the upstreams of a service are model engines.
     pub fn is_engine(&self, service: &ServiceName) -> bool {
-        self.services.get(service).is_some_and(|service| service.engine.is_some())
+        self.services.get(service).is_some_and(|service| service.is_engine)
     }
 
     /// Shortest pause between events that callers of a service accept at most,
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -22,7 +22,7 @@
     admission::{ANONYMOUS, Ask, Cause},
     config::{Config, Route, RouteKind, choose_target},
     dialect::Work,
-    metrics::{Counter, Timing},
+    metrics::Timing,
     node::{NoPlace, Node},
     sse::EventSplitter,
     upstream_load::Verdict,
@@ -524,10 +524,3 @@
         }
     }
 }
-
-impl Node {
-    /// Counts a request that was turned away before it was read.
-    pub(crate) fn count_refused_connection(&self) {
-        self.count(Counter::CallerConnectionsRefused);
-    }
-}
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -74,7 +74,7 @@
             continue;
         };
         if open.get() >= most {
-            node.count_refused_connection();
+            node.count(Counter::CallerConnectionsRefused);
             continue;
         }
         node.count(Counter::CallerConnections);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -35,9 +35,6 @@
 pub struct Bounds {
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
-    /// Time for which an upstream that leaves still takes requests, in
-    /// milliseconds.
-    pub drain_ms: u64,
     /// Repeated sends that the fleet may make per request.
     pub retry_ratio: f64,
     /// Window over which repeated sends are counted, in milliseconds.
