Read the configuration from the store when the collector cannot deliver it

Cause: a configuration with 1,324 more routes (4.4 times the usual) was not in force at a machine of 0.12 cores 6 s after it was acknowledged. A router whose fetch fails now reads the configuration from the store once.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -71,9 +71,9 @@
     }
 }
 
-/// Waits for as long as this router can rely on its collector.
-async fn relied(node: &Node) {
-    while !node.follows_store() {
+/// Waits for as long as this router does not follow the store itself.
+async fn until_followed(node: &Node, follows: impl Fn(&Node) -> bool) {
+    while !follows(node) {
         sleep(Duration::from_millis(RELIED_CHECK_MS)).await;
     }
 }
@@ -82,7 +82,7 @@
 pub(crate) async fn config(node: Rc<Node>, store: Store) {
     let mut backoff = Backoff { failures: 0 };
     loop {
-        relied(&node).await;
+        until_followed(&node, Node::follows_config).await;
         let read = (store.read_config)().await;
         note(&node, "config", &read, backoff.failures);
         let Ok(listing) = read else {
@@ -94,7 +94,8 @@
             node.apply_config(config, "store");
         }
         let mut revision = listing.revision;
-        while node.follows_store() {
+        node.state().reliance.config_read();
+        while node.follows_config() {
             let watched = (store.watch_config)(revision, WATCH_WAIT_MS).await;
             note(&node, "config", &watched, backoff.failures);
             match watched {
@@ -116,7 +117,7 @@
 pub(crate) async fn upstreams(node: Rc<Node>, store: Store) {
     let mut backoff = Backoff { failures: 0 };
     loop {
-        relied(&node).await;
+        until_followed(&node, Node::follows_upstreams).await;
         let read = (store.read_upstreams)().await;
         note(&node, "upstreams", &read, backoff.failures);
         let Ok(listing) = read else {
@@ -126,7 +127,7 @@
         backoff.failures = 0;
         replace(&node, listing.items);
         let mut revision = listing.revision;
-        while node.follows_store() {
+        while node.follows_upstreams() {
             let watched = (store.watch_upstreams)(revision, WATCH_WAIT_MS).await;
             note(&node, "upstreams", &watched, backoff.failures);
             match watched {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod placement;
 mod pool;
 pub mod registry;
+pub mod reliance;
 mod role;
 mod run;
 pub mod settings;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -22,7 +22,6 @@
     placement::{Chosen, Need},
     pool::Pool,
     registry::Change,
-    role::Role,
     settings::Settings,
     shares,
     state::{Place, ServiceState, State, Waiter, allowance},
@@ -30,11 +29,6 @@
     upstream_load::Verdict,
 };
 
-/// Time without news of the collector after which a router follows the store
-/// itself, in milliseconds; two statements may be lost. Less than half of the
-/// time in which an upstream that leaves has to be left.
-pub(crate) const COLLECTOR_SILENCE_MS: u64 = 1_300;
-
 /// The process; shared by all its tasks, which run on one thread.
 pub struct Node {
     settings: RefCell<Rc<Settings>>,
@@ -360,15 +354,19 @@
         }
     }
 
-    /// Whether this router follows the store itself. In a large fleet a
-    /// router relies on its collector for as long as it hears from it.
-    pub(crate) fn follows_store(&self) -> bool {
+    /// Whether this router follows the entries of upstreams in the store. In a
+    /// large fleet a router relies on its collector for as long as it can.
+    pub(crate) fn follows_upstreams(&self) -> bool {
+        let now_ms = self.now_ms();
+        let state = self.state();
+        !(state.reliance.relies(now_ms) && state.has_collector())
+    }
+
+    /// Whether this router follows the configuration in the store.
+    pub(crate) fn follows_config(&self) -> bool {
         let now_ms = self.now_ms();
         let state = self.state();
-        let heard = state.collector_heard_ms;
-        let relies = heard.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < COLLECTOR_SILENCE_MS);
-        let member = matches!(state.role(), Some(Role::Member { .. }));
-        !(relies && member)
+        !(state.reliance.relies_for_config(now_ms) && state.has_collector())
     }
 
     /// Announces that the process will end.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -22,7 +22,7 @@
 use crate::{
     http_call::Caller,
     metrics::Counter,
-    node::{COLLECTOR_SILENCE_MS, Node},
+    node::Node,
     registry::Entry,
     role::Role,
     statement::{Loads, Statement},
@@ -210,9 +210,7 @@
             let mut state = self.node.state();
             state.fleet_sum.set(now_ms, news.sum);
             state.registry.store_served_others(now_ms.saturating_sub(news.store_age_ms));
-            if news.store_age_ms < COLLECTOR_SILENCE_MS {
-                state.collector_heard_ms = Some(now_ms);
-            }
+            state.reliance.heard(now_ms, news.store_age_ms);
             let version = state.config.as_ref().map_or(0, |config| config.version);
             (version, state.registry.digest())
         };
@@ -221,7 +219,7 @@
             self.node.state().versions.insert(news.from.member.clone(), news.config_version);
             self.fetch_soon(news.from.clone());
         }
-        let follows = self.node.follows_store();
+        let follows = self.node.follows_upstreams();
         if !follows && news.registry_digest != digest && !self.fetching_upstreams.replace(true) {
             let peers = self.clone();
             spawn_local(async move {
@@ -253,7 +251,7 @@
                 return;
             }
         };
-        if self.node.follows_store() {
+        if self.node.follows_upstreams() {
             return;
         }
         let now_ms = self.node.now_ms();
@@ -406,10 +404,12 @@
             Ok((status, document)) if status.is_success() => document,
             Ok((status, _)) => {
                 warn!(router = %peer.member, %status, "a peer gave no configuration");
+                self.node.state().reliance.config_not_fetched();
                 return;
             }
             Err(error) => {
                 warn!(router = %peer.member, %error, "a peer gave no configuration");
+                self.node.state().reliance.config_not_fetched();
                 return;
             }
         };
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -19,6 +19,7 @@
     metrics::Metrics,
     placement::{Chosen, Need, Placement, SharedPrompt},
     registry::Registry,
+    reliance::Reliance,
     role::{Role, role},
     settings::Settings,
     shares::{DemandMeter, Rate},
@@ -95,8 +96,8 @@
     pub(crate) collected: Collected,
     /// What the collector returned.
     pub(crate) fleet_sum: FleetSum,
-    /// When the collector, with a store that answers it, was last heard.
-    pub(crate) collector_heard_ms: Option<u64>,
+    /// Whether the collector can be relied on.
+    pub(crate) reliance: Reliance,
     /// When the store last answered this router.
     pub(crate) store_answered_ms: u64,
     pub(crate) metrics: Metrics,
@@ -155,7 +156,7 @@
             loads: BTreeMap::new(),
             collected: Collected::default(),
             fleet_sum: FleetSum::default(),
-            collector_heard_ms: None,
+            reliance: Reliance::default(),
             store_answered_ms: 0,
             metrics: Metrics::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -193,6 +194,11 @@
         if self.is_large() { role(&self.view) } else { None }
     }
 
+    /// Whether another router collects for this one.
+    pub(crate) fn has_collector(&self) -> bool {
+        matches!(self.role(), Some(Role::Member { .. }))
+    }
+
     /// Whether the fleet is too large for every router to hear every other.
     pub(crate) fn is_large(&self) -> bool {
         self.routers() > FULL_MESH_PEERS + 1
