Send callers to the strongest routers and keep queues of connections short

All other callers were spread over the routers that the asked one had heard directly, about nine of 82, whatever their processors.

Ruled out: the limit of callers' sockets (never reached), the log.

--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -22,6 +22,7 @@
     admission::{ANONYMOUS, Ask, Cause},
     config::{Config, Route, RouteKind, choose_target},
     dialect::Work,
+    listen,
     metrics::Timing,
     node::{NoPlace, Node},
     sse::EventSplitter,
@@ -125,9 +126,9 @@
             let cause = rejected.cause.unwrap_or_else(|| rejected.message.to_owned());
             record.end(rejected.status.as_u16(), rejected.outcome, cause);
             record.answer_started();
-            // A refused caller comes back on a new connection, and the old one
-            // would only take memory until it is idle for too long.
-            closes |= rejected.outcome == Outcome::Refused;
+            // The connection of a refused caller would only take memory until
+            // it is idle for too long.
+            closes |= rejected.outcome == Outcome::Refused && listen::is_crowded(&node);
             response
         }
     };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,7 +2,8 @@
 //! callers' requests, membership and configuration.
 //!
 //! What must last lies in the platform's store. The modules [`admission`],
-//! [`shares`], [`placement`], [`budget`], [`registry`], [`config`] and [`sse`] decide,
+//! [`shares`], [`placement`], [`budget`], [`registry`], [`directory`], [`config`]
+//! and [`sse`] decide,
 //! without I/O and with the present time as an argument; the others feed them.
 
 pub mod admission;
@@ -10,6 +11,7 @@
 pub mod clock;
 pub mod config;
 pub mod dialect;
+pub mod directory;
 mod follow;
 mod forward;
 pub mod http_call;
@@ -27,6 +29,7 @@
 mod run;
 pub mod settings;
 pub mod shares;
+pub mod socket;
 pub mod sse;
 mod state;
 pub mod statement;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -1,13 +1,10 @@
 //! Servers for callers, for questions where to connect, and for checks.
 
-use std::{
-    cell::Cell, convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration,
-};
+use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -20,16 +17,18 @@
     forward::{self, EdgeBody},
     metrics::Counter,
     node::Node,
-    pool::detect_silence,
+    settings::Settings,
+    socket,
 };
 
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 1_024;
 /// Pause after a failed accept, most often for lack of descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 /// Part of the sockets that callers may use; the rest is for upstreams, peers
 /// and the store.
 const CALLER_SOCKETS_PART: f64 = 0.7;
+/// Part of these sockets up to which a refused caller's connection stays open:
+/// to accept the next one costs more than the refusal.
+const CROWDED_PART: f64 = 0.1;
 /// Idle timeout of callers' connections until a configuration names one, in
 /// milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
@@ -47,13 +46,20 @@
 const DIRECTORY_LIFETIME_MS: u64 = 2_000;
 
 /// Binds a listening socket.
-pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    TcpListener::from_std(socket.into())
+pub(crate) fn bind(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+    socket::bind(address, CALLER_SILENCE_MS, backlog)
+}
+
+/// Connections of callers that may be open.
+fn caller_sockets(settings: &Settings) -> usize {
+    (settings.resources.sockets as f64 * CALLER_SOCKETS_PART) as usize
+}
+
+/// Whether so many connections of callers are open that those of refused ones
+/// are closed.
+pub(crate) fn is_crowded(node: &Node) -> bool {
+    let most = caller_sockets(&node.settings()) as f64;
+    node.caller_connections.get() as f64 > most * CROWDED_PART
 }
 
 /// Accepts callers until `stop` is true; open connections go on.
@@ -62,8 +68,7 @@
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) {
-    let open = Rc::new(Cell::new(0usize));
-    let most = (node.settings().resources.sockets as f64 * CALLER_SOCKETS_PART) as usize;
+    let most = caller_sockets(&node.settings());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -73,20 +78,20 @@
             tokio::time::sleep(ACCEPT_RETRY).await;
             continue;
         };
-        if open.get() >= most {
+        if node.caller_connections.get() >= most {
             node.count(Counter::CallerConnectionsRefused);
             continue;
         }
         node.count(Counter::CallerConnections);
-        open.set(open.get() + 1);
-        let (node, open) = (node.clone(), open.clone());
+        node.caller_connections.update(|open| open + 1);
+        let node = node.clone();
         spawn_local(async move {
             let handled = node.clone();
             // Boxed, so that an idle connection does not hold a whole request's
             // state.
             let handler = move |request| Box::pin(forward::handle(handled.clone(), request));
             serve(&node, stream, handler).await;
-            open.set(open.get() - 1);
+            node.caller_connections.update(|open| open - 1);
         });
     }
 }
@@ -120,8 +125,6 @@
     let limits = node.config().map(|config| config.limits);
     let idle_ms = limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms) + IDLE_SLACK_MS;
     let head_bytes = limits.map_or(HEAD_BYTES, |limits| limits.head_bytes);
-    // Fails only on a socket that is already closed.
-    let _ = detect_silence(&stream, CALLER_SILENCE_MS);
     let service = service_fn(|request| {
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await) }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -18,6 +18,7 @@
     clock::Clock,
     config::Config,
     dialect::{Dialect, Work},
+    directory,
     metrics::Counter,
     placement::{Chosen, Need},
     pool::Pool,
@@ -29,6 +30,10 @@
     upstream_load::Verdict,
 };
 
+/// Time after which a router that others tell of has read its configuration,
+/// in milliseconds; reading it takes some hundred after a start.
+const SETTLED_MS: u64 = 2_000;
+
 /// The process; shared by all its tasks, which run on one thread.
 pub struct Node {
     settings: RefCell<Rc<Settings>>,
@@ -36,6 +41,8 @@
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
     pub(crate) leaving_since_ms: Cell<Option<u64>>,
+    /// Open connections of callers.
+    pub(crate) caller_connections: Cell<usize>,
     /// Requests whose answer has not ended.
     pub(crate) open_requests: Cell<usize>,
     /// Bytes of request bodies in memory.
@@ -62,6 +69,7 @@
             clock: Clock::start(),
             pool: Pool::default(),
             leaving_since_ms: Cell::new(None),
+            caller_connections: Cell::new(0),
             open_requests: Cell::new(0),
             body_bytes: Cell::new(0),
             news: Notify::new(),
@@ -377,13 +385,20 @@
 
     /// Addresses of the routers that callers may use.
     pub(crate) fn entries(&self) -> Vec<Arc<str>> {
+        let now_ms = self.now_ms();
         let state = self.state();
         let me = &state.view.me().router.member;
-        let knows_config = |member: &Member| {
-            member == me || state.versions.get(member).is_some_and(|version| *version > 0)
+        let heard = |member: &Member| state.versions.get(member).map(|version| *version > 0);
+        // In a large fleet most routers are only told of by others.
+        let settled = |member: &Member| {
+            let since_ms = state.view.unchanged_since_ms(&member.instance);
+            since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= SETTLED_MS)
         };
-        let entries = state.view.entries();
-        let usable = entries.iter().filter(|router| knows_config(&router.member));
-        usable.map(|router| router.http_address.to_string().into()).collect()
+        let knows_config =
+            |member: &Member| member == me || heard(member).unwrap_or_else(|| settled(member));
+        let mut usable = state.view.entries();
+        usable.retain(|router| knows_config(&router.member));
+        let chosen = directory::choose(usable).into_iter();
+        chosen.map(|router| router.http_address.to_string().into()).collect()
     }
 }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
 use span_types::UpstreamName;
 use tokio::{
     net::TcpStream,
@@ -15,6 +15,8 @@
     time::timeout,
 };
 
+use crate::socket::prepare;
+
 /// Time to connect to an upstream, in milliseconds. The links between failure
 /// domains take a few milliseconds; a lost opening packet is sent again only
 /// after a second.
@@ -22,11 +24,6 @@
 /// Time for which sent bytes may stay unacknowledged before a connection
 /// counts as silent, in milliseconds.
 const UNACKNOWLEDGED_MS: u64 = 1_500;
-/// Silence after which a connection is probed, and the pause between probes,
-/// in seconds.
-const KEEP_ALIVE_S: u64 = 1;
-/// Unanswered probes after which a connection counts as silent.
-const KEEP_ALIVE_PROBES: u32 = 2;
 /// Time for which an idle connection is kept if the upstream names no time,
 /// in milliseconds.
 const IDLE_MS: u64 = 4_000;
@@ -165,7 +162,7 @@
         .await
         .map_err(|_| SendError::NotSent("cannot connect in time".to_owned()))?
         .map_err(not_sent)?;
-    detect_silence(&stream, UNACKNOWLEDGED_MS).map_err(not_sent)?;
+    prepare(SockRef::from(&stream), UNACKNOWLEDGED_MS).map_err(not_sent)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -177,16 +174,3 @@
     });
     Ok(Connection { sender, _driver: Driver(driver.abort_handle()), reused: false })
 }
-
-/// Makes a connection fail when its other end goes silent without a reset.
-pub(crate) fn detect_silence(stream: &TcpStream, unacknowledged_ms: u64) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(unacknowledged_ms)))?;
-    let interval = Duration::from_secs(KEEP_ALIVE_S);
-    let keep_alive = TcpKeepalive::new()
-        .with_time(interval)
-        .with_interval(interval)
-        .with_retries(KEEP_ALIVE_PROBES);
-    socket.set_tcp_keepalive(&keep_alive)
-}
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -5,7 +5,6 @@
 use span_member::Router;
 use span_types::{Incarnation, Member};
 use tokio::{
-    net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::watch,
     task::spawn_local,
@@ -15,7 +14,7 @@
 
 use crate::{
     clock, dialect::Dialect, follow, listen, log::Log, metrics::Counter, node::Node, peers::Peers,
-    settings::Settings, store::Store,
+    settings::Settings, socket, store::Store,
 };
 
 /// Interval of housekeeping, in milliseconds. Requests that wait start when a
@@ -55,10 +54,6 @@
     Signals(io::Error),
 }
 
-fn bind(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, StartError> {
-    listen::bind(address).map_err(|source| StartError::Bind { address, purpose, source })
-}
-
 /// Reads the settings again; the error says what is wrong with them.
 pub type ReadSettings = Box<dyn Fn() -> Result<Settings, String>>;
 
@@ -80,6 +75,11 @@
     log: Log,
 ) -> Result<(), StartError> {
     let addresses = settings.addresses;
+    let backlog = socket::backlog(settings.resources.processor_millicores);
+    let bind = |address, purpose| {
+        let listener = listen::bind(address, backlog);
+        listener.map_err(|source| StartError::Bind { address, purpose, source })
+    };
     let incarnation = clock::unix_us();
     let me = Router {
         member: Member {
@@ -89,6 +89,7 @@
         http_address: addresses.callers,
         peer_address: addresses.peers,
         failure_domain: settings.failure_domain.clone(),
+        processor_millicores: settings.resources.processor_millicores,
     };
     info!(instance = settings.instance.as_str(), incarnation, "process starts");
     let node = Node::new(settings, dialect, me, incarnation);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -24,6 +24,8 @@
 /// What the instance offers the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resources {
+    /// Processor time of the process, in thousandths of a core.
+    pub processor_millicores: u32,
     /// Memory of the process, in bytes.
     pub memory_bytes: u64,
     /// Descriptors for sockets and pipes.
--- a/crates/member/src/update.rs
+++ b/crates/member/src/update.rs
@@ -16,6 +16,10 @@
     pub peer_address: SocketAddr,
     /// Failure domain the instance stands in.
     pub failure_domain: FailureDomain,
+    /// Processor time that the instance gives the process, in thousandths of a
+    /// core; 0 if it is not told.
+    #[serde(default)]
+    pub processor_millicores: u32,
 }
 
 /// A statement about one member, piggybacked on heartbeats.
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -271,6 +271,12 @@
         self.rows.get(instance).map(|row| row.update.state)
     }
 
+    /// When what is known of another member last changed, in milliseconds;
+    /// `None` if it is unknown.
+    pub fn unchanged_since_ms(&self, instance: &InstanceName) -> Option<u64> {
+        self.rows.get(instance).map(|row| row.changed_ms)
+    }
+
     /// The live process on an instance.
     pub fn router(&self, instance: &InstanceName) -> Option<&Router> {
         if *instance == self.me.router.member.instance {
--- a/crates/member/tests/fleet.rs
+++ b/crates/member/tests/fleet.rs
@@ -17,6 +17,7 @@
                 http_address: address,
                 peer_address: address,
                 failure_domain: format!("domain-{}", index % domains).into(),
+                processor_millicores: 0,
             }
         })
         .collect()
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -12,6 +12,7 @@
         http_address: address,
         peer_address: address,
         failure_domain: "hall-atl".into(),
+        processor_millicores: 0,
     }
 }
 
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -141,6 +141,7 @@
             http_address: row.http_address,
             peer_address: row.peer_address,
             failure_domain: row.failure_domain,
+            processor_millicores: 0,
         },
     });
     let mut core = shared.borrow_mut();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -180,6 +180,7 @@
         http_address: loopback,
         peer_address: loopback,
         failure_domain: "standalone".into(),
+        processor_millicores: 0,
     }))
 }
 
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -141,6 +141,7 @@
         http_address,
         peer_address: settings.peer_address,
         failure_domain: settings.failure_domain.clone(),
+        processor_millicores: 0,
     };
     control::Settings {
         listen_address: settings.peer_listen_address,
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -95,6 +95,7 @@
             http_address: SocketAddr::from(([127, 0, 0, 1], 9_000 + index as u16)),
             peer_address,
             failure_domain: ["hall-atl", "hall-bhm", "hall-jxn"][index % 3].into(),
+            processor_millicores: 0,
         });
         settings.platform_address = Some(self.platform.address());
         settings.listen_address = listen_address;
--- a/crates/wire/src/convert/beat.rs
+++ b/crates/wire/src/convert/beat.rs
@@ -55,6 +55,7 @@
         http_address: read_address(from.get_http_address()?)?,
         peer_address: read_address(from.get_peer_address()?)?,
         failure_domain: from.get_failure_domain()?.to_str()?.into(),
+        processor_millicores: 0,
     };
     Ok(Update {
         router,
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -19,6 +19,7 @@
         http_address: "10.0.0.1:8080".parse().expect("address"),
         peer_address: "[fd00::1]:8081".parse().expect("address"),
         failure_domain: "hall-atl".into(),
+        processor_millicores: 0,
     };
     Update { router, epoch: 3, state: MemberState::Leaving }
 }
