Ask silent routers before suspecting them; take only newer lists of peers

Ruled out: lapsed entries after the store's return; a failed fetch of the entries is another way to old entries and is closed too.

Change: a monitored router that is silent for half the time until suspicion is asked for an answer; lists of entries carry the store's revision and only newer ones are taken; after a failed fetch the router reads the store.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -127,6 +127,11 @@
         backoff.failures = 0;
         replace(&node, listing.items);
         let mut revision = listing.revision;
+        {
+            let mut state = node.state();
+            state.registry.at_revision(revision);
+            state.reliance.upstreams_read();
+        }
         while node.follows_upstreams() {
             let watched = (store.watch_upstreams)(revision, WATCH_WAIT_MS).await;
             note(&node, "upstreams", &watched, backoff.failures);
@@ -135,6 +140,7 @@
                     backoff.failures = 0;
                     revision = changes.revision;
                     update(&node, changes.events);
+                    node.state().registry.at_revision(revision);
                     sleep(Duration::from_millis(UPSTREAM_PAUSE_MS)).await;
                 }
                 Err(StoreError::HistoryDropped) => break,
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -17,6 +17,7 @@
     forward::{self, EdgeBody},
     metrics::Counter,
     node::Node,
+    peers::UpstreamsAnswer,
     settings::Settings,
     socket,
 };
@@ -166,8 +167,11 @@
     match request.uri().path() {
         "/config" => peer_config(node, request),
         "/upstreams" => {
-            let entries = node.state().registry.entries();
-            match postcard::to_stdvec(&entries) {
+            let answer: UpstreamsAnswer = {
+                let state = node.state();
+                (state.registry.revision(), state.registry.entries())
+            };
+            match postcard::to_stdvec(&answer) {
                 Ok(bytes) => Response::new(EdgeBody::whole(bytes.into())),
                 Err(error) => {
                     warn!(%error, "the entries of upstreams cannot be encoded");
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -367,7 +367,7 @@
     pub(crate) fn follows_upstreams(&self) -> bool {
         let now_ms = self.now_ms();
         let state = self.state();
-        !(state.reliance.relies(now_ms) && state.has_collector())
+        !(state.reliance.relies_for_upstreams(now_ms) && state.has_collector())
     }
 
     /// Whether this router follows the configuration in the store.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -69,6 +69,8 @@
     pub config_version: u64,
     /// Hash of the entries of upstreams that the collector has.
     pub registry_digest: u64,
+    /// Revision of the store at which it has them.
+    pub registry_revision: u64,
     /// Time since the store last answered the collector, in milliseconds.
     pub store_age_ms: u64,
 }
@@ -90,6 +92,10 @@
     pub updates: Vec<Update>,
 }
 
+/// Answer of a collector that is asked for upstreams: the revision of the store
+/// and the entries at it.
+pub(crate) type UpstreamsAnswer = (u64, Vec<(UpstreamName, Entry)>);
+
 /// Running heartbeats.
 pub(crate) struct Peers {
     node: Rc<Node>,
@@ -123,9 +129,13 @@
         let (targets, changes) = {
             let mut state = self.node.state();
             let me = state.view.me().router.member.instance.clone();
+            let silent = state.view.silent(now_ms);
             let live = state.view.live();
             let monitored: Vec<InstanceName> = peers(&me, &live).into_iter().collect();
-            let names = targets(&me, &live);
+            let mut names = targets(&me, &live);
+            names.extend(
+                silent.into_iter().filter(|name| !names.contains(name)).collect::<Vec<_>>(),
+            );
             let known: Vec<IpAddr> = live.iter().map(|router| router.peer_address.ip()).collect();
             let mut targets: Vec<(Option<InstanceName>, IpAddr)> = names
                 .into_iter()
@@ -193,6 +203,7 @@
                 sum,
                 config_version: state.config.as_ref().map_or(0, |config| config.version),
                 registry_digest: state.registry.digest(),
+                registry_revision: state.registry.revision(),
                 store_age_ms: now_ms.saturating_sub(state.store_answered_ms),
             }
         };
@@ -206,13 +217,14 @@
 
     fn receive_news(self: &Rc<Self>, news: FleetNews) {
         let now_ms = self.node.now_ms();
-        let (version, digest) = {
+        let (version, upstreams_differ) = {
             let mut state = self.node.state();
             state.fleet_sum.set(now_ms, news.sum);
             state.registry.store_served_others(now_ms.saturating_sub(news.store_age_ms));
             state.reliance.heard(now_ms, news.store_age_ms);
             let version = state.config.as_ref().map_or(0, |config| config.version);
-            (version, state.registry.digest())
+            let newer = news.registry_revision > state.registry.revision();
+            (version, newer && news.registry_digest != state.registry.digest())
         };
         self.node.divide();
         if news.config_version > version {
@@ -220,43 +232,35 @@
             self.fetch_soon(news.from.clone());
         }
         let follows = self.node.follows_upstreams();
-        if !follows && news.registry_digest != digest && !self.fetching_upstreams.replace(true) {
+        if !follows && upstreams_differ && !self.fetching_upstreams.replace(true) {
             let peers = self.clone();
             spawn_local(async move {
-                peers.fetch_upstreams(&news.from).await;
+                if let Err(cause) = peers.fetch_upstreams(&news.from).await {
+                    warn!(router = %news.from.member, cause, "the collector gave no upstreams");
+                    peers.node.state().reliance.upstreams_not_fetched();
+                }
                 peers.fetching_upstreams.set(false);
             });
         }
     }
 
-    /// Takes the entries of upstreams that the collector has.
-    async fn fetch_upstreams(&self, collector: &Router) {
+    /// Takes the entries of upstreams that the collector has; the error says
+    /// why there are none.
+    async fn fetch_upstreams(&self, collector: &Router) -> Result<(), String> {
         let caller = Caller::new(collector.peer_address);
         let call = caller.call(Request::get("/upstreams"), Bytes::new(), FETCH_TIMEOUT_MS);
-        let entries = match call.await {
-            Ok((status, body)) if status.is_success() => postcard::from_bytes(&body),
-            Ok((status, _)) => {
-                warn!(router = %collector.member, %status, "the collector gave no upstreams");
-                return;
-            }
-            Err(error) => {
-                warn!(router = %collector.member, %error, "the collector gave no upstreams");
-                return;
-            }
-        };
-        let entries: Vec<(UpstreamName, Entry)> = match entries {
-            Ok(entries) => entries,
-            Err(error) => {
-                warn!(router = %collector.member, %error, "the collector's upstreams are unreadable");
-                return;
-            }
-        };
-        if self.node.follows_upstreams() {
-            return;
+        let (status, body) = call.await.map_err(|error| error.to_string())?;
+        if !status.is_success() {
+            return Err(format!("status {status}"));
         }
-        let now_ms = self.node.now_ms();
-        let changes = self.node.state().registry.replace(now_ms, entries);
-        self.node.apply_changes(&changes);
+        let (revision, entries): UpstreamsAnswer =
+            postcard::from_bytes(&body).map_err(|error| format!("unreadable: {error}"))?;
+        if !self.node.follows_upstreams() {
+            let now_ms = self.node.now_ms();
+            let changes = self.node.state().registry.replace_newer(now_ms, revision, entries);
+            self.node.apply_changes(&changes);
+        }
+        Ok(())
     }
 
     fn send_packet(&self, ip: IpAddr, packet: &Packet) {
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -60,6 +60,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     upstreams: BTreeMap<UpstreamName, Known>,
+    /// Revision of the store at which the entries were so.
+    revision: u64,
     /// Time of the first failed contact since the last good one.
     away_since_ms: Option<u64>,
     /// Latest time at which the store is known to have served another router.
@@ -92,6 +94,32 @@
         }
     }
 
+    /// Notes that the entries are those at a revision of the store.
+    pub fn at_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
+    /// Revision of the store at which the entries were so; 0 before any.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes the whole list of entries that another router has, if it is newer.
+    /// A router that takes itself for the collector may have an old one, which
+    /// would bring back upstreams that drain or are gone.
+    pub fn replace_newer(
+        &mut self,
+        now_ms: u64,
+        revision: u64,
+        entries: Vec<(UpstreamName, Entry)>,
+    ) -> Vec<Change> {
+        if revision <= self.revision {
+            return Vec::new();
+        }
+        self.revision = revision;
+        self.replace(now_ms, entries)
+    }
+
     /// Takes the whole list of entries.
     pub fn replace(&mut self, now_ms: u64, entries: Vec<(UpstreamName, Entry)>) -> Vec<Change> {
         let listed: BTreeMap<UpstreamName, Entry> = entries.into_iter().collect();
--- a/crates/edge/src/reliance.rs
+++ b/crates/edge/src/reliance.rs
@@ -10,6 +10,7 @@
 pub struct Reliance {
     heard_ms: Option<u64>,
     config_missing: bool,
+    upstreams_missing: bool,
 }
 
 impl Reliance {
@@ -33,11 +34,27 @@
         self.config_missing = false;
     }
 
-    /// Whether the collector can be relied on for upstreams.
+    /// Notes that newer entries of upstreams could not be fetched from the
+    /// collector.
+    pub fn upstreams_not_fetched(&mut self) {
+        self.upstreams_missing = true;
+    }
+
+    /// Notes that the entries of upstreams were read from the store.
+    pub fn upstreams_read(&mut self) {
+        self.upstreams_missing = false;
+    }
+
+    /// Whether the collector is heard and reaches the store.
     pub fn relies(&self, now_ms: u64) -> bool {
         self.heard_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < COLLECTOR_SILENCE_MS)
     }
 
+    /// Whether the collector can be relied on for upstreams.
+    pub fn relies_for_upstreams(&self, now_ms: u64) -> bool {
+        self.relies(now_ms) && !self.upstreams_missing
+    }
+
     /// Whether the collector can be relied on for the configuration.
     pub fn relies_for_config(&self, now_ms: u64) -> bool {
         self.relies(now_ms) && !self.config_missing
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -142,3 +142,29 @@
         assert_eq!(removed.is_some(), case.at_once, "{}", case.name);
     }
 }
+
+/// A router that took itself for the collector handed out an old list. An
+/// upstream that drained got requests again, 3.5 s after it had said that it
+/// leaves (DRAIN on cordillera-rosemary-grown, scale-2 --seed 295355987593).
+#[test]
+fn an_older_list_of_another_router_is_not_taken() {
+    struct Case {
+        name: &'static str,
+        revision: u64,
+        ready: &'static [&'static str],
+    }
+    let cases = [
+        Case { name: "older", revision: 6, ready: &["u2"] },
+        Case { name: "the same", revision: 7, ready: &["u2"] },
+        Case { name: "newer", revision: 8, ready: &["u1", "u2"] },
+    ];
+    for case in cases {
+        let mut registry = two();
+        registry.update("u1".into(), Entry { draining: true, ..entry(1) });
+        registry.at_revision(7);
+        let list = vec![("u1".into(), entry(1)), ("u2".into(), entry(2))];
+        registry.replace_newer(20, case.revision, list);
+        assert_eq!(ready(&registry), case.ready, "{}", case.name);
+        assert_eq!(registry.revision(), case.revision.max(7), "{}", case.name);
+    }
+}
--- a/crates/edge/tests/reliance.rs
+++ b/crates/edge/tests/reliance.rs
@@ -35,7 +35,21 @@
     reliance.config_not_fetched();
     assert!(!reliance.relies_for_config(100));
     // The entries of upstreams still come from the collector.
-    assert!(reliance.relies(100));
+    assert!(reliance.relies_for_upstreams(100));
     reliance.config_read();
     assert!(reliance.relies_for_config(100));
 }
+
+/// A router whose fetch of the entries failed went on with old ones for as long
+/// as it heard the collector.
+#[test]
+fn entries_that_the_collector_cannot_deliver_are_read_from_the_store() {
+    let mut reliance = Reliance::default();
+    reliance.heard(0, 0);
+    assert!(reliance.relies_for_upstreams(100));
+    reliance.upstreams_not_fetched();
+    assert!(!reliance.relies_for_upstreams(100));
+    assert!(reliance.relies_for_config(100));
+    reliance.upstreams_read();
+    assert!(reliance.relies_for_upstreams(100));
+}
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -178,6 +178,21 @@
         self.remove_suspects(now_ms, changes)
     }
 
+    /// Monitored members that are about to be suspected. A heartbeat asks them
+    /// for an answer: one whose view differs may send its own to others.
+    pub fn silent(&self, now_ms: u64) -> Vec<InstanceName> {
+        let silent_ms = |row: &Row| {
+            let since_ms = row.monitored_since_ms?;
+            Some(now_ms.saturating_sub(row.heard_ms.unwrap_or(0).max(since_ms)))
+        };
+        let rows = self.rows.iter().filter(|(_, row)| {
+            row.update.state != MemberState::Dead
+                && silent_ms(row)
+                    .is_some_and(|silent_ms| silent_ms >= self.timing.suspect_after_ms / 2)
+        });
+        rows.map(|(instance, _)| instance.clone()).collect()
+    }
+
     fn overdue(
         &mut self,
         now_ms: u64,
--- /dev/null
+++ b/crates/member/tests/settle.rs
@@ -0,0 +1,116 @@
+//! A fleet whose routers know each other by rings, on virtual time: false news
+//! must die out.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use span_member::{LiveView, Router, Timing, Update, peers, targets};
+use span_types::{Incarnation, InstanceName, Member, MemberState};
+
+const BEAT_MS: u64 = 400;
+const STEP_MS: u64 = 20;
+const MAX_UPDATES: usize = 8;
+const TIMING: Timing =
+    Timing { suspect_after_ms: 1_300, remove_after_ms: 2_600, forget_after_ms: 60_000 };
+
+fn router(index: usize) -> Router {
+    let address = "127.0.0.1:1".parse().expect("address");
+    Router {
+        member: Member { instance: format!("router-{index}").into(), incarnation: Incarnation(1) },
+        http_address: address,
+        peer_address: address,
+        failure_domain: format!("domain-{}", index % 5).into(),
+        processor_millicores: 0,
+    }
+}
+
+struct Fleet {
+    views: BTreeMap<InstanceName, LiveView>,
+    /// When each router sends next.
+    next_ms: BTreeMap<InstanceName, u64>,
+    /// Number of changes that the routers saw.
+    changes: usize,
+}
+
+impl Fleet {
+    fn new(count: usize, rng: &mut ChaCha8Rng) -> Self {
+        let routers: Vec<Router> = (0..count).map(router).collect();
+        let mut fleet = Self { views: BTreeMap::new(), next_ms: BTreeMap::new(), changes: 0 };
+        for me in &routers {
+            let mut view = LiveView::new(me.clone(), TIMING);
+            for other in &routers {
+                let state = MemberState::Alive;
+                view.heard(0, Update { router: other.clone(), epoch: 0, state });
+            }
+            let name = me.member.instance.clone();
+            fleet.next_ms.insert(name.clone(), rng.random_range(0..BEAT_MS));
+            fleet.views.insert(name, view);
+        }
+        fleet
+    }
+
+    fn send(&mut self, now_ms: u64, from: &InstanceName, to: &InstanceName) {
+        let Some(view) = self.views.get_mut(from) else { return };
+        let (own, updates) = (view.me().clone(), view.updates(to, MAX_UPDATES));
+        let Some(view) = self.views.get_mut(to) else { return };
+        self.changes += usize::from(view.heard(now_ms, own).is_some());
+        for update in updates {
+            self.changes += usize::from(view.learn(now_ms, update).is_some());
+        }
+    }
+
+    fn beat(&mut self, now_ms: u64, me: &InstanceName) {
+        let Some(view) = self.views.get_mut(me) else { return };
+        let live = view.live();
+        let monitored: Vec<InstanceName> = peers(me, &live).into_iter().collect();
+        let mut to: BTreeSet<InstanceName> = targets(me, &live).into_iter().collect();
+        self.changes += view.tick(now_ms, &monitored).len();
+        to.extend(view.silent(now_ms));
+        for other in to {
+            self.send(now_ms, me, &other);
+            self.send(now_ms, &other, me);
+        }
+    }
+
+    fn run(&mut self, from_ms: u64, until_ms: u64) {
+        for now_ms in (from_ms..until_ms).step_by(STEP_MS as usize) {
+            let due: Vec<InstanceName> = self
+                .next_ms
+                .iter()
+                .filter(|(_, at_ms)| **at_ms <= now_ms)
+                .map(|(name, _)| name.clone())
+                .collect();
+            for name in due {
+                self.beat(now_ms, &name);
+                self.next_ms.insert(name, now_ms + BEAT_MS);
+            }
+        }
+    }
+}
+
+/// One false death changed the rings of those that believed it. They expected
+/// heartbeats of routers that sent them elsewhere, suspected these too, and so
+/// on without end: 33 changes a second at each of 97 routers
+/// (cordillera-rosemary-grown, scale-2 --seed 295355987593).
+#[test]
+fn false_news_of_a_death_dies_out() {
+    for seed in 1..=2 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = Fleet::new(60, &mut rng);
+        fleet.run(0, 3_000);
+        let dead = Update { router: router(7), epoch: 0, state: MemberState::Dead };
+        for (name, view) in &mut fleet.views {
+            if name.as_str() != "router-7" && rng.random_bool(0.6) {
+                view.learn(3_000, dead.clone());
+            }
+        }
+        fleet.run(3_000, 13_000);
+        fleet.changes = 0;
+        fleet.run(13_000, 33_000);
+        assert_eq!(fleet.changes, 0, "seed {seed}: changes after ten seconds");
+        for (name, view) in &fleet.views {
+            assert_eq!(view.live().len(), 60, "seed {seed}: {name}");
+        }
+    }
+}
