--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -121,7 +121,7 @@
     let address = node.state().registry.get(upstream).map(|entry| entry.address);
     let address = address.ok_or_else(|| Failure::NotSent("the upstream is gone".to_owned()))?;
     node.count(Counter::UpstreamConnects);
-    pool::connect(address).await.map_err(failure)
+    pool::connect(address, pool::BUFFER_BYTES).await.map_err(failure)
 }
 
 fn failure(error: SendError) -> Failure {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -33,7 +33,7 @@
 
 /// Bytes read ahead on a connection to an upstream. The memory of a small
 /// instance is divided among thousands of connections.
-const BUFFER_BYTES: usize = 16 * 1024;
+pub(crate) const BUFFER_BYTES: usize = 16 * 1024;
 
 /// A request did not get an answer.
 #[derive(Debug, thiserror::Error)]
@@ -154,8 +154,12 @@
     }
 }
 
-/// Opens a connection to an upstream or another HTTP server.
-pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, SendError> {
+/// Opens a connection to an upstream or another HTTP server, with at most
+/// `buffer_bytes` read ahead.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    buffer_bytes: usize,
+) -> Result<Connection, SendError> {
     let not_sent = |error: io::Error| SendError::NotSent(format!("cannot connect: {error}"));
     let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = timeout(limit, TcpStream::connect(address))
@@ -164,7 +168,7 @@
         .map_err(not_sent)?;
     prepare(SockRef::from(&stream), UNACKNOWLEDGED_MS).map_err(not_sent)?;
     let (sender, connection) = http1::Builder::new()
-        .max_buf_size(BUFFER_BYTES)
+        .max_buf_size(buffer_bytes)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| SendError::NotSent(error.to_string()))?;
