Take no connections while the process cannot read what it has

Cause: on the grown deployments some workspaces send all they have to one router with 0.12 of a core, up to several times what it can read and refuse. All that waits there is served in the order of arrival, so that each request came too late, also the few that were the workspace's share.

Change: the lateness of housekeeping tells that the process is overloaded; it then accepts no connections, for half a second at most, and closes those of refused callers. What it has begun ends in time; the rest is refused by the kernel at once.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,7 +2,8 @@
 //! callers' requests, membership and configuration.
 //!
 //! What must last lies in the platform's store. The modules [`admission`],
-//! [`shares`], [`placement`], [`budget`], [`registry`], [`directory`], [`config`]
+//! [`shares`], [`placement`], [`budget`], [`registry`], [`directory`],
+//! [`overload`], [`config`]
 //! and [`sse`] decide,
 //! without I/O and with the present time as an argument; the others feed them.
 
@@ -20,6 +21,7 @@
 pub mod log;
 pub mod metrics;
 pub mod node;
+pub mod overload;
 pub mod peers;
 pub mod placement;
 mod pool;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -17,6 +17,7 @@
     forward::{self, EdgeBody},
     metrics::Counter,
     node::Node,
+    overload,
     peers::UpstreamsAnswer,
     settings::Settings,
     socket,
@@ -24,6 +25,8 @@
 
 /// Pause after a failed accept, most often for lack of descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+/// Pause in accepting callers while the process is overloaded.
+const OVERLOAD_PAUSE: Duration = Duration::from_millis(overload::INTERVAL_MS);
 /// Part of the sockets that callers may use; the rest is for upstreams, peers
 /// and the store.
 const CALLER_SOCKETS_PART: f64 = 0.7;
@@ -56,11 +59,12 @@
     (settings.resources.sockets as f64 * CALLER_SOCKETS_PART) as usize
 }
 
-/// Whether so many connections of callers are open that those of refused ones
-/// are closed.
+/// Whether the connections of refused callers are closed: so many are open, or
+/// the process has too much to read.
 pub(crate) fn is_crowded(node: &Node) -> bool {
     let most = caller_sockets(&node.settings()) as f64;
-    node.caller_connections.get() as f64 > most * CROWDED_PART
+    let crowded = node.caller_connections.get() as f64 > most * CROWDED_PART;
+    crowded || node.overload.borrow().is_overloaded()
 }
 
 /// Accepts callers until `stop` is true; open connections go on.
@@ -71,6 +75,9 @@
 ) {
     let most = caller_sockets(&node.settings());
     loop {
+        while !node.overload.borrow().may_accept(node.now_ms()) {
+            tokio::time::sleep(OVERLOAD_PAUSE).await;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => return,
@@ -79,6 +86,7 @@
             tokio::time::sleep(ACCEPT_RETRY).await;
             continue;
         };
+        node.overload.borrow_mut().accepted(node.now_ms());
         if node.caller_connections.get() >= most {
             node.count(Counter::CallerConnectionsRefused);
             continue;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -20,6 +20,7 @@
     dialect::{Dialect, Work},
     directory,
     metrics::Counter,
+    overload::Overload,
     placement::{Chosen, Need},
     pool::Pool,
     registry::Change,
@@ -41,6 +42,8 @@
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
     pub(crate) leaving_since_ms: Cell<Option<u64>>,
+    /// Lateness of the process with its own work.
+    pub(crate) overload: RefCell<Overload>,
     /// Open connections of callers.
     pub(crate) caller_connections: Cell<usize>,
     /// Requests whose answer has not ended.
@@ -69,6 +72,7 @@
             clock: Clock::start(),
             pool: Pool::default(),
             leaving_since_ms: Cell::new(None),
+            overload: RefCell::default(),
             caller_connections: Cell::new(0),
             open_requests: Cell::new(0),
             body_bytes: Cell::new(0),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,13 +13,13 @@
 use tracing::{info, warn};
 
 use crate::{
-    clock, dialect::Dialect, follow, listen, log::Log, metrics::Counter, node::Node, peers::Peers,
-    settings::Settings, socket, store::Store,
+    clock, dialect::Dialect, follow, listen, log::Log, metrics::Counter, node::Node, overload,
+    peers::Peers, settings::Settings, socket, store::Store,
 };
 
 /// Interval of housekeeping, in milliseconds. Requests that wait start when a
 /// place becomes free; this finds the places that become free with time.
-const TICK_MS: u64 = 50;
+const TICK_MS: u64 = overload::INTERVAL_MS;
 /// Time after the signal to end during which new callers are still accepted,
 /// in milliseconds: callers keep an address for up to three lifetimes.
 const ACCEPT_MS: u64 = 6_000;
@@ -153,6 +153,7 @@
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
         let now_ms = node.now_ms();
+        node.overload.borrow_mut().ran(now_ms);
         let away_ms = clock::boot_ms().saturating_sub(now_ms);
         if away_ms > suspended_ms + SUSPENDED_MS {
             warn!(suspended_ms = away_ms - suspended_ms, "the instance was suspended");
