--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -132,7 +132,7 @@
             record.answer_started();
             // The connection of a refused caller would only take memory until
             // it is idle for too long.
-            closes |= rejected.outcome == Outcome::Refused && listen::is_crowded(&node);
+            closes |= rejected.outcome == Outcome::Refused && listen::closes_refused(&node);
             response
         }
     };
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -61,7 +61,7 @@
 
 /// Whether the connections of refused callers are closed: so many are open, or
 /// the process has too much to read.
-pub(crate) fn is_crowded(node: &Node) -> bool {
+pub(crate) fn closes_refused(node: &Node) -> bool {
     let most = caller_sockets(&node.settings()) as f64;
     let crowded = node.caller_connections.get() as f64 > most * CROWDED_PART;
     crowded || node.overload.borrow().is_overloaded()
