--- a/crates/edge/src/overload.rs
+++ b/crates/edge/src/overload.rs
@@ -3,11 +3,11 @@
 /// Interval of the measurement, in milliseconds.
 pub const INTERVAL_MS: u64 = 50;
 /// Lateness of a task that is due each interval from which the process is
-/// overloaded, in milliseconds. 60 served fewer requests in time on the day on
-/// which it was tried (docs/results.md).
+/// overloaded, in milliseconds. With 60, and refused callers' connections kept,
+/// fewer requests were served in time in the one run (docs/results.md).
 const LATE_MS: u64 = 30;
-/// Longest time for which no connection is accepted, in milliseconds; an
-/// eighth of the time in which a router that is ready has to take one.
+/// Longest time for which no connection is accepted, in milliseconds; well
+/// within the 3 to 4 s in which a router that is ready has to take one.
 const LONGEST_PAUSE_MS: u64 = 500;
 
 /// Lateness of the process with its own work.
