--- a/crates/router/tests/chat.rs
+++ b/crates/router/tests/chat.rs
@@ -5,8 +5,8 @@
 
 use async_openai::{Client, config::OpenAIConfig, types::chat::CreateChatCompletionRequest};
 use common::{
-    MODEL, TestSetup, WORKSPACE_KEY, assert_complete, chat_body, executions, fast_engine, loopback,
-    unused_address, wait_until,
+    MODEL, RefusingAddress, TestSetup, WORKSPACE_KEY, assert_complete, chat_body, executions,
+    fast_engine, loopback, wait_until,
 };
 use futures::{StreamExt, future::join_all};
 use http::{Method, StatusCode};
@@ -169,7 +169,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_connection_is_retried_at_another_upstream() {
     let engine = engine::bind(loopback(), fast_engine()).await.expect("bind failed");
-    let setup = TestSetup::new().upstream("stitch-assist", unused_address());
+    let refusing = RefusingAddress::bind();
+    let setup = TestSetup::new().upstream("stitch-assist", refusing.address());
     let setup = setup.upstream("stitch-assist", engine.address()).start().await;
     for number in 0..20 {
         let answer = setup.chat("retried", 3, number % 2 == 0).await;
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -37,8 +37,24 @@
     ([127, 0, 0, 1], 0).into()
 }
 
-/// An address at which nothing listens. Another process may take the address
-/// before the test uses it; the test then fails.
+/// An address that refuses connections: its port stays bound without listening, so
+/// that no other process can take it.
+pub struct RefusingAddress(tokio::net::TcpSocket);
+
+impl RefusingAddress {
+    pub fn bind() -> Self {
+        let socket = tokio::net::TcpSocket::new_v4().expect("no socket");
+        socket.bind(loopback()).expect("no free port");
+        Self(socket)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().expect("no local address")
+    }
+}
+
+/// An address at which nothing listens, for a program to listen on. Another process
+/// may take the address first; the test then fails.
 pub fn unused_address() -> SocketAddr {
     let listener = std::net::TcpListener::bind(loopback()).expect("no free port");
     listener.local_addr().expect("no local address")
--- a/crates/router/tests/idempotency.rs
+++ b/crates/router/tests/idempotency.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use common::{
-    Answer, OTHER_WORKSPACE_KEY, RunningSetup, TestSetup, loopback, spawn, unused_address,
+    Answer, OTHER_WORKSPACE_KEY, RefusingAddress, RunningSetup, TestSetup, loopback, spawn,
 };
 use futures::future::join_all;
 use http::{Method, StatusCode};
@@ -157,7 +157,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn key_is_reusable_after_not_run() {
-    let mut setup = TestSetup::new().upstream("booking-desk", unused_address());
+    let refusing = RefusingAddress::bind();
+    let mut setup = TestSetup::new().upstream("booking-desk", refusing.address());
     // The router blocks an upstream that refuses connections, and requests then
     // wait until their deadline.
     setup.deadline_ms = 200;
--- a/crates/router/tests/plain.rs
+++ b/crates/router/tests/plain.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use common::{TestSetup, loopback, request, unused_address, wait_until};
+use common::{RefusingAddress, TestSetup, loopback, request, wait_until};
 use futures::{StreamExt, channel::mpsc};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body::Frame;
@@ -234,11 +234,12 @@
         Response::new(full_body(body))
     });
     let healthy = healthy.await;
-    let setup = TestSetup::new().upstream("booking-desk", unused_address()).start().await;
+    let refusing = RefusingAddress::bind();
+    let setup = TestSetup::new().upstream("booking-desk", refusing.address()).start().await;
     let answer = setup.call(Method::POST, "/svc/booking-desk/x", &[], "book").await;
     assert_eq!(answer.outcome().as_deref(), Some("not_run"));
     assert!(!answer.header("retry-after").is_empty());
-    let setup = TestSetup::new().upstream("booking-desk", unused_address());
+    let setup = TestSetup::new().upstream("booking-desk", refusing.address());
     let setup = setup.upstream("booking-desk", healthy.address()).start().await;
     // Too large to be buffered, so it can only be sent again if none of it was
     // consumed.
