--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -14,7 +14,7 @@
     metrics::{Counter, Timing},
     node::Node,
     pool::{self, Connection, SendError},
-    upstream_load::AttemptResult,
+    upstream_load::{AttemptResult, LoadReport},
     wire_format::WorkEstimate,
 };
 
@@ -40,6 +40,8 @@
     pub(crate) connection: Connection,
     /// Idle timeout that the upstream stated, in milliseconds.
     pub(crate) idle_timeout_ms: Option<u64>,
+    /// Load that the upstream reported with the head.
+    pub(crate) load: Option<LoadReport>,
 }
 
 /// Why an attempt brought no proper answer.
@@ -106,10 +108,10 @@
     };
     let (parts, body) = response.into_parts();
     let now_ms = node.now_ms();
-    record_head(node, upstream, &parts, now_ms, sent_ms);
+    let load = record_head(node, upstream, &parts, now_ms, sent_ms);
     let idle_timeout_ms = head::idle_timeout_ms(&parts.headers);
     let kind = head::classify(&parts, &node.wire_format, &data.id);
-    let answer = Answer { parts, body, connection, idle_timeout_ms };
+    let answer = Answer { parts, body, connection, idle_timeout_ms, load };
     match kind {
         HeadKind::Proper => Ok(answer),
         HeadKind::Failure => Err(Failure::Upstream(Box::new(answer))),
@@ -162,26 +164,25 @@
     Request::from_parts(parts, Full::new(data.body.clone()))
 }
 
-/// Records the time to the head of an answer, and the load that it reports.
+/// Records the time to the head of an answer, and returns the load that it reports.
 fn record_head(
     node: &Node,
     upstream: &UpstreamName,
     parts: &response::Parts,
     now_ms: u64,
     sent_ms: u64,
-) {
+) -> Option<LoadReport> {
     let names = &node.wire_format.headers;
     let report = parts.headers.get(&names.load_report);
     let report = report.and_then(|value| (node.wire_format.decode_load_report)(value.as_bytes()));
     let mut state = node.state();
     state.metrics.time(Timing::UpstreamFirstByteMs, now_ms.saturating_sub(sent_ms));
-    let Some(report) = report else {
-        return;
-    };
+    let report = report?;
     let service = state.registry.get(upstream).map(|entry| entry.service.clone());
     if let Some(service) = service.and_then(|service| state.services.get_mut(&service)) {
         service.placement.record_report(now_ms, upstream, report);
     }
+    Some(report)
 }
 
 async fn keep_after_rejection(node: &Node, upstream: &UpstreamName, answer: Answer) {
@@ -232,7 +233,7 @@
     answer: Answer,
     until_ms: u64,
 ) -> Result<(response::Parts, Bytes), Failure> {
-    let Answer { parts, body, connection, idle_timeout_ms } = answer;
+    let Answer { parts, body, connection, idle_timeout_ms, .. } = answer;
     let wait = Duration::from_millis(until_ms.saturating_sub(node.now_ms()));
     match timeout(wait, read_to_end(body, MAX_BUFFERED_ANSWER_BYTES)).await {
         Ok(Ok(bytes)) => {
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -6,7 +6,10 @@
 use span_types::{ServiceName, UpstreamName};
 
 use crate::{
-    node::Node, placement::ChosenUpstream, state::LaneTicket, upstream_load::AttemptResult,
+    node::Node,
+    placement::{ChosenUpstream, PromptPrefix},
+    state::LaneTicket,
+    upstream_load::AttemptResult,
     wire_format::WorkEstimate,
 };
 
@@ -84,6 +87,14 @@
         }
     }
 
+    /// Records that the upstream has processed the prompt and caches its prefix.
+    pub(crate) fn prompt_read(&mut self, prefix: Option<PromptPrefix>) {
+        if let (Some(chosen), Some(prefix)) = (&self.chosen, prefix) {
+            self.node.prefix_read(&self.service, &chosen.upstream, prefix);
+        }
+        self.prefill_ended();
+    }
+
     pub(crate) fn service(&self) -> &ServiceName {
         &self.service
     }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -408,6 +408,9 @@
             last_event: None,
         };
         let result = attempt::attempt(node, &data, &destination, until_ms).await;
+        if let Ok(answer) = &result {
+            record.reported_load = answer.load;
+        }
         let failure = match result {
             Ok(answer) if kind.is_stream() || attempt::is_large(&answer) => {
                 let remaining_attempts = checked.route.max_attempts.saturating_sub(sent_attempts);
@@ -494,7 +497,7 @@
     let parts = head::response_head(answer.parts.clone(), &node.wire_format.headers);
     record.status = parts.status.as_u16();
     record.answer_started();
-    in_flight.prefill_ended();
+    in_flight.prompt_read(data.work.prompt_prefix);
     let resumable = checked.route.kind == RouteKind::ResumableStream;
     let resume = resumable.then(|| ResumeState {
         data,
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -9,6 +9,7 @@
     admission::Rejection,
     metrics::{Counter, Timing},
     node::Node,
+    upstream_load::LoadReport,
 };
 
 /// How a request ended for its caller.
@@ -43,6 +44,8 @@
     /// Estimated requests at the upstream when it was chosen, and the age of its
     /// load report in milliseconds.
     upstream_load: Option<(u32, Option<u64>)>,
+    /// Load that the upstream reported with its answer.
+    pub(crate) reported_load: Option<LoadReport>,
     /// Present if admission control rejected the request.
     pub(crate) rejection: Option<Rejection>,
     /// Retry advice that the caller got with a rejection.
@@ -70,6 +73,7 @@
             config_version: 0,
             attempts: 0,
             upstream_load: None,
+            reported_load: None,
             rejection: None,
             retry_after_ms: None,
             queued_ms: None,
@@ -132,6 +136,8 @@
             attempts = self.attempts,
             upstream_requests = self.upstream_load.map(|(requests, _)| requests),
             report_age_ms = self.upstream_load.and_then(|(_, age_ms)| age_ms),
+            upstream_running = self.reported_load.map(|load| load.running),
+            upstream_waiting = self.reported_load.map(|load| load.waiting),
             free = self.rejection.map(|rejection| rejection.slots.free),
             taken = self.rejection.map(|rejection| rejection.slots.in_use),
             slots = self.rejection.map(|rejection| rejection.slots.total),
--- a/crates/edge/src/load_summary.rs
+++ b/crates/edge/src/load_summary.rs
@@ -7,16 +7,23 @@
 //! routers of its domain and one sum for each other domain, whatever the size of
 //! the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use span_types::{FailureDomain, InstanceName, ServiceName};
 
 use crate::shares::Demand;
 
-/// Age from which a load summary is ignored, in milliseconds; four intervals
-/// between summaries.
+/// Age from which a load summary is ignored, in milliseconds; three intervals of a
+/// router without callers.
 const SUMMARY_LIFETIME_MS: u64 = 2_000;
+/// Interval between the load summaries of routers with callers, in milliseconds.
+pub const BUSY_INTERVAL_MS: u64 = 200;
+/// The same for routers without callers, in intervals of the others.
+pub const IDLE_INTERVALS: u64 = 3;
+/// Mean age of the requests in flight in the sum of the fleet when a router receives
+/// it, in milliseconds: a summary waits for half an interval at each collector.
+pub const MEAN_IN_FLIGHT_AGE_MS: u64 = BUSY_INTERVAL_MS;
 
 /// Load that callers put on one service.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -48,6 +55,10 @@
     pub loads: ServiceLoads,
     /// Load of upstreams, by the low half of the hash of their name.
     pub upstreams: BTreeMap<u32, ReportedLoad>,
+    /// Requests that these routers have at upstreams, by the same key. A load report
+    /// comes with the start of a request; without new requests only this tells that
+    /// earlier ones have ended.
+    pub in_flight: BTreeMap<u32, u32>,
 }
 
 impl LoadSummary {
@@ -55,6 +66,9 @@
     /// of an upstream, the newer one stays.
     pub fn add(&mut self, other: &LoadSummary, age_ms: u64) {
         self.routers += other.routers;
+        for (upstream, requests) in &other.in_flight {
+            *self.in_flight.entry(*upstream).or_default() += requests;
+        }
         for (service, load) in &other.loads {
             let sum = self.loads.entry(service.clone()).or_default();
             sum.long_tokens_per_s += load.long_tokens_per_s;
@@ -93,6 +107,12 @@
         self.domains.insert(domain, (now_ms, summary));
     }
 
+    /// Routers of the collector's failure domain that have callers.
+    pub fn busy_routers(&self) -> BTreeSet<InstanceName> {
+        let busy = self.routers.iter().filter(|(_, (_, summary))| !summary.loads.is_empty());
+        busy.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Sum over the collector's failure domain; `own` is the collector's summary.
     pub fn domain_sum(&mut self, now_ms: u64, own: &LoadSummary) -> LoadSummary {
         self.routers.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < SUMMARY_LIFETIME_MS);
@@ -126,10 +146,10 @@
         self.received = Some((now_ms, sum));
     }
 
-    /// The last summary, unless it is too old.
-    pub fn get(&self, now_ms: u64) -> Option<&LoadSummary> {
+    /// The last summary and the time of its receipt, unless it is too old.
+    pub fn get(&self, now_ms: u64) -> Option<(u64, &LoadSummary)> {
         let fresh = self.received.as_ref();
         let fresh = fresh.filter(|(at_ms, _)| now_ms.saturating_sub(*at_ms) < SUMMARY_LIFETIME_MS);
-        fresh.map(|(_, sum)| sum)
+        fresh.map(|(at_ms, sum)| (*at_ms, sum))
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -18,10 +18,10 @@
     clock::Clock,
     config::Config,
     directory,
-    load_summary::{LoadSummary, ServiceLoad, ServiceLoads},
+    load_summary::{self, LoadSummary, ServiceLoad, ServiceLoads},
     metrics::Counter,
     overload::OverloadDetector,
-    placement::{ChosenUpstream, PlacementRequest},
+    placement::{ChosenUpstream, PlacementRequest, PromptPrefix},
     pool::Pool,
     registry::UpstreamChange,
     settings::Settings,
@@ -253,7 +253,10 @@
         let loads = state.own_loads(now_ms);
         let services = state.services.values();
         let upstreams = services.flat_map(|service| service.placement.reported_loads(now_ms));
-        LoadSummary { routers: 1, loads, upstreams: upstreams.collect() }
+        let upstreams = upstreams.collect();
+        let services = state.services.values_mut();
+        let in_flight = services.flat_map(|service| service.placement.share_in_flight()).collect();
+        LoadSummary { routers: 1, loads, upstreams, in_flight }
     }
 
     /// Divides capacity among routers and workspaces, and engines between long
@@ -264,6 +267,9 @@
         let routers = state.live_router_count();
         let own_loads = state.own_loads(now_ms);
         let fleet = state.fleet_load(now_ms, &own_loads);
+        let taken_ms = state.fleet_summary.get(now_ms).map(|(received_ms, _)| {
+            received_ms.saturating_sub(load_summary::MEAN_IN_FLIGHT_AGE_MS)
+        });
         let State { services, config, .. } = &mut *state;
         let reporting_routers = fleet.routers.max(1) as usize;
         let scale = routers.max(reporting_routers) as f64 / reporting_routers as f64;
@@ -274,6 +280,9 @@
             let long_tokens_per_s = (fleet_load.long_tokens_per_s as f64 * scale) as u64;
             service.placement.set_long_prompt_rate(now_ms, long_tokens_per_s);
             service.placement.merge_reported_loads(now_ms, &fleet.upstreams);
+            if let Some(taken_ms) = taken_ms {
+                service.placement.merge_in_flight(taken_ms, &fleet.in_flight);
+            }
             let config = config.as_ref().filter(|config| config.is_engine(name));
             let capacity = config.and_then(|config| config.capacity_per_s);
             let shares = shares::divide_capacity(
@@ -379,6 +388,19 @@
         self.dispatch(service);
     }
 
+    /// Records that an upstream has read a prompt prefix.
+    pub(crate) fn prefix_read(
+        &self,
+        service: &ServiceName,
+        upstream: &UpstreamName,
+        prefix: PromptPrefix,
+    ) {
+        let now_ms = self.now_ms();
+        if let Some(service) = self.state().services.get_mut(service) {
+            service.placement.record_prefix_read(now_ms, upstream, prefix);
+        }
+    }
+
     /// Dispatches the waiting requests of a service for which a slot is free.
     pub(crate) fn dispatch(&self, service: &ServiceName) {
         let now_ms = self.now_ms();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     http_client::HttpClient,
-    load_summary::{LoadSummary, ServiceLoads},
+    load_summary::{self, LoadSummary, ServiceLoads},
     metrics::Counter,
     node::Node,
     registry::SharedEntry,
@@ -56,9 +56,6 @@
 /// Time without progress after which a fetch from a peer fails, in milliseconds.
 const FETCH_TIMEOUT_MS: u64 = 1_000;
 
-/// Interval between load summaries in a fleet with collectors, in milliseconds.
-const SUMMARY_INTERVAL_MS: u64 = 500;
-
 /// A datagram between routers. Encoded by position: variants and fields must not
 /// change their order or type.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -187,11 +184,13 @@
     /// Exchanges load summaries until the process ends. Does nothing in a fleet
     /// without collectors.
     pub(crate) async fn exchange_summaries(self: Rc<Self>) {
-        loop {
+        let interval = Duration::from_millis(load_summary::BUSY_INTERVAL_MS);
+        for round in 0u64.. {
             // Changes that the routers of the failure domain wait for are sent
             // at once.
             let trigger = self.node.summary_trigger.notified();
-            let _ = tokio::time::timeout(Duration::from_millis(SUMMARY_INTERVAL_MS), trigger).await;
+            let is_triggered = tokio::time::timeout(interval, trigger).await.is_ok();
+            let to_all = is_triggered || round.is_multiple_of(load_summary::IDLE_INTERVALS);
             let role = self.node.state().role();
             let Some(role) = role else {
                 continue;
@@ -199,11 +198,19 @@
             let own_summary = self.node.load_summary();
             match role {
                 Role::Member { collector_ip, .. } => {
-                    let message = self.summary_message(own_summary);
-                    self.send_packet(collector_ip, &Packet::RouterSummary(message));
+                    if to_all || !own_summary.loads.is_empty() {
+                        let message = self.summary_message(own_summary);
+                        self.send_packet(&[collector_ip], &Packet::RouterSummary(message));
+                    }
                 }
                 Role::Collector { domain, members, other_collectors, .. } => {
-                    self.send_sums(own_summary, domain, members, other_collectors);
+                    let busy = self.node.state().received_summaries.busy_routers();
+                    let members: Vec<IpAddr> = members
+                        .into_iter()
+                        .filter(|(name, _)| to_all || busy.contains(name))
+                        .map(|(_, ip)| ip)
+                        .collect();
+                    self.send_sums(own_summary, domain, &members, &other_collectors);
                 }
             }
         }
@@ -222,8 +229,8 @@
         &self,
         own_summary: LoadSummary,
         domain: FailureDomain,
-        members: Vec<IpAddr>,
-        other_collectors: Vec<IpAddr>,
+        members: &[IpAddr],
+        other_collectors: &[IpAddr],
     ) {
         let now_ms = self.node.now_ms();
         let (domain_sum, fleet_sum) = {
@@ -233,9 +240,9 @@
             (state.received_summaries.domain_sum(now_ms, &own_summary), fleet_sum)
         };
         let packet = Packet::DomainSummary(domain, self.summary_message(domain_sum));
-        other_collectors.into_iter().for_each(|ip| self.send_packet(ip, &packet));
+        self.send_packet(other_collectors, &packet);
         let packet = Packet::FleetSummary(self.summary_message(fleet_sum));
-        members.into_iter().for_each(|ip| self.send_packet(ip, &packet));
+        self.send_packet(members, &packet);
         self.node.divide_capacity();
     }
 
@@ -303,11 +310,13 @@
         Ok(())
     }
 
-    fn send_packet(&self, ip: IpAddr, packet: &Packet) {
-        let address = SocketAddr::new(ip, self.node.settings().addresses.heartbeats.port());
+    fn send_packet(&self, ips: &[IpAddr], packet: &Packet) {
+        let port = self.node.settings().addresses.heartbeats.port();
         match postcard::to_stdvec(packet) {
             // A datagram that the socket does not accept counts as lost.
-            Ok(bytes) => drop(self.socket.try_send_to(&bytes, address)),
+            Ok(bytes) => ips.iter().for_each(|ip| {
+                drop(self.socket.try_send_to(&bytes, SocketAddr::new(*ip, port)));
+            }),
             Err(error) => warn!(%error, "cannot encode a datagram; not sent"),
         }
     }
@@ -393,7 +402,7 @@
                 updates,
             }
         };
-        self.send_packet(ip, &Packet::Heartbeat(heartbeat));
+        self.send_packet(&[ip], &Packet::Heartbeat(heartbeat));
     }
 
     /// Receives datagrams until the process ends.
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -45,8 +45,10 @@
 /// Requests beyond its slots that an engine may get, as a fraction of the slots.
 /// They cover the time from the end of a request to the arrival of the next one.
 const ENGINE_QUEUE_FRACTION: f64 = 0.04;
-/// Prompt prefixes whose last upstream is remembered.
+/// Prompt prefixes whose upstreams are remembered.
 const MAX_TRACKED_PREFIXES: usize = 4_096;
+/// Upstreams that are remembered for each of them.
+const MAX_HOLDERS_PER_PREFIX: usize = 4;
 /// Time for which an engine certainly caches a prompt prefix that it was sent,
 /// in milliseconds; its cache turns over in about twice that time.
 const PREFIX_CERTAINLY_CACHED_MS: u64 = 4_000;
@@ -110,13 +112,23 @@
     pub report_age_ms: Option<u64>,
 }
 
+/// An upstream that a prompt prefix was sent to.
+#[derive(Clone, Debug)]
+struct PrefixHolder {
+    upstream: UpstreamName,
+    /// When the prefix was last sent there, or read there.
+    used_ms: u64,
+    /// Whether the upstream has read the prefix.
+    has_read: bool,
+}
+
 /// The upstreams of one service, and how many requests this router may send to
 /// each.
 #[derive(Debug)]
 pub struct Placement {
     upstreams: HashMap<UpstreamName, UpstreamState>,
-    /// Upstream that each prompt prefix was last sent to, and when.
-    prefix_upstreams: HashMap<u64, (UpstreamName, u64)>,
+    /// Upstreams that each prompt prefix was sent to, the last one at the end.
+    prefix_holders: HashMap<u64, Vec<PrefixHolder>>,
     /// Limit on this router's requests at one upstream, from the limit on
     /// connections.
     max_own_requests: u32,
@@ -143,7 +155,7 @@
     fn default() -> Self {
         Self {
             upstreams: HashMap::new(),
-            prefix_upstreams: HashMap::new(),
+            prefix_holders: HashMap::new(),
             max_own_requests: 1,
             routers_per_upstream: 1,
             own_hash: 0,
@@ -273,7 +285,10 @@
     /// Drops the state of an upstream whose process has been replaced.
     pub fn reset(&mut self, name: &UpstreamName) {
         self.upstreams.remove(name);
-        self.prefix_upstreams.retain(|_, (upstream, _)| upstream != name);
+        self.prefix_holders.retain(|_, holders| {
+            holders.retain(|holder| holder.upstream != *name);
+            !holders.is_empty()
+        });
     }
 
     /// Slots of the usable upstreams of a lane.
@@ -283,7 +298,13 @@
         let mut counts = SlotCounts { free: 0, in_use: 0, total: 0 };
         for state in usable {
             counts.free += self.free_slots(now_ms, state);
-            counts.in_use += state.total_requests(now_ms, self.routers_per_upstream) as u32;
+            let in_use = state.total_requests(now_ms, self.routers_per_upstream) as u32;
+            // An engine whose prefill is behind takes no prompts, whatever its slots.
+            counts.in_use += if self.is_prefill_behind(now_ms, state) {
+                state.slots.max(in_use)
+            } else {
+                in_use
+            };
             counts.total += state.slots;
         }
         counts
@@ -295,13 +316,19 @@
         usable.map(|state| state.slots).sum()
     }
 
-    /// Requests that this router may send to an upstream now.
-    fn free_slots(&self, now_ms: u64, state: &UpstreamState) -> u32 {
+    /// Whether an upstream has so many prompt tokens to process that it takes no
+    /// further prompts of this router.
+    fn is_prefill_behind(&self, now_ms: u64, state: &UpstreamState) -> bool {
         let has_long_gaps =
             state.lane == Lane::Short && state.mean_gap_ms(now_ms) > self.max_mean_gap_ms;
         let fraction = self.capacity_fraction / self.upstreams_fraction;
         let prefill_limit = (MAX_PENDING_PREFILL_TOKENS as f64 * fraction) as u64;
-        if state.pending_prefill_tokens > prefill_limit || has_long_gaps {
+        state.pending_prefill_tokens > prefill_limit || has_long_gaps
+    }
+
+    /// Requests that this router may send to an upstream now.
+    fn free_slots(&self, now_ms: u64, state: &UpstreamState) -> u32 {
+        if self.is_prefill_behind(now_ms, state) {
             return 0;
         }
         if !self.is_engine() {
@@ -399,11 +426,18 @@
         if prefix.tokens < MIN_COPIED_PREFIX_TOKENS {
             return None;
         }
-        let sent = self.prefix_upstreams.get(&prefix.hash);
-        let recent =
-            sent.filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) < PREFIX_CERTAINLY_CACHED_MS);
-        if let Some((last, _)) = recent {
-            return (last != upstream && self.upstreams.contains_key(last)).then(|| last.clone());
+        let is_recent = |holder: &&PrefixHolder| {
+            now_ms.saturating_sub(holder.used_ms) < PREFIX_CERTAINLY_CACHED_MS
+                && self.upstreams.contains_key(&holder.upstream)
+        };
+        let holders = self.prefix_holders.get(&prefix.hash).into_iter().flatten();
+        let recent: Vec<&PrefixHolder> = holders.filter(is_recent).collect();
+        if recent.iter().any(|holder| holder.upstream == *upstream) {
+            return None;
+        }
+        // An engine that has not read the prefix yet has nothing to copy.
+        if let Some(holder) = recent.iter().rev().find(|holder| holder.has_read) {
+            return Some(holder.upstream.clone());
         }
         let usable = self.upstreams.iter();
         let usable = usable.filter(|(_, state)| state.lane == Lane::Short && !state.replaced);
@@ -456,8 +490,9 @@
         min_home_hash: u64,
     ) -> bool {
         state.rendezvous_hash(prefix) >= min_home_hash
-            || self.prefix_upstreams.get(&prefix.hash).is_some_and(|(upstream, at_ms)| {
-                upstream == name && now_ms.saturating_sub(*at_ms) < PREFIX_CACHE_LIFETIME_MS
+            || self.prefix_holders.get(&prefix.hash).into_iter().flatten().any(|holder| {
+                holder.upstream == *name
+                    && now_ms.saturating_sub(holder.used_ms) < PREFIX_CACHE_LIFETIME_MS
             })
     }
 
@@ -470,12 +505,33 @@
             }
         }
         if let Some(prefix) = request.prompt_prefix {
-            if self.prefix_upstreams.len() >= MAX_TRACKED_PREFIXES {
-                self.prefix_upstreams.retain(|_, (_, at_ms)| {
-                    now_ms.saturating_sub(*at_ms) < PREFIX_CACHE_LIFETIME_MS / 2
-                });
-            }
-            self.prefix_upstreams.insert(prefix.hash, (name.clone(), now_ms));
+            self.record_holder(now_ms, name, prefix.hash, false);
+        }
+    }
+
+    /// Records that an upstream has read a prompt prefix that this router sent.
+    pub fn record_prefix_read(&mut self, now_ms: u64, name: &UpstreamName, prefix: PromptPrefix) {
+        self.record_holder(now_ms, name, prefix.hash, true);
+    }
+
+    fn record_holder(&mut self, now_ms: u64, name: &UpstreamName, hash: u64, has_read: bool) {
+        if self.prefix_holders.len() >= MAX_TRACKED_PREFIXES {
+            self.prefix_holders.retain(|_, holders| {
+                let last = holders.last().map_or(0, |holder| holder.used_ms);
+                now_ms.saturating_sub(last) < PREFIX_CACHE_LIFETIME_MS / 2
+            });
+        }
+        let holders = self.prefix_holders.entry(hash).or_default();
+        let known = holders.iter().position(|holder| holder.upstream == *name);
+        let mut holder = match known {
+            Some(index) => holders.remove(index),
+            None => PrefixHolder { upstream: name.clone(), used_ms: now_ms, has_read: false },
+        };
+        holder.used_ms = now_ms;
+        holder.has_read |= has_read;
+        holders.push(holder);
+        if holders.len() > MAX_HOLDERS_PER_PREFIX {
+            holders.remove(0);
         }
     }
 
@@ -527,6 +583,32 @@
         }
     }
 
+    /// Requests of this router in flight at each upstream, with the low half of the
+    /// upstream's name hash, to be told to other routers.
+    pub fn share_in_flight(&mut self) -> Vec<(u32, u32)> {
+        let mut in_flight = Vec::new();
+        for state in self.upstreams.values_mut() {
+            state.shared_own_requests = state.own_requests;
+            if state.own_requests > 0 {
+                in_flight.push((state.name_hash as u32, state.own_requests));
+            }
+        }
+        in_flight
+    }
+
+    /// Takes over the requests that all routers had in flight at `taken_ms`, for
+    /// upstreams without a newer load report.
+    pub fn merge_in_flight(&mut self, taken_ms: u64, in_flight: &BTreeMap<u32, u32>) {
+        for state in self.upstreams.values_mut() {
+            if state.report.is_some_and(|(known_ms, _, _)| known_ms >= taken_ms) {
+                continue;
+            }
+            let running = in_flight.get(&(state.name_hash as u32)).copied().unwrap_or(0);
+            let report = LoadReport { running, waiting: 0, slots: state.slots };
+            state.report = Some((taken_ms, report, state.shared_own_requests));
+        }
+    }
+
     /// Records how an attempt at an upstream ended. Returns whether the upstream
     /// is avoided from now on.
     pub fn record_result(
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::IpAddr};
 
 use span_member::{MembershipView, Router, home_router, task_rank};
-use span_types::{FailureDomain, Member};
+use span_types::{FailureDomain, InstanceName, Member};
 
 use crate::store_source::ReadOrder;
 
@@ -18,7 +18,7 @@
     /// among all collectors.
     Collector {
         domain: FailureDomain,
-        members: Vec<IpAddr>,
+        members: Vec<(InstanceName, IpAddr)>,
         other_collectors: Vec<IpAddr>,
         rank: usize,
     },
@@ -63,7 +63,8 @@
         });
     }
     let members = own_domain.iter().filter(|router| router.member != own_router.member);
-    let members = members.map(|router| router.peer_address.ip()).collect();
+    let members =
+        members.map(|router| (router.member.instance.clone(), router.peer_address.ip())).collect();
     let other_collectors: Vec<&Router> =
         domains.values().filter_map(|routers| home_router(COLLECTOR_BUCKET, routers)).collect();
     Some(Role::Collector {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -184,7 +184,8 @@
 
     /// Load of the whole fleet, as far as it is known; `own` is this router's.
     pub(crate) fn fleet_load(&self, now_ms: u64, own: &ServiceLoads) -> LoadSummary {
-        if let Some(sum) = self.fleet_summary.get(now_ms).filter(|_| self.has_collectors()) {
+        let summary = self.fleet_summary.get(now_ms).filter(|_| self.has_collectors());
+        if let Some((_, sum)) = summary {
             return sum.clone();
         }
         let mut sum = LoadSummary { routers: 1, loads: own.clone(), ..LoadSummary::default() };
--- a/crates/edge/tests/load_summary.rs
+++ b/crates/edge/tests/load_summary.rs
@@ -9,7 +9,7 @@
 fn summary(workspace: &str, rate: u64) -> LoadSummary {
     let load =
         ServiceLoad { demand: [(workspace.into(), rate)].into(), long_tokens_per_s: rate / 10 };
-    LoadSummary { routers: 1, loads: [("svc".into(), load)].into(), upstreams: [].into() }
+    LoadSummary { routers: 1, loads: [("svc".into(), load)].into(), ..LoadSummary::default() }
 }
 
 fn demand(sum: &LoadSummary, workspace: &str) -> Option<u64> {
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -261,3 +261,72 @@
     assert!(used_upstreams(0.05) > 40);
     assert_eq!(used_upstreams(0.2), 112);
 }
+
+/// A load report comes with the start of a request. Of a full engine that started no
+/// further one, routers never learned that its requests had ended: engines ran 8 of
+/// 12 requests while requests were rejected (scenario scale-2 of
+/// magnolia-fit-large).
+#[test]
+fn requests_in_flight_correct_a_report_of_a_full_engine() {
+    let mut placement = placement(1, 12);
+    placement.set_fleet(&"r0".into(), 200, 1_000.0);
+    let name: UpstreamName = "u0".into();
+    let full = LoadReport { running: 12, waiting: 3, slots: 12 };
+    placement.record_report(1_000, &name, full);
+    assert_eq!(placement.slot_counts(1_400, Lane::Short).in_use, 15);
+    let chosen = placement.assign(1_400, REQUEST, 1, true).unwrap();
+    let key = placement.share_in_flight()[0].0;
+    let older = [(key, 4)].into();
+    placement.merge_in_flight(900, &older);
+    assert_eq!(placement.slot_counts(1_500, Lane::Short).in_use, 16, "an older sum is ignored");
+    // The sum includes the request of this router.
+    let newer = [(key, 5)].into();
+    placement.merge_in_flight(1_600, &newer);
+    assert_eq!(placement.slot_counts(1_700, Lane::Short).in_use, 5);
+    placement.request_ended(&chosen.upstream);
+    assert_eq!(placement.slot_counts(1_700, Lane::Short).in_use, 4);
+    // An upstream that the sum does not name has no requests.
+    placement.merge_in_flight(1_800, &[].into());
+    assert_eq!(placement.slot_counts(1_900, Lane::Short).in_use, 0);
+}
+
+/// Half of the slots of an engine that is behind with prompts are free, but nothing
+/// can start there. The workspaces over their share must not use the other engines'
+/// last slots.
+#[test]
+fn engine_behind_with_prompts_counts_as_full() {
+    let mut placement = placement(2, 12);
+    let behind = PlacementRequest { prefill_tokens: 50_000, ..REQUEST };
+    let chosen = placement.assign(0, behind, 1, false).unwrap();
+    assert_eq!(placement.slot_counts(0, Lane::Short).in_use, 12);
+    placement.prefill_ended(&chosen.upstream, 50_000);
+    assert_eq!(placement.slot_counts(0, Lane::Short).in_use, 1);
+}
+
+/// A hot prefix went to other engines while its home was full. The copy was asked of
+/// the engine that got it last, which had not read it yet, so each engine read it
+/// anew: 10 million of 149 million tokens (scenario trouble-1 of
+/// magnolia-fit-large).
+#[test]
+fn prefix_is_copied_from_an_engine_that_has_read_it() {
+    let mut placement = placement(4, 12);
+    let prefix = PromptPrefix { hash: 7, tokens: 5_000 };
+    let mut excluded = Vec::new();
+    let send = |placement: &mut Placement, now_ms, excluded: &[UpstreamName]| {
+        let request = PlacementRequest { excluded, ..with_prefix(7) };
+        placement.assign(now_ms, request, now_ms, false).unwrap()
+    };
+    let home = send(&mut placement, 0, &excluded);
+    placement.record_prefix_read(100, &home.upstream, prefix);
+    excluded.push(home.upstream.clone());
+    let second = send(&mut placement, 200, &excluded);
+    assert_eq!(second.copy_source.as_ref(), Some(&home.upstream));
+    excluded.push(second.upstream.clone());
+    let third = send(&mut placement, 210, &excluded);
+    assert_eq!(third.copy_source.as_ref(), Some(&home.upstream), "the second has not read it");
+    placement.record_prefix_read(300, &second.upstream, prefix);
+    // The engines that have the prefix are preferred, and copy nothing.
+    let again = send(&mut placement, 400, &excluded[..1]);
+    assert!([second.upstream, third.upstream].contains(&again.upstream));
+    assert_eq!(again.copy_source, None);
+}
