--- a/crates/edge/src/lane.rs
+++ b/crates/edge/src/lane.rs
@@ -10,8 +10,13 @@
 /// Factor by which the attention over earlier tokens lengthens the prefill of a
 /// long prompt.
 const ATTENTION_FACTOR: f64 = 1.4;
-/// Fraction of its time that an engine for long prompts may spend on prefill.
+/// Fraction of its time that an engine for long prompts may spend on prefill while
+/// all slots are in use.
 const MAX_PREFILL_TIME_FRACTION: f64 = 0.65;
+/// The same while no slot is in use. Prompts then wait less for each other.
+const MIN_PREFILL_TIME_FRACTION: f64 = 0.3;
+/// Fraction of the slots in use from which [`MAX_PREFILL_TIME_FRACTION`] applies.
+const BUSY_IN_USE_FRACTION: f64 = 0.7;
 /// Fewest engines of a service with which some are reserved for long prompts.
 const MIN_ENGINES_FOR_SPLIT: usize = 4;
 /// Time for which fewer engines for long prompts must suffice before their
@@ -74,10 +79,20 @@
     }
 
     /// Sets how many of `engines` are reserved for long prompts, from the tokens
-    /// of long prompts that the whole fleet receives per second.
-    pub fn set_long_prompt_rate(&mut self, now_ms: u64, engines: usize, tokens_per_s: u64) {
+    /// of long prompts that the whole fleet receives per second and the fraction of
+    /// the engines' slots in use.
+    pub fn set_long_prompt_rate(
+        &mut self,
+        now_ms: u64,
+        engines: usize,
+        tokens_per_s: u64,
+        in_use_fraction: f64,
+    ) {
         let prefill_ms = tokens_per_s as f64 / PREFILL_TOKENS_PER_MS * ATTENTION_FACTOR;
-        let wanted = (prefill_ms / 1_000.0 / MAX_PREFILL_TIME_FRACTION).ceil() as usize;
+        let busy = (in_use_fraction / BUSY_IN_USE_FRACTION).clamp(0.0, 1.0);
+        let prefill_time_fraction = MIN_PREFILL_TIME_FRACTION
+            + (MAX_PREFILL_TIME_FRACTION - MIN_PREFILL_TIME_FRACTION) * busy;
+        let wanted = (prefill_ms / 1_000.0 / prefill_time_fraction).ceil() as usize;
         let wanted = if engines < MIN_ENGINES_FOR_SPLIT { 0 } else { wanted.min(engines / 2) };
         if wanted < self.long_engines {
             let since_ms = *self.fewer_since_ms.get_or_insert(now_ms);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -98,8 +98,7 @@
     /// have of this one, the backlogs and the limit on callers' connections.
     pub(crate) fn apply_settings(&self, settings: Settings) -> bool {
         let old = self.settings();
-        let needs_restart =
-            old.addresses != settings.addresses || old.instance != settings.instance;
+        let needs_restart = old.needs_restart_for(&settings);
         let addresses = old.addresses;
         let instance = old.instance.clone();
         let settings = Settings { addresses, instance, ..settings };
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -32,10 +32,10 @@
 /// Time that a full batch costs a request compared to an empty one, in
 /// milliseconds. Weighs the load of an engine against prefill time.
 const FULL_BATCH_COST_MS: f64 = 120.0;
-/// Home upstreams of a prompt prefix, which keep it cached. Engines cache a
-/// prefix only for seconds, so with more homes each would be asked for it too
-/// rarely. Other upstreams copy the prefix from the home.
-const HOMES_PER_PREFIX: usize = 1;
+/// Fraction of the cost away from home that a request has at the second home of its
+/// prefix. Requests for which the home has no slot then meet at one upstream, which
+/// keeps the prefix too. Other upstreams copy it from the home.
+const SECOND_HOME_COST_FRACTION: f64 = 0.5;
 /// Smallest prompt prefix that is copied, in tokens. A copy takes two
 /// milliseconds to begin, so that prefill is faster for smaller ones.
 const MIN_COPIED_PREFIX_TOKENS: u64 = 128;
@@ -66,8 +66,12 @@
 /// of capacity. A router that was busy leaves most of them within a few seconds.
 const UPSTREAMS_SHRINK_FACTOR: f64 = 0.9;
 /// Smallest prompt prefix, in tokens, whose home is used also by routers that do
-/// not use that upstream otherwise.
-const MIN_UNASSIGNED_HOME_TOKENS: u64 = 1_024;
+/// not use that upstream otherwise. If each router had a home of its own among the
+/// upstreams that it uses, each of them would get the prefix too rarely to keep it.
+const MIN_UNASSIGNED_HOME_TOKENS: u64 = MIN_COPIED_PREFIX_TOKENS;
+/// Least cost of a request away from the home of its prefix, in milliseconds. The
+/// home has to get most requests, or it evicts the prefix and nobody can copy it.
+const MIN_AWAY_FROM_HOME_COST_MS: f64 = 40.0;
 /// Fraction of its slots in use from which such a home gets no more requests.
 /// Its load is known only from the load summaries of other routers.
 const MAX_UNASSIGNED_HOME_IN_USE_FRACTION: f64 = 0.8;
@@ -112,6 +116,15 @@
     pub report_age_ms: Option<u64>,
 }
 
+/// Rendezvous hashes of the upstreams that keep a prompt prefix.
+#[derive(Clone, Copy, Debug)]
+struct HomeHashes {
+    /// Of the home, which gets the prefix while it has a free slot.
+    first: u64,
+    /// Of the second home, which gets most of the rest.
+    second: u64,
+}
+
 /// An upstream that a prompt prefix was sent to.
 #[derive(Clone, Debug)]
 struct PrefixHolder {
@@ -203,10 +216,25 @@
     /// Sets how many engines are reserved for long prompts, from the tokens of
     /// long prompts that the whole fleet receives per second.
     pub fn set_long_prompt_rate(&mut self, now_ms: u64, tokens_per_s: u64) {
-        self.lane_split.set_long_prompt_rate(now_ms, self.upstreams.len(), tokens_per_s);
+        let in_use_fraction = self.in_use_fraction(now_ms);
+        self.lane_split.set_long_prompt_rate(
+            now_ms,
+            self.upstreams.len(),
+            tokens_per_s,
+            in_use_fraction,
+        );
         self.assign_lanes();
     }
 
+    /// Estimated fraction of all slots that the whole fleet uses, 0 to 1.
+    fn in_use_fraction(&self, now_ms: u64) -> f64 {
+        let states = self.upstreams.values();
+        let in_use: f64 =
+            states.map(|state| state.total_requests(now_ms, self.routers_per_upstream)).sum();
+        let slots: u32 = self.upstreams.values().map(|state| state.slots).sum();
+        (in_use / f64::from(slots.max(1))).min(1.0)
+    }
+
     /// Reserves the engines with the lowest hashes for long prompts, so that all
     /// routers choose the same ones without a message.
     fn assign_lanes(&mut self) {
@@ -380,7 +408,7 @@
         draw: u64,
         allow_full: bool,
     ) -> Option<UpstreamName> {
-        let min_home_hash = request.prompt_prefix.map(|prefix| self.min_home_hash(prefix));
+        let homes = request.prompt_prefix.map(|prefix| self.home_hashes(prefix));
         let unassigned_home =
             request.prompt_prefix.and_then(|prefix| self.unassigned_home(now_ms, prefix));
         let usable = self.upstreams.iter().filter(|(name, state)| {
@@ -391,11 +419,20 @@
                     || (state.lane == request.lane && self.free_slots(now_ms, state) > 0))
         });
         let costs = usable.map(|(name, state)| {
-            let repeated_prefill_ms = match (request.prompt_prefix, min_home_hash) {
-                (Some(prefix), Some(min_home_hash))
-                    if !self.has_prefix(now_ms, name, state, prefix, min_home_hash) =>
+            let away_from_home_cost = match (request.prompt_prefix, homes) {
+                (Some(prefix), Some(homes))
+                    if !self.has_prefix(now_ms, name, state, prefix, homes.first) =>
                 {
-                    prefix.tokens as f64 / PREFILL_TOKENS_PER_MS
+                    let repeated_ms = prefix.tokens as f64 / PREFILL_TOKENS_PER_MS;
+                    let cost = repeated_ms * REPEATED_PREFILL_WEIGHT;
+                    let min_cost = if prefix.tokens < MIN_COPIED_PREFIX_TOKENS {
+                        0.0
+                    } else {
+                        MIN_AWAY_FROM_HOME_COST_MS
+                    };
+                    let is_second = state.rendezvous_hash(prefix) >= homes.second;
+                    let fraction = if is_second { SECOND_HOME_COST_FRACTION } else { 1.0 };
+                    cost.max(min_cost) * fraction
                 }
                 _ => 0.0,
             };
@@ -405,18 +442,15 @@
                 / f64::from(state.slots.max(1));
             let prefill_ms = state.pending_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS
                 + state.mean_gap_ms(now_ms);
-            let cost = in_use * FULL_BATCH_COST_MS
-                + prefill_ms
-                + repeated_prefill_ms * REPEATED_PREFILL_WEIGHT
-                + tie_breaker;
+            let cost = in_use * FULL_BATCH_COST_MS + prefill_ms + away_from_home_cost + tie_breaker;
             (cost, name)
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone())
     }
 
-    /// The upstream from which `upstream` can copy a prompt prefix: the one that
-    /// this router sent the prefix to recently, or else the home of the prefix,
-    /// which every router sends it to when it can.
+    /// The upstream from which `upstream` can copy a prompt prefix: one that read the
+    /// prefix for this router recently, or else the home of the prefix, which every
+    /// router sends it to when it can.
     fn copy_source(
         &self,
         now_ms: u64,
@@ -441,8 +475,10 @@
         }
         let usable = self.upstreams.iter();
         let usable = usable.filter(|(_, state)| state.lane == Lane::Short && !state.replaced);
-        let (home, _) = usable.max_by_key(|(_, state)| state.rendezvous_hash(prefix))?;
-        (home != upstream).then(|| home.clone())
+        // If the home itself is chosen, it may have evicted the prefix.
+        let others = usable.filter(|(name, _)| *name != upstream);
+        let (home, _) = others.max_by_key(|(_, state)| state.rendezvous_hash(prefix))?;
+        Some(home.clone())
     }
 
     /// Name hash of the home of a large prompt prefix, if this router does not
@@ -463,21 +499,22 @@
         usable.then_some(home.name_hash)
     }
 
-    /// Lowest rendezvous hash of the homes of a prompt prefix. All routers choose
-    /// the same homes without a message.
-    fn min_home_hash(&self, prefix: PromptPrefix) -> u64 {
-        let mut best = [0; HOMES_PER_PREFIX];
+    /// Rendezvous hashes of the homes of a prompt prefix. All routers choose the same
+    /// homes without a message.
+    fn home_hashes(&self, prefix: PromptPrefix) -> HomeHashes {
+        let mut homes = HomeHashes { first: 0, second: 0 };
         let short = self.upstreams.values().filter(|state| state.lane == Lane::Short);
         let allow_unassigned = self.fleet_routers > self.routers_per_upstream
             && prefix.tokens >= MIN_UNASSIGNED_HOME_TOKENS;
         for state in short.filter(|state| state.is_assigned || allow_unassigned) {
             let hash = state.rendezvous_hash(prefix);
-            if hash > best[0] {
-                best[0] = hash;
-                best.sort_unstable();
+            if hash > homes.first {
+                homes = HomeHashes { first: hash, second: homes.first };
+            } else {
+                homes.second = homes.second.max(hash);
             }
         }
-        best[0]
+        homes
     }
 
     /// Whether an upstream probably caches a prompt prefix.
@@ -487,9 +524,9 @@
         name: &UpstreamName,
         state: &UpstreamState,
         prefix: PromptPrefix,
-        min_home_hash: u64,
+        home_hash: u64,
     ) -> bool {
-        state.rendezvous_hash(prefix) >= min_home_hash
+        state.rendezvous_hash(prefix) >= home_hash
             || self.prefix_holders.get(&prefix.hash).into_iter().flatten().any(|holder| {
                 holder.upstream == *name
                     && now_ms.saturating_sub(holder.used_ms) < PREFIX_CACHE_LIFETIME_MS
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -67,3 +67,15 @@
     /// Interval at which upstreams renew their entries, in milliseconds.
     pub entry_renewal_interval_ms: u64,
 }
+
+impl Settings {
+    /// Whether `new` takes full effect only after a restart. The addresses, the
+    /// instance, its failure domain and its resources are used at the start: other
+    /// routers know them from this router's record, and limits are set up from them.
+    pub fn needs_restart_for(&self, new: &Self) -> bool {
+        self.addresses != new.addresses
+            || self.instance != new.instance
+            || self.failure_domain != new.failure_domain
+            || self.resources != new.resources
+    }
+}
--- /dev/null
+++ b/crates/edge/tests/settings.rs
@@ -0,0 +1,57 @@
+//! Tests of which changed settings take a restart.
+
+use span_edge::settings::{FleetLimits, ListenAddresses, Resources, Settings};
+
+fn settings() -> Settings {
+    let address = "127.0.0.1:1".parse().expect("address");
+    Settings {
+        instance: "r1".into(),
+        failure_domain: "domain".into(),
+        addresses: ListenAddresses {
+            callers: address,
+            readiness: address,
+            directory: address,
+            peers: address,
+            heartbeats: address,
+            metrics: address,
+        },
+        seeds: Vec::new(),
+        resources: Resources {
+            processor_millicores: 250,
+            memory_bytes: 1 << 28,
+            max_sockets: 4_000,
+        },
+        fleet_limits: FleetLimits {
+            shutdown_grace_ms: 8_000,
+            retry_ratio: 0.2,
+            retry_window_ms: 10_000,
+            retry_slack: 52,
+            directory_lifetime_ms: 5_000,
+        },
+        entry_renewal_interval_ms: 1_200,
+    }
+}
+
+/// The log said that no restart was needed after a change of the failure domain or of
+/// the resources, although the old ones stayed in use.
+#[test]
+fn settings_used_at_the_start_need_a_restart() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Settings),
+        needs_restart: bool,
+    }
+    let cases = [
+        Case { name: "nothing", change: |_| (), needs_restart: false },
+        Case { name: "port", change: |s| s.addresses.callers.set_port(2), needs_restart: true },
+        Case { name: "domain", change: |s| s.failure_domain = "x".into(), needs_restart: true },
+        Case { name: "memory", change: |s| s.resources.memory_bytes = 1, needs_restart: true },
+        Case { name: "retries", change: |s| s.fleet_limits.retry_slack = 1, needs_restart: false },
+        Case { name: "seeds", change: |s| s.seeds.clear(), needs_restart: false },
+    ];
+    for case in cases {
+        let mut changed = settings();
+        (case.change)(&mut changed);
+        assert_eq!(settings().needs_restart_for(&changed), case.needs_restart, "{}", case.name);
+    }
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -48,7 +48,7 @@
 
 struct Standings {
   workspaces @0 :List(Text);
-  # Lowest virtual time; the others are offsets from it in units of 1/256.
+  # Lowest virtual time; the others are offsets from it in units of 1/8.
   base @1 :Float64;
   offsets @2 :Numbers;
   includedCosts @3 :Numbers;
