--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! All persistent data is in the platform's store. The modules [`admission`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`],
-//! [`overload`], [`placement`], [`registry`], [`retry_budget`], [`shares`],
+//! [`overload`], [`placement`], [`registry`], [`retry_budget`], [`role`], [`shares`],
 //! [`sse`], [`store_source`] and [`upstream_load`] make decisions without I/O, with the current
 //! time as an argument. The other modules connect them to the network.
 
@@ -25,7 +25,7 @@
 mod pool;
 pub mod registry;
 pub mod retry_budget;
-mod role;
+pub mod role;
 mod run;
 pub mod settings;
 pub mod shares;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -250,18 +250,20 @@
         let now_ms = self.node.now_ms();
         self.node.state().fleet_summary.set(now_ms, message.summary);
         self.node.divide_capacity();
-        self.receive_store_knowledge(message.from, message.store);
+        self.receive_store_knowledge(message.from, message.store, true);
     }
 
     /// Takes over what another router knows of the store, as far as it is newer.
-    fn receive_store_knowledge(self: &Rc<Self>, from: Router, told: StoreKnowledge) {
+    /// `is_collector` says whether that is the collector of this failure domain.
+    fn receive_store_knowledge(
+        self: &Rc<Self>,
+        from: Router,
+        told: StoreKnowledge,
+        is_collector: bool,
+    ) {
         let now_ms = self.node.now_ms();
-        let (has_older_config, has_older_entries) = {
+        let (has_older_config, wants_entries) = {
             let mut state = self.node.state();
-            let is_collector = matches!(
-                state.role(),
-                Some(Role::Member { collector, .. }) if collector == from.member
-            );
             state.registry.store_served_others(now_ms.saturating_sub(told.store_age_ms));
             state.store_source.record_told(now_ms, told.store_age_ms, is_collector);
             state.config_reports.record(now_ms, &from.member, told.config_version);
@@ -271,12 +273,15 @@
                 state.registry.confirm(told.registry_revision);
             }
             let has_older_entries = told.registry_revision > own.registry_revision && !is_same;
-            (told.config_version > own.config_version, has_older_entries)
+            let wants_entries = has_older_entries && {
+                let order = state.read_order();
+                state.store_source.takes_shared_entries(now_ms, order)
+            };
+            (told.config_version > own.config_version, wants_entries)
         };
         if has_older_config {
             self.schedule_config_fetch(from.clone());
         }
-        let wants_entries = has_older_entries && !self.node.reads_upstreams();
         if wants_entries && !self.fetching_upstreams.replace(true) {
             let peers = self.clone();
             spawn_local(async move {
@@ -419,13 +424,13 @@
                         let name = message.from.member.instance.clone();
                         let SummaryMessage { from, summary, store } = message;
                         self.node.state().received_summaries.set_router(now_ms, name, summary);
-                        self.receive_store_knowledge(from, store);
+                        self.receive_store_knowledge(from, store, false);
                     }
                     Ok(Packet::DomainSummary(domain, message)) => {
                         let now_ms = self.node.now_ms();
                         let SummaryMessage { from, summary, store } = message;
                         self.node.state().received_summaries.set_domain(now_ms, domain, summary);
-                        self.receive_store_knowledge(from, store);
+                        self.receive_store_knowledge(from, store, false);
                     }
                     Ok(Packet::FleetSummary(message)) => self.receive_fleet_summary(message),
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
@@ -462,7 +467,7 @@
         } else if heartbeat.wants_reply {
             self.send_heartbeat(ip, Some(&member.instance), None, false);
         }
-        self.receive_store_knowledge(sender, heartbeat.store);
+        self.receive_store_knowledge(sender, heartbeat.store, false);
     }
 
     /// Logs changes of the membership and applies them to the services.
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -3,30 +3,37 @@
 use std::{collections::BTreeMap, net::IpAddr};
 
 use span_member::{MembershipView, Router, home_router, task_rank};
-use span_types::{FailureDomain, InstanceName, Member};
+use span_types::{FailureDomain, InstanceName};
 
 use crate::store_source::ReadOrder;
 
 /// Role of a router in the exchange of load summaries.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Role {
-    /// Sends its load summary to the collector of its failure domain. `rank` is its
-    /// place among the domain's members.
-    Member { collector: Member, collector_ip: IpAddr, rank: usize },
+pub enum Role {
+    /// Sends its load summary to the collector of its failure domain.
+    Member {
+        /// Address of the collector.
+        collector_ip: IpAddr,
+        /// Place among the members.
+        rank: usize,
+    },
     /// Collects the load summaries of `members` in its failure domain, and
-    /// exchanges sums with the collectors of other domains. `rank` is its place
-    /// among all collectors.
+    /// exchanges sums with the collectors of other domains.
     Collector {
+        /// The failure domain.
         domain: FailureDomain,
+        /// Names and addresses of the domain's other routers.
         members: Vec<(InstanceName, IpAddr)>,
+        /// Addresses of the collectors of other domains.
         other_collectors: Vec<IpAddr>,
+        /// Place among all collectors.
         rank: usize,
     },
 }
 
 impl Role {
     /// Place of the router in the order in which routers read the store.
-    pub(crate) fn read_order(&self) -> ReadOrder {
+    pub fn read_order(&self) -> ReadOrder {
         match self {
             Self::Collector { rank: 0, .. } => ReadOrder::Always,
             Self::Collector { rank, .. } => ReadOrder::Collector { rank: *rank },
@@ -41,10 +48,23 @@
 /// Task for which routers are ranked to read the store.
 const READ_STORE_TASK: &str = "read-store";
 
-/// Role of the router that `view` belongs to. In each failure domain, rendezvous
-/// hashing chooses the collector among the routers that callers may use. None if
-/// this domain has no such router.
-pub(crate) fn role(view: &MembershipView) -> Option<Role> {
+/// Fraction of the strongest processor of a failure domain that its collector must
+/// have. It sends to the whole domain, which takes much of a small processor.
+const MIN_COLLECTOR_PROCESSOR_FRACTION: f64 = 0.5;
+
+/// The collector of a failure domain, chosen by rendezvous hashing among its strong
+/// routers.
+fn collector<'a>(domain: &[&'a Router]) -> Option<&'a Router> {
+    let strongest = domain.iter().map(|router| router.processor_millicores).max()?;
+    let min_millicores = f64::from(strongest) * MIN_COLLECTOR_PROCESSOR_FRACTION;
+    let is_strong = |router: &&Router| f64::from(router.processor_millicores) >= min_millicores;
+    let strong: Vec<&Router> = domain.iter().copied().filter(is_strong).collect();
+    home_router(COLLECTOR_BUCKET, &strong)
+}
+
+/// Role of the router that `view` belongs to, among the routers that callers may
+/// use. None if its failure domain has no such router.
+pub fn role(view: &MembershipView) -> Option<Role> {
     let candidates = view.routers_for_callers();
     let mut domains: BTreeMap<&FailureDomain, Vec<&Router>> = BTreeMap::new();
     for router in &candidates {
@@ -52,12 +72,11 @@
     }
     let own_router = &view.own_update().router;
     let own_domain = domains.remove(&own_router.failure_domain).unwrap_or_default();
-    let collector = home_router(COLLECTOR_BUCKET, &own_domain)?;
+    let collector = collector(&own_domain)?;
     if collector.member != own_router.member {
         let members: Vec<&Router> =
             own_domain.iter().copied().filter(|router| router.member != collector.member).collect();
         return Some(Role::Member {
-            collector: collector.member.clone(),
             collector_ip: collector.peer_address.ip(),
             rank: task_rank(READ_STORE_TASK, &members, own_router),
         });
@@ -66,7 +85,7 @@
     let members =
         members.map(|router| (router.member.instance.clone(), router.peer_address.ip())).collect();
     let other_collectors: Vec<&Router> =
-        domains.values().filter_map(|routers| home_router(COLLECTOR_BUCKET, routers)).collect();
+        domains.values().filter_map(|routers| self::collector(routers)).collect();
     Some(Role::Collector {
         domain: own_router.failure_domain.clone(),
         members,
--- a/crates/edge/src/store_source.rs
+++ b/crates/edge/src/store_source.rs
@@ -30,6 +30,10 @@
 /// milliseconds.
 const MIN_TAKEOVER_MS: u64 = 5_000;
 
+/// Time without an answer of the store from which a router that reads the store
+/// takes entries of other routers too, in milliseconds; longer than a watch waits.
+const OWN_ANSWER_LIFETIME_MS: u64 = 2_000;
+
 /// What a router knows of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreKnowledge {
@@ -88,6 +92,8 @@
     /// Latest time at which the store answered this router or another one, as far
     /// as this router was told.
     confirmed_ms: Option<u64>,
+    /// When the store last answered this router.
+    answered_ms: Option<u64>,
     /// When the collector was last heard.
     collector_heard_ms: Option<u64>,
     /// Until when this router reads the store after it took over.
@@ -108,6 +114,7 @@
 
     /// Records that the store answered this router.
     pub fn record_answer(&mut self, now_ms: u64) {
+        self.answered_ms = Some(now_ms);
         self.record_confirmed(now_ms);
     }
 
@@ -152,6 +159,15 @@
         self.upstreams_fetch_failed || self.reads_store(now_ms, order)
     }
 
+    /// Whether this router takes newer entries of other routers: it does not read
+    /// the store, or the store does not answer it.
+    pub fn takes_shared_entries(&mut self, now_ms: u64, order: ReadOrder) -> bool {
+        let is_answered = self
+            .answered_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < OWN_ANSWER_LIFETIME_MS);
+        !is_answered || !self.reads_upstreams(now_ms, order)
+    }
+
     fn reads_store(&mut self, now_ms: u64, order: ReadOrder) -> bool {
         if order == ReadOrder::Always || now_ms < self.takeover_until_ms {
             return true;
--- a/crates/edge/src/store_sync.rs
+++ b/crates/edge/src/store_sync.rs
@@ -156,11 +156,12 @@
                 backoff.pause(&node).await;
                 continue;
             };
+            backoff.failures = 0;
             replace_entries(&node, listing.items);
-            node.state().registry.set_revision(listing.revision);
+            let mut state = node.state();
+            state.registry.set_revision(listing.revision);
+            state.store_source.record_upstreams_read();
         }
-        backoff.failures = 0;
-        node.state().store_source.record_upstreams_read();
         while node.reads_upstreams() {
             let revision = node.state().registry.revision();
             let watched = (store.watch_upstreams)(revision, WATCH_WAIT_MS).await;
@@ -169,6 +170,7 @@
                 Ok(changes) => {
                     backoff.failures = 0;
                     update_entries(&node, revision, changes);
+                    node.state().store_source.record_upstreams_read();
                     sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS)).await;
                 }
                 Err(StoreError::HistoryDropped) => {
--- a/crates/edge/tests/store_source.rs
+++ b/crates/edge/tests/store_source.rs
@@ -136,3 +136,20 @@
     source.record_upstreams_read();
     assert!(!source.reads_upstreams(100, order));
 }
+
+/// The first collector always reads the store. If the store turned it away, it kept
+/// its old entries, although others were served and had newer ones.
+#[test]
+fn reader_that_the_store_turns_away_takes_entries_of_others() {
+    let mut source = StoreSource::default();
+    source.record_answer(1_000);
+    assert!(!source.takes_shared_entries(2_900, ReadOrder::Always));
+    source.record_told(3_100, 0, false);
+    assert!(source.takes_shared_entries(3_100, ReadOrder::Always));
+    source.record_answer(3_200);
+    assert!(!source.takes_shared_entries(3_300, ReadOrder::Always));
+    // A member that does not read the store always takes them.
+    let order = ReadOrder::Member { rank: 9 };
+    source.record_told(3_300, 0, true);
+    assert!(source.takes_shared_entries(3_400, order));
+}
