--- a/crates/intent/src/order/executor.rs
+++ b/crates/intent/src/order/executor.rs
@@ -95,11 +95,21 @@
     /// Releases the lease, if this process still holds it. If that fails, other
     /// processes wait until the lease expires.
     pub async fn release(&self, lease: &Lease) {
-        if let Ok((Some(stored), condition)) = self.read_object::<Lease>(LEASE_KEY).await
-            && stored == *lease
-            && let Err(error) = self.write_object(LEASE_KEY, &lease.released(), condition).await
-        {
-            tracing::warn!(%error, "the order lease is left to expire");
+        let (stored, condition) = match self.read_object::<Lease>(LEASE_KEY).await {
+            Ok(read) => read,
+            Err(error) => {
+                tracing::warn!(%error, "the order lease is left to expire");
+                return;
+            }
+        };
+        // Another holder has taken the lease over.
+        if stored.as_ref() != Some(lease) {
+            return;
+        }
+        match self.write_object(LEASE_KEY, &lease.released(), condition).await {
+            Ok(true) => {}
+            Ok(false) => tracing::warn!("the order lease changed; it is left to expire"),
+            Err(error) => tracing::warn!(%error, "the order lease is left to expire"),
         }
     }
 
@@ -237,6 +247,7 @@
                 return Ok(());
             }
         }
+        tracing::warn!(order = id, attempts = MAX_WRITE_ATTEMPTS, "the claim is left open");
         Ok(())
     }
 
--- a/crates/router/src/control/admission.rs
+++ b/crates/router/src/control/admission.rs
@@ -196,11 +196,7 @@
         };
         self.running.insert(ticket, RunningRequest { upstream, cost });
         // If the caller has left, dropping the permit frees the slot.
-        match waiting.reply.send(Ok(permit)) {
-            Err(Ok(mut permit)) => permit.set_result(AttemptResult::Abandoned),
-            _ => return true,
-        }
-        false
+        waiting.reply.send(Ok(permit)).is_ok()
     }
 
     /// Frees the slot of a request; `None` if the ticket is not running.
@@ -213,12 +209,6 @@
     ) -> Option<FinishedAttempt> {
         let running = self.running.remove(&ticket)?;
         self.queue.finish(now_ms, ticket, cost);
-        // A caller that left before it received the permit never set a result,
-        // so the permit still has the default one. An attempt that was answered
-        // without cost, for example with an error of the engine, looks the same
-        // and counts as abandoned too.
-        let abandoned = result == AttemptResult::Answered && cost == 0;
-        let result = if abandoned { AttemptResult::Abandoned } else { result };
         Some(FinishedAttempt { upstream: running.upstream, result })
     }
 
--- a/crates/router/src/control/command.rs
+++ b/crates/router/src/control/command.rs
@@ -55,14 +55,15 @@
 /// How an attempt at an upstream ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AttemptResult {
-    /// The upstream answered.
-    #[default]
+    /// The upstream answered, if only with an error.
     Answered,
     /// The upstream could not be reached, or its answer was interrupted.
     Failed,
     /// The upstream sent nothing within the silence limit.
     Silent,
-    /// The caller left before the answer was complete.
+    /// The caller left before the answer was complete, or before it received the
+    /// permit.
+    #[default]
     Abandoned,
 }
 
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -82,7 +82,7 @@
         self.cost.fetch_add(cost, Ordering::Relaxed);
     }
 
-    /// Sets the result of the attempt, which is [`AttemptResult::Answered`] by
+    /// Sets the result of the attempt, which is [`AttemptResult::Abandoned`] by
     /// default.
     pub fn set_result(&mut self, result: AttemptResult) {
         self.result = result;
