--- a/crates/router/src/control/admission.rs
+++ b/crates/router/src/control/admission.rs
@@ -97,18 +97,21 @@
     pub fn configure(&mut self, limits: &[WorkspaceLimits], shards: &[ShardId]) -> u64 {
         self.queue.set_shards(shards);
         let removed = self.queue.set_workspaces(limits);
-        self.reject_expired(removed)
+        // The workspace may no longer use any upstream of the service.
+        self.reject_all(removed, |_| Rejection::NoUpstream)
     }
 
-    fn reject_expired(&mut self, expired: Vec<span_fair::ExpiredRequest>) -> u64 {
-        let count = expired.len() as u64;
-        for row in expired {
+    fn reject_all(
+        &mut self,
+        requests: Vec<span_fair::ExpiredRequest>,
+        rejection: impl Fn(&span_fair::ExpiredRequest) -> Rejection,
+    ) -> u64 {
+        for row in &requests {
             if let Some(waiting) = self.waiting.remove(&row.ticket) {
-                let retry_after_ms = row.retry_after_ms;
-                let _ = waiting.reply.send(Err(Rejection::DeadlinePassed { retry_after_ms }));
+                let _ = waiting.reply.send(Err(rejection(row)));
             }
         }
-        count
+        requests.len() as u64
     }
 
     /// Adds a request to the queue, or replies with the rejection. Returns
@@ -148,7 +151,10 @@
     /// slots are free.
     pub fn dispatch_waiting(&mut self, context: &mut DispatchContext<'_>) -> DispatchCounts {
         let expired = self.queue.expire(context.now_ms);
-        let mut counts = DispatchCounts { admitted: 0, rejected: self.reject_expired(expired) };
+        let rejected = self.reject_all(expired, |request| Rejection::DeadlinePassed {
+            retry_after_ms: request.retry_after_ms,
+        });
+        let mut counts = DispatchCounts { admitted: 0, rejected };
         while let Some(dispatch) = self.queue.dispatch(context.now_ms) {
             match context.availability(&dispatch.upstream) {
                 Availability::Blocked => self.requeue(context.now_ms, dispatch),
--- a/crates/router/tests/control.rs
+++ b/crates/router/tests/control.rs
@@ -183,6 +183,24 @@
     ));
 }
 
+/// Guards against a waiting request of a removed workspace that is told that it waited
+/// too long. Its deadline was a minute away.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_of_a_removed_workspace_is_rejected_as_such() {
+    let fleet = Fleet::start(1, DispatchPolicy::Fleet).await;
+    let engine = idle_engine(1).await;
+    let revision = fleet.configure(&[(engine.address(), 1)], &["large", "removed"]);
+    fleet.wait_until_converged(1, revision).await;
+    let router = &fleet.routers[0];
+    let running = wait_for_permit(admit(router, "large")).await;
+    let waiting = admit(router, "removed");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.configure(&[(engine.address(), 1)], &["large"]);
+    let rejection = waiting.await.expect("the task failed").expect_err("it got a permit");
+    assert!(matches!(rejection, Rejection::NoUpstream), "{rejection:?}");
+    drop(running);
+}
+
 /// Guards against requests that are sent to a failed upstream, and against a
 /// recovered upstream that gets no requests, also if it answers its probe with an
 /// error.
