--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -254,7 +254,7 @@
         let upstreams = services.flat_map(|service| service.placement.reported_loads(now_ms));
         let upstreams = upstreams.collect();
         let services = state.services.values_mut();
-        let in_flight = services.flat_map(|service| service.placement.share_in_flight()).collect();
+        let in_flight = services.flat_map(|service| service.placement.report_in_flight()).collect();
         LoadSummary { routers: 1, loads, upstreams, in_flight }
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -258,26 +258,26 @@
     fn receive_store_knowledge(
         self: &Rc<Self>,
         from: Router,
-        told: StoreKnowledge,
+        reported: StoreKnowledge,
         is_collector: bool,
     ) {
         let now_ms = self.node.now_ms();
         let (has_older_config, wants_entries) = {
             let mut state = self.node.state();
-            state.registry.store_served_others(now_ms.saturating_sub(told.store_age_ms));
-            state.store_source.record_told(now_ms, told.store_age_ms, is_collector);
-            state.config_reports.record(now_ms, &from.member, told.config_version);
+            state.registry.store_served_others(now_ms.saturating_sub(reported.store_age_ms));
+            state.store_source.record_peer_report(now_ms, reported.store_age_ms, is_collector);
+            state.config_reports.record(now_ms, &from.member, reported.config_version);
             let own = state.store_knowledge(now_ms);
-            let is_same = told.registry_digest == own.registry_digest;
+            let is_same = reported.registry_digest == own.registry_digest;
             if is_same && own.registry_revision > 0 {
-                state.registry.confirm(told.registry_revision);
+                state.registry.confirm(reported.registry_revision);
             }
-            let has_older_entries = told.registry_revision > own.registry_revision && !is_same;
+            let has_older_entries = reported.registry_revision > own.registry_revision && !is_same;
             let wants_entries = has_older_entries && {
                 let order = state.read_order();
-                state.store_source.takes_shared_entries(now_ms, order)
+                state.store_source.accepts_peer_entries(now_ms, order)
             };
-            (told.config_version > own.config_version, wants_entries)
+            (reported.config_version > own.config_version, wants_entries)
         };
         if has_older_config {
             self.schedule_config_fetch(from.clone());
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -622,10 +622,10 @@
 
     /// Requests of this router in flight at each upstream, with the low half of the
     /// upstream's name hash, to be told to other routers.
-    pub fn share_in_flight(&mut self) -> Vec<(u32, u32)> {
+    pub fn report_in_flight(&mut self) -> Vec<(u32, u32)> {
         let mut in_flight = Vec::new();
         for state in self.upstreams.values_mut() {
-            state.shared_own_requests = state.own_requests;
+            state.reported_own_requests = state.own_requests;
             if state.own_requests > 0 {
                 in_flight.push((state.name_hash as u32, state.own_requests));
             }
@@ -642,7 +642,7 @@
             }
             let running = in_flight.get(&(state.name_hash as u32)).copied().unwrap_or(0);
             let report = LoadReport { running, waiting: 0, slots: state.slots };
-            state.report = Some((taken_ms, report, state.shared_own_requests));
+            state.report = Some((taken_ms, report, state.reported_own_requests));
         }
     }
 
--- a/crates/edge/src/store_source.rs
+++ b/crates/edge/src/store_source.rs
@@ -3,9 +3,9 @@
 //!
 //! Each call to the store has a price, and the store's rate grows more slowly than
 //! the fleet. So one router follows the store and the others get the
-//! configuration and the upstream entries from it. The others take over in a fixed
-//! order if news from the store stops, so that a store that is down is not called
-//! by the whole fleet.
+//! configuration and the upstream entries from it. If no router reports answers of
+//! the store any more, the others take over in a fixed order, so that a store that is
+//! down is not called by the whole fleet.
 
 use serde::{Deserialize, Serialize};
 
@@ -17,14 +17,14 @@
 /// router's configuration and entries before it reads the store, in milliseconds.
 /// A seed answers within a few milliseconds.
 pub const START_WAIT_MS: u64 = 700;
-/// Age of the last news from the store at which the second collector reads the
+/// Age of the last known answer of the store at which the second collector reads the
 /// store, and by how much each further one waits longer, in milliseconds.
-const COLLECTOR_PATIENCE_MS: (u64, u64) = (800, 200);
+const COLLECTOR_TAKEOVER_DELAY_MS: (u64, u64) = (800, 200);
 /// The same for the first router after the collectors, in each failure domain.
-const MEMBER_PATIENCE_MS: (u64, u64) = (1_500, 400);
-/// Routers of a failure domain, beside its collector, that read the store if only
-/// its news is late. With more, an outage of the store would bring it calls from
-/// the whole fleet.
+const MEMBER_TAKEOVER_DELAY_MS: (u64, u64) = (1_500, 400);
+/// Routers of a failure domain, beside its collector, that read the store if no answer
+/// of it is known although the collector is heard. With more, an outage of the store
+/// would bring it calls from the whole fleet.
 const MAX_STANDBY_MEMBERS: usize = 3;
 /// Shortest time for which a router that took over reads the store, in
 /// milliseconds.
@@ -69,17 +69,17 @@
 }
 
 impl ReadOrder {
-    /// Age of the last news from the store at which the router reads it itself, in
-    /// milliseconds; none if it never does for that reason.
-    fn patience_ms(self) -> Option<u64> {
+    /// Age of the last known answer of the store at which the router reads it itself,
+    /// in milliseconds; none if it never does for that reason.
+    fn takeover_delay_ms(self) -> Option<u64> {
         match self {
             Self::Always => Some(0),
             Self::Collector { rank } => {
-                let (first_ms, step_ms) = COLLECTOR_PATIENCE_MS;
+                let (first_ms, step_ms) = COLLECTOR_TAKEOVER_DELAY_MS;
                 Some(first_ms + step_ms * rank.saturating_sub(1) as u64)
             }
             Self::Member { rank } => {
-                let (first_ms, step_ms) = MEMBER_PATIENCE_MS;
+                let (first_ms, step_ms) = MEMBER_TAKEOVER_DELAY_MS;
                 (rank < MAX_STANDBY_MEMBERS).then_some(first_ms + step_ms * rank as u64)
             }
         }
@@ -90,7 +90,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreSource {
     /// Latest time at which the store answered this router or another one, as far
-    /// as this router was told.
+    /// as other routers reported it.
     confirmed_ms: Option<u64>,
     /// When the store last answered this router.
     answered_ms: Option<u64>,
@@ -103,9 +103,9 @@
 }
 
 impl StoreSource {
-    /// Records what another router told about the store. `is_collector` says
-    /// whether it is the collector of this router's failure domain.
-    pub fn record_told(&mut self, now_ms: u64, store_age_ms: u64, is_collector: bool) {
+    /// Records that another router reported an answer of the store, which was
+    /// `store_age_ms` ago. `is_collector` says whether it is the collector of this router's failure domain.
+    pub fn record_peer_report(&mut self, now_ms: u64, store_age_ms: u64, is_collector: bool) {
         self.record_confirmed(now_ms.saturating_sub(store_age_ms));
         if is_collector {
             self.collector_heard_ms = Some(now_ms);
@@ -122,7 +122,7 @@
         self.confirmed_ms = self.confirmed_ms.max(Some(at_ms));
     }
 
-    /// Time since the last news from the store, in milliseconds.
+    /// Time since the last known answer of the store, in milliseconds.
     pub fn store_age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.confirmed_ms.unwrap_or(0))
     }
@@ -161,7 +161,7 @@
 
     /// Whether this router takes newer entries of other routers: it does not read
     /// the store, or the store does not answer it.
-    pub fn takes_shared_entries(&mut self, now_ms: u64, order: ReadOrder) -> bool {
+    pub fn accepts_peer_entries(&mut self, now_ms: u64, order: ReadOrder) -> bool {
         let is_answered = self
             .answered_ms
             .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < OWN_ANSWER_LIFETIME_MS);
@@ -176,11 +176,12 @@
         let heard_ms = self.collector_heard_ms.unwrap_or(0);
         let collector_is_silent =
             is_member && now_ms.saturating_sub(heard_ms) >= COLLECTOR_TIMEOUT_MS;
-        let news_is_late =
-            order.patience_ms().is_some_and(|patience_ms| self.store_age_ms(now_ms) >= patience_ms);
-        if news_is_late {
+        let answer_is_old = order
+            .takeover_delay_ms()
+            .is_some_and(|takeover_delay_ms| self.store_age_ms(now_ms) >= takeover_delay_ms);
+        if answer_is_old {
             self.takeover_until_ms = now_ms + MIN_TAKEOVER_MS;
         }
-        collector_is_silent || news_is_late
+        collector_is_silent || answer_is_old
     }
 }
--- a/crates/edge/src/upstream_load.rs
+++ b/crates/edge/src/upstream_load.rs
@@ -63,7 +63,7 @@
     /// Requests of this router in flight at the upstream.
     pub(crate) own_requests: u32,
     /// `own_requests` as other routers were last told.
-    pub(crate) shared_own_requests: u32,
+    pub(crate) reported_own_requests: u32,
     /// Time of the last load report, the report, and `own_requests` at that
     /// time.
     pub(crate) report: Option<(u64, LoadReport, u32)>,
@@ -93,7 +93,7 @@
             name_hash: xxh3_64(name.as_str().as_bytes()),
             slots,
             own_requests: 0,
-            shared_own_requests: 0,
+            reported_own_requests: 0,
             report: None,
             consecutive_failures: 0,
             failure_rate: 0.0,
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -307,7 +307,7 @@
     placement.record_report(1_000, &name, full);
     assert_eq!(placement.slot_counts(1_400, Lane::Short).in_use, 15);
     let chosen = placement.assign(1_400, REQUEST, 1, true).unwrap();
-    let key = placement.share_in_flight()[0].0;
+    let key = placement.report_in_flight()[0].0;
     let older = [(key, 4)].into();
     placement.merge_in_flight(900, &older);
     assert_eq!(placement.slot_counts(1_500, Lane::Short).in_use, 16, "an older sum is ignored");
--- a/crates/edge/tests/store_source.rs
+++ b/crates/edge/tests/store_source.rs
@@ -2,15 +2,15 @@
 
 use span_edge::store_source::{COLLECTOR_TIMEOUT_MS, ReadOrder, StoreSource};
 
-/// A collector that is silent, or does not get news from the store, must not keep
+/// A collector that is silent, or gets no answer of the store, must not keep
 /// its whole failure domain from reading the store.
 #[test]
 fn router_reads_the_store_in_its_turn() {
     struct Case {
         name: &'static str,
         order: ReadOrder,
-        /// Time of the collector's last message, and age of its news.
-        told: Option<(u64, u64)>,
+        /// Time of the collector's last message, and age of the answer that it reported.
+        report: Option<(u64, u64)>,
         reads: bool,
     }
     let first = ReadOrder::Member { rank: 0 };
@@ -18,31 +18,46 @@
     let tenth = ReadOrder::Member { rank: 9 };
     let second_collector = ReadOrder::Collector { rank: 1 };
     let cases = [
-        Case { name: "small fleet", order: ReadOrder::Always, told: None, reads: true },
-        Case { name: "no message", order: tenth, told: None, reads: true },
-        Case { name: "recent news", order: first, told: Some((9_900, 100)), reads: false },
-        Case { name: "silent collector", order: tenth, told: Some((8_700, 100)), reads: true },
-        Case { name: "old news, first", order: first, told: Some((9_900, 1_400)), reads: true },
-        Case { name: "old news, third", order: third, told: Some((9_900, 1_400)), reads: false },
-        Case { name: "older news, third", order: third, told: Some((9_900, 2_200)), reads: true },
-        Case { name: "old news, tenth", order: tenth, told: Some((9_900, 8_000)), reads: false },
+        Case { name: "small fleet", order: ReadOrder::Always, report: None, reads: true },
+        Case { name: "no message", order: tenth, report: None, reads: true },
+        Case { name: "recent answer", order: first, report: Some((9_900, 100)), reads: false },
+        Case { name: "silent collector", order: tenth, report: Some((8_700, 100)), reads: true },
+        Case { name: "old answer, first", order: first, report: Some((9_900, 1_400)), reads: true },
         Case {
-            name: "second collector, recent news",
+            name: "old answer, third",
+            order: third,
+            report: Some((9_900, 1_400)),
+            reads: false,
+        },
+        Case {
+            name: "older answer, third",
+            order: third,
+            report: Some((9_900, 2_200)),
+            reads: true,
+        },
+        Case {
+            name: "old answer, tenth",
+            order: tenth,
+            report: Some((9_900, 8_000)),
+            reads: false,
+        },
+        Case {
+            name: "second collector, recent answer",
             order: second_collector,
-            told: Some((9_900, 600)),
+            report: Some((9_900, 600)),
             reads: false,
         },
         Case {
-            name: "second collector, old news",
+            name: "second collector, old answer",
             order: second_collector,
-            told: Some((9_900, 700)),
+            report: Some((9_900, 700)),
             reads: true,
         },
     ];
     for case in cases {
         let mut source = StoreSource::default();
-        if let Some((at_ms, store_age_ms)) = case.told {
-            source.record_told(at_ms, store_age_ms, true);
+        if let Some((at_ms, store_age_ms)) = case.report {
+            source.record_peer_report(at_ms, store_age_ms, true);
         }
         assert_eq!(source.reads_upstreams(10_000, case.order), case.reads, "{}", case.name);
         assert_eq!(source.reads_config(10_000, case.order), case.reads, "{}", case.name);
@@ -64,8 +79,8 @@
     let mut most_readers = 0;
     for now_ms in (0..OUTAGE_MS).step_by(100) {
         for (order, source) in &mut sources {
-            // The collectors are heard, but have no news since the outage began.
-            source.record_told(now_ms, now_ms, matches!(order, ReadOrder::Member { .. }));
+            // The collectors are heard, but report no answer since the outage began.
+            source.record_peer_report(now_ms, now_ms, matches!(order, ReadOrder::Member { .. }));
         }
         let readers = sources.iter_mut();
         let readers =
@@ -75,14 +90,14 @@
     assert_eq!(most_readers, DOMAINS + 3 * DOMAINS);
 }
 
-/// The news must not depend on the collector's own access to the store: another
-/// router that the store serves tells it.
+/// What a router knows must not depend on the collector's own access to the store: any
+/// other router that the store serves reports its answers.
 #[test]
-fn news_of_any_router_counts() {
+fn answer_to_any_router_counts() {
     let mut source = StoreSource::default();
     let order = ReadOrder::Member { rank: 0 };
-    source.record_told(10_000, 5_000, true);
-    source.record_told(10_000, 200, false);
+    source.record_peer_report(10_000, 5_000, true);
+    source.record_peer_report(10_000, 200, false);
     assert_eq!(source.store_age_ms(10_000), 200);
     assert!(!source.reads_config(10_000, order));
     source.record_answer(10_500);
@@ -91,17 +106,17 @@
     assert!(source.reads_config(10_000 + COLLECTOR_TIMEOUT_MS, order));
 }
 
-/// A router that took over and gave up again at the first answer would leave the
-/// fleet without news every second.
+/// A router that took over and gave up again at the first answer would leave the fleet
+/// without a reader every second.
 #[test]
 fn router_that_took_over_reads_on() {
     let mut source = StoreSource::default();
     let order = ReadOrder::Collector { rank: 1 };
-    source.record_told(9_000, 0, false);
+    source.record_peer_report(9_000, 0, false);
     assert!(source.reads_upstreams(10_000, order));
     source.record_answer(10_010);
     assert!(source.reads_upstreams(10_500, order));
-    source.record_told(16_000, 0, false);
+    source.record_peer_report(16_000, 0, false);
     assert!(!source.reads_upstreams(16_000, order));
 }
 
@@ -112,7 +127,7 @@
 fn config_is_read_from_the_store_after_a_failed_fetch() {
     let mut source = StoreSource::default();
     let order = ReadOrder::Member { rank: 9 };
-    source.record_told(0, 0, true);
+    source.record_peer_report(0, 0, true);
     assert!(!source.reads_config(100, order));
     source.record_config_fetch_failure();
     assert!(source.reads_config(100, order));
@@ -128,7 +143,7 @@
 fn upstreams_are_read_from_the_store_after_a_failed_fetch() {
     let mut source = StoreSource::default();
     let order = ReadOrder::Member { rank: 9 };
-    source.record_told(0, 0, true);
+    source.record_peer_report(0, 0, true);
     assert!(!source.reads_upstreams(100, order));
     source.record_upstreams_fetch_failure();
     assert!(source.reads_upstreams(100, order));
@@ -143,13 +158,13 @@
 fn reader_that_the_store_turns_away_takes_entries_of_others() {
     let mut source = StoreSource::default();
     source.record_answer(1_000);
-    assert!(!source.takes_shared_entries(2_900, ReadOrder::Always));
-    source.record_told(3_100, 0, false);
-    assert!(source.takes_shared_entries(3_100, ReadOrder::Always));
+    assert!(!source.accepts_peer_entries(2_900, ReadOrder::Always));
+    source.record_peer_report(3_100, 0, false);
+    assert!(source.accepts_peer_entries(3_100, ReadOrder::Always));
     source.record_answer(3_200);
-    assert!(!source.takes_shared_entries(3_300, ReadOrder::Always));
+    assert!(!source.accepts_peer_entries(3_300, ReadOrder::Always));
     // A member that does not read the store always takes them.
     let order = ReadOrder::Member { rank: 9 };
-    source.record_told(3_300, 0, true);
-    assert!(source.takes_shared_entries(3_400, order));
+    source.record_peer_report(3_300, 0, true);
+    assert!(source.accepts_peer_entries(3_400, order));
 }
