--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -18,13 +18,13 @@
 /// Fraction of the slots in use below which workspaces may exceed their share.
 /// Capacity should not stay idle, but fuller batches slow down every stream, and
 /// a dispatched request cannot be recalled when other workspaces need the slot.
-const SPARE_SLOTS_IN_USE_FRACTION: f64 = 0.8;
+const SPARE_SLOTS_IN_USE_FRACTION: f64 = 0.6;
 /// Limit of a workspace while slots are spare, as a multiple of its share. With
 /// a factor of 2, no workspace gets more than twice as much as one that is held
 /// to its share.
 const SPARE_LIMIT_FACTOR: f64 = 2.0;
 /// Fraction of the slots in use below which no limits apply.
-const UNLIMITED_SLOTS_IN_USE_FRACTION: f64 = 0.6;
+const UNLIMITED_SLOTS_IN_USE_FRACTION: f64 = 0.4;
 /// Time without an empty queue after which the service counts as overloaded, in
 /// milliseconds; until then it may be a burst. In an overload, short waits serve
 /// as many requests as long ones, and serve them in time.
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -229,8 +229,7 @@
     /// Estimated fraction of all slots that the whole fleet uses, 0 to 1.
     fn in_use_fraction(&self, now_ms: u64) -> f64 {
         let states = self.upstreams.values();
-        let in_use: f64 =
-            states.map(|state| state.total_requests(now_ms, self.routers_per_upstream)).sum();
+        let in_use: f64 = states.map(|state| self.occupied_slots(now_ms, state)).sum();
         let slots: u32 = self.upstreams.values().map(|state| state.slots).sum();
         (in_use / f64::from(slots.max(1))).min(1.0)
     }
@@ -326,13 +325,7 @@
         let mut counts = SlotCounts { free: 0, in_use: 0, total: 0 };
         for state in usable {
             counts.free += self.free_slots(now_ms, state);
-            let in_use = state.total_requests(now_ms, self.routers_per_upstream) as u32;
-            // An engine whose prefill is behind takes no prompts, whatever its slots.
-            counts.in_use += if self.is_prefill_behind(now_ms, state) {
-                state.slots.max(in_use)
-            } else {
-                in_use
-            };
+            counts.in_use += self.occupied_slots(now_ms, state) as u32;
             counts.total += state.slots;
         }
         counts
@@ -344,6 +337,18 @@
         usable.map(|state| state.slots).sum()
     }
 
+    /// Slots of an upstream that count as in use: those of its requests, or more if its
+    /// streams are slow. An engine with many slots is slow long before they are in use.
+    fn occupied_slots(&self, now_ms: u64, state: &UpstreamState) -> f64 {
+        let requests = state.total_requests(now_ms, self.routers_per_upstream);
+        let slowness = if self.is_prefill_behind(now_ms, state) {
+            1.0
+        } else {
+            (state.mean_gap_ms(now_ms) / self.max_mean_gap_ms).min(1.0)
+        };
+        requests.max(f64::from(state.slots) * slowness)
+    }
+
     /// Whether an upstream has so many prompt tokens to process that it takes no
     /// further prompts of this router.
     fn is_prefill_behind(&self, now_ms: u64, state: &UpstreamState) -> bool {
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -362,3 +362,18 @@
     assert!([second.upstream, third.upstream].contains(&again.upstream));
     assert_eq!(again.copy_source, None);
 }
+
+/// Engines with 64 slots were slow long before 0.6 of them were in use, so workspaces
+/// over their share delayed all others (scenario trouble-2 of kba-windhoek).
+#[test]
+fn slow_streams_count_as_slots_in_use() {
+    let mut placement = placement(1, 64);
+    let name: UpstreamName = "u0".into();
+    placement.record_report(0, &name, LoadReport { running: 8, waiting: 0, slots: 64 });
+    assert_eq!(placement.slot_counts(10, Lane::Short).in_use, 8);
+    // Callers accept gaps of 300 ms; an engine gets prompts up to a mean of 165 ms.
+    placement.record_event_gap(20, &name, 82);
+    assert_eq!(placement.slot_counts(30, Lane::Short).in_use, 31);
+    placement.record_event_gap(40, &name, 82);
+    assert!(placement.slot_counts(50, Lane::Short).free > 0);
+}
