Log how an upstream's answer is framed and whether a stream ends inside an event

The request line has framing and ended_inside_event now, the line of a resumed stream framing and inside_event. No decision changes.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, Request, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use span_http::Framing;
 use span_types::UpstreamName;
 use tokio::time::timeout;
 
@@ -37,6 +38,7 @@
 pub(crate) struct Answer {
     pub(crate) parts: response::Parts,
     pub(crate) body: Incoming,
+    pub(crate) framing: Framing,
     pub(crate) connection: Connection,
     /// Idle timeout that the upstream stated, in milliseconds.
     pub(crate) idle_timeout_ms: Option<u64>,
@@ -111,7 +113,8 @@
     let load = record_head(node, upstream, &parts, now_ms, sent_ms);
     let idle_timeout_ms = head::idle_timeout_ms(&parts.headers);
     let kind = head::classify(&parts, &node.wire_format, &data.id);
-    let answer = Answer { parts, body, connection, idle_timeout_ms, load };
+    let framing = Framing::of_response(&parts.headers, &body);
+    let answer = Answer { parts, body, framing, connection, idle_timeout_ms, load };
     match kind {
         HeadKind::Proper => Ok(answer),
         HeadKind::Failure => Err(Failure::Upstream(Box::new(answer))),
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -410,6 +410,7 @@
         let result = attempt::attempt(node, &data, &destination, until_ms).await;
         if let Ok(answer) = &result {
             record.reported_load = answer.load;
+            record.framing = Some(answer.framing);
         }
         let failure = match result {
             Ok(answer) if kind.is_stream() || attempt::is_large(&answer) => {
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
+use span_http::Framing;
 use span_types::UpstreamName;
 use tracing::info;
 
@@ -52,6 +53,10 @@
     pub(crate) retry_after_ms: Option<u64>,
     pub(crate) queued_ms: Option<u64>,
     pub(crate) first_byte_ms: Option<u64>,
+    /// How the end of the upstream's answer is marked.
+    pub(crate) framing: Option<Framing>,
+    /// Whether the upstream's answer, a stream, ended inside an event.
+    pub(crate) ended_inside_event: Option<bool>,
     /// Longest gap between two events of a stream.
     pub(crate) longest_gap_ms: Option<u64>,
     pub(crate) status: u16,
@@ -78,6 +83,8 @@
             retry_after_ms: None,
             queued_ms: None,
             first_byte_ms: None,
+            framing: None,
+            ended_inside_event: None,
             longest_gap_ms: None,
             status: 0,
             outcome: Outcome::Abandoned,
@@ -147,6 +154,8 @@
             queued_ms = self.queued_ms,
             first_byte_ms = self.first_byte_ms,
             longest_pause_ms = self.longest_gap_ms,
+            framing = self.framing.map(<&'static str>::from),
+            ended_inside_event = self.ended_inside_event,
             whole_ms = total_ms,
             status = self.status,
             outcome = <&'static str>::from(self.outcome),
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -11,6 +11,7 @@
 use futures::future::LocalBoxFuture;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
+use span_http::EventBoundary;
 use span_types::UpstreamName;
 use tokio::time::Sleep;
 use tracing::info;
@@ -52,6 +53,8 @@
     source: Source,
     in_flight: InFlightRequest,
     record: RequestRecord,
+    /// Where the bytes of the current upstream stop.
+    boundary: EventBoundary,
     deadline: Pin<Box<Sleep>>,
     /// Present if another upstream may continue the stream.
     resume: Option<ResumeState>,
@@ -75,6 +78,7 @@
             source: Source::Body { body, connection, idle_timeout_ms },
             in_flight,
             record,
+            boundary: EventBoundary::default(),
             deadline: Box::pin(deadline),
             resume,
             last_event_ms: node.now_ms(),
@@ -84,6 +88,7 @@
     /// Records the arrival of bytes and returns those to forward: all, or the
     /// complete events of a resumable stream.
     fn receive(&mut self, bytes: Bytes) -> Result<Option<Bytes>, Interrupted> {
+        self.boundary.push(&bytes);
         let now_ms = self.node.now_ms();
         let gap_ms = now_ms.saturating_sub(std::mem::replace(&mut self.last_event_ms, now_ms));
         self.record.longest_gap_ms = self.record.longest_gap_ms.max(Some(gap_ms));
@@ -101,6 +106,7 @@
     /// Ends the stream after its last byte. Returns what the splitter still
     /// holds.
     fn finish(&mut self) -> Option<Bytes> {
+        self.record.ended_inside_event = Some(self.boundary.is_inside_event());
         let source = std::mem::replace(&mut self.source, Source::Ended);
         if let (Source::Body { connection, idle_timeout_ms, .. }, Some(upstream)) =
             (source, self.in_flight.upstream())
@@ -115,6 +121,7 @@
 
     fn fail(&mut self, result: AttemptResult, cause: String) -> Interrupted {
         self.source = Source::Ended;
+        self.record.ended_inside_event = Some(self.boundary.is_inside_event());
         self.in_flight.end_attempt(result);
         self.record.outcome = Outcome::Failed;
         self.record.reason = Some(cause.clone());
@@ -150,6 +157,8 @@
             from = failed.as_ref().map(UpstreamName::as_str),
             to = upstream.as_str(),
             last_event,
+            framing = self.record.framing.map(<&'static str>::from),
+            inside_event = self.boundary.is_inside_event(),
             cause,
             "stream resumes"
         );
@@ -182,7 +191,9 @@
             match &mut self.source {
                 Source::Ended => return Poll::Ready(None),
                 Source::Resuming(pending) => match ready!(pending.as_mut().poll(cx)) {
-                    Ok(Answer { body, connection, idle_timeout_ms, .. }) => {
+                    Ok(Answer { body, framing, connection, idle_timeout_ms, .. }) => {
+                        self.record.framing = Some(framing);
+                        self.boundary = EventBoundary::default();
                         self.source = Source::Body { body, connection, idle_timeout_ms };
                     }
                     Err(failure) => {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,8 +1,10 @@
 //! HTTP building blocks on top of hyper that the programs share: a server with
-//! limits, clients and body helpers.
+//! limits, clients, body helpers, and what tells whether a body is complete.
 
 mod body;
 mod client;
+mod event_boundary;
+mod framing;
 mod server;
 mod write_timeout;
 
@@ -10,4 +12,6 @@
     Body, BodyError, ReadError, collect_body, empty_body, full_body, json_response, read_json_body,
 };
 pub use client::{Client, ClientError, pooled_client, root_cause, unpooled_client};
+pub use event_boundary::EventBoundary;
+pub use framing::Framing;
 pub use server::{Limits, Server, serve, serve_listener};
