Treat a stream that ends inside an event as broken off

The stream body took the end of the upstream's body for the end of the stream. An answer that ends with its connection has no other mark of its end, and the kernel closes the connection of a crashed process in order, so the router added the last chunk to half an answer. Chunks that end in order in the middle of an event had the same effect.

Evidence: the broken requests are logged as answered, with one attempt and no reason, so the router saw no error; stream_that_ends_inside_event_is_incomplete failed at its first cut, with both framings (complete, should be incomplete), and stream_that_ends_inside_event_continues_at_another_upstream did not continue. Ruled out: wrongly joined runs (one attempt), and an interruption that is noticed and then framed wrongly (it would be logged as failed).

Now the body knows where in an event its bytes stop, for streams that cannot be resumed as well. A stream that stops inside an event, and one that ends with its connection before its first event, is continued at another upstream or ends without its last chunk. Errors on routes of streams are no events and pass as they are. The cause of a broken body is logged with its source.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -208,7 +208,7 @@
     let mut single: Option<Bytes> = None;
     let mut chunks = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else {
+        let Ok(data) = frame.map_err(|error| pool::cause(&error))?.into_data() else {
             continue;
         };
         if single.is_none() && chunks.is_empty() {
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -5,14 +5,15 @@
 use http::{
     HeaderMap, HeaderName, HeaderValue, Uri, Version,
     header::{
-        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING,
-        UPGRADE,
+        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
     },
     request, response,
 };
 use span_types::{UpstreamName, WorkspaceName};
 
 use crate::{
+    config::RouteKind,
     upstream_load::AttemptResult,
     wire_format::{HeaderNames, WireFormat},
 };
@@ -156,6 +157,13 @@
     HeadKind::Proper
 }
 
+/// Whether an answer is a series of events. Errors on the routes of streams are not.
+pub(crate) fn is_event_stream(parts: &response::Parts, kind: RouteKind) -> bool {
+    let content_type = parts.headers.get(CONTENT_TYPE).map_or(&[][..], HeaderValue::as_bytes);
+    let states_events = content_type.to_ascii_lowercase().starts_with(b"text/event-stream");
+    states_events || (kind.is_stream() && parts.status.is_success())
+}
+
 /// Idle timeout of an upstream's connection, in milliseconds: `Some(0)` if the
 /// upstream closes it now, none if it does not state one.
 pub(crate) fn idle_timeout_ms(headers: &HeaderMap) -> Option<u64> {
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -499,14 +499,18 @@
     record.status = parts.status.as_u16();
     record.answer_started();
     in_flight.prompt_read(data.work.prompt_prefix);
-    let resumable = checked.route.kind == RouteKind::ResumableStream;
+    let kind = checked.route.kind;
+    let is_event_stream = head::is_event_stream(&answer.parts, kind);
+    let resumable = is_event_stream && kind == RouteKind::ResumableStream;
     let resume = resumable.then(|| ResumeState {
         data,
         remaining_attempts,
         tried,
         splitter: EventSplitter::default(),
     });
-    let body = StreamBody::new(node, answer, in_flight, record, checked.deadline_ms, resume);
+    let deadline_ms = checked.deadline_ms;
+    let body =
+        StreamBody::new(node, answer, in_flight, record, deadline_ms, is_event_stream, resume);
     Response::from_parts(parts, EdgeBody::Stream(Box::pin(body)))
 }
 
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -11,7 +11,7 @@
 use futures::future::LocalBoxFuture;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
-use span_http::EventBoundary;
+use span_http::{EventBoundary, Framing};
 use span_types::UpstreamName;
 use tokio::time::Sleep;
 use tracing::info;
@@ -23,7 +23,10 @@
     record::{Outcome, RequestRecord},
 };
 use crate::{
-    metrics::Counter, node::Node, pool::Connection, sse::EventSplitter,
+    metrics::Counter,
+    node::Node,
+    pool::{self, Connection},
+    sse::EventSplitter,
     upstream_load::AttemptResult,
 };
 
@@ -53,8 +56,9 @@
     source: Source,
     in_flight: InFlightRequest,
     record: RequestRecord,
-    /// Where the bytes of the current upstream stop.
-    boundary: EventBoundary,
+    /// Where the bytes of the current upstream stop, if they are events.
+    boundary: Option<EventBoundary>,
+    framing: Framing,
     deadline: Pin<Box<Sleep>>,
     /// Present if another upstream may continue the stream.
     resume: Option<ResumeState>,
@@ -69,16 +73,18 @@
         in_flight: InFlightRequest,
         record: RequestRecord,
         deadline_ms: u64,
+        is_event_stream: bool,
         resume: Option<ResumeState>,
     ) -> Self {
-        let Answer { body, connection, idle_timeout_ms, .. } = answer;
+        let Answer { body, framing, connection, idle_timeout_ms, .. } = answer;
         let deadline = tokio::time::sleep_until(node.clock.instant(deadline_ms));
         Self {
             node: node.clone(),
             source: Source::Body { body, connection, idle_timeout_ms },
             in_flight,
             record,
-            boundary: EventBoundary::default(),
+            boundary: is_event_stream.then(EventBoundary::default),
+            framing,
             deadline: Box::pin(deadline),
             resume,
             last_event_ms: node.now_ms(),
@@ -88,7 +94,9 @@
     /// Records the arrival of bytes and returns those to forward: all, or the
     /// complete events of a resumable stream.
     fn receive(&mut self, bytes: Bytes) -> Result<Option<Bytes>, Interrupted> {
-        self.boundary.push(&bytes);
+        if let Some(boundary) = &mut self.boundary {
+            boundary.push(&bytes);
+        }
         let now_ms = self.node.now_ms();
         let gap_ms = now_ms.saturating_sub(std::mem::replace(&mut self.last_event_ms, now_ms));
         self.record.longest_gap_ms = self.record.longest_gap_ms.max(Some(gap_ms));
@@ -103,10 +111,28 @@
         Ok((!events.is_empty()).then_some(events))
     }
 
+    /// Why the upstream's answer is not complete although its framing ends in order;
+    /// none if it is. A crash of an upstream can end its connection, and that of a
+    /// process before it the chunks, in the middle of an event.
+    fn broken_off(&self) -> Option<&'static str> {
+        let boundary = self.boundary.as_ref()?;
+        if boundary.is_inside_event() {
+            Some("the stream ends inside an event")
+        } else if boundary.is_empty() && self.framing == Framing::UntilClose {
+            Some("the connection ends before the first event")
+        } else {
+            None
+        }
+    }
+
+    fn ends_inside_event(&self) -> Option<bool> {
+        self.boundary.as_ref().map(EventBoundary::is_inside_event)
+    }
+
     /// Ends the stream after its last byte. Returns what the splitter still
     /// holds.
     fn finish(&mut self) -> Option<Bytes> {
-        self.record.ended_inside_event = Some(self.boundary.is_inside_event());
+        self.record.ended_inside_event = self.ends_inside_event();
         let source = std::mem::replace(&mut self.source, Source::Ended);
         if let (Source::Body { connection, idle_timeout_ms, .. }, Some(upstream)) =
             (source, self.in_flight.upstream())
@@ -121,7 +147,7 @@
 
     fn fail(&mut self, result: AttemptResult, cause: String) -> Interrupted {
         self.source = Source::Ended;
-        self.record.ended_inside_event = Some(self.boundary.is_inside_event());
+        self.record.ended_inside_event = self.ends_inside_event();
         self.in_flight.end_attempt(result);
         self.record.outcome = Outcome::Failed;
         self.record.reason = Some(cause.clone());
@@ -134,6 +160,7 @@
         // Closes the connection: the upstream must not work on while another one
         // continues.
         self.source = Source::Ended;
+        let inside_event = self.ends_inside_event();
         let Some(resume) = &mut self.resume else {
             return false;
         };
@@ -157,8 +184,8 @@
             from = failed.as_ref().map(UpstreamName::as_str),
             to = upstream.as_str(),
             last_event,
-            framing = self.record.framing.map(<&'static str>::from),
-            inside_event = self.boundary.is_inside_event(),
+            framing = <&'static str>::from(self.framing),
+            inside_event,
             cause,
             "stream resumes"
         );
@@ -193,7 +220,8 @@
                 Source::Resuming(pending) => match ready!(pending.as_mut().poll(cx)) {
                     Ok(Answer { body, framing, connection, idle_timeout_ms, .. }) => {
                         self.record.framing = Some(framing);
-                        self.boundary = EventBoundary::default();
+                        self.framing = framing;
+                        self.boundary = Some(EventBoundary::default());
                         self.source = Source::Body { body, connection, idle_timeout_ms };
                     }
                     Err(failure) => {
@@ -216,9 +244,18 @@
                             }
                         }
                     }
-                    None => return Poll::Ready(self.finish().map(|rest| Ok(Frame::data(rest)))),
+                    None => match self.broken_off() {
+                        None => {
+                            return Poll::Ready(self.finish().map(|rest| Ok(Frame::data(rest))));
+                        }
+                        Some(cause) if self.try_resume(cause) => {}
+                        Some(cause) => {
+                            let error = self.fail(AttemptResult::Failed, cause.to_owned());
+                            return Poll::Ready(Some(Err(error)));
+                        }
+                    },
                     Some(Err(error)) => {
-                        let cause = error.to_string();
+                        let cause = pool::cause(&error);
                         if !self.try_resume(&cause) {
                             return Poll::Ready(Some(Err(self.fail(AttemptResult::Failed, cause))));
                         }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -84,7 +84,7 @@
 }
 
 /// Describes an error with its source.
-fn cause(error: &hyper::Error) -> String {
+pub(crate) fn cause(error: &hyper::Error) -> String {
     let source = std::error::Error::source(error);
     source.map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
 }
