Do not join an error answer to a stream that another upstream continues

An upstream that was asked to continue a stream and answered with an error other than 5xx, 408, 421 or 429 counted as the continuation, so the text of its error came after the events of the first upstream and the stream ended as complete. Such an answer is now a failed attempt.

--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -218,6 +218,13 @@
             match &mut self.source {
                 Source::Ended => return Poll::Ready(None),
                 Source::Resuming(pending) => match ready!(pending.as_mut().poll(cx)) {
+                    // Its text would be taken for events of the stream.
+                    Ok(Answer { parts, .. }) if !parts.status.is_success() => {
+                        let cause = format!("the upstream answered {}", parts.status);
+                        if !self.try_resume(&cause) {
+                            return Poll::Ready(Some(Err(self.fail(AttemptResult::Failed, cause))));
+                        }
+                    }
                     Ok(Answer { body, framing, connection, idle_timeout_ms, .. }) => {
                         self.record.framing = Some(framing);
                         self.framing = framing;
