Forward no length with a stream that another upstream may continue

The head of the first answer went to the caller with its Content-Length. If another upstream continued the stream with more bytes, the server cut the body at that length and the caller took it for complete; with fewer, a complete stream looked broken. length_of_the_first_answer_does_not_limit_a_continued_stream failed before (the text ended inside the second event).

--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -495,13 +495,17 @@
     (answer, mut in_flight, mut record): (Answer, InFlightRequest, RequestRecord),
     (remaining_attempts, tried): (u32, Vec<UpstreamName>),
 ) -> Response<EdgeBody> {
-    let parts = head::response_head(answer.parts.clone(), &node.wire_format.headers);
+    let mut parts = head::response_head(answer.parts.clone(), &node.wire_format.headers);
     record.status = parts.status.as_u16();
     record.answer_started();
     in_flight.prompt_read(data.work.prompt_prefix);
     let kind = checked.route.kind;
     let is_event_stream = head::is_event_stream(&answer.parts, kind);
     let resumable = is_event_stream && kind == RouteKind::ResumableStream;
+    if resumable {
+        // Not the length of what several upstreams send together.
+        parts.headers.remove(header::CONTENT_LENGTH);
+    }
     let resume = resumable.then(|| ResumeState {
         data,
         remaining_attempts,
