Reset the connection of an HTTP/1.0 caller whose answer breaks

An answer of unknown length ends with its connection for a caller of HTTP/1.0, who knows no chunks. Both fronts were affected.

broken_stream_resets_the_connection_of_an_http_1_0_caller (entry process) and broken_answer_without_length_resets_the_connection (HTTP server of the product's own programs) failed before: the broken answer ended with Ok. The socket now resets on close from the head of such an answer on, so that the kernel does it for a dead process too, and closes in order only after a shutdown, which hyper does after the last byte.

--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -5,6 +5,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use span_http::{AnswerEnd, OrderlyCloseStream};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -139,9 +140,16 @@
     let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms)
         + IDLE_TIMEOUT_MARGIN_MS;
     let max_head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_head_bytes);
-    let service = service_fn(|request| {
+    let answer_end = AnswerEnd::default();
+    let stream = OrderlyCloseStream::new(stream, answer_end.clone());
+    let service = service_fn(|request: Request<Incoming>| {
+        let (version, answer_end) = (request.version(), &answer_end);
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            answer_end.record(version, &response);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod event_boundary;
 mod framing;
+mod orderly_close;
 mod server;
 mod write_timeout;
 
@@ -14,4 +15,5 @@
 pub use client::{Client, ClientError, pooled_client, root_cause, unpooled_client};
 pub use event_boundary::EventBoundary;
 pub use framing::Framing;
+pub use orderly_close::{AnswerEnd, OrderlyCloseStream};
 pub use server::{Limits, Server, serve, serve_listener};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -14,7 +14,9 @@
     task::{JoinHandle, JoinSet},
 };
 
-use crate::{Body, json_response, write_timeout::WriteTimeoutStream};
+use crate::{
+    AnswerEnd, Body, OrderlyCloseStream, json_response, write_timeout::WriteTimeoutStream,
+};
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -166,9 +168,16 @@
     let is_admitted = permit.is_some();
     // Fails only if the socket is already closed.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let answer_end = AnswerEnd::default();
+    let stream = OrderlyCloseStream::new(stream, answer_end.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (version, answer_end) = (request.version(), answer_end.clone());
         let response = respond(request, is_admitted);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            answer_end.record(version, &response);
+            Ok::<_, Infallible>(response)
+        }
     });
     let stream = WriteTimeoutStream::new(stream, Duration::from_millis(limits.write_timeout_ms));
     let connection = http1::Builder::new()
--- a/crates/http/src/write_timeout.rs
+++ b/crates/http/src/write_timeout.rs
@@ -10,23 +10,24 @@
 
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     time::{Sleep, sleep},
 };
 
+use crate::OrderlyCloseStream;
+
 /// A TCP stream whose writes fail once the remote side has accepted no data for
 /// `timeout`. hyper has no write timeout, and a caller that stops reading would
 /// otherwise hold its slot at the upstream for ever.
 #[derive(Debug)]
 pub(crate) struct WriteTimeoutStream {
-    stream: TcpStream,
+    stream: OrderlyCloseStream,
     timeout: Duration,
     /// Runs while a write is blocked.
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl WriteTimeoutStream {
-    pub(crate) fn new(stream: TcpStream, timeout: Duration) -> Self {
+    pub(crate) fn new(stream: OrderlyCloseStream, timeout: Duration) -> Self {
         Self { stream, timeout, timer: None }
     }
 
