Check the end of streams that have a length, and deliver what came before a break

A stream with a Content-Length that ends inside an event still looked complete: the server ends an answer when it has as many bytes as its head says, before the body is asked for its end. The length of a stream is not forwarded any more.

Bytes and break then came in one poll, and the caller got nothing at all: hyper drops what it has buffered when a body fails. A failing stream is pending once before it fails, so the events that have arrived are written first. What tells that a stream is broken moves to span-http, for the router's own front.

--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -5,11 +5,12 @@
 use http::{
     HeaderMap, HeaderName, HeaderValue, Uri, Version,
     header::{
-        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, TE, TRAILER,
-        TRANSFER_ENCODING, UPGRADE,
+        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING,
+        UPGRADE,
     },
     request, response,
 };
+use span_http::states_event_stream;
 use span_types::{UpstreamName, WorkspaceName};
 
 use crate::{
@@ -159,9 +160,7 @@
 
 /// Whether an answer is a series of events. Errors on the routes of streams are not.
 pub(crate) fn is_event_stream(parts: &response::Parts, kind: RouteKind) -> bool {
-    let content_type = parts.headers.get(CONTENT_TYPE).map_or(&[][..], HeaderValue::as_bytes);
-    let states_events = content_type.to_ascii_lowercase().starts_with(b"text/event-stream");
-    states_events || (kind.is_stream() && parts.status.is_success())
+    states_event_stream(&parts.headers) || (kind.is_stream() && parts.status.is_success())
 }
 
 /// Idle timeout of an upstream's connection, in milliseconds: `Some(0)` if the
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -502,8 +502,9 @@
     let kind = checked.route.kind;
     let is_event_stream = head::is_event_stream(&answer.parts, kind);
     let resumable = is_event_stream && kind == RouteKind::ResumableStream;
-    if resumable {
-        // Not the length of what several upstreams send together.
+    if is_event_stream {
+        // The server would end the answer as complete once it has these bytes, before
+        // the end of the stream is checked or another upstream continues it.
         parts.headers.remove(header::CONTENT_LENGTH);
     }
     let resume = resumable.then(|| ResumeState {
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -11,7 +11,7 @@
 use futures::future::LocalBoxFuture;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
-use span_http::{EventBoundary, Framing};
+use span_http::{BrokenStream, EventBoundary, Framing};
 use span_types::UpstreamName;
 use tokio::time::Sleep;
 use tracing::info;
@@ -26,7 +26,7 @@
     metrics::Counter,
     node::Node,
     pool::{self, Connection},
-    sse::EventSplitter,
+    sse::{EventSplitter, EventTooLarge},
     upstream_load::AttemptResult,
 };
 
@@ -42,8 +42,14 @@
 
 /// Where the next bytes come from.
 enum Source {
-    Body { body: Incoming, connection: Connection, idle_timeout_ms: Option<u64> },
+    Body {
+        body: Incoming,
+        connection: Connection,
+        idle_timeout_ms: Option<u64>,
+    },
     Resuming(PendingAttempt),
+    /// The stream fails with this cause at the next poll.
+    Failing(Interrupted),
     Ended,
 }
 
@@ -93,7 +99,7 @@
 
     /// Records the arrival of bytes and returns those to forward: all, or the
     /// complete events of a resumable stream.
-    fn receive(&mut self, bytes: Bytes) -> Result<Option<Bytes>, Interrupted> {
+    fn receive(&mut self, bytes: Bytes) -> Result<Option<Bytes>, EventTooLarge> {
         if let Some(boundary) = &mut self.boundary {
             boundary.push(&bytes);
         }
@@ -106,23 +112,13 @@
         let Some(resume) = &mut self.resume else {
             return Ok(Some(bytes));
         };
-        let events =
-            resume.splitter.push(&bytes).map_err(|error| Interrupted(error.to_string()))?;
+        let events = resume.splitter.push(&bytes)?;
         Ok((!events.is_empty()).then_some(events))
     }
 
-    /// Why the upstream's answer is not complete although its framing ends in order;
-    /// none if it is. A crash of an upstream can end its connection, and that of a
-    /// process before it the chunks, in the middle of an event.
-    fn broken_off(&self) -> Option<&'static str> {
-        let boundary = self.boundary.as_ref()?;
-        if boundary.is_inside_event() {
-            Some("the stream ends inside an event")
-        } else if boundary.is_empty() && self.framing == Framing::UntilClose {
-            Some("the connection ends before the first event")
-        } else {
-            None
-        }
+    /// Checks that the stream of the current upstream is complete.
+    fn check_end(&self) -> Result<(), BrokenStream> {
+        self.boundary.as_ref().map_or(Ok(()), |boundary| boundary.check_end(self.framing))
     }
 
     fn ends_inside_event(&self) -> Option<bool> {
@@ -145,13 +141,16 @@
         rest.filter(|rest| !rest.is_empty())
     }
 
-    fn fail(&mut self, result: AttemptResult, cause: String) -> Interrupted {
-        self.source = Source::Ended;
+    /// Ends the stream as interrupted. The error follows with the next poll: the
+    /// server drops what it has not written yet when a body fails, and writes it when
+    /// a body is pending.
+    fn fail(&mut self, cx: &mut Context<'_>, result: AttemptResult, cause: String) {
+        self.source = Source::Failing(Interrupted(cause.clone()));
+        cx.waker().wake_by_ref();
         self.record.ended_inside_event = self.ends_inside_event();
         self.in_flight.end_attempt(result);
         self.record.outcome = Outcome::Failed;
-        self.record.reason = Some(cause.clone());
-        Interrupted(cause)
+        self.record.reason = Some(cause);
     }
 
     /// Continues the stream at another upstream after the current one failed.
@@ -210,64 +209,58 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
-        if self.deadline.as_mut().poll(cx).is_ready() && !matches!(self.source, Source::Ended) {
+        let is_open = matches!(self.source, Source::Body { .. } | Source::Resuming(_));
+        if is_open && self.deadline.as_mut().poll(cx).is_ready() {
             let cause = "the stream did not end before the request's deadline".to_owned();
-            return Poll::Ready(Some(Err(self.fail(AttemptResult::Unknown, cause))));
+            self.fail(cx, AttemptResult::Unknown, cause);
+            return Poll::Pending;
         }
         loop {
-            match &mut self.source {
+            let broken = match &mut self.source {
                 Source::Ended => return Poll::Ready(None),
+                Source::Failing(error) => {
+                    let error = error.clone();
+                    self.source = Source::Ended;
+                    return Poll::Ready(Some(Err(error)));
+                }
                 Source::Resuming(pending) => match ready!(pending.as_mut().poll(cx)) {
                     // Its text would be taken for events of the stream.
                     Ok(Answer { parts, .. }) if !parts.status.is_success() => {
-                        let cause = format!("the upstream answered {}", parts.status);
-                        if !self.try_resume(&cause) {
-                            return Poll::Ready(Some(Err(self.fail(AttemptResult::Failed, cause))));
-                        }
+                        format!("the upstream answered {}", parts.status)
                     }
                     Ok(Answer { body, framing, connection, idle_timeout_ms, .. }) => {
                         self.record.framing = Some(framing);
                         self.framing = framing;
                         self.boundary = Some(EventBoundary::default());
                         self.source = Source::Body { body, connection, idle_timeout_ms };
+                        continue;
                     }
-                    Err(failure) => {
-                        let cause = describe(&failure);
-                        if !self.try_resume(&cause) {
-                            return Poll::Ready(Some(Err(self.fail(AttemptResult::Failed, cause))));
-                        }
-                    }
+                    Err(failure) => describe(&failure),
                 },
                 Source::Body { body, .. } => match ready!(Pin::new(body).poll_frame(cx)) {
                     Some(Ok(frame)) => {
                         let Ok(bytes) = frame.into_data() else { continue };
                         match self.receive(bytes) {
                             Ok(Some(bytes)) => return Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                            Ok(None) => {}
-                            Err(Interrupted(cause)) => {
-                                return Poll::Ready(Some(Err(
-                                    self.fail(AttemptResult::Unknown, cause)
-                                )));
+                            Ok(None) => continue,
+                            Err(error) => {
+                                self.fail(cx, AttemptResult::Unknown, error.to_string());
+                                return Poll::Pending;
                             }
                         }
                     }
-                    None => match self.broken_off() {
-                        None => {
+                    None => match self.check_end() {
+                        Ok(()) => {
                             return Poll::Ready(self.finish().map(|rest| Ok(Frame::data(rest))));
                         }
-                        Some(cause) if self.try_resume(cause) => {}
-                        Some(cause) => {
-                            let error = self.fail(AttemptResult::Failed, cause.to_owned());
-                            return Poll::Ready(Some(Err(error)));
-                        }
+                        Err(broken) => broken.to_string(),
                     },
-                    Some(Err(error)) => {
-                        let cause = pool::cause(&error);
-                        if !self.try_resume(&cause) {
-                            return Poll::Ready(Some(Err(self.fail(AttemptResult::Failed, cause))));
-                        }
-                    }
+                    Some(Err(error)) => pool::cause(&error),
                 },
+            };
+            if !self.try_resume(&broken) {
+                self.fail(cx, AttemptResult::Failed, broken);
+                return Poll::Pending;
             }
         }
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,7 +13,7 @@
     Body, BodyError, ReadError, collect_body, empty_body, full_body, json_response, read_json_body,
 };
 pub use client::{Client, ClientError, pooled_client, root_cause, unpooled_client};
-pub use event_boundary::EventBoundary;
+pub use event_boundary::{BrokenStream, EventBoundary, states_event_stream};
 pub use framing::Framing;
 pub use orderly_close::{AnswerEnd, OrderlyCloseStream};
 pub use server::{Limits, Server, serve, serve_listener};
