Check the end of events on routes of plain calls as well

An answer with the type text/event-stream on a route that is no stream is buffered, and one that ended inside an event with its connection was forwarded as complete. The new case of upstream_failures_are_reported_correctly failed before with status 200. It counts as a lost answer now.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use span_http::Framing;
+use span_http::{EventBoundary, Framing, states_event_stream};
 use span_types::UpstreamName;
 use tokio::time::timeout;
 
@@ -236,10 +236,15 @@
     answer: Answer,
     until_ms: u64,
 ) -> Result<(response::Parts, Bytes), Failure> {
-    let Answer { parts, body, connection, idle_timeout_ms, .. } = answer;
+    let Answer { parts, body, framing, connection, idle_timeout_ms, .. } = answer;
     let wait = Duration::from_millis(until_ms.saturating_sub(node.now_ms()));
     match timeout(wait, read_to_end(body, MAX_BUFFERED_ANSWER_BYTES)).await {
         Ok(Ok(bytes)) => {
+            if states_event_stream(&parts.headers) {
+                let mut boundary = EventBoundary::default();
+                boundary.push(&bytes);
+                boundary.check_end(framing).map_err(|broken| Failure::Lost(broken.to_string()))?;
+            }
             node.pool.keep(node.now_ms(), upstream, connection, idle_timeout_ms);
             Ok((parts, bytes))
         }
