Check the end of event streams of plain services in the router's own front

A plain service's stream of events that ended inside an event, with the end of its connection, with a last chunk or after its stated length, reached the caller as complete, with the outcome completed. Chat streams were not affected: they end with [DONE], and JSON answers are parsed.

events_that_stop_inside_an_event_are_not_complete failed before (case "cut": complete, should not be). CheckedEvents fails such a body at its end; a stream of events is passed on without its length and has its outcome in the trailer.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 //! limits, clients, body helpers, and what tells whether a body is complete.
 
 mod body;
+mod checked_events;
 mod client;
 mod event_boundary;
 mod framing;
@@ -12,6 +13,7 @@
 pub use body::{
     Body, BodyError, ReadError, collect_body, empty_body, full_body, json_response, read_json_body,
 };
+pub use checked_events::CheckedEvents;
 pub use client::{Client, ClientError, pooled_client, root_cause, unpooled_client};
 pub use event_boundary::{BrokenStream, EventBoundary, states_event_stream};
 pub use framing::Framing;
--- a/crates/router/src/frontend/plain.rs
+++ b/crates/router/src/frontend/plain.rs
@@ -14,7 +14,7 @@
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use span_http::{Body, BodyError};
+use span_http::{Body, BodyError, CheckedEvents, Framing, states_event_stream};
 use span_types::{
     OUTCOME_HEADER, Outcome, PLAIN_CALL_COST_UNITS, RequestId, ServiceKind, ServiceName,
 };
@@ -95,7 +95,8 @@
 
 /// Streams an answer to the caller. An answer with a length has its outcome in a
 /// header, since the caller notices missing bytes if it is interrupted. An answer
-/// without a length has it in a trailer.
+/// without a length, and every stream of events, has it in a trailer: whether a stream
+/// is complete shows only at its end.
 fn pass_through(
     answer: Response<Incoming>,
     run: Run,
@@ -103,10 +104,20 @@
     answer_timeout_ms: u64,
 ) -> Response<Body> {
     let (mut head, body) = answer.into_parts();
+    let framing = Framing::of_response(&head.headers, &body);
     remove_hop_by_hop(&mut head.headers);
+    let checks_events = !body.is_end_stream() && states_event_stream(&head.headers);
+    if checks_events {
+        head.headers.remove(CONTENT_LENGTH);
+    }
     let has_length = body.is_end_stream() || head.headers.contains_key(CONTENT_LENGTH);
     let id = run.id.clone();
-    let body = IdleTimeoutBody::new(body.map_err(Into::into).boxed(), answer_timeout_ms);
+    let body = if checks_events {
+        CheckedEvents::new(body, framing).boxed()
+    } else {
+        body.map_err(Into::into).boxed()
+    };
+    let body = IdleTimeoutBody::new(body, answer_timeout_ms);
     let mut pass_through_body = PassThroughBody { body, run, attempt, has_length, ended: false };
     if pass_through_body.body.is_end_stream() {
         pass_through_body.complete();
--- a/crates/router/tests/plain.rs
+++ b/crates/router/tests/plain.rs
@@ -156,6 +156,57 @@
     wait_until(|| setup.router.in_flight().is_empty()).await;
 }
 
+/// Answers every request with `answer` and closes the connection in order.
+async fn closing_upstream(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).await.expect("bind failed");
+    let address = listener.local_addr().expect("no local address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 1024];
+            if stream.read(&mut buffer).await.is_ok() {
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn events_that_stop_inside_an_event_are_not_complete() {
+    struct Case {
+        name: &'static str,
+        framing: fn(&str) -> String,
+        events: &'static str,
+        is_complete: bool,
+    }
+    const WHOLE: &str = "data: a\n\n";
+    const CUT: &str = "data: a\n\ndata: b\n";
+    let until_close = |body: &str| format!("\r\n{body}");
+    let length = |body: &str| format!("content-length: {}\r\n\r\n{body}", body.len());
+    let chunked = |body: &str| {
+        format!("transfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
+    };
+    let cases = [
+        Case { name: "whole", framing: until_close, events: WHOLE, is_complete: true },
+        Case { name: "whole, length", framing: length, events: WHOLE, is_complete: true },
+        Case { name: "whole, chunked", framing: chunked, events: WHOLE, is_complete: true },
+        Case { name: "cut", framing: until_close, events: CUT, is_complete: false },
+        Case { name: "cut, length", framing: length, events: CUT, is_complete: false },
+        Case { name: "cut, chunked", framing: chunked, events: CUT, is_complete: false },
+        Case { name: "no event", framing: until_close, events: "", is_complete: false },
+    ];
+    for case in cases {
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+        let upstream = closing_upstream(format!("{head}{}", (case.framing)(case.events))).await;
+        let setup = TestSetup::new().upstream("pages", upstream).start().await;
+        let answer = setup.call(Method::GET, "/svc/pages/", &[], "").await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", case.name);
+        assert_eq!(answer.body.is_some(), case.is_complete, "{}", case.name);
+        let completed = answer.outcome().as_deref() == Some("completed");
+        assert_eq!(completed, case.is_complete, "{}", case.name);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn only_idempotent_requests_are_retried() {
     struct Case {
