Send nothing more to an upstream that states in an answer that it is leaving

Until now only the store's entry counted, which some replicas never change before they go and a router without the store does not see.

The registry keeps a mark for the process, by its start, address and service. Its entry cannot lift the mark: an entry is older than the answer, and a process does not come back from leaving; a new process under its name takes requests. Marks outlive an entry that lapses for a minute. 421 and answers to other requests are not the upstream's own. The header concerns the router only and is not passed on.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -113,6 +113,10 @@
     let load = record_head(node, upstream, &parts, now_ms, sent_ms);
     let idle_timeout_ms = head::idle_timeout_ms(&parts.headers);
     let kind = head::classify(&parts, &node.wire_format, &data.id);
+    let is_own = !matches!(kind, HeadKind::Foreign(_) | HeadKind::NotRun(AttemptResult::Replaced));
+    if is_own && head::states_leaving(&parts.headers, &node.wire_format.headers) {
+        node.upstream_states_leaving(upstream);
+    }
     let framing = Framing::of_response(&parts.headers, &body);
     let answer = Answer { parts, body, framing, connection, idle_timeout_ms, load };
     match kind {
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -158,6 +158,12 @@
     HeadKind::Proper
 }
 
+/// Whether an answer states that its upstream is leaving.
+pub(crate) fn states_leaving(headers: &HeaderMap, names: &HeaderNames) -> bool {
+    let mut values = headers.get_all(&names.leaving).iter();
+    values.any(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 /// Whether an answer is a series of events. Errors on the routes of streams are not.
 pub(crate) fn is_event_stream(parts: &response::Parts, kind: RouteKind) -> bool {
     states_event_stream(&parts.headers) || (kind.is_stream() && parts.status.is_success())
@@ -184,6 +190,7 @@
 pub(crate) fn response_head(mut parts: response::Parts, names: &HeaderNames) -> response::Parts {
     remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(&names.load_report);
+    parts.headers.remove(&names.leaving);
     parts.version = Version::HTTP_11;
     parts
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -189,6 +189,17 @@
         self.dispatch_all();
     }
 
+    /// Sends no further requests to an upstream that stated in an answer that it is
+    /// leaving.
+    pub(crate) fn upstream_states_leaving(&self, upstream: &UpstreamName) {
+        let now_ms = self.now_ms();
+        let change = self.state().registry.mark_leaving(now_ms, upstream);
+        if let Some(change) = change {
+            info!(upstream = upstream.as_str(), "upstream states in an answer that it is leaving");
+            self.apply_upstream_changes(&[change]);
+        }
+    }
+
     /// Applies a change of the routers in the fleet.
     pub(crate) fn membership_changed(&self) {
         self.state().sync_fleet();
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -15,6 +15,10 @@
 /// may have preceded an outage for all.
 const OTHERS_SERVED_AFTER_MS: u64 = 800;
 
+/// Time for which the mark of a leaving process is kept while it has no entry, in
+/// milliseconds. Entries that lapse in an outage of the store come back within seconds.
+const LEAVING_MARK_LIFETIME_MS: u64 = 60_000;
+
 /// The entry of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
@@ -64,14 +68,27 @@
     remove_at_ms: Option<u64>,
 }
 
+/// A process that stated in an answer that it is leaving.
+#[derive(Debug)]
+struct LeavingMark {
+    entry: UpstreamEntry,
+    /// Latest time at which the process was marked or had an entry.
+    seen_ms: u64,
+}
+
 /// Upstreams by name.
 ///
+/// A process that stated in an answer that it is leaving takes no new requests,
+/// whatever its entry says: the entry is older than the answer, and a process does not
+/// come back from leaving. A new process under its name does.
+///
 /// Entries may disappear during a store outage only because the upstreams could
 /// not renew them. Entries that are missing shortly after an outage are therefore
 /// kept until live upstreams have had time to write them again.
 #[derive(Debug, Default)]
 pub struct Registry {
     upstreams: BTreeMap<UpstreamName, KnownUpstream>,
+    leaving_marks: BTreeMap<UpstreamName, LeavingMark>,
     /// Hash of the entries, computed when it is first asked for after a change.
     digest: Cell<Option<u64>>,
     /// Revision of the store that the entries correspond to.
@@ -182,10 +199,26 @@
             Some(_) => None,
         };
         self.digest.set(None);
+        self.leaving_marks
+            .retain(|marked, mark| *marked != name || !is_new_process(&mark.entry, &entry));
         self.upstreams.insert(name, KnownUpstream { entry, remove_at_ms: None });
         change
     }
 
+    /// Marks the process of an upstream as leaving, since it stated so in an answer.
+    /// Returns the change if it took requests until now.
+    pub fn mark_leaving(&mut self, now_ms: u64, name: &UpstreamName) -> Option<UpstreamChange> {
+        let entry = self.upstreams.get(name)?.entry.clone();
+        let was_leaving = self.is_leaving(name, &entry);
+        self.leaving_marks.insert(name.clone(), LeavingMark { entry, seen_ms: now_ms });
+        (!was_leaving).then(|| UpstreamChange::Leaving(name.clone()))
+    }
+
+    fn is_leaving(&self, name: &UpstreamName, entry: &UpstreamEntry) -> bool {
+        let mark = self.leaving_marks.get(name);
+        entry.leaving || mark.is_some_and(|mark| !is_new_process(&mark.entry, entry))
+    }
+
     /// Handles an entry that was removed from the store or cannot be read.
     pub fn remove(&mut self, now_ms: u64, name: &UpstreamName) -> Option<UpstreamChange> {
         let known = self.upstreams.get_mut(name)?;
@@ -200,8 +233,15 @@
     }
 
     /// Removes the upstreams whose entries disappeared after a store outage and
-    /// did not come back in time.
+    /// did not come back in time, and old marks of leaving processes.
     pub fn expire(&mut self, now_ms: u64) -> Vec<UpstreamChange> {
+        let upstreams = &self.upstreams;
+        self.leaving_marks.retain(|name, mark| {
+            if upstreams.contains_key(name) {
+                mark.seen_ms = now_ms;
+            }
+            now_ms.saturating_sub(mark.seen_ms) < LEAVING_MARK_LIFETIME_MS
+        });
         let expired = self
             .upstreams
             .iter()
@@ -225,7 +265,8 @@
         service: &'a ServiceName,
     ) -> impl Iterator<Item = (&'a UpstreamName, &'a UpstreamEntry)> {
         let entries = self.upstreams.iter().map(|(name, known)| (name, &known.entry));
-        entries.filter(move |(_, entry)| entry.service == *service && !entry.leaving)
+        entries
+            .filter(move |(name, entry)| entry.service == *service && !self.is_leaving(name, entry))
     }
 
     /// All entries, also of leaving upstreams, for another router.
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -27,6 +27,8 @@
     pub signature: HeaderName,
     /// Load report of an upstream.
     pub load_report: HeaderName,
+    /// With the value `1`, marks every answer of an upstream that is leaving.
+    pub leaving: HeaderName,
     /// Id of the last event that the caller of a stream has.
     pub last_event_id: HeaderName,
     /// Address of an engine from which another one copies the cached prompt prefix.
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -194,3 +194,71 @@
     assert_eq!(collector.expire(7_300), [UpstreamChange::Removed("u1".into())]);
     assert_eq!(member.expire(7_300), [UpstreamChange::Removed("u1".into())]);
 }
+
+/// A process that stated in an answer that it is leaving must get no requests,
+/// whatever the store says of it before or after, and a new process under its name must.
+#[test]
+fn process_that_states_leaving_is_not_ready_until_it_is_replaced() {
+    type Step = fn(&mut Registry);
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        ready: &'static [&'static str],
+    }
+    let cases = [
+        Case { name: "no mark", steps: &[], ready: &["u1", "u2"] },
+        Case { name: "mark", steps: &[mark], ready: &["u2"] },
+        Case { name: "mark twice", steps: &[mark, mark], ready: &["u2"] },
+        Case { name: "renewed as ready", steps: &[mark, renew], ready: &["u2"] },
+        Case { name: "listed as ready", steps: &[mark, list_both], ready: &["u2"] },
+        Case { name: "removed and back", steps: &[mark, remove, renew], ready: &["u2"] },
+        Case { name: "expired is called", steps: &[mark, expire, renew], ready: &["u2"] },
+        Case { name: "new process", steps: &[mark, restart], ready: &["u1", "u2"] },
+        Case {
+            name: "removed, new process",
+            steps: &[mark, remove, restart],
+            ready: &["u1", "u2"],
+        },
+        Case { name: "new process is leaving too", steps: &[mark, restart, mark], ready: &["u2"] },
+        Case { name: "other upstream", steps: &[mark_unknown], ready: &["u1", "u2"] },
+        Case { name: "mark after removal", steps: &[remove, mark, renew], ready: &["u1", "u2"] },
+    ];
+    fn mark(registry: &mut Registry) {
+        registry.mark_leaving(100, &"u1".into());
+    }
+    fn mark_unknown(registry: &mut Registry) {
+        registry.mark_leaving(100, &"u3".into());
+    }
+    fn renew(registry: &mut Registry) {
+        registry.update("u1".into(), entry(1));
+    }
+    fn list_both(registry: &mut Registry) {
+        registry.replace(200, vec![("u1".into(), entry(1)), ("u2".into(), entry(2))]);
+    }
+    fn remove(registry: &mut Registry) {
+        registry.remove(200, &"u1".into());
+    }
+    fn expire(registry: &mut Registry) {
+        registry.expire(300_000);
+    }
+    fn restart(registry: &mut Registry) {
+        registry.update("u1".into(), UpstreamEntry { started_unix_ms: Some(2), ..entry(1) });
+    }
+    for case in cases {
+        let mut registry = registry_of_two();
+        case.steps.iter().for_each(|step| step(&mut registry));
+        assert_eq!(ready(&registry), case.ready, "{}", case.name);
+    }
+}
+
+/// The mark is a change only once, or each answer of a leaving upstream would bring
+/// all services in line anew.
+#[test]
+fn mark_of_a_leaving_process_is_a_change_once() {
+    let mut registry = registry_of_two();
+    let leaving = Some(UpstreamChange::Leaving("u1".into()));
+    assert_eq!(registry.mark_leaving(1, &"u1".into()), leaving);
+    assert_eq!(registry.mark_leaving(2, &"u1".into()), None);
+    registry.update("u2".into(), UpstreamEntry { leaving: true, ..entry(2) });
+    assert_eq!(registry.mark_leaving(3, &"u2".into()), None);
+}
