Back off from a store whose list is of an era that is over

Such a list is ignored, so the router would read it again at once and without end. It counts as a failed call now. Found in reading; no test of its own.

--- a/crates/edge/src/store_sync.rs
+++ b/crates/edge/src/store_sync.rs
@@ -151,6 +151,7 @@
         let known_position = node.state().registry.position();
         if known_position == Position::default() {
             let read = (store.read_upstreams)().await;
+            let read = read.and_then(|listing| reject_earlier_era(&node, listing));
             record_result(&node, Purpose::Upstreams, &read, backoff.failures);
             let Ok(listing) = read else {
                 backoff.pause(&node).await;
@@ -181,6 +182,16 @@
     }
 }
 
+/// Rejects a list of an era that is over. It would be ignored, and read again at once.
+fn reject_earlier_era<T>(node: &Node, listing: Listing<T>) -> Result<Listing<T>, StoreError> {
+    let (era, known_era) = (listing.position.era, node.state().registry.era());
+    if era < known_era {
+        let cause = format!("the list is of era {era}, but the store is in era {known_era}");
+        return Err(StoreError::Unavailable(cause));
+    }
+    Ok(listing)
+}
+
 fn replace_entries(node: &Node, listing: Listing<UpstreamEvent>) {
     let Listing { items, position } = listing;
     let entries = items.into_iter().filter_map(|event| Some((event.name, event.entry?)));
