Let seeds read the store at once when they start

Cause: since a starting router waits up to 0.7 s for its seeds before it reads the store, so that a large fleet makes few calls. When all start together the seeds wait too, each for the others. A seed does not wait now, and a router that waits sends heartbeats each 100 ms, so it has the configuration as soon as a seed has it.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -28,7 +28,7 @@
     shares,
     state::{LaneTicket, ServiceState, State, WaitingRequest, retry_limit},
     store::Position,
-    store_source::START_WAIT_MS,
+    store_source::StartState,
     upstream_load::AttemptResult,
     wire_format::{WireFormat, WorkEstimate},
 };
@@ -490,7 +490,8 @@
         let now_ms = self.now_ms();
         let mut state = self.state();
         let order = state.read_order();
-        !self.awaits_peers(now_ms, &state) && state.store_source.reads_upstreams(now_ms, order)
+        !self.start_state(&state).awaits_peers(now_ms)
+            && state.store_source.reads_upstreams(now_ms, order)
     }
 
     /// Whether this router reads the configuration from the store.
@@ -498,17 +499,25 @@
         let now_ms = self.now_ms();
         let mut state = self.state();
         let order = state.read_order();
-        !self.awaits_peers(now_ms, &state) && state.store_source.reads_config(now_ms, order)
+        !self.start_state(&state).awaits_peers(now_ms)
+            && state.store_source.reads_config(now_ms, order)
     }
 
-    /// Whether this process has just started and may get from other routers what
-    /// the store holds.
-    fn awaits_peers(&self, now_ms: u64, state: &State) -> bool {
+    /// Whether this process has just started and waits for other routers to provide
+    /// what the store holds.
+    pub(crate) fn awaits_peers(&self) -> bool {
+        let now_ms = self.now_ms();
+        self.start_state(&self.state()).awaits_peers(now_ms)
+    }
+
+    fn start_state(&self, state: &State) -> StartState {
         let settings = self.settings();
         let own_ip = settings.addresses.peers.ip();
-        let has_seeds = settings.seeds.iter().any(|seed| seed.ip() != own_ip);
-        let is_complete = state.config.is_some() && !state.registry.is_empty();
-        has_seeds && !is_complete && now_ms < START_WAIT_MS
+        StartState {
+            is_seed: settings.seeds.iter().any(|seed| seed.ip() == own_ip),
+            has_other_seeds: settings.seeds.iter().any(|seed| seed.ip() != own_ip),
+            is_complete: state.config.is_some() && !state.registry.is_empty(),
+        }
     }
 
     /// Marks the process as leaving, for callers and peers.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -30,7 +30,7 @@
     registry::SharedEntry,
     role::Role,
     store::Position,
-    store_source::StoreKnowledge,
+    store_source::{START_HEARTBEAT_INTERVAL_MS, StoreKnowledge},
 };
 
 /// Interval between heartbeats, in milliseconds; about a third of the time after
@@ -129,7 +129,12 @@
     pub(crate) async fn send_heartbeats(self: Rc<Self>) {
         for round in 0u64.. {
             self.run_heartbeat_round(round);
-            sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).await;
+            let interval_ms = if self.node.awaits_peers() {
+                START_HEARTBEAT_INTERVAL_MS
+            } else {
+                HEARTBEAT_INTERVAL_MS
+            };
+            sleep(Duration::from_millis(interval_ms)).await;
         }
     }
 
--- a/crates/edge/src/store_source.rs
+++ b/crates/edge/src/store_source.rs
@@ -19,6 +19,9 @@
 /// router's configuration and entries before it reads the store, in milliseconds.
 /// A seed answers within a few milliseconds.
 pub const START_WAIT_MS: u64 = 700;
+/// Interval between the heartbeats of a router that waits so, in milliseconds. When all
+/// routers start together, the seeds know no more than the others for the first ones.
+pub const START_HEARTBEAT_INTERVAL_MS: u64 = 100;
 /// Age of the last known answer of the store at which the second collector reads the
 /// store, and by how much each further one waits longer, in milliseconds.
 const COLLECTOR_TAKEOVER_DELAY_MS: (u64, u64) = (800, 200);
@@ -36,6 +39,27 @@
 /// takes entries of other routers too, in milliseconds; longer than a watch waits.
 const OWN_ANSWER_LIFETIME_MS: u64 = 2_000;
 
+/// What decides whether a starting router waits for other routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartState {
+    /// Whether other routers find the fleet through this one.
+    pub is_seed: bool,
+    /// Whether this router knows others that it can ask.
+    pub has_other_seeds: bool,
+    /// Whether it has a configuration and upstream entries.
+    pub is_complete: bool,
+}
+
+impl StartState {
+    /// Whether the router waits for others to provide what the store holds,
+    /// `since_start_ms` after its start. A seed does not: if it started together with
+    /// all others, they would all wait for one another.
+    pub fn awaits_peers(self, since_start_ms: u64) -> bool {
+        let may_get_all = self.has_other_seeds && !self.is_seed && !self.is_complete;
+        may_get_all && since_start_ms < START_WAIT_MS
+    }
+}
+
 /// What a router knows of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreKnowledge {
--- a/crates/edge/tests/store_source.rs
+++ b/crates/edge/tests/store_source.rs
@@ -1,6 +1,8 @@
 //! Tests of which routers of a fleet read the store, and when.
 
-use span_edge::store_source::{COLLECTOR_TIMEOUT_MS, ReadOrder, StoreSource};
+use span_edge::store_source::{
+    COLLECTOR_TIMEOUT_MS, ReadOrder, START_WAIT_MS, StartState, StoreSource,
+};
 
 /// A collector that is silent, or gets no answer of the store, must not keep
 /// its whole failure domain from reading the store.
@@ -168,3 +170,53 @@
     source.record_peer_report(3_300, 0, true);
     assert!(source.accepts_peer_entries(3_400, order));
 }
+
+/// When all routers lost power and start together, none has a configuration. If each
+/// waits for the others, callers wait with them (cordillera-rosemary, trouble-1: no
+/// answer in time in the two seconds after the restart).
+#[test]
+fn seeds_read_the_store_at_once_when_all_routers_start() {
+    struct Case {
+        name: &'static str,
+        is_seed: bool,
+        has_other_seeds: bool,
+        is_complete: bool,
+        waits: bool,
+    }
+    let cases = [
+        Case {
+            name: "seed",
+            is_seed: true,
+            has_other_seeds: true,
+            is_complete: false,
+            waits: false,
+        },
+        Case {
+            name: "other",
+            is_seed: false,
+            has_other_seeds: true,
+            is_complete: false,
+            waits: true,
+        },
+        Case {
+            name: "served",
+            is_seed: false,
+            has_other_seeds: true,
+            is_complete: true,
+            waits: false,
+        },
+        Case {
+            name: "alone",
+            is_seed: false,
+            has_other_seeds: false,
+            is_complete: false,
+            waits: false,
+        },
+    ];
+    for Case { name, is_seed, has_other_seeds, is_complete, waits } in cases {
+        let start = StartState { is_seed, has_other_seeds, is_complete };
+        assert_eq!(start.awaits_peers(0), waits, "{name}");
+        assert_eq!(start.awaits_peers(START_WAIT_MS - 1), waits, "{name}");
+        assert!(!start.awaits_peers(START_WAIT_MS), "{name}");
+    }
+}
