Treat lists as stale in an era that another router reported first

A router that learned of a restored store from a peer with the same entries took over the position, and with it the era, so its own list of that era no longer counted as that of a restored store and brought back upstreams that had been removed. Found in reading. era_that_another_router_reports_makes_lists_stale_too failed before.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -268,6 +268,7 @@
         is_collector: bool,
     ) {
         let now_ms = self.node.now_ms();
+        let interval_ms = self.node.settings().entry_renewal_interval_ms;
         let (has_older_config, wants_entries) = {
             let mut state = self.node.state();
             state.registry.store_served_others(now_ms.saturating_sub(reported.store_age_ms));
@@ -276,7 +277,7 @@
             let own = state.store_knowledge(now_ms);
             let is_same = reported.registry_digest == own.registry_digest;
             if is_same && own.registry_position > Position::default() {
-                state.registry.confirm(reported.registry_position);
+                state.registry.confirm(now_ms, reported.registry_position, interval_ms);
             }
             let has_older_entries = reported.registry_position > own.registry_position && !is_same;
             let wants_entries = has_older_entries && {
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -141,8 +141,9 @@
     }
 
     /// Records that another router has the same entries, which correspond to
-    /// `position`.
-    pub fn confirm(&mut self, position: Position) {
+    /// `position`. Upstreams renew their entries every `renewal_interval_ms`.
+    pub fn confirm(&mut self, now_ms: u64, position: Position, renewal_interval_ms: u64) {
+        self.begin_era(now_ms, position.era, renewal_interval_ms);
         self.set_position(self.position.max(position));
     }
 
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -371,3 +371,17 @@
         }
     }
 }
+
+/// A router that learns of a new era from another one with the same entries must treat
+/// its own list of that era like any other list of a restored store.
+#[test]
+fn era_that_another_router_reports_makes_lists_stale_too() {
+    let mut registry = registry_of_two();
+    registry.set_position(at(0, 9));
+    registry.remove(9_000, &"u1".into());
+    registry.confirm(10_000, at(1, 5), RENEWAL_INTERVAL_MS);
+    assert_eq!(registry.position(), at(1, 5));
+    let copy = vec![("u1".into(), entry(1)), ("u2".into(), entry(2))];
+    registry.replace_from_store(10_100, at(1, 6), copy, RENEWAL_INTERVAL_MS);
+    assert_eq!(ready(&registry), ["u2"]);
+}
