Log software versions and streams that callers take up

The router read no software version of an upstream, and a request's line did not say that it takes up a stream.

Entries of upstreams are now read with their version, which the request line, the lines of continued streams and those of changed upstreams bear; the request line also has the request that is taken up and the last event of its caller.

Routers fetch entries from one another under a new path, since their encoding by position has a further field.

--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -22,7 +22,7 @@
     admission::{ANONYMOUS_WORKSPACE, AdmissionRequest, RejectReason},
     config::{Config, Route, RouteKind, choose_target},
     listen,
-    metrics::Timing,
+    metrics::{Counter, Timing},
     node::{NoSlot, Node},
     sse::EventSplitter,
     upstream_load::AttemptResult,
@@ -118,8 +118,16 @@
     let arrived_ms = node.now_ms();
     let mut record = RequestRecord::new(&node, arrived_ms);
     let (parts, body) = request.into_parts();
-    if let Some(id) = head::single(&parts.headers, &node.wire_format.headers.request_id) {
-        record.id = String::from_utf8_lossy(id.as_bytes()).into_owned();
+    let names = &node.wire_format.headers;
+    let text = |name| {
+        let value = head::single(&parts.headers, name)?;
+        Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
+    };
+    record.id = text(&names.request_id).unwrap_or_default();
+    record.takes_up = text(&names.resumed_request_id);
+    record.last_event = text(&names.last_event_id);
+    if record.takes_up.is_some() || record.last_event.is_some() {
+        node.count(Counter::TakenUp);
     }
     let answer = match check(&node, &parts, arrived_ms, &mut record) {
         Ok(checked) => forward(&node, parts, body, checked, arrived_ms, record).await,
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use span_http::Framing;
-use span_types::UpstreamName;
+use span_types::{SoftwareVersion, UpstreamName};
 use tracing::info;
 
 use crate::{
@@ -40,6 +40,12 @@
     pub(crate) workspace: Option<String>,
     /// Upstream of the last attempt.
     pub(crate) upstream: Option<String>,
+    /// Version of the software of that upstream.
+    pub(crate) software_version: Option<SoftwareVersion>,
+    /// Request that began the stream which this one takes up.
+    pub(crate) takes_up: Option<String>,
+    /// Last event that the caller stated to have.
+    pub(crate) last_event: Option<String>,
     pub(crate) config_version: u64,
     pub(crate) attempts: u32,
     /// Estimated requests at the upstream when it was chosen, and the age of its
@@ -75,6 +81,9 @@
             route: None,
             workspace: None,
             upstream: None,
+            software_version: None,
+            takes_up: None,
+            last_event: None,
             config_version: 0,
             attempts: 0,
             upstream_load: None,
@@ -105,8 +114,14 @@
         upstream: &UpstreamName,
         upstream_load: Option<(u32, Option<u64>)>,
     ) {
-        self.upstream = Some(upstream.to_string());
         self.upstream_load = upstream_load;
+        self.continued_at(upstream);
+    }
+
+    /// Records a further attempt at an upstream.
+    pub(crate) fn continued_at(&mut self, upstream: &UpstreamName) {
+        self.upstream = Some(upstream.to_string());
+        self.software_version = self.node.software_version(upstream);
         self.attempts += 1;
     }
 
@@ -139,6 +154,9 @@
             route = self.route.as_deref(),
             workspace = self.workspace,
             upstream = self.upstream,
+            software_version = self.software_version.as_ref().map(SoftwareVersion::as_str),
+            takes_up = self.takes_up,
+            last_event = self.last_event,
             version = self.config_version,
             attempts = self.attempts,
             upstream_requests = self.upstream_load.map(|(requests, _)| requests),
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -12,7 +12,7 @@
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
 use span_http::{BrokenStream, EventBoundary, Framing};
-use span_types::UpstreamName;
+use span_types::{SoftwareVersion, UpstreamName};
 use tokio::time::Sleep;
 use tracing::info;
 
@@ -178,18 +178,20 @@
         resume.remaining_attempts -= 1;
         resume.splitter.take_partial();
         let last_event = resume.splitter.last_id().map(str::to_owned);
+        let to_version = self.node.software_version(&upstream);
         info!(
             request = self.record.id,
             from = failed.as_ref().map(UpstreamName::as_str),
+            from_version = self.record.software_version.as_ref().map(SoftwareVersion::as_str),
             to = upstream.as_str(),
+            to_version = to_version.as_ref().map(SoftwareVersion::as_str),
             last_event,
             framing = <&'static str>::from(self.framing),
             inside_event,
             cause,
             "stream resumes"
         );
-        self.record.attempts += 1;
-        self.record.upstream = Some(upstream.to_string());
+        self.record.continued_at(&upstream);
         self.node.count(Counter::Resumed);
         let (node, data) = (self.node.clone(), resume.data.clone());
         let copy_source = self.in_flight.copy_source().cloned();
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -189,7 +189,7 @@
 pub(crate) fn answer_peer(node: &Node, request: &Request<Incoming>) -> Response<EdgeBody> {
     match request.uri().path() {
         "/config" => answer_config(node, request),
-        "/upstreams" => {
+        "/upstream-entries" => {
             let answer: UpstreamsAnswer = {
                 let state = node.state();
                 (state.registry.position(), state.registry.shared_entries(node.now_ms()))
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -31,6 +31,8 @@
     RepeatsDenied,
     /// Streams that another upstream continued.
     Resumed,
+    /// Requests that take up a stream of an earlier request of their caller.
+    TakenUp,
     /// Attempts that an upstream rejected without running the request.
     UpstreamRefusals,
     /// Attempts at an upstream that failed.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -9,7 +9,7 @@
 use futures::channel::oneshot;
 use rand::{Rng, RngExt};
 use span_member::Router;
-use span_types::{FailureDomain, ServiceName, UpstreamName};
+use span_types::{FailureDomain, ServiceName, SoftwareVersion, UpstreamName};
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
@@ -185,7 +185,14 @@
                 UpstreamChange::Leaving(name) => (name, "draining"),
                 UpstreamChange::Removed(name) => (name, "gone"),
             };
-            info!(upstream = name.as_str(), change = kind, known, "upstream changed");
+            let version = self.software_version(name);
+            info!(
+                upstream = name.as_str(),
+                change = kind,
+                software_version = version.as_ref().map(SoftwareVersion::as_str),
+                known,
+                "upstream changed"
+            );
         }
         self.dispatch_all();
     }
@@ -211,6 +218,11 @@
         self.apply_upstream_changes(&changes);
     }
 
+    /// Version of the software of an upstream; none if the upstream is unknown.
+    pub(crate) fn software_version(&self, upstream: &UpstreamName) -> Option<SoftwareVersion> {
+        self.state().registry.get(upstream).map(|entry| entry.software_version.clone())
+    }
+
     /// Sends no further requests to an upstream that stated in an answer that it is
     /// leaving.
     pub(crate) fn upstream_states_leaving(&self, upstream: &UpstreamName) {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -309,7 +309,7 @@
     /// by then. The error is the cause, for logs.
     async fn fetch_upstreams(&self, from: &Router) -> Result<(), String> {
         let client = HttpClient::new(from.peer_address);
-        let call = client.call(Request::get("/upstreams"), Bytes::new(), FETCH_TIMEOUT_MS);
+        let call = client.call(Request::get("/upstream-entries"), Bytes::new(), FETCH_TIMEOUT_MS);
         let answer = call.await.map_err(|error| error.to_string())?;
         if !answer.status().is_success() {
             return Err(format!("status {}", answer.status()));
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, collections::BTreeMap, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
-use span_types::{FailureDomain, ServiceName, UpstreamName};
+use span_types::{FailureDomain, ServiceName, SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::store::Position;
@@ -40,6 +40,8 @@
     /// Start of the process in milliseconds since the Unix epoch, if stated. A
     /// process that is restarted under its name has a later one.
     pub started_unix_ms: Option<u64>,
+    /// Version of the software that the process runs.
+    pub software_version: SoftwareVersion,
 }
 
 /// An entry as one router hands it to another.
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -31,6 +31,9 @@
     pub leaving: HeaderName,
     /// Id of the last event that the caller of a stream has.
     pub last_event_id: HeaderName,
+    /// Id of the request that brought a stream's first event, set by a caller that takes
+    /// up the stream.
+    pub resumed_request_id: HeaderName,
     /// Address of an engine from which another one copies the cached prompt prefix.
     pub copy_from: HeaderName,
     /// Headers that only this system may set; removed from callers' requests.
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -23,6 +23,7 @@
         slots: 4,
         leaving: false,
         started_unix_ms: Some(1),
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,7 +14,9 @@
 pub use headers::*;
 pub use id::{Incarnation, ParseRequestIdError, RequestId, Revision, ShardId};
 pub use member::{Member, MemberState};
-pub use name::{FailureDomain, InstanceName, ServiceName, UpstreamName, WorkspaceName};
+pub use name::{
+    FailureDomain, InstanceName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName,
+};
 pub use outcome::{Outcome, ServiceKind};
 
 /// Cost of one call to a plain service, in cost units.
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -73,6 +73,10 @@
     /// Name of an upstream: one model engine or plain service endpoint.
     UpstreamName
 );
+name_type!(
+    /// Version of the software that an upstream runs. Versions have no order.
+    SoftwareVersion
+);
 name_type!(
     /// Name of an instance that runs a router.
     InstanceName
