Continue a broken stream only at its software version

Callers saw answers whose first events came from an upstream of one software version and the rest from another.

The upstream of the first event that reaches the caller decides the version now, and only upstreams of that version are chosen from then on, also those that a router of a large fleet does not use otherwise. Before the first event any version may take the request. An entry that names another version is one of a new process, so what is known of the old one is dropped.

Streams that callers take up themselves are not fixed by this.

--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use futures::channel::oneshot;
-use span_types::{ServiceName, UpstreamName};
+use span_types::{ServiceName, SoftwareVersion, UpstreamName};
 
 use crate::{
     node::Node,
@@ -51,6 +51,7 @@
             service: self.service.clone(),
             chosen: Some(chosen),
             prefill_tokens: self.prefill_tokens,
+            continued_version: None,
         })
     }
 }
@@ -76,9 +77,20 @@
     chosen: Option<ChosenUpstream>,
     /// Prompt tokens that the upstream has not processed yet.
     prefill_tokens: u64,
+    /// Software version that began the stream; none before its first event.
+    continued_version: Option<SoftwareVersion>,
 }
 
 impl InFlightRequest {
+    /// Records that the caller gets events of the current upstream: only upstreams of
+    /// its software version can continue them.
+    pub(crate) fn stream_began(&mut self) {
+        if self.continued_version.is_none() {
+            let chosen = self.chosen.as_ref();
+            self.continued_version = chosen.map(|chosen| chosen.software_version.clone());
+        }
+    }
+
     /// Records that the upstream has processed the prompt, or never will.
     pub(crate) fn prefill_ended(&mut self) {
         let tokens = std::mem::take(&mut self.prefill_tokens);
@@ -129,7 +141,8 @@
         excluded: &[UpstreamName],
     ) -> Option<UpstreamName> {
         self.end_attempt(AttemptResult::Unknown);
-        self.chosen = self.node.choose_next_upstream(&self.service, work, excluded);
+        let version = self.continued_version.as_ref();
+        self.chosen = self.node.choose_next_upstream(&self.service, work, excluded, version);
         self.prefill_tokens = work.unshared_tokens();
         self.upstream().cloned()
     }
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -113,7 +113,11 @@
             return Ok(Some(bytes));
         };
         let events = resume.splitter.push(&bytes)?;
-        Ok((!events.is_empty()).then_some(events))
+        if events.is_empty() {
+            return Ok(None);
+        }
+        self.in_flight.stream_began();
+        Ok(Some(events))
     }
 
     /// Checks that the stream of the current upstream is complete.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -375,12 +375,14 @@
     }
 
     /// Chooses a further upstream for a request that has a slot, if need be one
-    /// without a free slot.
+    /// without a free slot. A stream that began at `continued_version` gets only an
+    /// upstream of that version.
     pub(crate) fn choose_next_upstream(
         &self,
         service: &ServiceName,
         work: &WorkEstimate,
         excluded: &[UpstreamName],
+        continued_version: Option<&SoftwareVersion>,
     ) -> Option<ChosenUpstream> {
         let now_ms = self.now_ms();
         let mut state = self.state();
@@ -388,8 +390,13 @@
         let service = state.services.get_mut(service)?;
         let prefill_tokens = work.unshared_tokens();
         let lane = service.placement.lane(prefill_tokens);
-        let request =
-            PlacementRequest { prompt_prefix: work.prompt_prefix, prefill_tokens, lane, excluded };
+        let request = PlacementRequest {
+            prompt_prefix: work.prompt_prefix,
+            prefill_tokens,
+            lane,
+            excluded,
+            continued_version,
+        };
         let chosen = service.placement.assign(now_ms, request, draw, false);
         chosen.or_else(|| service.placement.assign(now_ms, request, draw, true))
     }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use span_types::{InstanceName, UpstreamName};
+use span_types::{InstanceName, SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
@@ -108,6 +108,9 @@
     pub lane: Lane,
     /// Upstreams that were tried already.
     pub excluded: &'a [UpstreamName],
+    /// Software version that began the stream which the request continues: no other one
+    /// can. None if the request begins something.
+    pub continued_version: Option<&'a SoftwareVersion>,
 }
 
 /// The upstream that a request goes to.
@@ -115,6 +118,8 @@
 pub struct ChosenUpstream {
     /// Name of the upstream.
     pub upstream: UpstreamName,
+    /// Version of its software.
+    pub software_version: SoftwareVersion,
     /// Another upstream that probably caches the prompt prefix, to copy it from.
     pub copy_source: Option<UpstreamName>,
     /// Estimated requests of the whole fleet at the upstream, without this one.
@@ -308,13 +313,19 @@
         }
     }
 
-    /// Replaces the upstreams that take requests, given with their slots. The
-    /// state of those that stay is kept.
-    pub fn set_upstreams<'a>(&mut self, ready: impl Iterator<Item = (&'a UpstreamName, u32)>) {
+    /// Replaces the upstreams that take requests, given with their slots and the
+    /// version of their software. The state of those that stay is kept.
+    pub fn set_upstreams<'a>(
+        &mut self,
+        ready: impl Iterator<Item = (&'a UpstreamName, u32, &'a SoftwareVersion)>,
+    ) {
         let mut known = std::mem::take(&mut self.upstreams);
-        for (name, slots) in ready {
-            let mut state = known.remove(name).unwrap_or_else(|| UpstreamState::new(name, slots));
+        for (name, slots, software_version) in ready {
+            let state = known.remove(name);
+            let mut state =
+                state.unwrap_or_else(|| UpstreamState::new(name, slots, software_version.clone()));
             state.slots = slots;
+            state.software_version = software_version.clone();
             let pause_until_ms = self.pauses_until_ms.get(name).copied().unwrap_or(0);
             state.pause_until_ms = state.pause_until_ms.max(pause_until_ms);
             self.upstreams.insert(name.clone(), state);
@@ -416,8 +427,9 @@
         let state = self.upstreams.get(&upstream)?;
         let requests = state.total_requests(now_ms, self.routers_per_upstream) as u32;
         let report_age_ms = state.report.map(|(at_ms, _, _)| now_ms.saturating_sub(at_ms));
+        let software_version = state.software_version.clone();
         self.record_sent(now_ms, &upstream, request);
-        Some(ChosenUpstream { upstream, copy_source, requests, report_age_ms })
+        Some(ChosenUpstream { upstream, software_version, copy_source, requests, report_age_ms })
     }
 
     fn choose(
@@ -431,7 +443,12 @@
         let unassigned_home =
             request.prompt_prefix.and_then(|prefix| self.unassigned_home(now_ms, prefix));
         let usable = self.upstreams.iter().filter(|(name, state)| {
-            (state.is_usable(now_ms) || unassigned_home == Some(state.name_hash))
+            let is_usable = match request.continued_version {
+                // This router may use none of the few upstreams that can continue.
+                Some(version) => state.software_version == *version && state.is_available(now_ms),
+                None => state.is_usable(now_ms) || unassigned_home == Some(state.name_hash),
+            };
+            is_usable
                 && !request.excluded.contains(name)
                 && state.own_requests < self.max_own_requests
                 && (allow_full
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -374,9 +374,10 @@
         let hashes = entries.map(|(name, known)| {
             let UpstreamEntry { service, address, slots, leaving, started_unix_ms, .. } =
                 &known.entry;
+            let version = &known.entry.software_version;
             let expires = known.remove_at_ms.is_some();
             let text = format!(
-                "{name} {service} {address} {slots} {leaving} {started_unix_ms:?} {expires}"
+                "{name} {service} {address} {slots} {leaving} {started_unix_ms:?} {expires} {version}"
             );
             xxh3_64(text.as_bytes())
         });
@@ -398,4 +399,5 @@
     old.started_unix_ms != new.started_unix_ms
         || old.address != new.address
         || old.service != new.service
+        || old.software_version != new.software_version
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -137,8 +137,13 @@
                 continue;
             };
             let (prompt_prefix, prefill_tokens) = (request.prompt_prefix, request.prefill_tokens);
-            let placement_request =
-                PlacementRequest { prompt_prefix, prefill_tokens, lane, excluded: &[] };
+            let placement_request = PlacementRequest {
+                prompt_prefix,
+                prefill_tokens,
+                lane,
+                excluded: &[],
+                continued_version: None,
+            };
             // Without an upstream, the sender is dropped, which rejects the request.
             let Some(chosen) = placement.assign(now_ms, placement_request, rng.next_u64(), false)
             else {
@@ -259,7 +264,8 @@
     /// Brings the placement of all services in line with the registry.
     pub(crate) fn sync_upstreams(&mut self) {
         for (name, service) in &mut self.services {
-            let ready = self.registry.ready(name).map(|(name, entry)| (name, entry.slots));
+            let ready = self.registry.ready(name);
+            let ready = ready.map(|(name, entry)| (name, entry.slots, &entry.software_version));
             service.placement.set_upstreams(ready);
         }
         self.sync_fleet();
--- a/crates/edge/src/upstream_load.rs
+++ b/crates/edge/src/upstream_load.rs
@@ -1,6 +1,6 @@
 //! State of one upstream as this router knows it: load, event gaps, failures.
 
-use span_types::UpstreamName;
+use span_types::{SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{lane::Lane, placement::PromptPrefix};
@@ -59,6 +59,7 @@
 pub(crate) struct UpstreamState {
     /// Hash of the upstream's name.
     pub(crate) name_hash: u64,
+    pub(crate) software_version: SoftwareVersion,
     pub(crate) slots: u32,
     /// Requests of this router in flight at the upstream.
     pub(crate) own_requests: u32,
@@ -91,9 +92,10 @@
 }
 
 impl UpstreamState {
-    pub(crate) fn new(name: &UpstreamName, slots: u32) -> Self {
+    pub(crate) fn new(name: &UpstreamName, slots: u32, software_version: SoftwareVersion) -> Self {
         Self {
             name_hash: xxh3_64(name.as_str().as_bytes()),
+            software_version,
             slots,
             own_requests: 0,
             reported_own_requests: 0,
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -8,7 +8,7 @@
     placement::{Placement, PlacementRequest, PromptPrefix},
     upstream_load::{AttemptResult, LoadReport},
 };
-use span_types::{InstanceName, UpstreamName};
+use span_types::{InstanceName, SoftwareVersion, UpstreamName};
 
 fn names(count: usize) -> Vec<UpstreamName> {
     (0..count).map(|index| format!("u{index}").into()).collect()
@@ -17,7 +17,8 @@
 fn placement(count: usize, slots: u32) -> Placement {
     let mut placement = Placement::default();
     let names = names(count);
-    placement.set_upstreams(names.iter().map(|name| (name, slots)));
+    let version = "v1".into();
+    placement.set_upstreams(names.iter().map(|name| (name, slots, &version)));
     placement.set_gap_target(Some(300));
     placement
 }
@@ -26,8 +27,13 @@
     (0..count).map(|index| format!("r{index}").into()).collect()
 }
 
-const REQUEST: PlacementRequest<'static> =
-    PlacementRequest { prompt_prefix: None, prefill_tokens: 100, lane: Lane::Short, excluded: &[] };
+const REQUEST: PlacementRequest<'static> = PlacementRequest {
+    prompt_prefix: None,
+    prefill_tokens: 100,
+    lane: Lane::Short,
+    excluded: &[],
+    continued_version: None,
+};
 
 fn with_prefix(hash: u64) -> PlacementRequest<'static> {
     PlacementRequest { prompt_prefix: Some(PromptPrefix { hash, tokens: 5_000 }), ..REQUEST }
@@ -217,7 +223,7 @@
     placement.record_result(0, &name, AttemptResult::Replaced);
     assert!(placement.assign(60_000, REQUEST, 1, true).is_none());
     placement.reset(&name);
-    placement.set_upstreams([(&name, 8)].into_iter());
+    placement.set_upstreams([(&name, 8, &"v1".into())].into_iter());
     assert!(placement.assign(60_000, REQUEST, 1, true).is_some());
 }
 
@@ -406,11 +412,11 @@
     }
     fn entry_lapses(placement: &mut Placement, upstream: &UpstreamName) {
         placement.set_upstreams(std::iter::empty());
-        placement.set_upstreams([(upstream, 8)].into_iter());
+        placement.set_upstreams([(upstream, 8, &"v1".into())].into_iter());
     }
     fn new_process(placement: &mut Placement, upstream: &UpstreamName) {
         placement.reset(upstream);
-        placement.set_upstreams([(upstream, 8)].into_iter());
+        placement.set_upstreams([(upstream, 8, &"v1".into())].into_iter());
     }
     let cases = [
         Case { name: "no pause", steps: &[], end_ms: 0 },
@@ -441,3 +447,47 @@
         assert!(placement.assign(case.end_ms, REQUEST, 2, false).is_some(), "{}", case.name);
     }
 }
+
+/// Guards against a stream that goes on at an upstream of another software version, and
+/// against one that cannot go on in a large fleet because its router uses no upstream of
+/// the version otherwise.
+#[test]
+fn stream_continues_only_at_its_software_version() {
+    struct Case {
+        name: &'static str,
+        routers: usize,
+        excluded: &'static [&'static str],
+        prefix: bool,
+        continues: bool,
+    }
+    let cases = [
+        Case { name: "alone", routers: 1, excluded: &[], prefix: false, continues: true },
+        Case { name: "prefix", routers: 1, excluded: &[], prefix: true, continues: true },
+        Case { name: "large fleet", routers: 200, excluded: &[], prefix: false, continues: true },
+        Case { name: "tried", routers: 1, excluded: &["u0"], prefix: false, continues: false },
+    ];
+    let (old, new): (SoftwareVersion, SoftwareVersion) = ("v1".into(), "v2".into());
+    for case in cases {
+        let names = names(200);
+        let mut placement = Placement::default();
+        let version = |index| if index == 0 { &old } else { &new };
+        let upstreams = names.iter().enumerate();
+        placement.set_upstreams(upstreams.map(|(index, name)| (name, 8, version(index))));
+        placement.set_gap_target(Some(300));
+        // Uses a small fraction of the upstreams.
+        placement.set_capacity_fraction(1.0 / case.routers as f64);
+        let excluded: Vec<UpstreamName> = case.excluded.iter().map(|name| (*name).into()).collect();
+        for router in fleet(8) {
+            placement.set_fleet(&router, case.routers, 1_000.0);
+            let request = if case.prefix { with_prefix(7) } else { REQUEST };
+            let request =
+                PlacementRequest { excluded: &excluded, continued_version: Some(&old), ..request };
+            let chosen = placement.assign(100, request, 1, false);
+            let chosen = chosen.or_else(|| placement.assign(100, request, 1, true));
+            let chosen = chosen.map(|chosen| (chosen.upstream, chosen.software_version));
+            let expected = case.continues.then(|| (names[0].clone(), old.clone()));
+            assert_eq!(chosen, expected, "{}, router {router}", case.name);
+            placement.request_ended(&names[0]);
+        }
+    }
+}
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -386,3 +386,15 @@
     registry.replace_from_store(10_100, at(1, 6), copy, RENEWAL_INTERVAL_MS);
     assert_eq!(ready(&registry), ["u2"]);
 }
+
+/// Guards against an upstream that changes its software under its name and is still
+/// taken for the process that began streams: another version cannot continue them.
+#[test]
+fn other_software_version_is_a_new_process() {
+    let mut registry = registry_of_two();
+    let digest = registry.digest();
+    let changed = UpstreamEntry { software_version: "v2".into(), ..entry(1) };
+    let change = registry.update("u1".into(), changed);
+    assert_eq!(change, Some(UpstreamChange::Started("u1".into())));
+    assert_ne!(registry.digest(), digest);
+}
