Let streams that callers take up go on only at their software version

Callers saw streams that they had taken up, mostly after the death of their router, go on at upstreams of another software version. A router served such a request like a new one: it read neither the header that names the request which began the stream, nor did it know where that request had run, often at a router that no longer existed.

A router now remembers where each resumable stream that it begins has sent its first event from: service and software version. It tells three others, chosen by a hash of the request's id, while the service has had several versions within the lifetime of streams, or shares a route with another service; when a second version appears or the routes change, it tells of the streams that are open. A router where a stream is taken up asks up to eight others if it does not know. It goes on without their knowledge only if all that anyone knows of is one version. Otherwise the request is refused at once, without having run: a stream is not begun anew in the middle.

The version also decides the service of a route that is split, and a stream is refused whose service the route no longer names.

Ruled out: asking only the router that began the stream, which is mostly the one that died; a mark in the answer, since callers return nothing but ids of their own; telling all routers of each stream at all times, which at the design size would take several times what control traffic may.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -19,6 +19,13 @@
     ResumableStream,
 }
 
+impl Route {
+    /// Services that take requests.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.targets.iter().filter(|target| target.weight > 0).map(|target| &target.service)
+    }
+}
+
 impl RouteKind {
     /// Whether a request that may have run may be retried.
     pub fn allows_retry(self) -> bool {
@@ -168,6 +175,25 @@
         streams.map(|route| route.target_gap_ms).min()
     }
 
+    /// Longest time limit of the routes that stream from a service, in milliseconds; 0
+    /// without such a route.
+    pub fn longest_stream_ms(&self, service: &ServiceName) -> u64 {
+        let streams = self.routes.values().flatten().filter(|route| {
+            let has_target = route.targets.iter().any(|target| target.service == *service);
+            route.kind.is_stream() && has_target
+        });
+        streams.map(|route| route.timeout_ms).max().unwrap_or(0)
+    }
+
+    /// Whether a route streams from a service and from others too.
+    pub fn shares_stream_route(&self, service: &ServiceName) -> bool {
+        self.routes.values().flatten().any(|route| {
+            route.kind.is_stream()
+                && route.services().any(|target| target == service)
+                && route.services().any(|target| target != service)
+        })
+    }
+
     /// Whether requests must carry the key of a workspace, except on routes that allow
     /// anonymous ones.
     pub fn needs_key(&self) -> bool {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -15,6 +15,7 @@
     metrics::{Counter, Timing},
     node::Node,
     pool::{self, Connection, SendError},
+    stream_origin::RequestKey,
     upstream_load::{AttemptResult, LoadReport},
     wire_format::WorkEstimate,
 };
@@ -30,6 +31,8 @@
     pub(crate) work: WorkEstimate,
     /// Id of the request.
     pub(crate) id: HeaderValue,
+    /// The request that began the stream which this one takes up.
+    pub(crate) resumed_request: Option<RequestKey>,
     /// When the caller gives up, in milliseconds.
     pub(crate) deadline_ms: u64,
 }
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -9,6 +9,7 @@
     node::Node,
     placement::{ChosenUpstream, PromptPrefix},
     state::LaneTicket,
+    stream_origin::StreamOrigin,
     upstream_load::AttemptResult,
     wire_format::WorkEstimate,
 };
@@ -20,6 +21,7 @@
     ticket: LaneTicket,
     receiver: oneshot::Receiver<ChosenUpstream>,
     prefill_tokens: u64,
+    continued_version: Option<SoftwareVersion>,
     dispatched: bool,
 }
 
@@ -30,9 +32,18 @@
         ticket: LaneTicket,
         receiver: oneshot::Receiver<ChosenUpstream>,
         prefill_tokens: u64,
+        continued_version: Option<SoftwareVersion>,
     ) -> Self {
         let (node, service) = (node.clone(), service.clone());
-        Self { node, service, ticket, receiver, prefill_tokens, dispatched: false }
+        Self {
+            node,
+            service,
+            ticket,
+            receiver,
+            prefill_tokens,
+            continued_version,
+            dispatched: false,
+        }
     }
 
     /// Waits until the request is dispatched; none if `until_ms` passes first or
@@ -51,7 +62,7 @@
             service: self.service.clone(),
             chosen: Some(chosen),
             prefill_tokens: self.prefill_tokens,
-            continued_version: None,
+            continued_version: self.continued_version.take(),
         })
     }
 }
@@ -83,12 +94,11 @@
 
 impl InFlightRequest {
     /// Records that the caller gets events of the current upstream: only upstreams of
-    /// its software version can continue them.
-    pub(crate) fn stream_began(&mut self) {
-        if self.continued_version.is_none() {
-            let chosen = self.chosen.as_ref();
-            self.continued_version = chosen.map(|chosen| chosen.software_version.clone());
-        }
+    /// its software version can continue them. Returns where the stream began.
+    pub(crate) fn stream_began(&mut self) -> Option<StreamOrigin> {
+        let software_version = self.chosen.as_ref()?.software_version.clone();
+        self.continued_version = Some(software_version.clone());
+        Some(StreamOrigin { service: self.service.clone(), software_version })
     }
 
     /// Records that the upstream has processed the prompt, or never will.
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod record;
 mod reply;
 mod stream;
+mod take_up;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -14,7 +15,9 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use span_types::{PLAIN_CALL_COST_UNITS, ServiceName, UpstreamName, WorkspaceName};
+use span_types::{
+    PLAIN_CALL_COST_UNITS, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName,
+};
 use tokio::time::timeout;
 use tracing::info;
 
@@ -25,6 +28,7 @@
     metrics::{Counter, Timing},
     node::{NoSlot, Node},
     sse::EventSplitter,
+    stream_origin::RequestKey,
     upstream_load::AttemptResult,
     wire_format::WorkEstimate,
 };
@@ -67,6 +71,8 @@
     route: Arc<Route>,
     workspace: Option<WorkspaceName>,
     service: ServiceName,
+    /// Software version at which alone the stream can go on that the request takes up.
+    continued_version: Option<SoftwareVersion>,
     id: HeaderValue,
     deadline_ms: u64,
 }
@@ -203,7 +209,8 @@
     if too_large {
         return Err(ErrorReply::denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
     }
-    Ok(CheckedRequest { config, route, workspace, service, id, deadline_ms })
+    let continued_version = None;
+    Ok(CheckedRequest { config, route, workspace, service, continued_version, id, deadline_ms })
 }
 
 type ForwardResult = Result<Response<EdgeBody>, (ErrorReply, RequestRecord)>;
@@ -213,7 +220,7 @@
     node: &Rc<Node>,
     parts: request::Parts,
     body: Incoming,
-    checked: CheckedRequest,
+    mut checked: CheckedRequest,
     arrived_ms: u64,
     mut record: RequestRecord,
 ) -> ForwardResult {
@@ -229,6 +236,16 @@
         let error_reply = ErrorReply::not_run("this instance is about to end; use another", 0);
         return Err((error_reply, record));
     }
+    let resumed_request = take_up::resumed_request(node, &parts, checked.route.kind);
+    if let Some(request) = resumed_request {
+        match take_up::find_origin(node, request, &checked, &record).await {
+            Ok(origin) => {
+                checked.service = origin.service;
+                checked.continued_version = Some(origin.software_version);
+            }
+            Err(error_reply) => return Err((error_reply, record)),
+        }
+    }
     let work = (node.wire_format.decode_work)(&parts.headers);
     let in_flight = match admit(node, &checked, &work, arrived_ms, &mut record).await {
         Ok(in_flight) => in_flight,
@@ -241,6 +258,7 @@
         body: held_body.bytes.clone(),
         work,
         id: checked.id.clone(),
+        resumed_request,
         deadline_ms,
     };
     run_attempts(node, Rc::new(data), &checked, in_flight, record).await
@@ -341,10 +359,16 @@
     let reject = |retry_after_ms, reason: &'static str| {
         ErrorReply::not_run(reason, retry_advice_ms(node, checked, retry_after_ms))
     };
-    let (ticket, receiver) = match node.enqueue(&checked.service, &request, work) {
+    let version = checked.continued_version.as_ref();
+    let (ticket, receiver) = match node.enqueue(&checked.service, &request, work, version) {
         Ok(queued) => queued,
         Err(NoSlot::NoUpstream) => {
-            let message = "no upstream takes requests; the request did not run";
+            let message = if version.is_some() {
+                "no upstream of the stream's software version takes requests; the request did not \
+                 run"
+            } else {
+                "no upstream takes requests; the request did not run"
+            };
             return Err(ErrorReply::not_run(message, no_upstream_advice_ms(node, checked)));
         }
         Err(NoSlot::Rejected(rejection)) => {
@@ -358,7 +382,8 @@
             return Err(reject(rejection.retry_after_ms, reason));
         }
     };
-    let wait = SlotWait::new(node, &checked.service, ticket, receiver, work.unshared_tokens());
+    let (tokens, version) = (work.unshared_tokens(), version.cloned());
+    let wait = SlotWait::new(node, &checked.service, ticket, receiver, tokens, version);
     let in_flight = wait.dispatched(until_ms).await;
     let queued_ms = node.now_ms().saturating_sub(now_ms);
     record.queued_ms = Some(queued_ms);
@@ -525,7 +550,10 @@
         // the end of the stream is checked or another upstream continues it.
         parts.headers.remove(header::CONTENT_LENGTH);
     }
+    let own_request = RequestKey::new(data.id.as_bytes());
     let resume = resumable.then(|| ResumeState {
+        requests: data.resumed_request.into_iter().chain([own_request]).collect(),
+        has_begun: false,
         data,
         remaining_attempts,
         tried,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -27,6 +27,7 @@
     node::Node,
     pool::{self, Connection},
     sse::{EventSplitter, EventTooLarge},
+    stream_origin::RequestKey,
     upstream_load::AttemptResult,
 };
 
@@ -36,6 +37,10 @@
     pub(crate) remaining_attempts: u32,
     pub(crate) tried: Vec<UpstreamName>,
     pub(crate) splitter: EventSplitter,
+    /// Requests by whose ids a caller may take up the stream.
+    pub(crate) requests: Vec<RequestKey>,
+    /// Whether the caller has got an event.
+    pub(crate) has_begun: bool,
 }
 
 type PendingAttempt = LocalBoxFuture<'static, Result<Answer, Failure>>;
@@ -116,7 +121,12 @@
         if events.is_empty() {
             return Ok(None);
         }
-        self.in_flight.stream_began();
+        if !resume.has_begun {
+            resume.has_begun = true;
+            if let Some(origin) = self.in_flight.stream_began() {
+                self.node.stream_began(&resume.requests, &origin);
+            }
+        }
         Ok(Some(events))
     }
 
@@ -141,6 +151,9 @@
         }
         self.in_flight.end_attempt(AttemptResult::Good);
         self.record.outcome = Outcome::Answered;
+        if let Some(resume) = &self.resume {
+            self.node.stream_ended(&resume.requests);
+        }
         let rest = self.resume.as_mut().map(|resume| resume.splitter.take_partial());
         rest.filter(|rest| !rest.is_empty())
     }
--- /dev/null
+++ b/crates/edge/src/forward/take_up.rs
@@ -0,0 +1,66 @@
+//! Requests that take up a stream of an earlier one.
+
+use std::rc::Rc;
+
+use http::request;
+use span_types::ServiceName;
+use tracing::info;
+
+use super::{CheckedRequest, DEFAULT_RETRY_AFTER_MS, ErrorReply, record::RequestRecord};
+use crate::{
+    config::RouteKind,
+    node::Node,
+    stream_origin::{OriginVerdict, RequestKey, StreamOrigin},
+};
+
+/// The request that began the stream which a request takes up; none if it takes up none.
+/// If its caller does not name that request, nothing is known of the stream.
+pub(super) fn resumed_request(
+    node: &Node,
+    parts: &request::Parts,
+    kind: RouteKind,
+) -> Option<RequestKey> {
+    let names = &node.wire_format.headers;
+    let resumed = parts.headers.get(&names.resumed_request_id);
+    let takes_up = resumed.is_some() || parts.headers.contains_key(&names.last_event_id);
+    let id = resumed.map_or(&[][..], |id| id.as_bytes());
+    (kind.is_stream() && takes_up).then(|| RequestKey::new(id))
+}
+
+/// Finds out where the stream can go on that `request` began.
+///
+/// # Errors
+///
+/// That is not known, or the configuration does not allow it. The stream cannot go on
+/// then, so the caller is told at once.
+pub(super) async fn find_origin(
+    node: &Rc<Node>,
+    request: RequestKey,
+    checked: &CheckedRequest,
+    record: &RequestRecord,
+) -> Result<StreamOrigin, ErrorReply> {
+    let started_ms = node.now_ms();
+    let services: Vec<ServiceName> = checked.route.services().cloned().collect();
+    let verdict = node.find_stream_origin(request, &services).await;
+    let (origin, source) = match &verdict {
+        OriginVerdict::Found(origin, source) => (Some(origin), Some(<&'static str>::from(source))),
+        OriginVerdict::Unknown => (None, None),
+    };
+    info!(
+        request = record.id,
+        takes_up = record.takes_up,
+        service = origin.map(|origin| origin.service.as_str()),
+        software_version = origin.map(|origin| origin.software_version.as_str()),
+        source,
+        waited_ms = node.now_ms().saturating_sub(started_ms),
+        "stream is taken up"
+    );
+    let refuse = |message| Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
+    match origin {
+        None => refuse("it is not known where the stream began; the request did not run"),
+        Some(origin) if !services.contains(&origin.service) => {
+            refuse("the route no longer leads to the stream's service; the request did not run")
+        }
+        Some(origin) => Ok(origin.clone()),
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,7 +4,7 @@
 //! All persistent data is in the platform's store. The modules [`admission`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`],
 //! [`overload`], [`placement`], [`registry`], [`retry_budget`], [`role`], [`shares`],
-//! [`sse`], [`store_source`] and [`upstream_load`] make decisions without I/O, with the current
+//! [`sse`], [`store_source`], [`stream_origin`] and [`upstream_load`] make decisions without I/O, with the current
 //! time as an argument. The other modules connect them to the network.
 
 pub mod admission;
@@ -19,6 +19,7 @@
 pub mod log;
 pub mod metrics;
 pub mod node;
+mod origin_exchange;
 pub mod overload;
 pub mod peers;
 pub mod placement;
@@ -35,6 +36,7 @@
 pub mod store;
 pub mod store_source;
 mod store_sync;
+pub mod stream_origin;
 pub mod upstream_load;
 pub mod wire_format;
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -33,6 +33,8 @@
     Resumed,
     /// Requests that take up a stream of an earlier request of their caller.
     TakenUp,
+    /// Questions to other routers for streams that callers took up.
+    OriginQuestions,
     /// Attempts that an upstream rejected without running the request.
     UpstreamRefusals,
     /// Attempts at an upstream that failed.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -20,6 +20,7 @@
     directory,
     load_summary::{self, LoadSummary, ServiceLoad, ServiceLoads},
     metrics::Counter,
+    origin_exchange::{Inquiries, Outbox},
     overload::OverloadDetector,
     placement::{ChosenUpstream, PlacementRequest, PromptPrefix},
     pool::Pool,
@@ -50,6 +51,10 @@
     /// Wakes the sender of load summaries after a change that the failure
     /// domain's routers wait for.
     pub(crate) summary_trigger: Notify,
+    /// Datagrams to other routers that wait to be sent.
+    pub(crate) outbox: Outbox,
+    /// Inquiries for streams that wait for the answers of other routers.
+    pub(crate) inquiries: Inquiries,
     state: RefCell<State>,
 }
 
@@ -80,6 +85,8 @@
             open_requests: Cell::new(0),
             request_body_bytes: Cell::new(0),
             summary_trigger: Notify::new(),
+            outbox: Outbox::default(),
+            inquiries: Inquiries::default(),
             state: RefCell::new(State::new(own_router, seed)),
         })
     }
@@ -152,6 +159,7 @@
         state.sync_config(now_ms, &self.settings());
         let routers = state.live_router_count();
         drop(state);
+        self.tell_stream_origins(true);
         self.summary_trigger.notify_one();
         info!(version, source, routers, "configuration in force");
         true
@@ -175,9 +183,11 @@
                 UpstreamChange::Leaving(_) => {}
             }
         }
-        state.sync_upstreams();
+        let now_ms = self.now_ms();
+        state.sync_upstreams(now_ms);
         let known = state.registry.len();
         drop(state);
+        self.tell_stream_origins(false);
         self.summary_trigger.notify_one();
         for change in changes {
             let (name, kind) = match change {
@@ -271,12 +281,14 @@
     }
 
     /// Enqueues a request of `service` for a slot. The receiver gets the upstream
-    /// when the request is dispatched.
+    /// when the request is dispatched. One that takes up a stream of
+    /// `continued_version` gets only an upstream of that version.
     pub(crate) fn enqueue(
         &self,
         service: &ServiceName,
         request: &AdmissionRequest,
         work: &WorkEstimate,
+        continued_version: Option<&SoftwareVersion>,
     ) -> Result<(LaneTicket, oneshot::Receiver<ChosenUpstream>), NoSlot> {
         let now_ms = self.now_ms();
         let mut state = self.state();
@@ -284,7 +296,7 @@
         let ServiceState { placement, retry_budget, lanes, load_meter } = service_state;
         retry_budget.record_request(now_ms);
         load_meter.demand.add(now_ms, &request.workspace, request.cost);
-        if placement.usable_slots(now_ms) == 0 {
+        if placement.usable_slots(now_ms, continued_version) == 0 {
             return Err(NoSlot::NoUpstream);
         }
         let prefill_tokens = work.unshared_tokens();
@@ -297,7 +309,12 @@
         let ticket =
             lane_state.admission.enqueue(now_ms, slots, request).map_err(NoSlot::Rejected)?;
         let (sender, receiver) = oneshot::channel();
-        let waiting = WaitingRequest { sender, prompt_prefix: work.prompt_prefix, prefill_tokens };
+        let waiting = WaitingRequest {
+            sender,
+            prompt_prefix: work.prompt_prefix,
+            prefill_tokens,
+            continued_version: continued_version.cloned(),
+        };
         lane_state.waiting.insert(ticket, waiting);
         drop(state);
         self.dispatch(service);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -18,7 +18,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use span_member::{MemberChange, MemberUpdate, Router, heartbeat_peers, heartbeat_targets};
-use span_types::{FailureDomain, InstanceName};
+use span_types::{FailureDomain, InstanceName, ServiceName};
 use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
 use tracing::{info, warn};
 
@@ -31,6 +31,7 @@
     role::Role,
     store::Position,
     store_source::{START_HEARTBEAT_INTERVAL_MS, StoreKnowledge},
+    stream_origin::{OriginAnswer, OriginNotice, RequestKey},
 };
 
 /// Interval between heartbeats, in milliseconds; about a third of the time after
@@ -70,6 +71,24 @@
     /// From a collector to the routers of its failure domain: the sum of the
     /// fleet.
     FleetSummary(SummaryMessage),
+    /// Tells of streams that the sender began.
+    StreamOrigins(Vec<OriginNotice>),
+    /// Asks where a stream began that may be of these services.
+    OriginQuestion {
+        /// The request that began the stream.
+        request: RequestKey,
+        /// Services of its route.
+        services: Vec<ServiceName>,
+    },
+    /// Answers an [`Packet::OriginQuestion`].
+    OriginAnswer {
+        /// Name of the sender.
+        from: InstanceName,
+        /// The request that began the stream.
+        request: RequestKey,
+        /// What the sender knows of it.
+        answer: OriginAnswer,
+    },
 }
 
 /// A load summary with what its sender knows of the store.
@@ -334,6 +353,15 @@
         }
     }
 
+    /// Sends the datagrams in the outbox until the process ends.
+    pub(crate) async fn send_outbox(self: Rc<Self>) {
+        loop {
+            for (ips, packet) in self.node.outbox.take().await {
+                self.send_packet(&ips, &packet);
+            }
+        }
+    }
+
     /// Sends a heartbeat to all live routers at once, for changes that must not
     /// wait for the next round, such as leaving.
     pub(crate) fn send_heartbeat_to_all(&self) {
@@ -441,6 +469,15 @@
                         self.receive_store_knowledge(from, store, false);
                     }
                     Ok(Packet::FleetSummary(message)) => self.receive_fleet_summary(message),
+                    Ok(Packet::StreamOrigins(notices)) => {
+                        self.node.learn_stream_origins(&notices);
+                    }
+                    Ok(Packet::OriginQuestion { request, services }) => {
+                        self.node.answer_inquiry(from.ip(), request, &services);
+                    }
+                    Ok(Packet::OriginAnswer { from, request, answer }) => {
+                        self.node.inquiry_answered(&from, request, &answer);
+                    }
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -356,9 +356,13 @@
         counts
     }
 
-    /// Slots of all usable upstreams, free or in use.
-    pub fn usable_slots(&self, now_ms: u64) -> u32 {
-        let usable = self.upstreams.values().filter(|state| state.is_usable(now_ms));
+    /// Slots of all usable upstreams, free or in use: of those that can continue a
+    /// stream of `continued_version`, if that is given.
+    pub fn usable_slots(&self, now_ms: u64, continued_version: Option<&SoftwareVersion>) -> u32 {
+        let usable = self.upstreams.values().filter(|state| match continued_version {
+            Some(version) => state.can_continue(now_ms, version),
+            None => state.is_usable(now_ms),
+        });
         usable.map(|state| state.slots).sum()
     }
 
@@ -444,8 +448,7 @@
             request.prompt_prefix.and_then(|prefix| self.unassigned_home(now_ms, prefix));
         let usable = self.upstreams.iter().filter(|(name, state)| {
             let is_usable = match request.continued_version {
-                // This router may use none of the few upstreams that can continue.
-                Some(version) => state.software_version == *version && state.is_available(now_ms),
+                Some(version) => state.can_continue(now_ms, version),
                 None => state.is_usable(now_ms) || unassigned_home == Some(state.name_hash),
             };
             is_usable
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -1,6 +1,10 @@
 //! The upstreams that the platform's store lists.
 
-use std::{cell::Cell, collections::BTreeMap, net::SocketAddr};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use serde::{Deserialize, Serialize};
 use span_types::{FailureDomain, ServiceName, SoftwareVersion, UpstreamName};
@@ -349,6 +353,13 @@
             .filter(move |(name, entry)| entry.service == *service && !self.is_leaving(name, entry))
     }
 
+    /// Software versions of a service's upstreams, also of leaving ones.
+    pub fn software_versions(&self, service: &ServiceName) -> BTreeSet<SoftwareVersion> {
+        let entries = self.upstreams.values().map(|known| &known.entry);
+        let entries = entries.filter(|entry| entry.service == *service);
+        entries.map(|entry| entry.software_version.clone()).collect()
+    }
+
     /// All entries, also of leaving upstreams, for another router.
     pub fn shared_entries(&self, now_ms: u64) -> Vec<SharedEntry> {
         let entries = self.upstreams.iter();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,14 +1,15 @@
 //! State of the process and the decisions on it, without I/O.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::IpAddr,
     rc::Rc,
 };
 
 use futures::channel::oneshot;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use span_member::{MAX_FULL_MESH_PEERS, MembershipTiming, MembershipView, Router};
-use span_types::{Member, MemberState, ServiceName};
+use span_types::{InstanceName, Member, MemberState, ServiceName, SoftwareVersion};
 use strum::{EnumCount, IntoEnumIterator};
 
 use crate::{
@@ -25,6 +26,7 @@
     settings::Settings,
     shares::{DecayingRate, DemandMeter},
     store_source::{ReadOrder, StoreKnowledge, StoreSource},
+    stream_origin::{RequestKey, StreamOrigin, StreamOrigins, routers_for_stream},
 };
 
 /// Fraction of the connections that an upstream accepts which the known routers
@@ -44,6 +46,8 @@
     pub(crate) prompt_prefix: Option<PromptPrefix>,
     /// Prompt tokens beyond the prefix.
     pub(crate) prefill_tokens: u64,
+    /// Software version that began the stream which the request takes up.
+    pub(crate) continued_version: Option<SoftwareVersion>,
 }
 
 /// What this router keeps for one service.
@@ -102,6 +106,8 @@
     pub(crate) received_summaries: ReceivedSummaries,
     /// Load of the fleet, as the collector last sent it.
     pub(crate) fleet_summary: FleetSummary,
+    /// Where streams began.
+    pub(crate) stream_origins: StreamOrigins,
     /// From where this router gets what the store holds.
     pub(crate) store_source: StoreSource,
     pub(crate) metrics: Metrics,
@@ -142,11 +148,17 @@
                 prefill_tokens,
                 lane,
                 excluded: &[],
-                continued_version: None,
+                continued_version: request.continued_version.as_ref(),
             };
+            let draw = rng.next_u64();
+            let chosen = placement.assign(now_ms, placement_request, draw, false);
+            // The free slot may be at another version.
+            let chosen = chosen.or_else(|| {
+                placement_request.continued_version?;
+                placement.assign(now_ms, placement_request, draw, true)
+            });
             // Without an upstream, the sender is dropped, which rejects the request.
-            let Some(chosen) = placement.assign(now_ms, placement_request, rng.next_u64(), false)
-            else {
+            let Some(chosen) = chosen else {
                 continue;
             };
             // Fails if the caller has left.
@@ -169,6 +181,7 @@
             router_loads: BTreeMap::new(),
             received_summaries: ReceivedSummaries::default(),
             fleet_summary: FleetSummary::default(),
+            stream_origins: StreamOrigins::default(),
             store_source: StoreSource::default(),
             metrics: Metrics::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -223,6 +236,49 @@
         }
     }
 
+    /// Time within which a stream of `service` may be taken up, in milliseconds: it lasts
+    /// for its route's time limit at most, and so does the attempt that takes it up.
+    pub(crate) fn stream_lifetime_ms(&self, service: &ServiceName) -> u64 {
+        let config = self.config.as_ref();
+        2 * config.map_or(0, |config| config.longest_stream_ms(service))
+    }
+
+    /// Where streams of `services` may have begun, as far as this router knows.
+    pub(crate) fn origin_candidates<'a>(
+        &self,
+        now_ms: u64,
+        services: impl IntoIterator<Item = &'a ServiceName>,
+    ) -> BTreeSet<StreamOrigin> {
+        let candidates = services.into_iter().flat_map(|service| {
+            self.stream_origins.candidates(now_ms, service, self.stream_lifetime_ms(service))
+        });
+        candidates.collect()
+    }
+
+    /// Whether a stream of `service` that another router takes up may have begun
+    /// elsewhere than at the only version that the service has.
+    pub(crate) fn origins_may_differ(&self, now_ms: u64, service: &ServiceName) -> bool {
+        self.origin_candidates(now_ms, [service]).len() > 1
+            || self.config.as_ref().is_some_and(|config| config.shares_stream_route(service))
+    }
+
+    /// Other live routers that are to know of a stream, with their addresses.
+    pub(crate) fn routers_for_stream(
+        &self,
+        request: RequestKey,
+        count: usize,
+    ) -> Vec<(InstanceName, IpAddr)> {
+        let own_name = &self.view.own_update().router.member.instance;
+        let live = self.view.live_routers();
+        let others: BTreeMap<&InstanceName, IpAddr> = live
+            .into_iter()
+            .map(|router| (&router.member.instance, router.peer_address.ip()))
+            .filter(|(name, _)| *name != own_name)
+            .collect();
+        let chosen = routers_for_stream(others.keys().copied(), request, count).into_iter();
+        chosen.filter_map(|name| Some((name.clone(), *others.get(name)?))).collect()
+    }
+
     /// Whether the fleet is so large that collectors aggregate its load, since
     /// not every router exchanges heartbeats with every other.
     pub(crate) fn has_collectors(&self) -> bool {
@@ -258,12 +314,14 @@
                 lane.waiting.remove(&ticket);
             }
         }
-        self.sync_upstreams();
+        self.sync_upstreams(now_ms);
     }
 
     /// Brings the placement of all services in line with the registry.
-    pub(crate) fn sync_upstreams(&mut self) {
+    pub(crate) fn sync_upstreams(&mut self, now_ms: u64) {
         for (name, service) in &mut self.services {
+            let versions = self.registry.software_versions(name);
+            self.stream_origins.set_versions(now_ms, name, &versions);
             let ready = self.registry.ready(name);
             let ready = ready.map(|(name, entry)| (name, entry.slots, &entry.software_version));
             service.placement.set_upstreams(ready);
--- a/crates/edge/src/upstream_load.rs
+++ b/crates/edge/src/upstream_load.rs
@@ -147,6 +147,12 @@
         self.is_assigned && self.is_available(now_ms)
     }
 
+    /// Whether the upstream can continue a stream that `version` began. A router of a
+    /// large fleet may use none of the few that can, so the others count too.
+    pub(crate) fn can_continue(&self, now_ms: u64, version: &SoftwareVersion) -> bool {
+        self.software_version == *version && self.is_available(now_ms)
+    }
+
     /// Whether the upstream is neither replaced, full, avoided nor probed.
     pub(crate) fn is_available(&self, now_ms: u64) -> bool {
         !self.replaced && now_ms >= self.available_from_ms() && !self.probing
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -436,7 +436,7 @@
         if case.end_ms > 0 {
             let before_ms = case.end_ms - 1;
             assert!(placement.assign(before_ms, REQUEST, 1, true).is_none(), "{}", case.name);
-            assert_eq!(placement.usable_slots(before_ms), 0, "{}", case.name);
+            assert_eq!(placement.usable_slots(before_ms, None), 0, "{}", case.name);
             assert_eq!(placement.available_in_ms(before_ms), Some(1), "{}", case.name);
         }
         assert!(placement.assign(case.end_ms, REQUEST, 1, false).is_some(), "{}", case.name);
--- /dev/null
+++ b/crates/edge/tests/stream_origin.rs
@@ -0,0 +1,210 @@
+//! Tests of what routers know and tell of where streams began.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeSet;
+
+use span_edge::stream_origin::{
+    ANSWER_TIMEOUT_MS, ASK_AGAIN_MS, ASKED_ROUTERS, OriginAnswer, OriginInquiry, OriginSource,
+    OriginVerdict, RequestKey, StreamOrigin, StreamOrigins, TOLD_ROUTERS, routers_for_stream,
+};
+use span_types::{InstanceName, ServiceName, SoftwareVersion};
+
+const LIFETIME_MS: u64 = 30_000;
+
+fn service() -> ServiceName {
+    "svc".into()
+}
+
+fn versions(versions: &[&str]) -> BTreeSet<SoftwareVersion> {
+    versions.iter().map(|version| (*version).into()).collect()
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: service(), software_version: version.into() }
+}
+
+fn origins(versions: &[&str]) -> BTreeSet<StreamOrigin> {
+    versions.iter().map(|version| origin(version)).collect()
+}
+
+fn key(id: &str) -> RequestKey {
+    RequestKey::new(id.as_bytes())
+}
+
+fn routers(numbers: std::ops::Range<usize>) -> Vec<InstanceName> {
+    numbers.map(|number| format!("r{number}").into()).collect()
+}
+
+/// Guards against a stream that goes on at the only version left, although it may have
+/// begun at one whose last upstream has just gone.
+#[test]
+fn version_stays_a_candidate_for_the_lifetime_of_its_streams() {
+    let mut known = StreamOrigins::default();
+    known.set_versions(0, &service(), &versions(&["v1"]));
+    known.set_versions(1_000, &service(), &versions(&["v1", "v2"]));
+    known.set_versions(2_000, &service(), &versions(&["v2"]));
+    // A later change does not make the version go later.
+    known.set_versions(9_000, &service(), &versions(&["v2"]));
+    let cases: [(u64, &[&str]); 3] =
+        [(2_000, &["v1", "v2"]), (31_999, &["v1", "v2"]), (32_000, &["v2"])];
+    for (now_ms, expected) in cases {
+        assert_eq!(known.candidates(now_ms, &service(), LIFETIME_MS), origins(expected));
+    }
+    known.set_versions(33_000, &service(), &versions(&["v1", "v2"]));
+    assert_eq!(known.candidates(90_000, &service(), LIFETIME_MS), origins(&["v1", "v2"]));
+}
+
+/// Guards against streams that began before the second version appeared and of which no
+/// other router is told, and against telling of each stream at all times.
+#[test]
+fn others_are_told_of_open_streams_once_versions_may_differ() {
+    let mut known = StreamOrigins::default();
+    for id in ["open", "ended", "expired"] {
+        let lifetime_ms = if id == "expired" { 10 } else { LIFETIME_MS };
+        known.begin(0, key(id), &origin("v1"), lifetime_ms);
+    }
+    known.end(key("ended"));
+    assert!(known.tell_all(100, |_| false).is_empty());
+    let told = known.tell_all(100, |_| true);
+    assert_eq!(told.len(), 1);
+    assert_eq!((told[0].request, &told[0].origin), (key("open"), &origin("v1")));
+    assert_eq!(told[0].lifetime_ms, LIFETIME_MS - 100);
+    assert!(known.tell_all(100, |_| true).is_empty());
+    assert_eq!(known.tell(100, key("open")), None);
+
+    let mut other = StreamOrigins::default();
+    other.learn(200, &told[0]);
+    assert_eq!(other.get(200, key("open")), Some(&origin("v1")));
+    assert_eq!(other.get(200 + LIFETIME_MS, key("open")), None);
+    assert!(other.tell_all(200, |_| true).is_empty());
+    assert_eq!(other.get(200, key("ended")), None);
+}
+
+/// Guards against a stream that nobody who is asked was told of, because routers have
+/// joined or left since.
+#[test]
+fn asked_routers_include_those_that_were_told() {
+    const STREAMS: usize = 500;
+    struct Case {
+        name: &'static str,
+        later: std::ops::Range<usize>,
+        lost_at_most: usize,
+    }
+    let cases = [
+        Case { name: "same routers", later: 0..60, lost_at_most: 0 },
+        Case { name: "five more", later: 0..65, lost_at_most: 0 },
+        // All three that were told are among the lost half in an eighth of the cases.
+        Case { name: "half of the routers", later: 30..60, lost_at_most: STREAMS / 5 },
+    ];
+    for case in cases {
+        let (told, later) = (routers(0..60), routers(case.later));
+        let lost = (0..STREAMS).filter(|stream| {
+            let request = key(&stream.to_string());
+            let told = routers_for_stream(&told, request, TOLD_ROUTERS);
+            let asked = routers_for_stream(&later, request, ASKED_ROUTERS);
+            !told.iter().any(|name| asked.contains(name))
+        });
+        let lost = lost.count();
+        assert!(lost <= case.lost_at_most, "{}: {lost}", case.name);
+    }
+}
+
+/// Guards against a stream that goes on at a version which it may not have begun at, and
+/// against callers that wait for routers that cannot change the verdict.
+#[test]
+fn verdict_follows_from_the_answers() {
+    struct Case {
+        name: &'static str,
+        own: &'static [&'static str],
+        asked: usize,
+        /// Known version and candidates of each router that answers.
+        answers: &'static [(Option<&'static str>, &'static [&'static str])],
+        /// Verdict, and the time from which it holds.
+        verdict: (u64, Option<(&'static str, OriginSource)>),
+    }
+    let only = |version| Some((version, OriginSource::OnlyCandidate));
+    let cases = [
+        Case {
+            name: "alone with one version",
+            own: &["v1"],
+            asked: 0,
+            answers: &[],
+            verdict: (0, only("v1")),
+        },
+        Case {
+            name: "alone with two versions",
+            own: &["v1", "v2"],
+            asked: 0,
+            answers: &[],
+            verdict: (0, None),
+        },
+        Case {
+            name: "another router knows",
+            own: &["v1", "v2"],
+            asked: 3,
+            answers: &[(Some("v2"), &["v1", "v2"])],
+            verdict: (0, Some(("v2", OriginSource::Asked))),
+        },
+        Case {
+            name: "nobody knows, one version",
+            own: &["v1"],
+            asked: 2,
+            answers: &[(None, &["v1"]), (None, &["v1"])],
+            verdict: (0, only("v1")),
+        },
+        Case {
+            name: "one router is dead, one version",
+            own: &["v1"],
+            asked: 2,
+            answers: &[(None, &["v1"])],
+            verdict: (ASK_AGAIN_MS, only("v1")),
+        },
+        Case {
+            name: "one router is dead, two versions",
+            own: &["v1", "v2"],
+            asked: 2,
+            answers: &[(None, &["v1", "v2"])],
+            verdict: (ANSWER_TIMEOUT_MS, None),
+        },
+        Case {
+            name: "another router knows of a second version",
+            own: &["v1"],
+            asked: 2,
+            answers: &[(None, &["v1"]), (None, &["v1", "v2"])],
+            verdict: (0, None),
+        },
+        Case {
+            name: "cut off from all other routers",
+            own: &["v1"],
+            asked: 2,
+            answers: &[],
+            verdict: (ANSWER_TIMEOUT_MS, None),
+        },
+        Case {
+            name: "only a router answers that has just started",
+            own: &["v1"],
+            asked: 1,
+            answers: &[(None, &[])],
+            verdict: (0, None),
+        },
+    ];
+    for case in cases {
+        let names = routers(0..case.asked);
+        let asked: BTreeSet<InstanceName> = names.iter().cloned().collect();
+        let mut inquiry = OriginInquiry::new(1_000, asked, origins(case.own));
+        for (name, (known, candidates)) in names.iter().zip(case.answers) {
+            let answer =
+                OriginAnswer { origin: known.map(origin), candidates: origins(candidates) };
+            inquiry.record(name, answer);
+        }
+        let (after_ms, verdict) = case.verdict;
+        let expected = verdict.map_or(OriginVerdict::Unknown, |(version, source)| {
+            OriginVerdict::Found(origin(version), source)
+        });
+        if after_ms > 0 {
+            assert_eq!(inquiry.verdict(1_000 + after_ms - 1), None, "{}", case.name);
+        }
+        assert_eq!(inquiry.verdict(1_000 + after_ms), Some(expected), "{}", case.name);
+    }
+}
