Settle an inquiry for a stream with most answers

The answers of most routers are enough for a version beside which nobody knows another one. The case in verdict_follows_from_the_answers failed before.

--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -245,9 +245,10 @@
 #[derive(Debug)]
 pub struct OriginInquiry {
     asked_ms: u64,
+    /// Number of routers that are asked.
+    asked: usize,
     /// Routers that have not answered.
     awaited: BTreeSet<InstanceName>,
-    has_asked_others: bool,
     /// Whether a router has answered that knows upstreams of the services.
     is_confirmed: bool,
     found: Option<StreamOrigin>,
@@ -264,7 +265,7 @@
     ) -> Self {
         Self {
             asked_ms: now_ms,
-            has_asked_others: !asked.is_empty(),
+            asked: asked.len(),
             awaited: asked,
             is_confirmed: false,
             found: None,
@@ -296,11 +297,15 @@
         let elapsed_ms = now_ms.saturating_sub(self.asked_ms);
         let mut candidates = self.candidates.iter();
         let only = candidates.next().filter(|_| candidates.next().is_none());
-        let only = only.filter(|_| self.is_confirmed || !self.has_asked_others);
-        // A router that has just died does not answer.
-        let is_awaiting = !self.awaited.is_empty()
-            && elapsed_ms < if only.is_some() { ASK_AGAIN_MS } else { ANSWER_TIMEOUT_MS };
-        if is_awaiting {
+        let only = only.filter(|_| self.is_confirmed || self.asked == 0);
+        // Routers that have just died do not answer, so most answers are enough for a
+        // version of which nobody knows another one.
+        let has_most_answers = self.awaited.len() * 2 < self.asked;
+        let is_settled = match only {
+            Some(_) => has_most_answers || elapsed_ms >= ASK_AGAIN_MS,
+            None => elapsed_ms >= ANSWER_TIMEOUT_MS,
+        };
+        if !is_settled && !self.awaited.is_empty() {
             return None;
         }
         Some(match only {
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -160,6 +160,13 @@
             answers: &[(None, &["v1"])],
             verdict: (ASK_AGAIN_MS, only("v1")),
         },
+        Case {
+            name: "one router of three is dead, one version",
+            own: &["v1"],
+            asked: 3,
+            answers: &[(None, &["v1"]), (None, &["v1"])],
+            verdict: (0, only("v1")),
+        },
         Case {
             name: "one router is dead, two versions",
             own: &["v1", "v2"],
