Let a broken stream wait for an upstream that can continue it

A stream whose upstream crashed ended at once if the few upstreams of its software version were full or avoided at that moment, as they are when all streams of the crashed one move to them. A refusal of an upstream also counted as a failure of it, so that it was avoided for half a second, and used up an attempt.

A broken stream waits up to a second now while an upstream can continue it that only takes no requests at the moment; callers give up after two seconds of silence or more. A refusal is recorded as such, excludes the upstream no longer and uses up no attempt, since nothing has run; each further try is still paid from the retry budget.

--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -144,6 +144,14 @@
         }
     }
 
+    /// Time until an upstream that is not `excluded` may continue the stream, in
+    /// milliseconds; none if there is no such upstream, or if no event has reached the
+    /// caller yet.
+    pub(crate) fn can_continue_in_ms(&self, excluded: &[UpstreamName]) -> Option<u64> {
+        let version = self.continued_version.as_ref()?;
+        self.node.can_continue_in_ms(&self.service, version, excluded)
+    }
+
     /// Chooses the upstream for the next attempt; none if no upstream is left.
     pub(crate) fn choose_next(
         &mut self,
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -554,6 +554,7 @@
     let resume = resumable.then(|| ResumeState {
         requests: data.resumed_request.into_iter().chain([own_request]).collect(),
         has_begun: false,
+        broken_ms: 0,
         data,
         remaining_attempts,
         tried,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -31,6 +31,12 @@
     upstream_load::AttemptResult,
 };
 
+/// Longest time for which a broken stream waits for an upstream that can continue it, in
+/// milliseconds. Callers give up on a stream that is silent for two seconds or more.
+const MAX_CONTINUE_WAIT_MS: u64 = 1_000;
+/// Shortest time after which such a stream looks for an upstream again, in milliseconds.
+const MIN_CONTINUE_WAIT_MS: u64 = 20;
+
 /// What a stream needs to continue at another upstream.
 pub(crate) struct ResumeState {
     pub(crate) data: Rc<RequestData>,
@@ -41,6 +47,21 @@
     pub(crate) requests: Vec<RequestKey>,
     /// Whether the caller has got an event.
     pub(crate) has_begun: bool,
+    /// When the upstream that sent the last bytes broke off.
+    pub(crate) broken_ms: u64,
+}
+
+/// Why an upstream sends no more of a stream.
+struct Broken {
+    cause: String,
+    /// What that says of the upstream.
+    result: AttemptResult,
+}
+
+impl Broken {
+    fn failed(cause: impl Into<String>) -> Self {
+        Self { cause: cause.into(), result: AttemptResult::Failed }
+    }
 }
 
 type PendingAttempt = LocalBoxFuture<'static, Result<Answer, Failure>>;
@@ -53,6 +74,8 @@
         idle_timeout_ms: Option<u64>,
     },
     Resuming(PendingAttempt),
+    /// No upstream that can continue the stream takes requests at the moment.
+    Waiting(Pin<Box<Sleep>>),
     /// The stream fails with this cause at the next poll.
     Failing(Interrupted),
     Ended,
@@ -170,42 +193,67 @@
         self.record.reason = Some(cause);
     }
 
-    /// Continues the stream at another upstream after the current one failed.
-    /// Returns false if that is not possible.
-    fn try_resume(&mut self, cause: &str) -> bool {
+    /// Continues the stream at another upstream after the current one broke off or
+    /// refused. Returns false if that is not possible.
+    fn try_resume(&mut self, broken: &Broken) -> bool {
         // Closes the connection: the upstream must not work on while another one
         // continues.
-        self.source = Source::Ended;
+        let source = std::mem::replace(&mut self.source, Source::Ended);
         let inside_event = self.ends_inside_event();
+        let now_ms = self.node.now_ms();
         let Some(resume) = &mut self.resume else {
             return false;
         };
-        if resume.remaining_attempts == 0 || self.node.now_ms() >= resume.data.deadline_ms {
+        if now_ms >= resume.data.deadline_ms {
             return false;
         }
-        let failed = self.in_flight.upstream().cloned();
-        self.in_flight.end_attempt(AttemptResult::Failed);
-        resume.tried.extend(failed.clone());
-        if !self.node.try_retry(self.in_flight.service()) {
+        let last_upstream = self.in_flight.upstream().cloned();
+        self.in_flight.end_attempt(broken.result);
+        match source {
+            Source::Waiting(_) => {}
+            // It is full for a moment and has not run the request.
+            Source::Resuming(_) if broken.result == AttemptResult::Full => {
+                resume.remaining_attempts += 1;
+            }
+            Source::Resuming(_) => resume.tried.extend(last_upstream.clone()),
+            Source::Body { .. } | Source::Failing(_) | Source::Ended => {
+                resume.tried.extend(last_upstream.clone());
+                resume.broken_ms = now_ms;
+            }
+        }
+        if resume.remaining_attempts == 0 {
             return false;
         }
         let Some(upstream) = self.in_flight.choose_next(&resume.data.work, &resume.tried) else {
-            return false;
+            let wait_ms = self.in_flight.can_continue_in_ms(&resume.tried);
+            let Some(wait_ms) = wait_ms.map(|wait_ms| wait_ms.max(MIN_CONTINUE_WAIT_MS)) else {
+                return false;
+            };
+            if now_ms + wait_ms > resume.broken_ms + MAX_CONTINUE_WAIT_MS {
+                return false;
+            }
+            let until = self.node.clock.instant(now_ms + wait_ms);
+            self.source = Source::Waiting(Box::pin(tokio::time::sleep_until(until)));
+            return true;
         };
+        if !self.node.try_retry(self.in_flight.service()) {
+            return false;
+        }
         resume.remaining_attempts -= 1;
         resume.splitter.take_partial();
         let last_event = resume.splitter.last_id().map(str::to_owned);
         let to_version = self.node.software_version(&upstream);
         info!(
             request = self.record.id,
-            from = failed.as_ref().map(UpstreamName::as_str),
+            from = last_upstream.as_ref().map(UpstreamName::as_str),
             from_version = self.record.software_version.as_ref().map(SoftwareVersion::as_str),
             to = upstream.as_str(),
             to_version = to_version.as_ref().map(SoftwareVersion::as_str),
             last_event,
             framing = <&'static str>::from(self.framing),
             inside_event,
-            cause,
+            waited_ms = now_ms.saturating_sub(resume.broken_ms),
+            cause = broken.cause,
             "stream resumes"
         );
         self.record.continued_at(&upstream);
@@ -228,7 +276,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
-        let is_open = matches!(self.source, Source::Body { .. } | Source::Resuming(_));
+        let is_open = !matches!(self.source, Source::Failing(_) | Source::Ended);
         if is_open && self.deadline.as_mut().poll(cx).is_ready() {
             let cause = "the stream did not end before the request's deadline".to_owned();
             self.fail(cx, AttemptResult::Unknown, cause);
@@ -242,10 +290,15 @@
                     self.source = Source::Ended;
                     return Poll::Ready(Some(Err(error)));
                 }
+                Source::Waiting(sleep) => {
+                    ready!(sleep.as_mut().poll(cx));
+                    let cause = "no upstream took the stream".to_owned();
+                    Broken { cause, result: AttemptResult::Unknown }
+                }
                 Source::Resuming(pending) => match ready!(pending.as_mut().poll(cx)) {
                     // Its text would be taken for events of the stream.
                     Ok(Answer { parts, .. }) if !parts.status.is_success() => {
-                        format!("the upstream answered {}", parts.status)
+                        Broken::failed(format!("the upstream answered {}", parts.status))
                     }
                     Ok(Answer { body, framing, connection, idle_timeout_ms, .. }) => {
                         self.record.framing = Some(framing);
@@ -254,7 +307,10 @@
                         self.source = Source::Body { body, connection, idle_timeout_ms };
                         continue;
                     }
-                    Err(failure) => describe(&failure),
+                    Err(failure @ Failure::NotRun(result)) => {
+                        Broken { cause: describe(&failure), result }
+                    }
+                    Err(failure) => Broken::failed(describe(&failure)),
                 },
                 Source::Body { body, .. } => match ready!(Pin::new(body).poll_frame(cx)) {
                     Some(Ok(frame)) => {
@@ -272,13 +328,13 @@
                         Ok(()) => {
                             return Poll::Ready(self.finish().map(|rest| Ok(Frame::data(rest))));
                         }
-                        Err(broken) => broken.to_string(),
+                        Err(broken) => Broken::failed(broken.to_string()),
                     },
-                    Some(Err(error)) => pool::cause(&error),
+                    Some(Err(error)) => Broken::failed(pool::cause(&error)),
                 },
             };
             if !self.try_resume(&broken) {
-                self.fail(cx, AttemptResult::Failed, broken);
+                self.fail(cx, broken.result, broken.cause);
                 return Poll::Pending;
             }
         }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -275,6 +275,19 @@
         self.state().services.get(service)?.placement.available_in_ms(now_ms)
     }
 
+    /// Time until an upstream that is not `excluded` may continue a stream of `version`, in
+    /// milliseconds; none if there is no such upstream.
+    pub(crate) fn can_continue_in_ms(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        excluded: &[UpstreamName],
+    ) -> Option<u64> {
+        let now_ms = self.now_ms();
+        let state = self.state();
+        state.services.get(service)?.placement.can_continue_in_ms(now_ms, version, excluded)
+    }
+
     /// Applies a change of the routers in the fleet.
     pub(crate) fn membership_changed(&self) {
         self.state().sync_fleet();
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -714,6 +714,20 @@
         used.map(|state| state.available_from_ms().saturating_sub(now_ms)).min()
     }
 
+    /// As [`Placement::available_in_ms`], for the upstreams that can continue a stream of
+    /// `version` and are not `excluded`. None if there is no such upstream.
+    pub fn can_continue_in_ms(
+        &self,
+        now_ms: u64,
+        version: &SoftwareVersion,
+        excluded: &[UpstreamName],
+    ) -> Option<u64> {
+        let able = self.upstreams.iter().filter(|(name, state)| {
+            state.software_version == *version && !state.replaced && !excluded.contains(name)
+        });
+        able.map(|(_, state)| state.available_from_ms().saturating_sub(now_ms)).min()
+    }
+
     /// Records how an attempt at an upstream ended. Returns whether the upstream
     /// is avoided from now on.
     pub fn record_result(
