Place a stream that its caller takes up without queueing it

A caller that took up a stream was refused if the few upstreams of its software version were full at that moment, although others were free: the request waited for a slot of any upstream, and got none of its version when its turn came. Once an upstream had refused a request, the router took it for full for up to three seconds.

Such a request is placed as a stream that the router itself continues: at once, if need be at an upstream without a known free slot, and its workspace is charged and held to its share as before. If the upstreams of the version take nothing at the moment, it waits for them as long as a new stream waits for a slot.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -162,6 +162,21 @@
         self.limit_per_s.is_some() && self.budget <= 0.0
     }
 
+    /// Checks that a request of the workspace may be dispatched while `slots` are as they
+    /// are.
+    fn check_share(&self, slots: SlotCounts, expected_wait_ms: u64) -> Result<(), Rejection> {
+        if self.may_dispatch(slots.utilization()) {
+            return Ok(());
+        }
+        Err(Rejection {
+            reason: RejectReason::OverShare,
+            retry_after_ms: self.recovery_ms(),
+            slots,
+            expected_wait_ms,
+            limit_per_s: self.limit_per_s.map(|limit| limit as u64),
+        })
+    }
+
     /// Whether a request of the workspace may be dispatched.
     fn may_dispatch(&self, utilization: Utilization) -> bool {
         match utilization {
@@ -251,15 +266,15 @@
         let expected_wait_ms = self.expected_wait_ms(now_ms, own_queued, slots.free);
         let queue = self.queues.entry(request.workspace.clone()).or_default();
         queue.refill(now_ms);
-        let limit_per_s = queue.limit_per_s.map(|limit| limit as u64);
-        let reject = |reason, retry_after_ms| {
-            Err(Rejection { reason, retry_after_ms, slots, expected_wait_ms, limit_per_s })
-        };
-        if !queue.may_dispatch(slots.utilization()) {
-            return reject(RejectReason::OverShare, queue.recovery_ms());
-        }
+        queue.check_share(slots, expected_wait_ms)?;
         if expected_wait_ms > wait_limit_ms || own_queued >= MAX_QUEUED_PER_WORKSPACE {
-            return reject(RejectReason::Busy, expected_wait_ms);
+            return Err(Rejection {
+                reason: RejectReason::Busy,
+                retry_after_ms: expected_wait_ms,
+                slots,
+                expected_wait_ms,
+                limit_per_s: queue.limit_per_s.map(|limit| limit as u64),
+            });
         }
         self.backlog_since_ms.get_or_insert(now_ms);
         self.last_ticket += 1;
@@ -269,6 +284,36 @@
         Ok(ticket)
     }
 
+    /// Admits a request without a wait, and returns a ticket that counts as dispatched.
+    /// Its workspace is charged and held to its share as for any other request.
+    ///
+    /// # Errors
+    ///
+    /// The request is rejected and will not run.
+    pub fn admit_now(
+        &mut self,
+        now_ms: u64,
+        slots: SlotCounts,
+        request: &AdmissionRequest,
+    ) -> Result<Ticket, Rejection> {
+        let queue = self.queues.entry(request.workspace.clone()).or_default();
+        queue.refill(now_ms);
+        queue.check_share(slots, 0)?;
+        queue.dispatched.add(now_ms, request.cost);
+        queue.charge(request.cost);
+        self.last_ticket += 1;
+        self.count_dispatch(now_ms);
+        Ok(Ticket(self.last_ticket))
+    }
+
+    fn count_dispatch(&mut self, now_ms: u64) {
+        if now_ms.saturating_sub(self.window_start_ms) >= DISPATCH_WINDOW_MS {
+            self.window_start_ms = now_ms;
+            self.last_window_dispatches = std::mem::take(&mut self.window_dispatches);
+        }
+        self.window_dispatches += 1;
+    }
+
     /// Wait of one more request of a workspace that has `own_queued` requests
     /// in its queue. Ahead of it are its own requests, and as many of each other
     /// workspace.
@@ -312,11 +357,7 @@
         queue.dispatched.add(now_ms, cost);
         queue.charge(cost);
         self.workspace_by_ticket.remove(&ticket);
-        if now_ms.saturating_sub(self.window_start_ms) >= DISPATCH_WINDOW_MS {
-            self.window_start_ms = now_ms;
-            self.last_window_dispatches = std::mem::take(&mut self.window_dispatches);
-        }
-        self.window_dispatches += 1;
+        self.count_dispatch(now_ms);
         Some(ticket)
     }
 
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -349,6 +349,10 @@
         )
     };
     let until_ms = (arrived_ms + max_wait_ms).min(checked.deadline_ms);
+    let version = checked.continued_version.as_ref();
+    if let Some(version) = version {
+        take_up::await_upstream(node, &checked.service, version, until_ms).await;
+    }
     let now_ms = node.now_ms();
     let request = AdmissionRequest {
         workspace: checked.workspace.clone().unwrap_or_else(|| ANONYMOUS_WORKSPACE.into()),
@@ -359,7 +363,6 @@
     let reject = |retry_after_ms, reason: &'static str| {
         ErrorReply::not_run(reason, retry_advice_ms(node, checked, retry_after_ms))
     };
-    let version = checked.continued_version.as_ref();
     let (ticket, receiver) = match node.enqueue(&checked.service, &request, work, version) {
         Ok(queued) => queued,
         Err(NoSlot::NoUpstream) => {
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -35,7 +35,7 @@
 /// milliseconds. Callers give up on a stream that is silent for two seconds or more.
 const MAX_CONTINUE_WAIT_MS: u64 = 1_000;
 /// Shortest time after which such a stream looks for an upstream again, in milliseconds.
-const MIN_CONTINUE_WAIT_MS: u64 = 20;
+pub(super) const MIN_CONTINUE_WAIT_MS: u64 = 20;
 
 /// What a stream needs to continue at another upstream.
 pub(crate) struct ResumeState {
--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -3,10 +3,14 @@
 use std::rc::Rc;
 
 use http::request;
-use span_types::ServiceName;
+use span_types::{ServiceName, SoftwareVersion};
+use tokio::time::sleep_until;
 use tracing::info;
 
-use super::{CheckedRequest, DEFAULT_RETRY_AFTER_MS, ErrorReply, record::RequestRecord};
+use super::{
+    CheckedRequest, DEFAULT_RETRY_AFTER_MS, ErrorReply, record::RequestRecord,
+    stream::MIN_CONTINUE_WAIT_MS,
+};
 use crate::{
     config::RouteKind,
     node::Node,
@@ -64,3 +68,20 @@
         Some(origin) => Ok(origin.clone()),
     }
 }
+
+/// Waits until an upstream can continue a stream of `version`, at most until `until_ms`.
+/// Does not wait if there is no such upstream.
+pub(super) async fn await_upstream(
+    node: &Rc<Node>,
+    service: &ServiceName,
+    version: &SoftwareVersion,
+    until_ms: u64,
+) {
+    while let Some(wait_ms) = node.can_continue_in_ms(service, version, &[]) {
+        let next_ms = node.now_ms() + wait_ms.max(MIN_CONTINUE_WAIT_MS);
+        if wait_ms == 0 || next_ms > until_ms {
+            return;
+        }
+        sleep_until(node.clock.instant(next_ms)).await;
+    }
+}
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -275,8 +275,8 @@
         self.state().services.get(service)?.placement.available_in_ms(now_ms)
     }
 
-    /// Time until an upstream that is not `excluded` may continue a stream of `version`, in
-    /// milliseconds; none if there is no such upstream.
+    /// Time until an upstream that is not `excluded` can continue a stream of `version`, in
+    /// milliseconds: 0 if one can now, none if there is no such upstream.
     pub(crate) fn can_continue_in_ms(
         &self,
         service: &ServiceName,
@@ -295,7 +295,8 @@
 
     /// Enqueues a request of `service` for a slot. The receiver gets the upstream
     /// when the request is dispatched. One that takes up a stream of
-    /// `continued_version` gets only an upstream of that version.
+    /// `continued_version` gets an upstream of that version at once, if need be one
+    /// without a free slot, as a stream does that this router continues.
     pub(crate) fn enqueue(
         &self,
         service: &ServiceName,
@@ -305,7 +306,8 @@
     ) -> Result<(LaneTicket, oneshot::Receiver<ChosenUpstream>), NoSlot> {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        let service_state = state.services.get_mut(service).ok_or(NoSlot::NoUpstream)?;
+        let State { services, rng, .. } = &mut *state;
+        let service_state = services.get_mut(service).ok_or(NoSlot::NoUpstream)?;
         let ServiceState { placement, retry_budget, lanes, load_meter } = service_state;
         retry_budget.record_request(now_ms);
         load_meter.demand.add(now_ms, &request.workspace, request.cost);
@@ -319,15 +321,28 @@
         let lane = placement.lane(prefill_tokens);
         let slots = placement.slot_counts(now_ms, lane);
         let lane_state = &mut lanes[lane as usize];
+        let (sender, receiver) = oneshot::channel();
+        let prompt_prefix = work.prompt_prefix;
+        if continued_version.is_some() {
+            let placement_request = PlacementRequest {
+                prompt_prefix,
+                prefill_tokens,
+                lane,
+                excluded: &[],
+                continued_version,
+            };
+            let ticket =
+                lane_state.admission.admit_now(now_ms, slots, request).map_err(NoSlot::Rejected)?;
+            let draw = rng.next_u64();
+            let chosen = placement.assign(now_ms, placement_request, draw, false);
+            let chosen = chosen.or_else(|| placement.assign(now_ms, placement_request, draw, true));
+            // The receiver is not dropped yet.
+            let _ = sender.send(chosen.ok_or(NoSlot::NoUpstream)?);
+            return Ok((LaneTicket { lane, ticket }, receiver));
+        }
         let ticket =
             lane_state.admission.enqueue(now_ms, slots, request).map_err(NoSlot::Rejected)?;
-        let (sender, receiver) = oneshot::channel();
-        let waiting = WaitingRequest {
-            sender,
-            prompt_prefix: work.prompt_prefix,
-            prefill_tokens,
-            continued_version: continued_version.cloned(),
-        };
+        let waiting = WaitingRequest { sender, prompt_prefix, prefill_tokens };
         lane_state.waiting.insert(ticket, waiting);
         drop(state);
         self.dispatch(service);
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -714,8 +714,8 @@
         used.map(|state| state.available_from_ms().saturating_sub(now_ms)).min()
     }
 
-    /// As [`Placement::available_in_ms`], for the upstreams that can continue a stream of
-    /// `version` and are not `excluded`. None if there is no such upstream.
+    /// Time until an upstream that is not `excluded` can continue a stream of `version`, in
+    /// milliseconds: 0 if one can now, none if there is no such upstream.
     pub fn can_continue_in_ms(
         &self,
         now_ms: u64,
@@ -725,7 +725,12 @@
         let able = self.upstreams.iter().filter(|(name, state)| {
             state.software_version == *version && !state.replaced && !excluded.contains(name)
         });
-        able.map(|(_, state)| state.available_from_ms().saturating_sub(now_ms)).min()
+        let waits = able.map(|(_, state)| {
+            let is_able_now = state.can_continue(now_ms, version);
+            let wait_ms = state.available_from_ms().saturating_sub(now_ms);
+            if is_able_now { 0 } else { wait_ms.max(1) }
+        });
+        waits.min()
     }
 
     /// Records how an attempt at an upstream ended. Returns whether the upstream
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -9,7 +9,7 @@
 use futures::channel::oneshot;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use span_member::{MAX_FULL_MESH_PEERS, MembershipTiming, MembershipView, Router};
-use span_types::{InstanceName, Member, MemberState, ServiceName, SoftwareVersion};
+use span_types::{InstanceName, Member, MemberState, ServiceName};
 use strum::{EnumCount, IntoEnumIterator};
 
 use crate::{
@@ -46,8 +46,6 @@
     pub(crate) prompt_prefix: Option<PromptPrefix>,
     /// Prompt tokens beyond the prefix.
     pub(crate) prefill_tokens: u64,
-    /// Software version that began the stream which the request takes up.
-    pub(crate) continued_version: Option<SoftwareVersion>,
 }
 
 /// What this router keeps for one service.
@@ -148,17 +146,11 @@
                 prefill_tokens,
                 lane,
                 excluded: &[],
-                continued_version: request.continued_version.as_ref(),
+                continued_version: None,
             };
-            let draw = rng.next_u64();
-            let chosen = placement.assign(now_ms, placement_request, draw, false);
-            // The free slot may be at another version.
-            let chosen = chosen.or_else(|| {
-                placement_request.continued_version?;
-                placement.assign(now_ms, placement_request, draw, true)
-            });
             // Without an upstream, the sender is dropped, which rejects the request.
-            let Some(chosen) = chosen else {
+            let Some(chosen) = placement.assign(now_ms, placement_request, rng.next_u64(), false)
+            else {
                 continue;
             };
             // Fails if the caller has left.
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -212,3 +212,22 @@
         );
     }
 }
+
+/// Guards against a workspace that exceeds its share by requests that do not wait, such as
+/// those that take up streams.
+#[test]
+fn requests_that_do_not_wait_are_held_to_the_share() {
+    let mut admission = Admission::default();
+    admission.enqueue(0, FULL, &request("a", 100)).unwrap();
+    admission.set_limits(0, &BTreeMap::from([("a".into(), 1_000.0)]));
+    let admitted =
+        (0..100).take_while(|_| admission.admit_now(0, FULL, &request("a", 100)).is_ok());
+    // Half of the largest budget, which is 1.5 s of the limit, and one request that
+    // begins within it.
+    assert_eq!(admitted.count(), 8);
+    let rejection = admission.admit_now(0, FULL, &request("a", 100)).unwrap_err();
+    assert_eq!(rejection.reason, RejectReason::OverShare);
+    // Other workspaces and the queue go on.
+    assert!(admission.admit_now(0, FULL, &request("b", 100)).is_ok());
+    assert_eq!(admission.queue_len(), 1);
+}
