Copy prompt prefixes only between engines of one software version

An engine was told to copy a prompt prefix from whichever engine had read it.

While two versions serve, a prefix is read once more for each of them. With one version nothing changes. prefix_is_copied_only_within_a_software_version failed before.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -489,7 +489,8 @@
 
     /// The upstream from which `upstream` can copy a prompt prefix: one that read the
     /// prefix for this router recently, or else the home of the prefix, which every
-    /// router sends it to when it can.
+    /// router sends it to when it can. Only one of the same software version: what two
+    /// versions write does not fit together.
     fn copy_source(
         &self,
         now_ms: u64,
@@ -499,9 +500,11 @@
         if prefix.tokens < MIN_COPIED_PREFIX_TOKENS {
             return None;
         }
+        let version = &self.upstreams.get(upstream)?.software_version;
         let is_recent = |holder: &&PrefixHolder| {
+            let state = self.upstreams.get(&holder.upstream);
             now_ms.saturating_sub(holder.used_ms) < PREFIX_CERTAINLY_CACHED_MS
-                && self.upstreams.contains_key(&holder.upstream)
+                && state.is_some_and(|state| state.software_version == *version)
         };
         let holders = self.prefix_holders.get(&prefix.hash).into_iter().flatten();
         let recent: Vec<&PrefixHolder> = holders.filter(is_recent).collect();
@@ -515,7 +518,8 @@
         let usable = self.upstreams.iter();
         let usable = usable.filter(|(_, state)| state.lane == Lane::Short && !state.replaced);
         // If the home itself is chosen, it may have evicted the prefix.
-        let others = usable.filter(|(name, _)| *name != upstream);
+        let others =
+            usable.filter(|(name, state)| *name != upstream && state.software_version == *version);
         let (home, _) = others.max_by_key(|(_, state)| state.rendezvous_hash(prefix))?;
         Some(home.clone())
     }
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -491,3 +491,34 @@
         }
     }
 }
+
+/// Guards against an engine that copies a prompt prefix from one of another software
+/// version: what two versions write does not fit together.
+#[test]
+fn prefix_is_copied_only_within_a_software_version() {
+    struct Case {
+        name: &'static str,
+        /// Versions of the engines that have read the prefix and of those that have not.
+        versions: [&'static str; 2],
+        copies: bool,
+    }
+    let cases = [
+        Case { name: "same version", versions: ["v1", "v1"], copies: true },
+        Case { name: "other version", versions: ["v1", "v2"], copies: false },
+    ];
+    for case in cases {
+        let names = names(2);
+        let versions = case.versions.map(SoftwareVersion::from);
+        let mut placement = Placement::default();
+        placement
+            .set_upstreams(names.iter().zip(&versions).map(|(name, version)| (name, 8, version)));
+        placement.set_gap_target(Some(300));
+        let PlacementRequest { prompt_prefix, .. } = with_prefix(7);
+        placement.record_prefix_read(0, &names[0], prompt_prefix.unwrap());
+        let request = PlacementRequest { excluded: &names[..1], ..with_prefix(7) };
+        let chosen = placement.assign(100, request, 1, true).unwrap();
+        assert_eq!(chosen.upstream, names[1], "{}", case.name);
+        let copy_source = case.copies.then(|| names[0].clone());
+        assert_eq!(chosen.copy_source, copy_source, "{}", case.name);
+    }
+}
