Keep what is known of streams while routers restart one after another

Routers that were told of a stream and are then restarted in turn forget it, and the router that began it cuts it off at the end of its grace period. A router that leaves now passes on all that it knows, once when it begins to leave and again if it ends with open requests.

A router that was told of a stream of a version whose entry it has not read yet took its own version for the only one when it was asked for another stream. A notice now makes its version a candidate.

leaving_router_passes_on_all_that_it_knows and notice_makes_its_version_a_candidate are new; the second fails without the change.

--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::IpAddr,
     rc::Rc,
 };
@@ -121,17 +121,23 @@
         let now_ms = self.now_ms();
         let notices = {
             let mut state = self.state();
-            let services: BTreeSet<ServiceName> = state
-                .services
-                .keys()
-                .filter(|service| routes_changed || state.origins_may_differ(now_ms, service))
-                .cloned()
-                .collect();
+            let services = state.services_with_origins(now_ms, routes_changed);
             state.stream_origins.tell_all(now_ms, |service| services.contains(service))
         };
         self.send_notices(notices);
     }
 
+    /// Passes on to others what this router knows of streams, before it ends.
+    pub(crate) fn hand_over_stream_origins(&self) {
+        let now_ms = self.now_ms();
+        let notices = {
+            let mut state = self.state();
+            let services = state.services_with_origins(now_ms, false);
+            state.stream_origins.hand_over(now_ms, |service| services.contains(service))
+        };
+        self.send_notices(notices);
+    }
+
     fn send_notices(&self, notices: Vec<OriginNotice>) {
         let mut by_router: BTreeMap<IpAddr, Vec<OriginNotice>> = BTreeMap::new();
         for notice in notices {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -184,6 +184,7 @@
     let leaving_since_ms = node.now_ms();
     node.leave();
     peers.send_heartbeat_to_all();
+    node.hand_over_stream_origins();
     info!(
         open_requests = node.open_requests.get(),
         "SIGTERM received; waiting for open requests to end"
@@ -207,5 +208,10 @@
             break;
         }
     }
+    if node.open_requests.get() > 0 {
+        // Their callers will take up the streams that end here.
+        node.hand_over_stream_origins();
+        sleep(Duration::from_millis(TICK_MS)).await;
+    }
     info!(open_requests = node.open_requests.get(), "router process exiting");
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -254,6 +254,14 @@
             || self.config.as_ref().is_some_and(|config| config.shares_stream_route(service))
     }
 
+    /// Services of whose streams others have to be told: all of them, or those whose
+    /// origins may differ.
+    pub(crate) fn services_with_origins(&self, now_ms: u64, all: bool) -> BTreeSet<ServiceName> {
+        let services = self.services.keys();
+        let differing = services.filter(|service| all || self.origins_may_differ(now_ms, service));
+        differing.cloned().collect()
+    }
+
     /// Other live routers that are to know of a stream, with their addresses.
     pub(crate) fn routers_for_stream(
         &self,
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -133,8 +133,13 @@
         self.insert(now_ms, request, origin, lifetime_ms, true);
     }
 
-    /// Records what another router tells of a stream.
+    /// Records what another router tells of a stream. Its version may be one of which this
+    /// router knows no upstream yet.
     pub fn learn(&mut self, now_ms: u64, notice: &OriginNotice) {
+        let StreamOrigin { service, software_version } = &notice.origin;
+        let versions = self.versions.entry(service.clone()).or_default();
+        let gone_ms = versions.entry(software_version.clone()).or_insert(Some(now_ms));
+        *gone_ms = gone_ms.map(|_| now_ms);
         self.insert(now_ms, notice.request, &notice.origin, notice.lifetime_ms, false);
     }
 
@@ -182,6 +187,18 @@
         untold.filter_map(|(request, stream)| notice(now_ms, *request, stream)).collect()
     }
 
+    /// All that this router knows of streams of the services that `is_told` names, for
+    /// others to know it once this router has left.
+    pub fn hand_over(
+        &mut self,
+        now_ms: u64,
+        mut is_told: impl FnMut(&ServiceName) -> bool,
+    ) -> Vec<OriginNotice> {
+        let streams = self.streams.iter_mut();
+        let told = streams.filter(|(_, stream)| is_told(&stream.origin.service));
+        told.filter_map(|(request, stream)| notice(now_ms, *request, stream)).collect()
+    }
+
     /// Where a stream began; none if this router does not know.
     pub fn get(&self, now_ms: u64, request: RequestKey) -> Option<&StreamOrigin> {
         let stream = self.streams.get(&request).filter(|stream| stream.expires_ms > now_ms)?;
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -81,6 +81,44 @@
     assert_eq!(other.get(200, key("ended")), None);
 }
 
+/// Guards against a router that takes its only version for that of every stream, although
+/// it was told of one that began at another: the entries of new upstreams may be late.
+#[test]
+fn notice_makes_its_version_a_candidate() {
+    let mut first = StreamOrigins::default();
+    first.begin(0, key("r1"), &origin("v2"), LIFETIME_MS);
+    let notice = first.tell(0, key("r1")).unwrap();
+    let mut other = StreamOrigins::default();
+    other.set_versions(0, &service(), &versions(&["v1"]));
+    other.learn(100, &notice);
+    let candidates = |now_ms| other.candidates(now_ms, &service(), LIFETIME_MS);
+    assert_eq!(candidates(100), origins(&["v1", "v2"]));
+    assert_eq!(candidates(100 + LIFETIME_MS), origins(&["v1"]));
+}
+
+/// Guards against streams that nobody knows any more once the routers that were told of
+/// them have been restarted one after another: each passes on what it knows.
+#[test]
+fn leaving_router_passes_on_all_that_it_knows() {
+    let mut known = StreamOrigins::default();
+    known.begin(0, key("own"), &origin("v1"), LIFETIME_MS);
+    known.tell(0, key("own")).unwrap();
+    known.begin(0, key("expired"), &origin("v1"), 10);
+    let mut first = StreamOrigins::default();
+    first.begin(0, key("learned"), &origin("v2"), LIFETIME_MS);
+    known.learn(0, &first.tell(0, key("learned")).unwrap());
+    let mut passed_on = known.hand_over(1_000, |_| true);
+    passed_on.sort_by_key(|notice| notice.origin.clone());
+    let passed_on: Vec<_> = passed_on
+        .iter()
+        .map(|notice| (notice.request, &notice.origin, notice.lifetime_ms))
+        .collect();
+    let left_ms = LIFETIME_MS - 1_000;
+    let (old, new) = (origin("v1"), origin("v2"));
+    assert_eq!(passed_on, [(key("own"), &old, left_ms), (key("learned"), &new, left_ms)]);
+    assert!(known.hand_over(1_000, |_| false).is_empty());
+}
+
 /// Guards against a stream that nobody who is asked was told of, because routers have
 /// joined or left since.
 #[test]
