--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -391,8 +391,16 @@
     let queued_ms = node.now_ms().saturating_sub(now_ms);
     record.queued_ms = Some(queued_ms);
     node.state().metrics.time(Timing::QueueMs, queued_ms);
-    in_flight
-        .ok_or_else(|| reject(max_wait_ms, "no place became free in time; the request did not run"))
+    in_flight.ok_or_else(|| {
+        let now_ms = node.now_ms();
+        let available_in_ms = node.available_in_ms(&checked.service).unwrap_or(0);
+        // All upstreams asked for a pause meanwhile.
+        if now_ms < until_ms && now_ms + available_in_ms > until_ms {
+            let message = "no upstream takes requests; the request did not run";
+            return ErrorReply::not_run(message, no_upstream_advice_ms(node, checked));
+        }
+        reject(max_wait_ms, "no place became free in time; the request did not run")
+    })
 }
 
 /// Expected cost of a request to an engine, in cost units: one per prompt token, two
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -253,6 +253,7 @@
         let service = state.registry.get(upstream).map(|entry| entry.service.clone());
         if let Some(service) = service.and_then(|service| state.services.get_mut(&service)) {
             service.placement.record_pause(now_ms, upstream, pause_ms, draw);
+            service.reject_unservable(now_ms);
         }
         drop(state);
         info!(upstream = upstream.as_str(), pause_ms, "upstream asks for a pause");
@@ -342,7 +343,8 @@
         }
         let ticket =
             lane_state.admission.enqueue(now_ms, slots, request).map_err(NoSlot::Rejected)?;
-        let waiting = WaitingRequest { sender, prompt_prefix, prefill_tokens };
+        let until_ms = now_ms + request.max_wait_ms;
+        let waiting = WaitingRequest { sender, prompt_prefix, prefill_tokens, until_ms };
         lane_state.waiting.insert(ticket, waiting);
         drop(state);
         self.dispatch(service);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -46,6 +46,8 @@
     pub(crate) prompt_prefix: Option<PromptPrefix>,
     /// Prompt tokens beyond the prefix.
     pub(crate) prefill_tokens: u64,
+    /// When the wait ends.
+    pub(crate) until_ms: u64,
 }
 
 /// What this router keeps for one service.
@@ -129,6 +131,22 @@
         }
     }
 
+    /// Rejects the waiting requests whose wait ends before any upstream takes requests
+    /// again.
+    pub(crate) fn reject_unservable(&mut self, now_ms: u64) {
+        let available_in_ms = self.placement.available_in_ms(now_ms).unwrap_or(0);
+        for LaneState { admission, waiting } in &mut self.lanes {
+            // Dropping the sender rejects the request.
+            waiting.retain(|ticket, request| {
+                let is_servable = request.until_ms >= now_ms + available_in_ms;
+                if !is_servable {
+                    admission.cancel(*ticket);
+                }
+                is_servable
+            });
+        }
+    }
+
     fn dispatch_lane(&mut self, now_ms: u64, lane: Lane, rng: &mut SmallRng) {
         let Self { placement, lanes, .. } = self;
         let LaneState { admission, waiting } = &mut lanes[lane as usize];
