Do not blame an upstream for a stream that it never got

upstream_that_was_not_tried_for_lack_of_budget_has_not_failed fails without the fix.

While a stream waits, its log line keeps the cause for which it broke off.

--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -75,7 +75,11 @@
     },
     Resuming(PendingAttempt),
     /// No upstream that can continue the stream takes requests at the moment.
-    Waiting(Pin<Box<Sleep>>),
+    Waiting {
+        sleep: Pin<Box<Sleep>>,
+        /// Why the stream broke off.
+        cause: String,
+    },
     /// The stream fails with this cause at the next poll.
     Failing(Interrupted),
     Ended,
@@ -210,7 +214,7 @@
         let last_upstream = self.in_flight.upstream().cloned();
         self.in_flight.end_attempt(broken.result);
         match source {
-            Source::Waiting(_) => {}
+            Source::Waiting { .. } => {}
             // It is full for a moment and has not run the request.
             Source::Resuming(_) if broken.result == AttemptResult::Full => {
                 resume.remaining_attempts += 1;
@@ -233,10 +237,13 @@
                 return false;
             }
             let until = self.node.clock.instant(now_ms + wait_ms);
-            self.source = Source::Waiting(Box::pin(tokio::time::sleep_until(until)));
+            let sleep = Box::pin(tokio::time::sleep_until(until));
+            self.source = Source::Waiting { sleep, cause: broken.cause.clone() };
             return true;
         };
         if !self.node.try_retry(self.in_flight.service()) {
+            // It got nothing, so the failure of the one before it is not its own.
+            self.in_flight.end_attempt(AttemptResult::Unknown);
             return false;
         }
         resume.remaining_attempts -= 1;
@@ -290,10 +297,9 @@
                     self.source = Source::Ended;
                     return Poll::Ready(Some(Err(error)));
                 }
-                Source::Waiting(sleep) => {
+                Source::Waiting { sleep, cause } => {
                     ready!(sleep.as_mut().poll(cx));
-                    let cause = "no upstream took the stream".to_owned();
-                    Broken { cause, result: AttemptResult::Unknown }
+                    Broken { cause: std::mem::take(cause), result: AttemptResult::Unknown }
                 }
                 Source::Resuming(pending) => match ready!(pending.as_mut().poll(cx)) {
                     // Its text would be taken for events of the stream.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,8 +4,8 @@
 //! All persistent data is in the platform's store. The modules [`admission`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`],
 //! [`overload`], [`placement`], [`registry`], [`retry_budget`], [`role`], [`shares`],
-//! [`sse`], [`store_source`], [`stream_origin`] and [`upstream_load`] make decisions without I/O, with the current
-//! time as an argument. The other modules connect them to the network.
+//! [`sse`], [`store_source`], [`stream_origin`] and [`upstream_load`] make decisions
+//! without I/O, with the current time as an argument. The other modules connect them to the network.
 
 pub mod admission;
 pub mod clock;
