--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -158,81 +158,39 @@
         asked: usize,
         /// Known version and candidates of each router that answers.
         answers: &'static [(Option<&'static str>, &'static [&'static str])],
-        /// Verdict, and the time from which it holds.
-        verdict: (u64, Option<(&'static str, OriginSource)>),
+        /// Time from which the verdict holds.
+        after_ms: u64,
+        verdict: Option<(&'static str, OriginSource)>,
     }
-    let only = |version| Some((version, OriginSource::OnlyCandidate));
+    const V1: &[&str] = &["v1"];
+    const BOTH: &[&str] = &["v1", "v2"];
+    const SAYS_V1: (Option<&str>, &[&str]) = (None, V1);
+    const SAYS_BOTH: (Option<&str>, &[&str]) = (None, BOTH);
+    const KNOWS_V2: (Option<&str>, &[&str]) = (Some("v2"), BOTH);
+    // It has just started.
+    const SAYS_NONE: (Option<&str>, &[&str]) = (None, &[]);
+    let only = Some(("v1", OriginSource::OnlyCandidate));
+    let asked = Some(("v2", OriginSource::Asked));
+    let (soon_ms, late_ms) = (ASK_AGAIN_MS, ANSWER_TIMEOUT_MS);
+    let case = |name, own, asked, answers, after_ms, verdict| Case {
+        name,
+        own,
+        asked,
+        answers,
+        after_ms,
+        verdict,
+    };
     let cases = [
-        Case {
-            name: "alone with one version",
-            own: &["v1"],
-            asked: 0,
-            answers: &[],
-            verdict: (0, only("v1")),
-        },
-        Case {
-            name: "alone with two versions",
-            own: &["v1", "v2"],
-            asked: 0,
-            answers: &[],
-            verdict: (0, None),
-        },
-        Case {
-            name: "another router knows",
-            own: &["v1", "v2"],
-            asked: 3,
-            answers: &[(Some("v2"), &["v1", "v2"])],
-            verdict: (0, Some(("v2", OriginSource::Asked))),
-        },
-        Case {
-            name: "nobody knows, one version",
-            own: &["v1"],
-            asked: 2,
-            answers: &[(None, &["v1"]), (None, &["v1"])],
-            verdict: (0, only("v1")),
-        },
-        Case {
-            name: "one router is dead, one version",
-            own: &["v1"],
-            asked: 2,
-            answers: &[(None, &["v1"])],
-            verdict: (ASK_AGAIN_MS, only("v1")),
-        },
-        Case {
-            name: "one router of three is dead, one version",
-            own: &["v1"],
-            asked: 3,
-            answers: &[(None, &["v1"]), (None, &["v1"])],
-            verdict: (0, only("v1")),
-        },
-        Case {
-            name: "one router is dead, two versions",
-            own: &["v1", "v2"],
-            asked: 2,
-            answers: &[(None, &["v1", "v2"])],
-            verdict: (ANSWER_TIMEOUT_MS, None),
-        },
-        Case {
-            name: "another router knows of a second version",
-            own: &["v1"],
-            asked: 2,
-            answers: &[(None, &["v1"]), (None, &["v1", "v2"])],
-            verdict: (0, None),
-        },
-        Case {
-            name: "cut off from all other routers",
-            own: &["v1"],
-            asked: 2,
-            answers: &[],
-            verdict: (ANSWER_TIMEOUT_MS, None),
-        },
-        Case {
-            name: "only a router answers that has just started",
-            own: &["v1"],
-            asked: 1,
-            answers: &[(None, &[])],
-            verdict: (0, None),
-        },
+        case("alone with one version", V1, 0, &[], 0, only),
+        case("alone with two versions", BOTH, 0, &[], 0, None),
+        case("another router knows", BOTH, 3, &[KNOWS_V2], 0, asked),
+        case("nobody knows, one version", V1, 2, &[SAYS_V1, SAYS_V1], 0, only),
+        case("one of two is dead, one version", V1, 2, &[SAYS_V1], soon_ms, only),
+        case("one of three is dead, one version", V1, 3, &[SAYS_V1, SAYS_V1], 0, only),
+        case("one of two is dead, two versions", BOTH, 2, &[SAYS_BOTH], late_ms, None),
+        case("another one knows of a second version", V1, 2, &[SAYS_V1, SAYS_BOTH], 0, None),
+        case("cut off from all other routers", V1, 2, &[], late_ms, None),
+        case("the only other one knows no upstreams", V1, 1, &[SAYS_NONE], 0, None),
     ];
     for case in cases {
         let names = routers(0..case.asked);
@@ -243,8 +201,8 @@
                 OriginAnswer { origin: known.map(origin), candidates: origins(candidates) };
             inquiry.record(name, answer);
         }
-        let (after_ms, verdict) = case.verdict;
-        let expected = verdict.map_or(OriginVerdict::Unknown, |(version, source)| {
+        let after_ms = case.after_ms;
+        let expected = case.verdict.map_or(OriginVerdict::Unknown, |(version, source)| {
             OriginVerdict::Found(origin(version), source)
         });
         if after_ms > 0 {
