Send the rest of a stream again to an upstream that was full

A caller that took up a stream was refused as soon as the upstreams of its software version had refused it once each, or once maxAttempts were used up by refusals: few upstreams can continue it, and they are full while the streams of a crashed one move to them. A stream that the router continues itself already tries again for up to a second; a stream that its caller takes up does the same now, from the retry budget.

--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -36,7 +36,7 @@
 pub(crate) use body::EdgeBody;
 use in_flight::{InFlightRequest, SlotWait};
 use record::{Outcome, RequestRecord};
-use stream::{ResumeState, StreamBody, describe};
+use stream::{MAX_CONTINUE_WAIT_MS, ResumeState, StreamBody, describe};
 
 /// Fraction of the latency target that a request for a stream may wait for a
 /// slot. The rest is for the engine to process the prompt.
@@ -447,6 +447,7 @@
     let mut tried: Vec<UpstreamName> = Vec::new();
     let mut unsent_attempts = 0;
     let mut sent_attempts = 0;
+    let wait_until_ms = (node.now_ms() + MAX_CONTINUE_WAIT_MS).min(checked.deadline_ms);
     loop {
         let Some(upstream) = in_flight.upstream().cloned() else {
             let message = "no other upstream takes requests; the request did not run";
@@ -495,6 +496,10 @@
             }
         };
         in_flight.end_attempt(attempt_result);
+        // Few upstreams can continue a stream, and one that is full has not run the request.
+        let may_await = attempt_result == AttemptResult::Full && node.now_ms() < wait_until_ms;
+        let awaited_version = checked.continued_version.as_ref().filter(|_| may_await);
+        sent_attempts -= u32::from(awaited_version.is_some());
         let allows_next = match &failure {
             // The upstream got nothing, so a further attempt is no retry.
             Failure::NotSent(_) => {
@@ -508,7 +513,12 @@
             }
         };
         let is_retry = !matches!(failure, Failure::NotSent(_));
-        tried.push(upstream.clone());
+        match awaited_version {
+            Some(version) => {
+                take_up::await_upstream(node, &checked.service, version, wait_until_ms).await;
+            }
+            None => tried.push(upstream.clone()),
+        }
         let has_next = allows_next
             && !is_late
             && (!is_retry || node.try_retry(&checked.service))
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -33,7 +33,7 @@
 
 /// Longest time for which a broken stream waits for an upstream that can continue it, in
 /// milliseconds. Callers give up on a stream that is silent for two seconds or more.
-const MAX_CONTINUE_WAIT_MS: u64 = 1_000;
+pub(super) const MAX_CONTINUE_WAIT_MS: u64 = 1_000;
 /// Shortest time after which such a stream looks for an upstream again, in milliseconds.
 pub(super) const MIN_CONTINUE_WAIT_MS: u64 = 20;
 
