Log the prompt segments of failed requests and the end of upstream processes

A failed request, one that moves to another upstream and a stream that resumes name the segments that others may share; the first refused connection to an upstream is logged and counted (upstream_processes_ended).

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -17,7 +17,7 @@
     pool::{self, Connection, SendError},
     stream_origin::RequestKey,
     upstream_load::{AttemptResult, LoadReport},
-    wire_format::WorkEstimate,
+    wire_format::{SegmentId, WorkEstimate},
 };
 
 /// Largest answer that is buffered until it is complete, in bytes.
@@ -29,6 +29,8 @@
     pub(crate) parts: request::Parts,
     pub(crate) body: Bytes,
     pub(crate) work: WorkEstimate,
+    /// Segments of the prompt that other prompts may share.
+    pub(crate) shared_segments: Rc<[SegmentId]>,
     /// Id of the request.
     pub(crate) id: HeaderValue,
     /// The request that began the stream which this one takes up.
@@ -144,12 +146,17 @@
     let address = node.state().registry.get(upstream).map(|entry| entry.address);
     let address = address.ok_or_else(|| Failure::NotSent("the upstream was removed".to_owned()))?;
     node.count(Counter::UpstreamConnects);
-    pool::connect(address, pool::BUFFER_BYTES).await.map_err(failure)
+    pool::connect(address, pool::BUFFER_BYTES).await.map_err(|error| {
+        if matches!(error, SendError::Refused(_)) {
+            node.upstream_process_ended(upstream);
+        }
+        failure(error)
+    })
 }
 
 fn failure(error: SendError) -> Failure {
     match error {
-        SendError::NotSent(cause) => Failure::NotSent(cause),
+        SendError::Refused(cause) | SendError::NotSent(cause) => Failure::NotSent(cause),
         SendError::Lost(cause) => Failure::Lost(cause),
     }
 }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -30,7 +30,7 @@
     sse::EventSplitter,
     stream_origin::RequestKey,
     upstream_load::AttemptResult,
-    wire_format::WorkEstimate,
+    wire_format::{WorkEstimate, list_segments},
 };
 use attempt::{Answer, Destination, Failure, RequestData};
 pub(crate) use body::EdgeBody;
@@ -247,6 +247,8 @@
         }
     }
     let work = (node.wire_format.decode_work)(&parts.headers);
+    let shared_segments = (node.wire_format.decode_shared_segments)(&parts.headers);
+    record.shared_segments = shared_segments.clone();
     let in_flight = match admit(node, &checked, &work, arrived_ms, &mut record).await {
         Ok(in_flight) => in_flight,
         Err(error_reply) => return Err((error_reply, record)),
@@ -257,6 +259,7 @@
         parts: head::request_head(parts, names, workspace, held_body.bytes.len()),
         body: held_body.bytes.clone(),
         work,
+        shared_segments,
         id: checked.id.clone(),
         resumed_request,
         deadline_ms,
@@ -528,6 +531,7 @@
                 request = record.id,
                 from = upstream.as_str(),
                 to = in_flight.upstream().map(UpstreamName::as_str),
+                segments = list_segments(&data.shared_segments),
                 cause = describe(&failure),
                 "request moves to another upstream"
             );
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -11,6 +11,7 @@
     metrics::{Counter, Timing},
     node::Node,
     upstream_load::LoadReport,
+    wire_format::{SegmentId, list_segments},
 };
 
 /// How a request ended for its caller.
@@ -47,6 +48,8 @@
     /// Last event that the caller stated to have.
     pub(crate) last_event: Option<String>,
     pub(crate) config_version: u64,
+    /// Segments of the prompt that other prompts may share.
+    pub(crate) shared_segments: Rc<[SegmentId]>,
     pub(crate) attempts: u32,
     /// Estimated requests at the upstream when it was chosen, and the age of its
     /// load report in milliseconds.
@@ -85,6 +88,7 @@
             takes_up: None,
             last_event: None,
             config_version: 0,
+            shared_segments: Rc::default(),
             attempts: 0,
             upstream_load: None,
             reported_load: None,
@@ -149,6 +153,9 @@
                 Outcome::Abandoned => Counter::Abandoned,
             });
         }
+        // Only failures need them, and they are long.
+        let lists_segments = self.outcome == Outcome::Failed && !self.shared_segments.is_empty();
+        let segments = lists_segments.then(|| list_segments(&self.shared_segments));
         info!(
             request = self.id,
             route = self.route.as_deref(),
@@ -158,6 +165,7 @@
             takes_up = self.takes_up,
             last_event = self.last_event,
             version = self.config_version,
+            segments,
             attempts = self.attempts,
             upstream_requests = self.upstream_load.map(|(requests, _)| requests),
             report_age_ms = self.upstream_load.and_then(|(_, age_ms)| age_ms),
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -29,6 +29,7 @@
     sse::{EventSplitter, EventTooLarge},
     stream_origin::RequestKey,
     upstream_load::AttemptResult,
+    wire_format::list_segments,
 };
 
 /// Longest time for which a broken stream waits for an upstream that can continue it, in
@@ -259,6 +260,7 @@
             last_event,
             framing = <&'static str>::from(self.framing),
             inside_event,
+            segments = list_segments(&resume.data.shared_segments),
             waited_ms = now_ms.saturating_sub(resume.broken_ms),
             cause = broken.cause,
             "stream resumes"
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -39,6 +39,8 @@
     UpstreamRefusals,
     /// Attempts at an upstream that failed.
     UpstreamFailures,
+    /// Processes of upstreams that were found to have ended.
+    UpstreamProcessesEnded,
     /// Connections opened to upstreams.
     UpstreamConnects,
     /// Connections accepted from callers.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -172,6 +172,9 @@
         }
         let mut state = self.state();
         for change in changes {
+            if let UpstreamChange::Started(name) | UpstreamChange::Removed(name) = change {
+                state.ended_upstreams.remove(name);
+            }
             match change {
                 UpstreamChange::Started(name) => {
                     self.pool.close(name);
@@ -269,6 +272,17 @@
         }
     }
 
+    /// Records that nothing listens at the address of an upstream any more.
+    pub(crate) fn upstream_process_ended(&self, upstream: &UpstreamName) {
+        let mut state = self.state();
+        if !state.ended_upstreams.insert(upstream.clone()) {
+            return;
+        }
+        state.metrics.count(Counter::UpstreamProcessesEnded);
+        drop(state);
+        info!(upstream = upstream.as_str(), "nothing listens at the address of an upstream");
+    }
+
     /// Time until an upstream of the service takes requests, in milliseconds; none if
     /// that is not known.
     pub(crate) fn available_in_ms(&self, service: &ServiceName) -> Option<u64> {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -36,6 +36,9 @@
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum SendError {
+    /// Nothing listens at the upstream's address, so nothing was sent.
+    #[error("not sent: {0}")]
+    Refused(String),
     /// Nothing was sent, so the upstream did not run the request.
     #[error("not sent: {0}")]
     NotSent(String),
@@ -162,7 +165,13 @@
     address: SocketAddr,
     buffer_bytes: usize,
 ) -> Result<Connection, SendError> {
-    let not_sent = |error: io::Error| SendError::NotSent(format!("cannot connect: {error}"));
+    let not_sent = |error: io::Error| {
+        let cause = format!("cannot connect: {error}");
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => SendError::Refused(cause),
+            _ => SendError::NotSent(cause),
+        }
+    };
     let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = timeout(limit, TcpStream::connect(address))
         .await
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -9,7 +9,7 @@
 use futures::channel::oneshot;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use span_member::{MAX_FULL_MESH_PEERS, MembershipTiming, MembershipView, Router};
-use span_types::{InstanceName, Member, MemberState, ServiceName};
+use span_types::{InstanceName, Member, MemberState, ServiceName, UpstreamName};
 use strum::{EnumCount, IntoEnumIterator};
 
 use crate::{
@@ -94,6 +94,8 @@
     /// Configuration in force; none until the first one is known.
     pub(crate) config: Option<Rc<Config>>,
     pub(crate) registry: Registry,
+    /// Upstreams at whose address nothing listens any more.
+    pub(crate) ended_upstreams: BTreeSet<UpstreamName>,
     pub(crate) services: HashMap<ServiceName, ServiceState>,
     /// Membership as this router sees it.
     pub(crate) view: MembershipView,
@@ -185,6 +187,7 @@
         Self {
             config: None,
             registry: Registry::default(),
+            ended_upstreams: BTreeSet::new(),
             services: HashMap::new(),
             view: MembershipView::new(own_router, MEMBERSHIP_TIMING),
             config_reports: ConfigReports::default(),
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -3,6 +3,7 @@
 use std::{fmt, rc::Rc, sync::Arc};
 
 use http::{HeaderMap, HeaderName};
+use serde::{Deserialize, Serialize};
 use span_types::FailureDomain;
 
 use crate::{config::Config, placement::PromptPrefix, upstream_load::LoadReport};
@@ -61,8 +62,25 @@
     }
 }
 
+/// Identifies a segment of a prompt that other prompts may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SegmentId(pub u64);
+
+impl fmt::Display for SegmentId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+/// Lists segments for logs.
+pub fn list_segments(segments: &[SegmentId]) -> String {
+    let names: Vec<String> = segments.iter().map(SegmentId::to_string).collect();
+    names.join(",")
+}
+
 type DecodeConfig = Rc<dyn Fn(&[u8]) -> Result<Config, String>>;
 type DecodeWork = Rc<dyn Fn(&HeaderMap) -> WorkEstimate>;
+type DecodeSegments = Rc<dyn Fn(&HeaderMap) -> Rc<[SegmentId]>>;
 type DecodeLoadReport = Rc<dyn Fn(&[u8]) -> Option<LoadReport>>;
 type DecodeCallerDomain = Rc<dyn Fn(&str) -> Option<FailureDomain>>;
 type EncodeAddresses = Rc<dyn Fn(&[Arc<str>], u64) -> String>;
@@ -80,6 +98,9 @@
     pub decode_config: DecodeConfig,
     /// Decodes the work estimate from the headers of a request.
     pub decode_work: DecodeWork,
+    /// Decodes the segments of a prompt that others may share from the headers of a
+    /// request.
+    pub decode_shared_segments: DecodeSegments,
     /// Decodes the load report from a header of an upstream; none if invalid.
     pub decode_load_report: DecodeLoadReport,
     /// Decodes the caller's failure domain from the query of a request to the
