Block prompt segments on which upstreams crash

Cause: each attempt was judged by itself, and a failure was always put down to the upstream. Nothing connected the requests, at one router or at several, so the next one was sent to the next upstream.

Routers now note which segments the requests had that an upstream was about to answer when its process ended, and tell each other. A segment that was there at three separate crashes in a row, and on which no upstream has answered since, is blocked: its requests get 503 and have not run, and streams that broke off are not continued.

The tests of the decision in prompt_crashes.rs came with it.

--- /dev/null
+++ b/crates/edge/src/crash_exchange.rs
@@ -0,0 +1,95 @@
+//! Exchange between routers of which prompts crash upstreams.
+
+use std::{net::IpAddr, rc::Rc, time::Duration};
+
+use rand::seq::IndexedRandom;
+use span_types::UpstreamName;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::{
+    metrics::Counter,
+    node::Node,
+    peers::Packet,
+    prompt_crashes::{
+        COPY_RECEIVERS, MAX_NOTICES, SegmentNotice, TICK_INTERVAL_MS, TICKS_PER_COPY,
+    },
+    wire_format::SegmentId,
+};
+
+impl Node {
+    /// Exchanges with other routers which prompts crash upstreams, until the process ends.
+    pub(crate) async fn exchange_prompt_crashes(self: Rc<Self>) {
+        for round in 0u64.. {
+            sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
+            let now_ms = self.now_ms();
+            let (changes, news, copy, others) = {
+                let mut state = self.state();
+                let changes = state.prompt_crashes.tick(now_ms);
+                let news = state.prompt_crashes.take_news(now_ms);
+                let is_copy_due = round.is_multiple_of(TICKS_PER_COPY);
+                let copy = if is_copy_due { state.prompt_crashes.copy(now_ms) } else { Vec::new() };
+                (changes, news, copy, state.other_router_ips())
+            };
+            for change in changes {
+                let segment = change.segment;
+                if change.is_blocked {
+                    warn!(
+                        %segment,
+                        crashes = change.crashes,
+                        "upstreams crash on a prompt segment; requests with it are rejected"
+                    );
+                } else {
+                    info!(%segment, "requests with a prompt segment are accepted again");
+                }
+            }
+            self.send_segment_notices(&others, &news);
+            let receivers: Vec<IpAddr> =
+                others.sample(&mut self.state().rng, COPY_RECEIVERS).copied().collect();
+            self.send_segment_notices(&receivers, &copy);
+        }
+    }
+
+    fn send_segment_notices(&self, receivers: &[IpAddr], notices: &[SegmentNotice]) {
+        for part in notices.chunks(MAX_NOTICES) {
+            self.outbox.push(receivers.to_vec(), Packet::PromptCrashes(part.to_vec()));
+        }
+    }
+
+    /// Takes over what another router tells of prompts that crash upstreams.
+    pub(crate) fn learn_prompt_crashes(&self, notices: &[SegmentNotice]) {
+        let now_ms = self.now_ms();
+        self.state().prompt_crashes.learn(now_ms, notices);
+    }
+
+    /// The first of these segments with which requests are rejected, and for how long, in
+    /// milliseconds.
+    pub(crate) fn find_blocked_segment(&self, segments: &[SegmentId]) -> Option<(SegmentId, u64)> {
+        let now_ms = self.now_ms();
+        self.state().prompt_crashes.find_blocked(now_ms, segments)
+    }
+
+    /// Records that an answer broke off while its prompt may have been the reason.
+    pub(crate) fn answer_broke(&self, upstream: &UpstreamName, segments: &Rc<[SegmentId]>) {
+        let now_ms = self.now_ms();
+        self.state().prompt_crashes.record_broken(now_ms, upstream, segments);
+    }
+
+    /// Records that an upstream has answered on a prompt that was sent at `sent_ms`.
+    pub(crate) fn prompt_answered(&self, sent_ms: u64, segments: &[SegmentId]) {
+        self.state().prompt_crashes.record_answered(sent_ms, segments);
+    }
+
+    /// Records that the process of an upstream has ended: nothing listens at its address,
+    /// or another process does.
+    pub(crate) fn upstream_process_ended(&self, upstream: &UpstreamName) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        if !state.prompt_crashes.record_ended(now_ms, upstream) {
+            return;
+        }
+        state.metrics.count(Counter::UpstreamProcessesEnded);
+        drop(state);
+        info!(upstream = upstream.as_str(), "the process of an upstream has ended");
+    }
+}
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -8,10 +8,11 @@
 use crate::{
     node::Node,
     placement::{ChosenUpstream, PromptPrefix},
+    prompt_crashes::RISK_MS,
     state::LaneTicket,
     stream_origin::StreamOrigin,
     upstream_load::AttemptResult,
-    wire_format::WorkEstimate,
+    wire_format::{SegmentId, WorkEstimate},
 };
 
 /// A request that waits for a slot. Dropping it cancels the wait.
@@ -63,6 +64,7 @@
             chosen: Some(chosen),
             prefill_tokens: self.prefill_tokens,
             continued_version: self.continued_version.take(),
+            sent_prompt: None,
         })
     }
 }
@@ -90,9 +92,49 @@
     prefill_tokens: u64,
     /// Software version that began the stream; none before its first event.
     continued_version: Option<SoftwareVersion>,
+    /// The prompt, since it was sent to the current upstream.
+    sent_prompt: Option<SentPrompt>,
+}
+
+/// A prompt that was sent to an upstream, and on which that has not answered for long yet.
+struct SentPrompt {
+    shared_segments: Rc<[SegmentId]>,
+    sent_ms: u64,
+    first_bytes_ms: Option<u64>,
 }
 
 impl InFlightRequest {
+    /// Records that the prompt is sent to the current upstream.
+    pub(crate) fn prompt_sent(&mut self, shared_segments: &Rc<[SegmentId]>) {
+        let shared_segments = shared_segments.clone();
+        let sent_ms = self.node.now_ms();
+        self.sent_prompt = Some(SentPrompt { shared_segments, sent_ms, first_bytes_ms: None });
+    }
+
+    /// Records the arrival of bytes of the answer.
+    pub(crate) fn answer_arrives(&mut self, now_ms: u64) {
+        if let Some(prompt) = &mut self.sent_prompt {
+            let first_ms = *prompt.first_bytes_ms.get_or_insert(now_ms);
+            if now_ms >= first_ms + RISK_MS {
+                self.prompt_answered();
+            }
+        }
+    }
+
+    /// Records that the upstream has answered on the prompt without a crash.
+    pub(crate) fn prompt_answered(&mut self) {
+        if let Some(prompt) = self.sent_prompt.take() {
+            self.node.prompt_answered(prompt.sent_ms, &prompt.shared_segments);
+        }
+    }
+
+    /// Records that the connection to the upstream broke.
+    pub(crate) fn connection_broke(&mut self) {
+        if let (Some(prompt), Some(chosen)) = (self.sent_prompt.take(), &self.chosen) {
+            self.node.answer_broke(&chosen.upstream, &prompt.shared_segments);
+        }
+    }
+
     /// Records that the caller gets events of the current upstream: only upstreams of
     /// its software version can continue them. Returns where the stream began.
     pub(crate) fn stream_began(&mut self) -> Option<StreamOrigin> {
@@ -139,6 +181,7 @@
     /// Ends the attempt at the current upstream.
     pub(crate) fn end_attempt(&mut self, result: AttemptResult) {
         self.prefill_ended();
+        self.sent_prompt = None;
         if let Some(chosen) = self.chosen.take() {
             self.node.attempt_ended(&self.service, &chosen.upstream, result);
         }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -249,6 +249,9 @@
     let work = (node.wire_format.decode_work)(&parts.headers);
     let shared_segments = (node.wire_format.decode_shared_segments)(&parts.headers);
     record.shared_segments = shared_segments.clone();
+    if let Some(error_reply) = blocked_reply(node, &mut record) {
+        return Err((error_reply, record));
+    }
     let in_flight = match admit(node, &checked, &work, arrived_ms, &mut record).await {
         Ok(in_flight) => in_flight,
         Err(error_reply) => return Err((error_reply, record)),
@@ -333,6 +336,17 @@
     }
 }
 
+/// The answer to a request whose prompt has a segment on which upstreams crash; none for
+/// others. The request must not have run.
+fn blocked_reply(node: &Node, record: &mut RequestRecord) -> Option<ErrorReply> {
+    let (segment, blocked_for_ms) = node.find_blocked_segment(&record.shared_segments)?;
+    node.count(Counter::BlockedPrompts);
+    record.blocked_segment = Some(segment);
+    let message = "upstreams crash on a part of the prompt; the request did not run";
+    // Exact, even if the caller does not wait as long: an earlier retry is in vain.
+    Some(ErrorReply::not_run(message, blocked_for_ms))
+}
+
 /// Waits for a slot, or rejects the request.
 async fn admit(
     node: &Rc<Node>,
@@ -457,8 +471,13 @@
             let advice_ms = no_upstream_advice_ms(node, checked);
             return Err((ErrorReply::not_run(message, advice_ms), record));
         };
+        // The segment may have been blocked while the request waited.
+        if let Some(error_reply) = blocked_reply(node, &mut record) {
+            return Err((error_reply, record));
+        }
         record.attempt_started(&upstream, in_flight.upstream_load());
         sent_attempts += 1;
+        in_flight.prompt_sent(&data.shared_segments);
         let until_ms = attempt_until_ms(node.now_ms(), checked, sent_attempts);
         let destination = Destination {
             upstream: &upstream,
@@ -484,6 +503,9 @@
             }
             Ok(answer) => match attempt::read_answer(node, &upstream, answer, until_ms).await {
                 Ok((parts, bytes)) => {
+                    if parts.status.is_success() {
+                        in_flight.prompt_answered();
+                    }
                     in_flight.end_attempt(AttemptResult::Good);
                     return Ok(forward_answer(node, parts, bytes, Outcome::Answered, record));
                 }
@@ -491,6 +513,9 @@
             },
             Err(failure) => failure,
         };
+        if matches!(failure, Failure::Lost(_)) {
+            in_flight.connection_broke();
+        }
         let is_late = node.now_ms() >= checked.deadline_ms;
         let attempt_result = match &failure {
             Failure::NotRun(attempt_result) => *attempt_result,
@@ -516,6 +541,7 @@
             }
         };
         let is_retry = !matches!(failure, Failure::NotSent(_));
+        let may_have_run = !matches!(failure, Failure::NotSent(_) | Failure::NotRun(_));
         match awaited_version {
             Some(version) => {
                 take_up::await_upstream(node, &checked.service, version, wait_until_ms).await;
@@ -524,6 +550,7 @@
         }
         let has_next = allows_next
             && !is_late
+            && (!may_have_run || node.find_blocked_segment(&data.shared_segments).is_none())
             && (!is_retry || node.try_retry(&checked.service))
             && in_flight.choose_next(&work, &tried).is_some();
         if has_next {
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -50,6 +50,8 @@
     pub(crate) config_version: u64,
     /// Segments of the prompt that other prompts may share.
     pub(crate) shared_segments: Rc<[SegmentId]>,
+    /// Segment of the prompt because of which the request was rejected.
+    pub(crate) blocked_segment: Option<SegmentId>,
     pub(crate) attempts: u32,
     /// Estimated requests at the upstream when it was chosen, and the age of its
     /// load report in milliseconds.
@@ -89,6 +91,7 @@
             last_event: None,
             config_version: 0,
             shared_segments: Rc::default(),
+            blocked_segment: None,
             attempts: 0,
             upstream_load: None,
             reported_load: None,
@@ -166,6 +169,7 @@
             last_event = self.last_event,
             version = self.config_version,
             segments,
+            blocked_segment = self.blocked_segment.map(|segment| segment.to_string()),
             attempts = self.attempts,
             upstream_requests = self.upstream_load.map(|(requests, _)| requests),
             report_age_ms = self.upstream_load.and_then(|(_, age_ms)| age_ms),
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -137,6 +137,7 @@
             boundary.push(&bytes);
         }
         let now_ms = self.node.now_ms();
+        self.in_flight.answer_arrives(now_ms);
         let gap_ms = now_ms.saturating_sub(std::mem::replace(&mut self.last_event_ms, now_ms));
         self.record.longest_gap_ms = self.record.longest_gap_ms.max(Some(gap_ms));
         if let Some(upstream) = self.in_flight.upstream().filter(|_| gap_ms > 0) {
@@ -177,6 +178,9 @@
         {
             self.node.pool.keep(self.node.now_ms(), upstream, connection, idle_timeout_ms);
         }
+        if (200..300).contains(&self.record.status) {
+            self.in_flight.prompt_answered();
+        }
         self.in_flight.end_attempt(AttemptResult::Good);
         self.record.outcome = Outcome::Answered;
         if let Some(resume) = &self.resume {
@@ -212,6 +216,9 @@
         if now_ms >= resume.data.deadline_ms {
             return false;
         }
+        if self.node.find_blocked_segment(&resume.data.shared_segments).is_some() {
+            return false;
+        }
         let last_upstream = self.in_flight.upstream().cloned();
         self.in_flight.end_attempt(broken.result);
         match source {
@@ -266,6 +273,7 @@
             "stream resumes"
         );
         self.record.continued_at(&upstream);
+        self.in_flight.prompt_sent(&resume.data.shared_segments);
         self.node.count(Counter::Resumed);
         let (node, data) = (self.node.clone(), resume.data.clone());
         let copy_source = self.in_flight.copy_source().cloned();
@@ -318,7 +326,12 @@
                     Err(failure @ Failure::NotRun(result)) => {
                         Broken { cause: describe(&failure), result }
                     }
-                    Err(failure) => Broken::failed(describe(&failure)),
+                    Err(failure) => {
+                        if matches!(failure, Failure::Lost(_)) {
+                            self.in_flight.connection_broke();
+                        }
+                        Broken::failed(describe(&failure))
+                    }
                 },
                 Source::Body { body, .. } => match ready!(Pin::new(body).poll_frame(cx)) {
                     Some(Ok(frame)) => {
@@ -336,9 +349,15 @@
                         Ok(()) => {
                             return Poll::Ready(self.finish().map(|rest| Ok(Frame::data(rest))));
                         }
-                        Err(broken) => Broken::failed(broken.to_string()),
+                        Err(broken) => {
+                            self.in_flight.connection_broke();
+                            Broken::failed(broken.to_string())
+                        }
                     },
-                    Some(Err(error)) => Broken::failed(pool::cause(&error)),
+                    Some(Err(error)) => {
+                        self.in_flight.connection_broke();
+                        Broken::failed(pool::cause(&error))
+                    }
                 },
             };
             if !self.try_resume(&broken) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,13 +3,14 @@
 //!
 //! All persistent data is in the platform's store. The modules [`admission`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`],
-//! [`overload`], [`placement`], [`registry`], [`retry_budget`], [`role`], [`shares`],
+//! [`overload`], [`placement`], [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`shares`],
 //! [`sse`], [`store_source`], [`stream_origin`] and [`upstream_load`] make decisions
 //! without I/O, with the current time as an argument. The other modules connect them to the network.
 
 pub mod admission;
 pub mod clock;
 pub mod config;
+mod crash_exchange;
 pub mod directory;
 mod forward;
 pub mod http_client;
@@ -20,10 +21,12 @@
 pub mod metrics;
 pub mod node;
 mod origin_exchange;
+mod outbox;
 pub mod overload;
 pub mod peers;
 pub mod placement;
 mod pool;
+pub mod prompt_crashes;
 pub mod registry;
 pub mod retry_budget;
 pub mod role;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,6 +17,8 @@
     Answered,
     /// Requests that were rejected before they ran.
     Refused,
+    /// Of these, requests with a prompt segment on which upstreams crash.
+    BlockedPrompts,
     /// Requests that may have run and whose answer is lost or late.
     Failed,
     /// Requests that the configuration does not allow.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -20,7 +20,8 @@
     directory,
     load_summary::{self, LoadSummary, ServiceLoad, ServiceLoads},
     metrics::Counter,
-    origin_exchange::{Inquiries, Outbox},
+    origin_exchange::Inquiries,
+    outbox::Outbox,
     overload::OverloadDetector,
     placement::{ChosenUpstream, PlacementRequest, PromptPrefix},
     pool::Pool,
@@ -170,23 +171,24 @@
         if changes.is_empty() {
             return;
         }
+        let now_ms = self.now_ms();
         let mut state = self.state();
         for change in changes {
-            if let UpstreamChange::Started(name) | UpstreamChange::Removed(name) = change {
-                state.ended_upstreams.remove(name);
-            }
             match change {
                 UpstreamChange::Started(name) => {
                     self.pool.close(name);
+                    state.prompt_crashes.record_started(now_ms, name);
                     for service in state.services.values_mut() {
                         service.placement.reset(name);
                     }
                 }
-                UpstreamChange::Removed(name) => self.pool.close(name),
+                UpstreamChange::Removed(name) => {
+                    self.pool.close(name);
+                    state.prompt_crashes.record_removed(now_ms, name);
+                }
                 UpstreamChange::Leaving(_) => {}
             }
         }
-        let now_ms = self.now_ms();
         state.sync_upstreams(now_ms);
         let known = state.registry.len();
         drop(state);
@@ -272,17 +274,6 @@
         }
     }
 
-    /// Records that nothing listens at the address of an upstream any more.
-    pub(crate) fn upstream_process_ended(&self, upstream: &UpstreamName) {
-        let mut state = self.state();
-        if !state.ended_upstreams.insert(upstream.clone()) {
-            return;
-        }
-        state.metrics.count(Counter::UpstreamProcessesEnded);
-        drop(state);
-        info!(upstream = upstream.as_str(), "nothing listens at the address of an upstream");
-    }
-
     /// Time until an upstream of the service takes requests, in milliseconds; none if
     /// that is not known.
     pub(crate) fn available_in_ms(&self, service: &ServiceName) -> Option<u64> {
@@ -499,6 +490,9 @@
             AttemptResult::Good | AttemptResult::Unknown => {}
         }
         drop(state);
+        if result == AttemptResult::Replaced {
+            self.upstream_process_ended(upstream);
+        }
         if avoided {
             info!(upstream = upstream.as_str(), verdict = %result, "upstream avoided");
         }
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -9,7 +9,7 @@
 
 use futures::{StreamExt, channel::mpsc};
 use span_types::{InstanceName, ServiceName};
-use tokio::{sync::Notify, time::timeout_at};
+use tokio::time::timeout_at;
 
 use crate::{
     metrics::Counter,
@@ -24,26 +24,6 @@
 /// Largest number of notices in a datagram; they fit into it with long names.
 const MAX_NOTICES_PER_PACKET: usize = 300;
 
-/// Datagrams that wait to be sent, with their receivers.
-#[derive(Debug, Default)]
-pub(crate) struct Outbox {
-    packets: RefCell<Vec<(Vec<IpAddr>, Packet)>>,
-    filled: Notify,
-}
-
-impl Outbox {
-    fn push(&self, receivers: Vec<IpAddr>, packet: Packet) {
-        self.packets.borrow_mut().push((receivers, packet));
-        self.filled.notify_one();
-    }
-
-    /// Waits until there are datagrams, and removes them.
-    pub(crate) async fn take(&self) -> Vec<(Vec<IpAddr>, Packet)> {
-        self.filled.notified().await;
-        std::mem::take(&mut *self.packets.borrow_mut())
-    }
-}
-
 type Answers = mpsc::UnboundedReceiver<(InstanceName, OriginAnswer)>;
 type AnswerSender = mpsc::UnboundedSender<(InstanceName, OriginAnswer)>;
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -27,6 +27,7 @@
     load_summary::{self, LoadSummary, ServiceLoads},
     metrics::Counter,
     node::Node,
+    prompt_crashes::SegmentNotice,
     registry::SharedEntry,
     role::Role,
     store::Position,
@@ -89,6 +90,8 @@
         /// What the sender knows of it.
         answer: OriginAnswer,
     },
+    /// Tells of prompts that crash upstreams.
+    PromptCrashes(Vec<SegmentNotice>),
 }
 
 /// A load summary with what its sender knows of the store.
@@ -478,6 +481,7 @@
                     Ok(Packet::OriginAnswer { from, request, answer }) => {
                         self.node.inquiry_answered(&from, request, &answer);
                     }
+                    Ok(Packet::PromptCrashes(notices)) => self.node.learn_prompt_crashes(&notices),
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- /dev/null
+++ b/crates/edge/src/prompt_crashes.rs
@@ -0,0 +1,395 @@
+//! Prompts that crash upstreams.
+//!
+//! A segment of a prompt may crash each upstream that begins an answer on it. Requests
+//! with it come through any router and are otherwise sound, so each crash looks like a
+//! failure of one upstream. Routers therefore note which segments the requests had that an
+//! upstream was about to answer when it crashed, and tell each other. A segment that was
+//! there at several crashes in a row, and on which no upstream has answered since the
+//! first of them, is blocked.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    rc::Rc,
+};
+
+use serde::{Deserialize, Serialize};
+use span_types::UpstreamName;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::wire_format::SegmentId;
+
+/// Crashes in a row after which a segment is blocked.
+pub const CRASHES_TO_BLOCK: usize = 3;
+/// Time for which a segment stays blocked after the last crash, in milliseconds. Each
+/// attempt to find out whether it is sound again may cost an upstream and all its streams.
+pub const BLOCK_MS: u64 = 600_000;
+/// Time after the first bytes of an answer in which its prompt may be why the upstream
+/// crashes, in milliseconds. Covers delays on the way to this router.
+pub const RISK_MS: u64 = 500;
+/// Crashes within this time count as one, in milliseconds: when many upstreams end at
+/// once, their prompts are not the reason.
+pub const SEPARATION_MS: u64 = 400;
+/// Time in which other routers may object that upstreams answer on a segment, before it
+/// is blocked, in milliseconds. Must exceed [`TICK_INTERVAL_MS`].
+pub const OBJECTION_MS: u64 = 500;
+/// Interval at which news is sent to the other routers, in milliseconds.
+pub const TICK_INTERVAL_MS: u64 = 200;
+/// Ticks between two copies of the histories to other routers, which may have missed
+/// some news or have just started.
+pub const TICKS_PER_COPY: u64 = 5;
+/// Routers that get such a copy.
+pub const COPY_RECEIVERS: usize = 3;
+/// Largest number of segments in one datagram.
+pub const MAX_NOTICES: usize = 64;
+/// Time after a broken answer in which its upstream must be found to have ended, in
+/// milliseconds. The entry of a process that renews it no longer lapses within seconds.
+const CONFIRM_MS: u64 = 5_000;
+/// Time within which the connections to a process that ends are seen to break, in
+/// milliseconds.
+const SAME_END_MS: u64 = 250;
+/// Crashes of the same process within this time are one that several routers saw at
+/// different times, in milliseconds.
+const SAME_PROCESS_MS: u64 = 3_000;
+/// Time after the last crash after which a segment that is not blocked is forgotten, in
+/// milliseconds.
+const FORGET_MS: u64 = 60_000;
+/// Largest numbers of segments, of crashes of a segment and of processes of a crash that
+/// are kept, to bound the memory.
+const MAX_SEGMENTS: usize = 512;
+const MAX_CRASHES: usize = 8;
+const MAX_PROCESSES: usize = 8;
+/// Largest number of blocked segments. If more seem to crash upstreams, the upstreams
+/// rather than the prompts are the reason.
+pub const MAX_BLOCKED: usize = 8;
+
+/// Identifies the process of an upstream, for comparisons between routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessKey(u32);
+
+impl ProcessKey {
+    /// Hashes the name of an upstream.
+    pub fn new(upstream: &UpstreamName) -> Self {
+        Self(xxh3_64(upstream.as_str().as_bytes()) as u32)
+    }
+}
+
+/// Crash of an upstream, or of several at about the same time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNotice {
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    /// The processes that ended.
+    pub processes: Vec<ProcessKey>,
+}
+
+/// What a router tells others of a segment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SegmentNotice {
+    /// The segment.
+    pub segment: SegmentId,
+    /// Crashes at which the segment was about to be answered, the oldest first.
+    pub crashes: Vec<CrashNotice>,
+    /// Time since the last request with the segment was sent that got an answer, in
+    /// milliseconds.
+    pub answered_age_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    at_ms: u64,
+    /// When this router learned of it.
+    learned_ms: u64,
+    processes: Vec<ProcessKey>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct History {
+    /// The oldest first.
+    crashes: Vec<Crash>,
+    /// When the last request with the segment was sent that got an answer.
+    answered_ms: Option<u64>,
+    /// Whether a crash has to be told to the other routers.
+    has_untold_crash: bool,
+    /// Whether an answer has to be told to the other routers.
+    has_untold_answer: bool,
+}
+
+impl History {
+    fn last_crash_ms(&self) -> u64 {
+        self.crashes.last().map_or(0, |crash| crash.at_ms)
+    }
+
+    /// Crashes since the last request that got an answer was sent.
+    fn unanswered(&self) -> impl Iterator<Item = &Crash> {
+        let answered_ms = self.answered_ms;
+        self.crashes
+            .iter()
+            .filter(move |crash| answered_ms.is_none_or(|answered_ms| crash.at_ms >= answered_ms))
+    }
+
+    /// End of the block at `now_ms`, if there is one.
+    fn blocked_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let decisive = self.unanswered().nth(CRASHES_TO_BLOCK - 1)?;
+        let until_ms = self.last_crash_ms() + BLOCK_MS;
+        (now_ms >= decisive.learned_ms + OBJECTION_MS && now_ms < until_ms).then_some(until_ms)
+    }
+
+    /// Whether a router that knows of the crashes alone would wrongly suspect the segment.
+    fn has_answer_after_first_crash(&self) -> bool {
+        self.crashes.len() > 1 && self.unanswered().count() < self.crashes.len()
+    }
+
+    fn is_over(&self, now_ms: u64) -> bool {
+        let lifetime_ms =
+            if self.unanswered().count() >= CRASHES_TO_BLOCK { BLOCK_MS } else { FORGET_MS };
+        now_ms >= self.last_crash_ms() + lifetime_ms
+    }
+
+    /// Adds a crash, unless it is known. Returns whether it was added.
+    fn add_crash(&mut self, now_ms: u64, at_ms: u64, processes: &[ProcessKey]) -> bool {
+        let is_shared = |crash: &Crash| {
+            crash.at_ms.abs_diff(at_ms) < SAME_PROCESS_MS
+                && crash.processes.iter().any(|process| processes.contains(process))
+        };
+        let is_close = |crash: &Crash| crash.at_ms.abs_diff(at_ms) < SEPARATION_MS;
+        let position = self.crashes.iter().position(is_shared);
+        let position = position.or_else(|| self.crashes.iter().position(is_close));
+        if let Some(known) = position.map(|position| &mut self.crashes[position]) {
+            // News takes time, so the earliest time is the most exact.
+            known.at_ms = known.at_ms.min(at_ms);
+            for process in processes {
+                let is_new = !known.processes.contains(process);
+                if is_new && known.processes.len() < MAX_PROCESSES {
+                    known.processes.push(*process);
+                }
+            }
+            return false;
+        }
+        self.crashes.push(Crash { at_ms, learned_ms: now_ms, processes: processes.to_vec() });
+        self.crashes.sort_by_key(|crash| crash.at_ms);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    fn notice(&self, now_ms: u64, segment: SegmentId) -> SegmentNotice {
+        let crashes = self.crashes.iter().map(|crash| CrashNotice {
+            age_ms: now_ms.saturating_sub(crash.at_ms),
+            processes: crash.processes.clone(),
+        });
+        SegmentNotice {
+            segment,
+            crashes: crashes.collect(),
+            answered_age_ms: self.answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
+        }
+    }
+}
+
+/// An answer that broke off, or did not come, while its prompt may have been the reason.
+#[derive(Clone, Debug)]
+struct BrokenAnswer {
+    broken_ms: u64,
+    segments: Rc<[SegmentId]>,
+}
+
+/// A segment that is blocked from now on, or no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BlockChange {
+    /// The segment.
+    pub segment: SegmentId,
+    /// Whether it is blocked now.
+    pub is_blocked: bool,
+    /// Crashes at which it was about to be answered.
+    pub crashes: usize,
+}
+
+/// What a router knows of segments that may crash upstreams.
+#[derive(Debug, Default)]
+pub struct PromptCrashes {
+    /// Broken answers by upstream, until the upstream is known to have ended.
+    broken: BTreeMap<UpstreamName, Vec<BrokenAnswer>>,
+    /// Upstreams that have ended, with the time at which this router found out.
+    ended: BTreeMap<UpstreamName, u64>,
+    histories: HashMap<SegmentId, History>,
+    blocked: BTreeSet<SegmentId>,
+}
+
+impl PromptCrashes {
+    /// Records that the connection to an upstream broke before the upstream had answered
+    /// for [`RISK_MS`] on a prompt with these segments.
+    pub fn record_broken(
+        &mut self,
+        now_ms: u64,
+        upstream: &UpstreamName,
+        segments: &Rc<[SegmentId]>,
+    ) {
+        if segments.is_empty() {
+            return;
+        }
+        let answer = BrokenAnswer { broken_ms: now_ms, segments: segments.clone() };
+        if self.ended.contains_key(upstream) {
+            self.add_crash(now_ms, upstream, &[answer]);
+        } else {
+            self.broken.entry(upstream.clone()).or_default().push(answer);
+        }
+    }
+
+    /// Records that the process of an upstream has ended. Returns whether that is news.
+    pub fn record_ended(&mut self, now_ms: u64, upstream: &UpstreamName) -> bool {
+        let is_new = self.ended.insert(upstream.clone(), now_ms).is_none();
+        let mut answers = self.broken.remove(upstream).unwrap_or_default();
+        let last_ms = answers.iter().map(|answer| answer.broken_ms).max().unwrap_or(0);
+        answers.retain(|answer| {
+            answer.broken_ms + SAME_END_MS >= last_ms && now_ms < answer.broken_ms + CONFIRM_MS
+        });
+        self.add_crash(now_ms, upstream, &answers);
+        is_new
+    }
+
+    /// Records that an upstream has no entry any more.
+    pub fn record_removed(&mut self, now_ms: u64, upstream: &UpstreamName) {
+        if self.broken.contains_key(upstream) {
+            self.record_ended(now_ms, upstream);
+        }
+    }
+
+    /// Records that a new process runs under the name of an upstream.
+    pub fn record_started(&mut self, now_ms: u64, upstream: &UpstreamName) {
+        self.record_removed(now_ms, upstream);
+        self.ended.remove(upstream);
+    }
+
+    fn add_crash(&mut self, now_ms: u64, upstream: &UpstreamName, answers: &[BrokenAnswer]) {
+        let Some(at_ms) = answers.iter().map(|answer| answer.broken_ms).min() else {
+            return;
+        };
+        let segments: BTreeSet<SegmentId> =
+            answers.iter().flat_map(|answer| answer.segments.iter().copied()).collect();
+        let blocked: BTreeSet<SegmentId> = segments.intersection(&self.blocked).copied().collect();
+        // A blocked segment explains the crash.
+        let suspects = if blocked.is_empty() { segments } else { blocked };
+        for segment in suspects {
+            let history = self.history(segment);
+            let is_new = history.add_crash(now_ms, at_ms, &[ProcessKey::new(upstream)]);
+            history.has_untold_crash |= is_new;
+            history.has_untold_answer |= is_new && history.has_answer_after_first_crash();
+        }
+    }
+
+    /// History of a segment; the least suspicious one makes room for a new one.
+    fn history(&mut self, segment: SegmentId) -> &mut History {
+        if self.histories.len() >= MAX_SEGMENTS && !self.histories.contains_key(&segment) {
+            let rank = |history: &History| (history.unanswered().count(), history.last_crash_ms());
+            let least = self.histories.iter().min_by_key(|(_, history)| rank(history));
+            if let Some(least) = least.map(|(segment, _)| *segment) {
+                self.histories.remove(&least);
+            }
+        }
+        self.histories.entry(segment).or_default()
+    }
+
+    /// Records that an upstream has answered on a prompt with these segments, which was
+    /// sent at `sent_ms`.
+    pub fn record_answered(&mut self, sent_ms: u64, segments: &[SegmentId]) {
+        for segment in segments {
+            let Some(history) = self.histories.get_mut(segment) else {
+                continue;
+            };
+            let unanswered = history.unanswered().count();
+            history.answered_ms = history.answered_ms.max(Some(sent_ms));
+            let is_news = history.unanswered().count() < unanswered;
+            history.has_untold_answer |= is_news && history.has_answer_after_first_crash();
+        }
+    }
+
+    /// Takes over what another router tells.
+    pub fn learn(&mut self, now_ms: u64, notices: &[SegmentNotice]) {
+        for notice in notices {
+            let has_recent = notice.crashes.iter().any(|crash| crash.age_ms < BLOCK_MS);
+            if !has_recent {
+                continue;
+            }
+            let history = self.history(notice.segment);
+            let mut has_new_crash = false;
+            for crash in &notice.crashes {
+                let at_ms = now_ms.saturating_sub(crash.age_ms);
+                has_new_crash |= history.add_crash(now_ms, at_ms, &crash.processes);
+            }
+            history.has_untold_answer |= has_new_crash && history.has_answer_after_first_crash();
+            let told_ms = notice.answered_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms));
+            let own = history.unanswered().count();
+            let own_ms = std::mem::replace(&mut history.answered_ms, told_ms);
+            if history.unanswered().count() <= own {
+                history.has_untold_answer = false;
+            }
+            history.answered_ms = told_ms.max(own_ms);
+        }
+    }
+
+    /// The first segment that is blocked, and for how long, in milliseconds.
+    pub fn find_blocked(&self, now_ms: u64, segments: &[SegmentId]) -> Option<(SegmentId, u64)> {
+        let segment = segments.iter().find(|segment| self.blocked.contains(segment))?;
+        let until_ms = self.histories.get(segment)?.blocked_until_ms(now_ms)?;
+        Some((*segment, until_ms - now_ms))
+    }
+
+    /// Number of blocked segments.
+    pub fn blocked_count(&self) -> usize {
+        self.blocked.len()
+    }
+
+    /// Forgets what is over, blocks segments and ends blocks. Returns the changes.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<BlockChange> {
+        self.histories.retain(|_, history| !history.is_over(now_ms));
+        self.ended.retain(|_, ended_ms| now_ms < *ended_ms + CONFIRM_MS);
+        self.broken.retain(|_, answers| {
+            answers.retain(|answer| now_ms < answer.broken_ms + CONFIRM_MS);
+            !answers.is_empty()
+        });
+        let is_due = |segment: &SegmentId| {
+            let history = self.histories.get(segment);
+            history.is_some_and(|history| history.blocked_until_ms(now_ms).is_some())
+        };
+        let mut blocked: BTreeSet<SegmentId> =
+            self.blocked.iter().copied().filter(is_due).collect();
+        let mut due: Vec<SegmentId> = self.histories.keys().copied().filter(is_due).collect();
+        due.sort();
+        for segment in due {
+            if blocked.len() < MAX_BLOCKED {
+                blocked.insert(segment);
+            }
+        }
+        let changed = blocked.symmetric_difference(&self.blocked).map(|segment| BlockChange {
+            segment: *segment,
+            is_blocked: blocked.contains(segment),
+            crashes: self.histories.get(segment).map_or(0, |history| history.crashes.len()),
+        });
+        let changes = changed.collect();
+        self.blocked = blocked;
+        changes
+    }
+
+    /// News for the other routers since the last call.
+    pub fn take_news(&mut self, now_ms: u64) -> Vec<SegmentNotice> {
+        let mut news = Vec::new();
+        for (segment, history) in &mut self.histories {
+            let has_untold_crash = std::mem::take(&mut history.has_untold_crash);
+            if std::mem::take(&mut history.has_untold_answer) || has_untold_crash {
+                news.push(history.notice(now_ms, *segment));
+            }
+        }
+        news
+    }
+
+    /// The most suspicious segments, for a router that may not know of them.
+    pub fn copy(&self, now_ms: u64) -> Vec<SegmentNotice> {
+        let mut suspects: Vec<(&SegmentId, &History)> =
+            self.histories.iter().filter(|(_, history)| history.unanswered().count() > 0).collect();
+        suspects.sort_by_key(|(segment, history)| {
+            (std::cmp::Reverse(history.unanswered().count()), **segment)
+        });
+        suspects.truncate(MAX_NOTICES);
+        suspects.into_iter().map(|(segment, history)| history.notice(now_ms, *segment)).collect()
+    }
+}
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -115,6 +115,7 @@
     spawn_local(peers.clone().receive_datagrams());
     spawn_local(peers.clone().exchange_summaries());
     spawn_local(peers.clone().send_outbox());
+    spawn_local(node.clone().exchange_prompt_crashes());
     spawn_local(store_sync::watch_config(node.clone(), store.clone()));
     spawn_local(store_sync::watch_upstreams(node.clone(), store.clone()));
     spawn_local(store_sync::sync_routers(node.clone(), store));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -9,7 +9,7 @@
 use futures::channel::oneshot;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use span_member::{MAX_FULL_MESH_PEERS, MembershipTiming, MembershipView, Router};
-use span_types::{InstanceName, Member, MemberState, ServiceName, UpstreamName};
+use span_types::{InstanceName, Member, MemberState, ServiceName};
 use strum::{EnumCount, IntoEnumIterator};
 
 use crate::{
@@ -20,6 +20,7 @@
     load_summary::{FleetSummary, LoadSummary, ReceivedSummaries, ServiceLoad, ServiceLoads},
     metrics::Metrics,
     placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix},
+    prompt_crashes::PromptCrashes,
     registry::Registry,
     retry_budget::{RetryBudget, RetryLimit},
     role::{Role, role},
@@ -94,8 +95,6 @@
     /// Configuration in force; none until the first one is known.
     pub(crate) config: Option<Rc<Config>>,
     pub(crate) registry: Registry,
-    /// Upstreams at whose address nothing listens any more.
-    pub(crate) ended_upstreams: BTreeSet<UpstreamName>,
     pub(crate) services: HashMap<ServiceName, ServiceState>,
     /// Membership as this router sees it.
     pub(crate) view: MembershipView,
@@ -110,6 +109,8 @@
     pub(crate) fleet_summary: FleetSummary,
     /// Where streams began.
     pub(crate) stream_origins: StreamOrigins,
+    /// Prompts that crash upstreams.
+    pub(crate) prompt_crashes: PromptCrashes,
     /// From where this router gets what the store holds.
     pub(crate) store_source: StoreSource,
     pub(crate) metrics: Metrics,
@@ -187,7 +188,6 @@
         Self {
             config: None,
             registry: Registry::default(),
-            ended_upstreams: BTreeSet::new(),
             services: HashMap::new(),
             view: MembershipView::new(own_router, MEMBERSHIP_TIMING),
             config_reports: ConfigReports::default(),
@@ -195,6 +195,7 @@
             received_summaries: ReceivedSummaries::default(),
             fleet_summary: FleetSummary::default(),
             stream_origins: StreamOrigins::default(),
+            prompt_crashes: PromptCrashes::default(),
             store_source: StoreSource::default(),
             metrics: Metrics::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -300,6 +301,14 @@
         chosen.filter_map(|name| Some((name.clone(), *others.get(name)?))).collect()
     }
 
+    /// Addresses of the other live routers.
+    pub(crate) fn other_router_ips(&self) -> Vec<IpAddr> {
+        let own_name = &self.view.own_update().router.member.instance;
+        let live = self.view.live_routers().into_iter();
+        let others = live.filter(|router| router.member.instance != *own_name);
+        others.map(|router| router.peer_address.ip()).collect()
+    }
+
     /// Whether the fleet is so large that collectors aggregate its load, since
     /// not every router exchanges heartbeats with every other.
     pub(crate) fn has_collectors(&self) -> bool {
--- /dev/null
+++ b/crates/edge/tests/prompt_crashes.rs
@@ -0,0 +1,373 @@
+//! Tests of the detection of prompts that crash upstreams.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeSet, rc::Rc};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use span_edge::{
+    prompt_crashes::{
+        BLOCK_MS, COPY_RECEIVERS, MAX_BLOCKED, OBJECTION_MS, PromptCrashes, SEPARATION_MS,
+        SegmentNotice, TICK_INTERVAL_MS, TICKS_PER_COPY,
+    },
+    wire_format::SegmentId,
+};
+use span_types::UpstreamName;
+
+/// Segment that crashes upstreams.
+const BAD: u64 = 0xbad;
+/// Segment of all prompts.
+const COMMON: u64 = 0xa;
+/// Segment of some sound prompts.
+const SOUND: u64 = 0xc;
+/// Time between crashes that count separately, in milliseconds.
+const APART_MS: u64 = SEPARATION_MS + 100;
+
+fn segments(ids: &[u64]) -> Rc<[SegmentId]> {
+    ids.iter().copied().map(SegmentId).collect()
+}
+
+fn upstream(number: u64) -> UpstreamName {
+    format!("i-{number}").as_str().into()
+}
+
+fn is_blocked(crashes: &PromptCrashes, now_ms: u64, id: u64) -> bool {
+    crashes.find_blocked(now_ms, &[SegmentId(id)]).is_some()
+}
+
+/// What happens, with the time in milliseconds.
+enum Event {
+    /// The connections to an upstream break, and it is found to have ended.
+    Crash { at_ms: u64, upstream: u64 },
+    /// A connection breaks to an upstream that lives.
+    Break { at_ms: u64, upstream: u64 },
+    /// An upstream answers on a prompt with the bad segment that was sent at this time.
+    Answer { sent_ms: u64 },
+}
+
+/// Guards against blocking a segment without enough evidence, and against not blocking
+/// one that crashes upstreams.
+#[test]
+fn segment_is_blocked_after_separate_crashes_without_an_answer() {
+    struct Case {
+        name: &'static str,
+        events: Vec<Event>,
+        is_blocked: bool,
+    }
+    let crash = |number: u64| Event::Crash { at_ms: 1_000 + number * APART_MS, upstream: number };
+    let cases = [
+        Case {
+            name: "three crashes, one after the other",
+            events: vec![crash(0), crash(1), crash(2)],
+            is_blocked: true,
+        },
+        Case { name: "two crashes", events: vec![crash(0), crash(1)], is_blocked: false },
+        Case {
+            name: "many upstreams end at once",
+            events: (0..6).map(|number| Event::Crash { at_ms: 1_000, upstream: number }).collect(),
+            is_blocked: false,
+        },
+        Case {
+            name: "connections break, but the upstreams live",
+            events: (0..6)
+                .map(|number| Event::Break { at_ms: 1_000 + number * APART_MS, upstream: number })
+                .collect(),
+            is_blocked: false,
+        },
+        Case {
+            name: "a prompt that was sent after the second crash is answered",
+            events: vec![
+                crash(0),
+                crash(1),
+                Event::Answer { sent_ms: 1_000 + APART_MS + 10 },
+                crash(2),
+            ],
+            is_blocked: false,
+        },
+        Case {
+            name: "a prompt that was sent before the first crash is answered",
+            events: vec![crash(0), crash(1), Event::Answer { sent_ms: 900 }, crash(2)],
+            is_blocked: true,
+        },
+        Case {
+            name: "several routers see the end of one process at different times",
+            events: (0..3)
+                .map(|number| Event::Crash { at_ms: 1_000 + number * APART_MS, upstream: 7 })
+                .collect(),
+            is_blocked: false,
+        },
+    ];
+    for Case { name, events, is_blocked: expected } in cases {
+        let mut crashes = PromptCrashes::default();
+        let prompt = segments(&[COMMON, BAD]);
+        for event in events {
+            match event {
+                Event::Crash { at_ms, upstream: number } => {
+                    crashes.record_broken(at_ms, &upstream(number), &prompt);
+                    crashes.record_ended(at_ms + 20, &upstream(number));
+                }
+                Event::Break { at_ms, upstream: number } => {
+                    crashes.record_broken(at_ms, &upstream(number), &prompt);
+                }
+                Event::Answer { sent_ms } => crashes.record_answered(sent_ms, &prompt),
+            }
+        }
+        let now_ms = 1_000 + 6 * APART_MS + OBJECTION_MS;
+        crashes.tick(now_ms);
+        assert_eq!(is_blocked(&crashes, now_ms, BAD), expected, "{name}");
+    }
+}
+
+/// Guards against a crash that goes unnoticed because the end of the process is seen in
+/// another way, or before the broken connection is.
+#[test]
+fn end_of_a_process_is_noticed_in_each_way() {
+    type RecordCrash = fn(&mut PromptCrashes, u64, &UpstreamName, &Rc<[SegmentId]>);
+    struct Case {
+        name: &'static str,
+        record: RecordCrash,
+        is_blocked: bool,
+    }
+    let cases: [Case; 5] = [
+        Case {
+            name: "a connection is refused first",
+            record: |crashes, now_ms, upstream, prompt| {
+                crashes.record_ended(now_ms, upstream);
+                crashes.record_broken(now_ms + 30, upstream, prompt);
+            },
+            is_blocked: true,
+        },
+        Case {
+            name: "the entry is removed",
+            record: |crashes, now_ms, upstream, prompt| {
+                crashes.record_broken(now_ms, upstream, prompt);
+                crashes.record_removed(now_ms + 1_500, upstream);
+            },
+            is_blocked: true,
+        },
+        Case {
+            name: "a new process has the name",
+            record: |crashes, now_ms, upstream, prompt| {
+                crashes.record_broken(now_ms, upstream, prompt);
+                crashes.record_started(now_ms + 1_000, upstream);
+            },
+            is_blocked: true,
+        },
+        Case {
+            name: "the entry is removed long after",
+            record: |crashes, now_ms, upstream, prompt| {
+                crashes.record_broken(now_ms, upstream, prompt);
+                crashes.record_removed(now_ms + 5_000, upstream);
+            },
+            is_blocked: false,
+        },
+        Case {
+            name: "an answer broke off long before the end",
+            record: |crashes, now_ms, upstream, prompt| {
+                crashes.record_broken(now_ms, upstream, prompt);
+                crashes.record_broken(now_ms + 1_000, upstream, &segments(&[SOUND]));
+                crashes.record_ended(now_ms + 1_010, upstream);
+            },
+            is_blocked: false,
+        },
+    ];
+    for Case { name, record, is_blocked: expected } in cases {
+        let mut crashes = PromptCrashes::default();
+        for number in 0..3 {
+            record(&mut crashes, 1_000 + number * APART_MS, &upstream(number), &segments(&[BAD]));
+        }
+        let now_ms = 10_000;
+        crashes.tick(now_ms);
+        assert_eq!(is_blocked(&crashes, now_ms, BAD), expected, "{name}");
+    }
+}
+
+/// Guards against a block that never ends, and against one that ends while upstreams
+/// would still crash.
+#[test]
+fn block_lasts_from_the_last_crash() {
+    let mut crashes = PromptCrashes::default();
+    for number in 0..3 {
+        let at_ms = number * APART_MS;
+        crashes.record_broken(at_ms, &upstream(number), &segments(&[BAD]));
+        crashes.record_ended(at_ms, &upstream(number));
+    }
+    let last_ms = 2 * APART_MS;
+    crashes.tick(last_ms + OBJECTION_MS);
+    let blocked = crashes.find_blocked(last_ms + OBJECTION_MS, &segments(&[COMMON, BAD]));
+    assert_eq!(blocked, Some((SegmentId(BAD), BLOCK_MS - OBJECTION_MS)));
+    crashes.tick(last_ms + BLOCK_MS - 1);
+    assert!(is_blocked(&crashes, last_ms + BLOCK_MS - 1, BAD));
+    let changes = crashes.tick(last_ms + BLOCK_MS);
+    assert_eq!(changes.len(), 1);
+    assert!(!is_blocked(&crashes, last_ms + BLOCK_MS, BAD));
+}
+
+/// Guards against rejecting most requests when upstreams crash on every prompt, for
+/// example after a bad release.
+#[test]
+fn few_segments_are_blocked_if_upstreams_crash_on_all() {
+    let mut crashes = PromptCrashes::default();
+    let prompt: Vec<u64> = (0..40).collect();
+    for number in 0..4 {
+        let at_ms = number * APART_MS;
+        crashes.record_broken(at_ms, &upstream(number), &segments(&prompt));
+        crashes.record_ended(at_ms, &upstream(number));
+    }
+    crashes.tick(10_000);
+    assert_eq!(crashes.blocked_count(), MAX_BLOCKED);
+}
+
+/// Routers that exchange news, in virtual time.
+struct Fleet {
+    routers: Vec<PromptCrashes>,
+    rng: SmallRng,
+    /// Fraction of the datagrams that are lost.
+    loss: f64,
+    /// Datagrams under way: arrival in milliseconds, receiver, content.
+    datagrams: Vec<(u64, usize, Vec<SegmentNotice>)>,
+    now_ms: u64,
+}
+
+impl Fleet {
+    fn new(routers: usize, loss: f64, seed: u64) -> Self {
+        Self {
+            routers: (0..routers).map(|_| PromptCrashes::default()).collect(),
+            rng: SmallRng::seed_from_u64(seed),
+            loss,
+            datagrams: Vec::new(),
+            now_ms: 10_000,
+        }
+    }
+
+    fn send(&mut self, receiver: usize, notices: &[SegmentNotice]) {
+        if !notices.is_empty() && self.rng.random::<f64>() >= self.loss {
+            let delay_ms = self.rng.random_range(1..40);
+            self.datagrams.push((self.now_ms + delay_ms, receiver, notices.to_vec()));
+        }
+    }
+
+    /// Advances by one millisecond. Routers tick at different times.
+    fn advance(&mut self) {
+        self.now_ms += 1;
+        let now_ms = self.now_ms;
+        let (due, later) = std::mem::take(&mut self.datagrams)
+            .into_iter()
+            .partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.datagrams = later;
+        let due: Vec<(u64, usize, Vec<SegmentNotice>)> = due;
+        for (_, receiver, notices) in due {
+            self.routers[receiver].learn(now_ms, &notices);
+        }
+        let count = self.routers.len();
+        for router in 0..count {
+            let phase_ms = router as u64 * 37;
+            if !(now_ms + phase_ms).is_multiple_of(TICK_INTERVAL_MS) {
+                continue;
+            }
+            self.routers[router].tick(now_ms);
+            let news = self.routers[router].take_news(now_ms);
+            (0..count).filter(|other| *other != router).for_each(|other| self.send(other, &news));
+            let round = (now_ms + phase_ms) / TICK_INTERVAL_MS;
+            if round.is_multiple_of(TICKS_PER_COPY) {
+                let copy = self.routers[router].copy(now_ms);
+                let others: Vec<usize> = (0..count).filter(|other| *other != router).collect();
+                let receivers: Vec<usize> =
+                    others.sample(&mut self.rng, COPY_RECEIVERS).copied().collect();
+                receivers.into_iter().for_each(|receiver| self.send(receiver, &copy));
+            }
+        }
+    }
+
+    fn advance_by(&mut self, duration_ms: u64) {
+        (0..duration_ms).for_each(|_| self.advance());
+    }
+
+    fn routers_that_block(&self, id: u64) -> usize {
+        self.routers.iter().filter(|router| is_blocked(router, self.now_ms, id)).count()
+    }
+}
+
+/// Load pattern: prompts with one bad segment come at any router, one after the other,
+/// among sound ones that share their other segments. Guards against each router learning
+/// only from its own crashes, against blocking what the sound prompts share at routers
+/// that see no answer on it, and against a router that starts later and does not know.
+#[test]
+fn bad_segment_among_sound_prompts_is_blocked_at_all_routers() {
+    struct Case {
+        name: &'static str,
+        routers: usize,
+        loss: f64,
+        /// Pause between bad prompts, in milliseconds.
+        pause_ms: u64,
+    }
+    let cases = [
+        Case { name: "six routers", routers: 6, loss: 0.0, pause_ms: 600 },
+        Case { name: "six routers, a crash every 3 s", routers: 6, loss: 0.0, pause_ms: 3_000 },
+        Case { name: "six routers, datagrams lost", routers: 6, loss: 0.1, pause_ms: 600 },
+        Case { name: "72 routers", routers: 72, loss: 0.03, pause_ms: 300 },
+        Case { name: "195 routers", routers: 195, loss: 0.03, pause_ms: 150 },
+    ];
+    for Case { name, routers, loss, pause_ms } in cases {
+        for seed in 0..3 {
+            let mut fleet = Fleet::new(routers, loss, seed);
+            let mut crashed = 0;
+            let mut fifth_ms = u64::MAX;
+            let mut late = 0;
+            let start_ms = fleet.now_ms;
+            while fleet.now_ms < start_ms + 20 * pause_ms.max(600) {
+                fleet.advance();
+                let now_ms = fleet.now_ms;
+                // Sound prompts come at half of the routers only.
+                if now_ms.is_multiple_of(40) {
+                    let router = fleet.rng.random_range(0..routers.div_ceil(2));
+                    fleet.routers[router].record_answered(now_ms - 30, &segments(&[COMMON, SOUND]));
+                }
+                if !now_ms.is_multiple_of(pause_ms) {
+                    continue;
+                }
+                let router = fleet.rng.random_range(0..routers);
+                if is_blocked(&fleet.routers[router], now_ms, BAD) {
+                    continue;
+                }
+                late += usize::from(now_ms > fifth_ms.saturating_add(3_000));
+                crashed += 1;
+                if crashed == 5 {
+                    fifth_ms = now_ms;
+                }
+                // A sound prompt waits at the same upstream, sent by the same router.
+                for prompt in [segments(&[COMMON, BAD]), segments(&[COMMON, SOUND])] {
+                    fleet.routers[router].record_broken(now_ms, &upstream(crashed), &prompt);
+                }
+                fleet.routers[router].record_ended(now_ms, &upstream(crashed));
+            }
+            let case = format!("{name}, seed {seed}");
+            assert!(late <= 3, "{case}: {late} of {crashed} prompts came late");
+            assert_eq!(fleet.routers_that_block(BAD), routers, "{case}");
+            assert_eq!(fleet.routers_that_block(COMMON), 0, "{case}");
+            assert_eq!(fleet.routers_that_block(SOUND), 0, "{case}");
+
+            fleet.routers.push(PromptCrashes::default());
+            fleet.advance_by(3_000);
+            assert_eq!(fleet.routers_that_block(BAD), routers + 1, "{case}: after a start");
+        }
+    }
+}
+
+/// Guards against news of one segment for each segment that was in flight, without bound.
+#[test]
+fn copies_name_the_most_suspicious_segments_first() {
+    let mut crashes = PromptCrashes::default();
+    for number in 0..3 {
+        let at_ms = number * APART_MS;
+        let others = (0..100).map(|index| 1_000 * (number + 1) + index);
+        let prompt: Vec<u64> = others.chain([BAD]).collect();
+        crashes.record_broken(at_ms, &upstream(number), &segments(&prompt));
+        crashes.record_ended(at_ms, &upstream(number));
+    }
+    let copy = crashes.copy(2_000);
+    assert_eq!(copy.first().map(|notice| notice.segment), Some(SegmentId(BAD)));
+    let named: BTreeSet<SegmentId> = copy.iter().map(|notice| notice.segment).collect();
+    assert_eq!(named.len(), copy.len());
+    assert!(copy.len() <= 64);
+}
