Count a crash behind an answer that ends with its connection

An answer without length or chunks that ends after a whole event looks complete, also if its upstream crashes. Ids of segments that are no hexadecimal number are hashed rather than left out (by reading; no run).

--- a/crates/edge/src/crash_exchange.rs
+++ b/crates/edge/src/crash_exchange.rs
@@ -75,6 +75,18 @@
         self.state().prompt_crashes.record_broken(now_ms, upstream, segments);
     }
 
+    /// Records that an answer ended with its connection, which a crash of the upstream on
+    /// its prompt may also have caused. The prompt was sent at `sent_ms`.
+    pub(crate) fn answer_closed(
+        &self,
+        upstream: &UpstreamName,
+        segments: &Rc<[SegmentId]>,
+        sent_ms: u64,
+    ) {
+        let now_ms = self.now_ms();
+        self.state().prompt_crashes.record_closed(now_ms, upstream, segments, sent_ms);
+    }
+
     /// Records that an upstream has answered on a prompt that was sent at `sent_ms`.
     pub(crate) fn prompt_answered(&self, sent_ms: u64, segments: &[SegmentId]) {
         self.state().prompt_crashes.record_answered(sent_ms, segments);
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use futures::channel::oneshot;
+use span_http::Framing;
 use span_types::{ServiceName, SoftwareVersion, UpstreamName};
 
 use crate::{
@@ -121,13 +122,23 @@
         }
     }
 
-    /// Records that the upstream has answered on the prompt without a crash.
-    pub(crate) fn prompt_answered(&mut self) {
+    fn prompt_answered(&mut self) {
         if let Some(prompt) = self.sent_prompt.take() {
             self.node.prompt_answered(prompt.sent_ms, &prompt.shared_segments);
         }
     }
 
+    /// Records the end of a successful answer.
+    pub(crate) fn answer_succeeded(&mut self, framing: Framing) {
+        if framing != Framing::UntilClose {
+            return self.prompt_answered();
+        }
+        if let (Some(prompt), Some(chosen)) = (self.sent_prompt.take(), &self.chosen) {
+            let SentPrompt { shared_segments, sent_ms, .. } = prompt;
+            self.node.answer_closed(&chosen.upstream, &shared_segments, sent_ms);
+        }
+    }
+
     /// Records that the connection to the upstream broke.
     pub(crate) fn connection_broke(&mut self) {
         if let (Some(prompt), Some(chosen)) = (self.sent_prompt.take(), &self.chosen) {
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -15,6 +15,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use span_http::Framing;
 use span_types::{
     PLAIN_CALL_COST_UNITS, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName,
 };
@@ -503,8 +504,9 @@
             }
             Ok(answer) => match attempt::read_answer(node, &upstream, answer, until_ms).await {
                 Ok((parts, bytes)) => {
+                    let framing = record.framing.unwrap_or(Framing::UntilClose);
                     if parts.status.is_success() {
-                        in_flight.prompt_answered();
+                        in_flight.answer_succeeded(framing);
                     }
                     in_flight.end_attempt(AttemptResult::Good);
                     return Ok(forward_answer(node, parts, bytes, Outcome::Answered, record));
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -179,7 +179,7 @@
             self.node.pool.keep(self.node.now_ms(), upstream, connection, idle_timeout_ms);
         }
         if (200..300).contains(&self.record.status) {
-            self.in_flight.prompt_answered();
+            self.in_flight.answer_succeeded(self.framing);
         }
         self.in_flight.end_attempt(AttemptResult::Good);
         self.record.outcome = Outcome::Answered;
--- a/crates/edge/src/prompt_crashes.rs
+++ b/crates/edge/src/prompt_crashes.rs
@@ -191,6 +191,8 @@
 struct BrokenAnswer {
     broken_ms: u64,
     segments: Rc<[SegmentId]>,
+    /// When the request was sent, if the answer is complete unless the upstream crashed.
+    sent_if_complete_ms: Option<u64>,
 }
 
 /// A segment that is blocked from now on, or no longer.
@@ -223,11 +225,35 @@
         now_ms: u64,
         upstream: &UpstreamName,
         segments: &Rc<[SegmentId]>,
+    ) {
+        self.record_end(now_ms, upstream, segments, None);
+    }
+
+    /// Records that an answer ended with its connection, within [`RISK_MS`]: it is
+    /// complete, unless the upstream is found to have ended. The request was sent at
+    /// `sent_ms`.
+    pub fn record_closed(
+        &mut self,
+        now_ms: u64,
+        upstream: &UpstreamName,
+        segments: &Rc<[SegmentId]>,
+        sent_ms: u64,
+    ) {
+        self.record_end(now_ms, upstream, segments, Some(sent_ms));
+    }
+
+    fn record_end(
+        &mut self,
+        now_ms: u64,
+        upstream: &UpstreamName,
+        segments: &Rc<[SegmentId]>,
+        sent_if_complete_ms: Option<u64>,
     ) {
         if segments.is_empty() {
             return;
         }
-        let answer = BrokenAnswer { broken_ms: now_ms, segments: segments.clone() };
+        let segments = segments.clone();
+        let answer = BrokenAnswer { broken_ms: now_ms, segments, sent_if_complete_ms };
         if self.ended.contains_key(upstream) {
             self.add_crash(now_ms, upstream, &[answer]);
         } else {
@@ -343,10 +369,20 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<BlockChange> {
         self.histories.retain(|_, history| !history.is_over(now_ms));
         self.ended.retain(|_, ended_ms| now_ms < *ended_ms + CONFIRM_MS);
+        let mut complete = Vec::new();
         self.broken.retain(|_, answers| {
-            answers.retain(|answer| now_ms < answer.broken_ms + CONFIRM_MS);
+            answers.retain(|answer| {
+                let is_open = now_ms < answer.broken_ms + CONFIRM_MS;
+                if let Some(sent_ms) = answer.sent_if_complete_ms.filter(|_| !is_open) {
+                    complete.push((sent_ms, answer.segments.clone()));
+                }
+                is_open
+            });
             !answers.is_empty()
         });
+        for (sent_ms, segments) in complete {
+            self.record_answered(sent_ms, &segments);
+        }
         let is_due = |segment: &SegmentId| {
             let history = self.histories.get(segment);
             history.is_some_and(|history| history.blocked_until_ms(now_ms).is_some())
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, HeaderName};
 use serde::{Deserialize, Serialize};
 use span_types::FailureDomain;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{config::Config, placement::PromptPrefix, upstream_load::LoadReport};
 
@@ -66,6 +67,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SegmentId(pub u64);
 
+impl SegmentId {
+    /// Reads the id of a segment, normally a hexadecimal number. Any other text is
+    /// hashed.
+    pub fn parse(text: &str) -> Self {
+        u64::from_str_radix(text, 16).map_or_else(|_| Self(xxh3_64(text.as_bytes())), Self)
+    }
+}
+
 impl fmt::Display for SegmentId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:x}", self.0)
--- a/crates/edge/tests/prompt_crashes.rs
+++ b/crates/edge/tests/prompt_crashes.rs
@@ -182,6 +182,38 @@
     }
 }
 
+/// Guards against an upstream that crashes after a whole event of an answer without length,
+/// which looks complete: it must count as a crash, and as an answer only if the upstream
+/// lives on.
+#[test]
+fn answer_that_ends_with_its_connection_is_judged_by_its_upstream() {
+    struct Case {
+        name: &'static str,
+        ends: bool,
+        is_blocked: bool,
+    }
+    let cases = [
+        Case { name: "the upstream has ended", ends: true, is_blocked: true },
+        Case { name: "the upstream lives", ends: false, is_blocked: false },
+    ];
+    for Case { name, ends, is_blocked: expected } in cases {
+        let mut crashes = PromptCrashes::default();
+        let prompt = segments(&[BAD]);
+        for number in 0..3 {
+            let at_ms = 1_000 + number * APART_MS;
+            crashes.record_broken(at_ms, &upstream(number), &prompt);
+            crashes.record_ended(at_ms, &upstream(number));
+        }
+        let sent_ms = 1_000 + 3 * APART_MS;
+        crashes.record_closed(sent_ms + 100, &upstream(3), &prompt, sent_ms);
+        if ends {
+            crashes.record_ended(sent_ms + 150, &upstream(3));
+        }
+        crashes.tick(10_000);
+        assert_eq!(is_blocked(&crashes, 10_000, BAD), expected, "{name}");
+    }
+}
+
 /// Guards against a block that never ends, and against one that ends while upstreams
 /// would still crash.
 #[test]
