--- a/crates/once/src/decision.rs
+++ b/crates/once/src/decision.rs
@@ -2,6 +2,10 @@
 
 use span_types::Outcome;
 
+/// Upstreams in a row that may have got a request without answering it, after which the
+/// request rather than the upstreams is taken for the reason.
+pub const MAX_UNANSWERED_ATTEMPTS: u32 = 3;
+
 /// How much of a request may have reached the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -18,6 +22,9 @@
     pub delivery: Delivery,
     /// An earlier attempt may have reached another upstream.
     pub maybe_sent_before: bool,
+    /// Upstreams, this one included, that may have got the request and have not
+    /// answered it.
+    pub unanswered_attempts: u32,
     /// The request may run more than once.
     pub idempotent: bool,
     /// The client has received a byte of the response.
@@ -42,5 +49,7 @@
     let outcome = if maybe_sent { Outcome::Unknown } else { Outcome::NotRun };
     let is_safe =
         !attempt.response_started && attempt.replayable && (attempt.idempotent || !maybe_sent);
-    if is_safe { RetryDecision::Retry(outcome) } else { RetryDecision::End(outcome) }
+    // A request that crashes upstreams must not take all of them.
+    let is_suspect = attempt.unanswered_attempts >= MAX_UNANSWERED_ATTEMPTS;
+    if is_safe && !is_suspect { RetryDecision::Retry(outcome) } else { RetryDecision::End(outcome) }
 }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -17,5 +17,5 @@
     CLAIM_BUCKETS, Claim, ClaimBucket, ClaimChange, ClaimKey, ClaimResult, ClaimState,
     MAX_CLAIMS_PER_BUCKET,
 };
-pub use decision::{Delivery, FailedAttempt, RetryDecision, decide_retry};
+pub use decision::{Delivery, FailedAttempt, MAX_UNANSWERED_ATTEMPTS, RetryDecision, decide_retry};
 pub use registry::{BeginResult, MintError, RegistryLimits, RequestIdRegistry, RunState};
--- a/crates/once/tests/decisions.rs
+++ b/crates/once/tests/decisions.rs
@@ -4,7 +4,8 @@
 use rand_chacha::ChaCha8Rng;
 use span_once::{
     Backoff, BeginResult, ClaimBucket, ClaimChange, ClaimKey, ClaimResult, Delivery, FailedAttempt,
-    RegistryLimits, RequestIdRegistry, RetryBudget, RetryDecision, RunState, decide_retry,
+    MAX_UNANSWERED_ATTEMPTS, RegistryLimits, RequestIdRegistry, RetryBudget, RetryDecision,
+    RunState, decide_retry,
 };
 use span_types::{Outcome, WorkspaceName};
 
@@ -20,11 +21,12 @@
     let base = FailedAttempt {
         delivery: Delivery::MaybeSent,
         maybe_sent_before: false,
+        unanswered_attempts: 1,
         idempotent: false,
         response_started: false,
         replayable: true,
     };
-    let not_sent = FailedAttempt { delivery: Delivery::NotSent, ..base };
+    let not_sent = FailedAttempt { delivery: Delivery::NotSent, unanswered_attempts: 0, ..base };
     let cases = [
         Case {
             name: "may have been sent",
@@ -51,6 +53,15 @@
             attempt: FailedAttempt { replayable: false, ..not_sent },
             decision: RetryDecision::End(Outcome::NotRun),
         },
+        Case {
+            name: "idempotent, and as many upstreams as allowed have not answered",
+            attempt: FailedAttempt {
+                idempotent: true,
+                unanswered_attempts: MAX_UNANSWERED_ATTEMPTS,
+                ..base
+            },
+            decision: RetryDecision::End(Outcome::Unknown),
+        },
         Case {
             name: "response started",
             attempt: FailedAttempt { idempotent: true, response_started: true, ..base },
--- a/crates/router/src/frontend/attempts.rs
+++ b/crates/router/src/frontend/attempts.rs
@@ -48,6 +48,8 @@
         };
         if error == SendError::NotConnected {
             run.sent = sent_before;
+        } else {
+            run.unanswered_attempts += 1;
         }
         if let Some(caller_failure) = upstream_request.body.caller_failure() {
             attempt.end(AttemptResult::Abandoned);
@@ -75,6 +77,7 @@
     let decision = decide_retry(FailedAttempt {
         delivery,
         maybe_sent_before: sent_before,
+        unanswered_attempts: run.unanswered_attempts,
         idempotent: run.idempotent,
         response_started: false,
         replayable: upstream_request.body.replayable(),
--- a/crates/router/src/frontend/chat.rs
+++ b/crates/router/src/frontend/chat.rs
@@ -96,7 +96,7 @@
         {
             // The caller has received nothing of the answer, so an idempotent
             // request may run again.
-            Err(failure) if run.idempotent && frontend.spend_retry() => {
+            Err(failure) if run.answer_lost() && frontend.spend_retry() => {
                 last_failure = Some(failure)
             }
             answer => return answer,
--- a/crates/router/src/frontend/idempotency.rs
+++ b/crates/router/src/frontend/idempotency.rs
@@ -7,7 +7,9 @@
 use serde_json::json;
 use span_config::Service;
 use span_http::{Body, json_response};
-use span_once::{BeginResult, Claim, ClaimChange, ClaimKey, ClaimResult, ClaimState};
+use span_once::{
+    BeginResult, Claim, ClaimChange, ClaimKey, ClaimResult, ClaimState, MAX_UNANSWERED_ATTEMPTS,
+};
 use span_types::{IDEMPOTENCY_KEY_HEADER, IDEMPOTENT_HEADER, Outcome, RequestId, WorkspaceName};
 
 use super::{Failure, Frontend, answer::set_outcome_headers, auth::Caller};
@@ -31,6 +33,8 @@
     pub idempotent: bool,
     /// Whether a byte of the request may have reached an upstream.
     pub sent: bool,
+    /// Upstreams that may have got the request and have not answered it.
+    pub unanswered_attempts: u32,
     run_key: RunKey,
     ended: bool,
 }
@@ -43,6 +47,13 @@
 }
 
 impl Run {
+    /// Records that the answer of an upstream is lost. Returns whether the request may
+    /// run again.
+    pub fn answer_lost(&mut self) -> bool {
+        self.unanswered_attempts += 1;
+        self.idempotent && self.unanswered_attempts < MAX_UNANSWERED_ATTEMPTS
+    }
+
     /// Records the outcome of the run; later calls have no effect.
     pub fn end(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.ended, true) {
@@ -95,6 +106,7 @@
         id: id.clone(),
         idempotent,
         sent: false,
+        unanswered_attempts: 0,
         run_key: RunKey::Unkeyed,
         ended: false,
     };
@@ -197,6 +209,7 @@
         id: id.clone(),
         idempotent: false,
         sent: false,
+        unanswered_attempts: 0,
         run_key: RunKey::Claimed(key.clone()),
         ended: false,
     };
--- a/crates/router/src/frontend/stream.rs
+++ b/crates/router/src/frontend/stream.rs
@@ -174,7 +174,7 @@
     /// has received no data.
     async fn retry(&mut self, error: SendError) -> Option<Incoming> {
         let Self { request, progress, data_sent, retries, .. } = self;
-        if *data_sent || !request.run.idempotent || !request.frontend.spend_retry() {
+        if *data_sent || !request.run.answer_lost() || !request.frontend.spend_retry() {
             return None;
         }
         request.attempt.fail(error);
--- a/crates/router/tests/plain.rs
+++ b/crates/router/tests/plain.rs
@@ -276,6 +276,25 @@
     }
 }
 
+/// Guards against a request that crashes upstreams being sent to one after the other until
+/// none is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_no_upstream_answers_reaches_few_of_them() {
+    let mut setup = TestSetup::new();
+    let mut counts = Vec::new();
+    for _ in 0..8 {
+        let (address, count) = interrupting_upstream().await;
+        setup = setup.upstream("pages", address);
+        counts.push(count);
+    }
+    let setup = setup.start().await;
+    let headers = [("x-span-idempotent", "true")];
+    let answer = setup.call(Method::POST, "/svc/pages/x", &headers, "read").await;
+    assert_eq!(answer.outcome().as_deref(), Some("unknown"));
+    let reached = counts.iter().filter(|count| count.load(Ordering::SeqCst) > 0).count();
+    assert_eq!(reached, span_once::MAX_UNANSWERED_ATTEMPTS as usize);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_connection_is_retried_elsewhere_or_not_run() {
     // Reads the complete body, since a server that answers earlier may close the
