Remember crashes of a segment for ten minutes, and tell less of them

A segment that crashed an upstream every few minutes was forgotten after one minute each time and never blocked (case "a crash every four minutes" fails without this). Copies name only segments with more than one crash, so that an ordinary crash leaves no lasting traffic, and the exchange runs with the other periodic tasks instead of a timer of its own.

--- a/crates/edge/src/crash_exchange.rs
+++ b/crates/edge/src/crash_exchange.rs
@@ -1,53 +1,53 @@
 //! Exchange between routers of which prompts crash upstreams.
 
-use std::{net::IpAddr, rc::Rc, time::Duration};
+use std::{net::IpAddr, rc::Rc};
 
 use rand::seq::IndexedRandom;
 use span_types::UpstreamName;
-use tokio::time::sleep;
 use tracing::{info, warn};
 
 use crate::{
     metrics::Counter,
     node::Node,
     peers::Packet,
-    prompt_crashes::{
-        COPY_RECEIVERS, MAX_NOTICES, SegmentNotice, TICK_INTERVAL_MS, TICKS_PER_COPY,
-    },
+    prompt_crashes::{COPY_RECEIVERS, MAX_NOTICES, SegmentNotice, TICKS_PER_COPY},
     wire_format::SegmentId,
 };
 
 impl Node {
-    /// Exchanges with other routers which prompts crash upstreams, until the process ends.
-    pub(crate) async fn exchange_prompt_crashes(self: Rc<Self>) {
-        for round in 0u64.. {
-            sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
-            let now_ms = self.now_ms();
-            let (changes, news, copy, others) = {
-                let mut state = self.state();
-                let changes = state.prompt_crashes.tick(now_ms);
-                let news = state.prompt_crashes.take_news(now_ms);
-                let is_copy_due = round.is_multiple_of(TICKS_PER_COPY);
-                let copy = if is_copy_due { state.prompt_crashes.copy(now_ms) } else { Vec::new() };
-                (changes, news, copy, state.other_router_ips())
-            };
-            for change in changes {
-                let segment = change.segment;
-                if change.is_blocked {
-                    warn!(
-                        %segment,
-                        crashes = change.crashes,
-                        "upstreams crash on a prompt segment; requests with it are rejected"
-                    );
-                } else {
-                    info!(%segment, "requests with a prompt segment are accepted again");
-                }
+    /// Blocks prompt segments and ends blocks, and tells other routers what is new. Called
+    /// every [`TICK_INTERVAL_MS`](crate::prompt_crashes::TICK_INTERVAL_MS); `round` counts
+    /// the calls.
+    pub(crate) fn tick_prompt_crashes(&self, round: u64) {
+        let now_ms = self.now_ms();
+        let (changes, news, copy) = {
+            let mut state = self.state();
+            let changes = state.prompt_crashes.tick(now_ms);
+            let news = state.prompt_crashes.take_news(now_ms);
+            let is_copy_due = round.is_multiple_of(TICKS_PER_COPY);
+            let copy = if is_copy_due { state.prompt_crashes.copy(now_ms) } else { Vec::new() };
+            (changes, news, copy)
+        };
+        for change in changes {
+            let segment = change.segment;
+            if change.is_blocked {
+                warn!(
+                    %segment,
+                    crashes = change.crashes,
+                    "upstreams crash on a prompt segment; requests with it are rejected"
+                );
+            } else {
+                info!(%segment, "requests with a prompt segment are accepted again");
             }
-            self.send_segment_notices(&others, &news);
-            let receivers: Vec<IpAddr> =
-                others.sample(&mut self.state().rng, COPY_RECEIVERS).copied().collect();
-            self.send_segment_notices(&receivers, &copy);
         }
+        if news.is_empty() && copy.is_empty() {
+            return;
+        }
+        let others = self.state().other_router_ips();
+        self.send_segment_notices(&others, &news);
+        let receivers: Vec<IpAddr> =
+            others.sample(&mut self.state().rng, COPY_RECEIVERS).copied().collect();
+        self.send_segment_notices(&receivers, &copy);
     }
 
     fn send_segment_notices(&self, receivers: &[IpAddr], notices: &[SegmentNotice]) {
@@ -102,6 +102,6 @@
         }
         state.metrics.count(Counter::UpstreamProcessesEnded);
         drop(state);
-        info!(upstream = upstream.as_str(), "the process of an upstream has ended");
+        info!(upstream = upstream.as_str(), "the process of an upstream seems to have ended");
     }
 }
--- a/crates/edge/src/prompt_crashes.rs
+++ b/crates/edge/src/prompt_crashes.rs
@@ -20,8 +20,9 @@
 
 /// Crashes in a row after which a segment is blocked.
 pub const CRASHES_TO_BLOCK: usize = 3;
-/// Time for which a segment stays blocked after the last crash, in milliseconds. Each
-/// attempt to find out whether it is sound again may cost an upstream and all its streams.
+/// Time after the last crash for which a segment stays blocked, or is remembered if it is
+/// not, in milliseconds. Each attempt to find out whether it is sound again may cost an
+/// upstream and all its streams.
 pub const BLOCK_MS: u64 = 600_000;
 /// Time after the first bytes of an answer in which its prompt may be why the upstream
 /// crashes, in milliseconds. Covers delays on the way to this router.
@@ -50,9 +51,6 @@
 /// Crashes of the same process within this time are one that several routers saw at
 /// different times, in milliseconds.
 const SAME_PROCESS_MS: u64 = 3_000;
-/// Time after the last crash after which a segment that is not blocked is forgotten, in
-/// milliseconds.
-const FORGET_MS: u64 = 60_000;
 /// Largest numbers of segments, of crashes of a segment and of processes of a crash that
 /// are kept, to bound the memory.
 const MAX_SEGMENTS: usize = 512;
@@ -140,9 +138,7 @@
     }
 
     fn is_over(&self, now_ms: u64) -> bool {
-        let lifetime_ms =
-            if self.unanswered().count() >= CRASHES_TO_BLOCK { BLOCK_MS } else { FORGET_MS };
-        now_ms >= self.last_crash_ms() + lifetime_ms
+        now_ms >= self.last_crash_ms() + BLOCK_MS
     }
 
     /// Adds a crash, unless it is known. Returns whether it was added.
@@ -418,10 +414,11 @@
         news
     }
 
-    /// The most suspicious segments, for a router that may not know of them.
+    /// The segments with more than one crash, the most suspicious first, for a router that
+    /// may not know of them.
     pub fn copy(&self, now_ms: u64) -> Vec<SegmentNotice> {
         let mut suspects: Vec<(&SegmentId, &History)> =
-            self.histories.iter().filter(|(_, history)| history.unanswered().count() > 0).collect();
+            self.histories.iter().filter(|(_, history)| history.unanswered().count() > 1).collect();
         suspects.sort_by_key(|(segment, history)| {
             (std::cmp::Reverse(history.unanswered().count()), **segment)
         });
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,7 +13,7 @@
 use tracing::{info, warn};
 
 use crate::{
-    clock, listen, log::Log, metrics::Counter, node::Node, overload, peers::Peers,
+    clock, listen, log::Log, metrics::Counter, node::Node, overload, peers::Peers, prompt_crashes,
     settings::Settings, socket, store::Store, store_sync, wire_format::WireFormat,
 };
 
@@ -115,7 +115,6 @@
     spawn_local(peers.clone().receive_datagrams());
     spawn_local(peers.clone().exchange_summaries());
     spawn_local(peers.clone().send_outbox());
-    spawn_local(node.clone().exchange_prompt_crashes());
     spawn_local(store_sync::watch_config(node.clone(), store.clone()));
     spawn_local(store_sync::watch_upstreams(node.clone(), store.clone()));
     spawn_local(store_sync::sync_routers(node.clone(), store));
@@ -156,6 +155,7 @@
 async fn run_periodic_tasks(node: Rc<Node>, log: Log) {
     // The difference of the clocks grows only while the instance is suspended.
     let mut last_clock_offset_ms = clock::boot_ms().saturating_sub(node.now_ms());
+    let (mut prompt_tick_ms, mut prompt_ticks) = (node.now_ms(), 0);
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
         let now_ms = node.now_ms();
@@ -168,6 +168,11 @@
             );
         }
         last_clock_offset_ms = clock_offset_ms;
+        if now_ms >= prompt_tick_ms {
+            prompt_tick_ms = now_ms + prompt_crashes::TICK_INTERVAL_MS;
+            prompt_ticks += 1;
+            node.tick_prompt_crashes(prompt_ticks);
+        }
         node.pool.expire(now_ms);
         let changes = node.state().registry.expire(now_ms);
         node.apply_upstream_changes(&changes);
