Suspect prompts that wait less, and let blocks end sooner

A segment of a prompt that only waits when an upstream crashes now needs five crashes instead of three, and an answer counts as just begun for 0.25 s instead of 0.5 s.

Since such a block can still be wrong, it lasts two minutes instead of ten, and as long as the segment has been crashing upstreams if that is more, at most an hour, so that a bad segment costs an upstream ever more rarely.

--- a/crates/edge/src/crash_exchange.rs
+++ b/crates/edge/src/crash_exchange.rs
@@ -10,7 +10,7 @@
     metrics::Counter,
     node::Node,
     peers::Packet,
-    prompt_crashes::{COPY_RECEIVERS, MAX_NOTICES, SegmentNotice, TICKS_PER_COPY},
+    prompt_crashes::{COPY_RECEIVERS, MAX_NOTICES, Progress, SegmentNotice, TICKS_PER_COPY},
     wire_format::SegmentId,
 };
 
@@ -33,7 +33,8 @@
             if change.is_blocked {
                 warn!(
                     %segment,
-                    crashes = change.crashes,
+                    while_answering = change.while_answering,
+                    while_waiting = change.while_waiting,
                     "upstreams crash on a prompt segment; requests with it are rejected"
                 );
             } else {
@@ -70,9 +71,14 @@
     }
 
     /// Records that an answer broke off while its prompt may have been the reason.
-    pub(crate) fn answer_broke(&self, upstream: &UpstreamName, segments: &Rc<[SegmentId]>) {
+    pub(crate) fn answer_broke(
+        &self,
+        upstream: &UpstreamName,
+        segments: &Rc<[SegmentId]>,
+        progress: Progress,
+    ) {
         let now_ms = self.now_ms();
-        self.state().prompt_crashes.record_broken(now_ms, upstream, segments);
+        self.state().prompt_crashes.record_broken(now_ms, upstream, segments, progress);
     }
 
     /// Records that an answer ended with its connection, which a crash of the upstream on
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -9,7 +9,7 @@
 use crate::{
     node::Node,
     placement::{ChosenUpstream, PromptPrefix},
-    prompt_crashes::RISK_MS,
+    prompt_crashes::{ANSWERED_MS, Progress, RISK_MS},
     state::LaneTicket,
     stream_origin::StreamOrigin,
     upstream_load::AttemptResult,
@@ -101,22 +101,45 @@
 struct SentPrompt {
     shared_segments: Rc<[SegmentId]>,
     sent_ms: u64,
+    /// When the head of the answer arrived.
+    began_ms: Option<u64>,
+    /// When the first bytes of its body arrived.
     first_bytes_ms: Option<u64>,
 }
 
+impl SentPrompt {
+    /// How far the upstream is, if its crash at `now_ms` may be due to the prompt.
+    fn progress(&self, now_ms: u64) -> Option<Progress> {
+        let begin_ms = self.first_bytes_ms.or(self.began_ms);
+        if begin_ms.is_some_and(|begin_ms| now_ms < begin_ms + RISK_MS) {
+            return Some(Progress::Answering);
+        }
+        self.first_bytes_ms.is_none().then_some(Progress::Waiting)
+    }
+}
+
 impl InFlightRequest {
     /// Records that the prompt is sent to the current upstream.
     pub(crate) fn prompt_sent(&mut self, shared_segments: &Rc<[SegmentId]>) {
         let shared_segments = shared_segments.clone();
         let sent_ms = self.node.now_ms();
-        self.sent_prompt = Some(SentPrompt { shared_segments, sent_ms, first_bytes_ms: None });
+        self.sent_prompt =
+            Some(SentPrompt { shared_segments, sent_ms, began_ms: None, first_bytes_ms: None });
+    }
+
+    /// Records the arrival of the head of the answer.
+    pub(crate) fn answer_begins(&mut self) {
+        let now_ms = self.node.now_ms();
+        if let Some(prompt) = &mut self.sent_prompt {
+            prompt.began_ms = Some(now_ms);
+        }
     }
 
     /// Records the arrival of bytes of the answer.
     pub(crate) fn answer_arrives(&mut self, now_ms: u64) {
         if let Some(prompt) = &mut self.sent_prompt {
             let first_ms = *prompt.first_bytes_ms.get_or_insert(now_ms);
-            if now_ms >= first_ms + RISK_MS {
+            if now_ms >= first_ms + ANSWERED_MS {
                 self.prompt_answered();
             }
         }
@@ -141,8 +164,11 @@
 
     /// Records that the connection to the upstream broke.
     pub(crate) fn connection_broke(&mut self) {
-        if let (Some(prompt), Some(chosen)) = (self.sent_prompt.take(), &self.chosen) {
-            self.node.answer_broke(&chosen.upstream, &prompt.shared_segments);
+        let now_ms = self.node.now_ms();
+        if let (Some(prompt), Some(chosen)) = (self.sent_prompt.take(), &self.chosen)
+            && let Some(progress) = prompt.progress(now_ms)
+        {
+            self.node.answer_broke(&chosen.upstream, &prompt.shared_segments, progress);
         }
     }
 
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -487,6 +487,7 @@
         };
         let result = attempt::attempt(node, &data, &destination, until_ms).await;
         if let Ok(answer) = &result {
+            in_flight.answer_begins();
             record.reported_load = answer.load;
             record.framing = Some(answer.framing);
         }
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -317,6 +317,7 @@
                         Broken::failed(format!("the upstream answered {}", parts.status))
                     }
                     Ok(Answer { body, framing, connection, idle_timeout_ms, .. }) => {
+                        self.in_flight.answer_begins();
                         self.record.framing = Some(framing);
                         self.framing = framing;
                         self.boundary = Some(EventBoundary::default());
--- a/crates/edge/src/prompt_crashes.rs
+++ b/crates/edge/src/prompt_crashes.rs
@@ -18,15 +18,23 @@
 
 use crate::wire_format::SegmentId;
 
-/// Crashes in a row after which a segment is blocked.
-pub const CRASHES_TO_BLOCK: usize = 3;
-/// Time after the last crash for which a segment stays blocked, or is remembered if it is
-/// not, in milliseconds. Each attempt to find out whether it is sound again may cost an
-/// upstream and all its streams.
-pub const BLOCK_MS: u64 = 600_000;
-/// Time after the first bytes of an answer in which its prompt may be why the upstream
-/// crashes, in milliseconds. Covers delays on the way to this router.
-pub const RISK_MS: u64 = 500;
+/// Points from crashes in a row with which a segment is blocked: three crashes at the begin
+/// of an answer, or five while requests waited. A prompt that waits is mostly there by
+/// chance, but the begin of its answer may be lost with the connection.
+const POINTS_TO_BLOCK: u32 = 15;
+/// Least and greatest time after the last crash for which a segment stays blocked, in
+/// milliseconds. In between, it is the time over which the segment is known to crash
+/// upstreams: each end of a block may cost an upstream and all its streams, and twice as
+/// much time passes before the next.
+pub const MIN_AND_MAX_BLOCK_MS: (u64, u64) = (120_000, 3_600_000);
+/// Time after the last crash for which a segment is remembered at least, in milliseconds.
+const MIN_MEMORY_MS: u64 = 600_000;
+/// Time after the begin of an answer in which its prompt may be why the upstream crashes,
+/// in milliseconds. Covers delays on the way to this router.
+pub const RISK_MS: u64 = 250;
+/// Time after the first bytes of an answer from which its prompt has not crashed the
+/// upstream, in milliseconds.
+pub const ANSWERED_MS: u64 = 500;
 /// Crashes within this time count as one, in milliseconds: when many upstreams end at
 /// once, their prompts are not the reason.
 pub const SEPARATION_MS: u64 = 400;
@@ -71,6 +79,24 @@
     }
 }
 
+/// How far an upstream was with a request when it crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Progress {
+    /// It had not begun to answer, as far as the router knows.
+    Waiting,
+    /// It had just begun to answer.
+    Answering,
+}
+
+impl Progress {
+    fn points(self) -> u32 {
+        match self {
+            Self::Waiting => 3,
+            Self::Answering => 5,
+        }
+    }
+}
+
 /// Crash of an upstream, or of several at about the same time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNotice {
@@ -78,6 +104,8 @@
     pub age_ms: u64,
     /// The processes that ended.
     pub processes: Vec<ProcessKey>,
+    /// How far they were with a request that has the segment.
+    pub progress: Progress,
 }
 
 /// What a router tells others of a segment.
@@ -98,6 +126,7 @@
     /// When this router learned of it.
     learned_ms: u64,
     processes: Vec<ProcessKey>,
+    progress: Progress,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -125,10 +154,21 @@
             .filter(move |crash| answered_ms.is_none_or(|answered_ms| crash.at_ms >= answered_ms))
     }
 
+    /// Time for which a block lasts after the last crash, in milliseconds.
+    fn block_ms(&self) -> u64 {
+        let first_ms = self.unanswered().next().map_or(u64::MAX, |crash| crash.at_ms);
+        let known_ms = self.last_crash_ms().saturating_sub(first_ms);
+        known_ms.clamp(MIN_AND_MAX_BLOCK_MS.0, MIN_AND_MAX_BLOCK_MS.1)
+    }
+
     /// End of the block at `now_ms`, if there is one.
     fn blocked_until_ms(&self, now_ms: u64) -> Option<u64> {
-        let decisive = self.unanswered().nth(CRASHES_TO_BLOCK - 1)?;
-        let until_ms = self.last_crash_ms() + BLOCK_MS;
+        let mut points = 0;
+        let decisive = self.unanswered().find(|crash| {
+            points += crash.progress.points();
+            points >= POINTS_TO_BLOCK
+        })?;
+        let until_ms = self.last_crash_ms() + self.block_ms();
         (now_ms >= decisive.learned_ms + OBJECTION_MS && now_ms < until_ms).then_some(until_ms)
     }
 
@@ -138,11 +178,17 @@
     }
 
     fn is_over(&self, now_ms: u64) -> bool {
-        now_ms >= self.last_crash_ms() + BLOCK_MS
+        now_ms >= self.last_crash_ms() + MIN_MEMORY_MS.max(2 * self.block_ms())
     }
 
-    /// Adds a crash, unless it is known. Returns whether it was added.
-    fn add_crash(&mut self, now_ms: u64, at_ms: u64, processes: &[ProcessKey]) -> bool {
+    /// Adds a crash, unless it is known. Returns whether it is news.
+    fn add_crash(
+        &mut self,
+        now_ms: u64,
+        at_ms: u64,
+        processes: &[ProcessKey],
+        progress: Progress,
+    ) -> bool {
         let is_shared = |crash: &Crash| {
             crash.at_ms.abs_diff(at_ms) < SAME_PROCESS_MS
                 && crash.processes.iter().any(|process| processes.contains(process))
@@ -153,18 +199,22 @@
         if let Some(known) = position.map(|position| &mut self.crashes[position]) {
             // News takes time, so the earliest time is the most exact.
             known.at_ms = known.at_ms.min(at_ms);
+            let is_news = progress > known.progress;
+            known.progress = known.progress.max(progress);
             for process in processes {
                 let is_new = !known.processes.contains(process);
                 if is_new && known.processes.len() < MAX_PROCESSES {
                     known.processes.push(*process);
                 }
             }
-            return false;
+            return is_news;
         }
-        self.crashes.push(Crash { at_ms, learned_ms: now_ms, processes: processes.to_vec() });
+        let processes = processes.to_vec();
+        self.crashes.push(Crash { at_ms, learned_ms: now_ms, processes, progress });
         self.crashes.sort_by_key(|crash| crash.at_ms);
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
+            // The first one tells for how long the segment has crashed upstreams.
+            self.crashes.remove(1);
         }
         true
     }
@@ -173,6 +223,7 @@
         let crashes = self.crashes.iter().map(|crash| CrashNotice {
             age_ms: now_ms.saturating_sub(crash.at_ms),
             processes: crash.processes.clone(),
+            progress: crash.progress,
         });
         SegmentNotice {
             segment,
@@ -187,6 +238,7 @@
 struct BrokenAnswer {
     broken_ms: u64,
     segments: Rc<[SegmentId]>,
+    progress: Progress,
     /// When the request was sent, if the answer is complete unless the upstream crashed.
     sent_if_complete_ms: Option<u64>,
 }
@@ -198,8 +250,10 @@
     pub segment: SegmentId,
     /// Whether it is blocked now.
     pub is_blocked: bool,
-    /// Crashes at which it was about to be answered.
-    pub crashes: usize,
+    /// Crashes of upstreams that had just begun to answer on it.
+    pub while_answering: usize,
+    /// Crashes of upstreams at which requests with it waited.
+    pub while_waiting: usize,
 }
 
 /// What a router knows of segments that may crash upstreams.
@@ -221,11 +275,12 @@
         now_ms: u64,
         upstream: &UpstreamName,
         segments: &Rc<[SegmentId]>,
+        progress: Progress,
     ) {
-        self.record_end(now_ms, upstream, segments, None);
+        self.record_end(now_ms, upstream, segments, progress, None);
     }
 
-    /// Records that an answer ended with its connection, within [`RISK_MS`]: it is
+    /// Records that an answer ended with its connection soon after its begin: it is
     /// complete, unless the upstream is found to have ended. The request was sent at
     /// `sent_ms`.
     pub fn record_closed(
@@ -235,7 +290,7 @@
         segments: &Rc<[SegmentId]>,
         sent_ms: u64,
     ) {
-        self.record_end(now_ms, upstream, segments, Some(sent_ms));
+        self.record_end(now_ms, upstream, segments, Progress::Answering, Some(sent_ms));
     }
 
     fn record_end(
@@ -243,13 +298,14 @@
         now_ms: u64,
         upstream: &UpstreamName,
         segments: &Rc<[SegmentId]>,
+        progress: Progress,
         sent_if_complete_ms: Option<u64>,
     ) {
         if segments.is_empty() {
             return;
         }
         let segments = segments.clone();
-        let answer = BrokenAnswer { broken_ms: now_ms, segments, sent_if_complete_ms };
+        let answer = BrokenAnswer { broken_ms: now_ms, segments, progress, sent_if_complete_ms };
         if self.ended.contains_key(upstream) {
             self.add_crash(now_ms, upstream, &[answer]);
         } else {
@@ -286,16 +342,23 @@
         let Some(at_ms) = answers.iter().map(|answer| answer.broken_ms).min() else {
             return;
         };
-        let segments: BTreeSet<SegmentId> =
-            answers.iter().flat_map(|answer| answer.segments.iter().copied()).collect();
-        let blocked: BTreeSet<SegmentId> = segments.intersection(&self.blocked).copied().collect();
+        let mut suspects: BTreeMap<SegmentId, Progress> = BTreeMap::new();
+        for answer in answers {
+            for segment in answer.segments.iter() {
+                let progress = suspects.entry(*segment).or_insert(answer.progress);
+                *progress = answer.progress.max(*progress);
+            }
+        }
         // A blocked segment explains the crash.
-        let suspects = if blocked.is_empty() { segments } else { blocked };
-        for segment in suspects {
+        if suspects.keys().any(|segment| self.blocked.contains(segment)) {
+            suspects.retain(|segment, _| self.blocked.contains(segment));
+        }
+        for (segment, progress) in suspects {
             let history = self.history(segment);
-            let is_new = history.add_crash(now_ms, at_ms, &[ProcessKey::new(upstream)]);
-            history.has_untold_crash |= is_new;
-            history.has_untold_answer |= is_new && history.has_answer_after_first_crash();
+            let process = ProcessKey::new(upstream);
+            let is_news = history.add_crash(now_ms, at_ms, &[process], progress);
+            history.has_untold_crash |= is_news;
+            history.has_untold_answer |= is_news && history.has_answer_after_first_crash();
         }
     }
 
@@ -328,7 +391,8 @@
     /// Takes over what another router tells.
     pub fn learn(&mut self, now_ms: u64, notices: &[SegmentNotice]) {
         for notice in notices {
-            let has_recent = notice.crashes.iter().any(|crash| crash.age_ms < BLOCK_MS);
+            let has_recent =
+                notice.crashes.iter().any(|crash| crash.age_ms < MIN_AND_MAX_BLOCK_MS.1);
             if !has_recent {
                 continue;
             }
@@ -336,7 +400,7 @@
             let mut has_new_crash = false;
             for crash in &notice.crashes {
                 let at_ms = now_ms.saturating_sub(crash.age_ms);
-                has_new_crash |= history.add_crash(now_ms, at_ms, &crash.processes);
+                has_new_crash |= history.add_crash(now_ms, at_ms, &crash.processes, crash.progress);
             }
             history.has_untold_answer |= has_new_crash && history.has_answer_after_first_crash();
             let told_ms = notice.answered_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms));
@@ -361,6 +425,12 @@
         self.blocked.len()
     }
 
+    /// Crashes without an answer since, by the progress of the upstream.
+    fn crash_count(&self, segment: SegmentId, progress: Progress) -> usize {
+        let history = self.histories.get(&segment).into_iter();
+        history.flat_map(History::unanswered).filter(|crash| crash.progress == progress).count()
+    }
+
     /// Forgets what is over, blocks segments and ends blocks. Returns the changes.
     pub fn tick(&mut self, now_ms: u64) -> Vec<BlockChange> {
         self.histories.retain(|_, history| !history.is_over(now_ms));
@@ -395,7 +465,8 @@
         let changed = blocked.symmetric_difference(&self.blocked).map(|segment| BlockChange {
             segment: *segment,
             is_blocked: blocked.contains(segment),
-            crashes: self.histories.get(segment).map_or(0, |history| history.crashes.len()),
+            while_answering: self.crash_count(*segment, Progress::Answering),
+            while_waiting: self.crash_count(*segment, Progress::Waiting),
         });
         let changes = changed.collect();
         self.blocked = blocked;
