Keep weak suspicion of prompts whose answer began a while ago

A router that is late with its work may see the crash more than 0.25 s after the begin of the answer; such a prompt was no suspect at all.

--- a/crates/edge/src/crash_exchange.rs
+++ b/crates/edge/src/crash_exchange.rs
@@ -87,10 +87,12 @@
         &self,
         upstream: &UpstreamName,
         segments: &Rc<[SegmentId]>,
+        progress: Progress,
         sent_ms: u64,
     ) {
         let now_ms = self.now_ms();
-        self.state().prompt_crashes.record_closed(now_ms, upstream, segments, sent_ms);
+        let mut state = self.state();
+        state.prompt_crashes.record_closed(now_ms, upstream, segments, progress, sent_ms);
     }
 
     /// Records that an upstream has answered on a prompt that was sent at `sent_ms`.
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -114,7 +114,9 @@
         if begin_ms.is_some_and(|begin_ms| now_ms < begin_ms + RISK_MS) {
             return Some(Progress::Answering);
         }
-        self.first_bytes_ms.is_none().then_some(Progress::Waiting)
+        let has_answered =
+            self.first_bytes_ms.is_some_and(|first_ms| now_ms >= first_ms + ANSWERED_MS);
+        (!has_answered).then_some(Progress::Waiting)
     }
 }
 
@@ -153,12 +155,14 @@
 
     /// Records the end of a successful answer.
     pub(crate) fn answer_succeeded(&mut self, framing: Framing) {
-        if framing != Framing::UntilClose {
+        let now_ms = self.node.now_ms();
+        let progress = self.sent_prompt.as_ref().and_then(|prompt| prompt.progress(now_ms));
+        let Some(progress) = progress.filter(|_| framing == Framing::UntilClose) else {
             return self.prompt_answered();
-        }
+        };
         if let (Some(prompt), Some(chosen)) = (self.sent_prompt.take(), &self.chosen) {
             let SentPrompt { shared_segments, sent_ms, .. } = prompt;
-            self.node.answer_closed(&chosen.upstream, &shared_segments, sent_ms);
+            self.node.answer_closed(&chosen.upstream, &shared_segments, progress, sent_ms);
         }
     }
 
--- a/crates/edge/src/prompt_crashes.rs
+++ b/crates/edge/src/prompt_crashes.rs
@@ -82,7 +82,8 @@
 /// How far an upstream was with a request when it crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Progress {
-    /// It had not begun to answer, as far as the router knows.
+    /// It had not begun to answer, as far as the router knows, or not within
+    /// [`RISK_MS`].
     Waiting,
     /// It had just begun to answer.
     Answering,
@@ -269,7 +270,7 @@
 
 impl PromptCrashes {
     /// Records that the connection to an upstream broke before the upstream had answered
-    /// for [`RISK_MS`] on a prompt with these segments.
+    /// for [`ANSWERED_MS`] on a prompt with these segments.
     pub fn record_broken(
         &mut self,
         now_ms: u64,
@@ -280,7 +281,7 @@
         self.record_end(now_ms, upstream, segments, progress, None);
     }
 
-    /// Records that an answer ended with its connection soon after its begin: it is
+    /// Records that an answer ended with its connection within [`ANSWERED_MS`]: it is
     /// complete, unless the upstream is found to have ended. The request was sent at
     /// `sent_ms`.
     pub fn record_closed(
@@ -288,9 +289,10 @@
         now_ms: u64,
         upstream: &UpstreamName,
         segments: &Rc<[SegmentId]>,
+        progress: Progress,
         sent_ms: u64,
     ) {
-        self.record_end(now_ms, upstream, segments, Progress::Answering, Some(sent_ms));
+        self.record_end(now_ms, upstream, segments, progress, Some(sent_ms));
     }
 
     fn record_end(
--- a/crates/edge/tests/prompt_crashes.rs
+++ b/crates/edge/tests/prompt_crashes.rs
@@ -261,7 +261,8 @@
             crashes.record_ended(at_ms, &upstream(number));
         }
         let sent_ms = 1_000 + 3 * APART_MS;
-        crashes.record_closed(sent_ms + 100, &upstream(3), &prompt, sent_ms);
+        let progress = Progress::Answering;
+        crashes.record_closed(sent_ms + 100, &upstream(3), &prompt, progress, sent_ms);
         if ends {
             crashes.record_ended(sent_ms + 150, &upstream(3));
         }
