Leave upstreams alone that ask for a pause, in the product's own router

An upstream that answered 503 with Retry-After got the next request at once; the new test had six further requests in three rounds. It gets none for that time now, then one as a probe. Answers to earlier requests do not end the pause, and failures do not shorten it.

--- a/crates/router/src/control/command.rs
+++ b/crates/router/src/control/command.rs
@@ -57,6 +57,11 @@
 pub enum AttemptResult {
     /// The upstream answered, if only with an error.
     Answered,
+    /// The upstream answered 503 and asked for no requests for this time.
+    Paused {
+        /// The time, in milliseconds.
+        pause_ms: u64,
+    },
     /// The upstream could not be reached, or its answer was interrupted.
     Failed,
     /// The upstream sent nothing within the silence limit.
--- a/crates/router/src/control/state.rs
+++ b/crates/router/src/control/state.rs
@@ -190,11 +190,17 @@
     fn record_result(&mut self, now_ms: u64, upstream: &UpstreamName, result: AttemptResult) {
         match result {
             AttemptResult::Answered => {
-                if self.health.record_answer(upstream) {
+                if self.health.record_answer(now_ms, upstream) {
                     tracing::info!(%upstream, "upstream recovered");
                     self.update_fixed_slots();
                 }
             }
+            AttemptResult::Paused { pause_ms } => {
+                if self.health.record_pause(now_ms, upstream, pause_ms) {
+                    tracing::info!(%upstream, pause_ms, "upstream asks for a pause");
+                    self.update_fixed_slots();
+                }
+            }
             AttemptResult::Failed | AttemptResult::Silent => {
                 let silent = result == AttemptResult::Silent;
                 let counter =
--- a/crates/router/src/frontend/attempts.rs
+++ b/crates/router/src/frontend/attempts.rs
@@ -43,7 +43,10 @@
             UpstreamAttempt::new(frontend, &run.id, permit, upstream_request.is_engine);
         let sent_before = std::mem::replace(&mut run.sent, true);
         let error = match send_attempt(frontend, run, upstream_request, &attempt).await {
-            Ok(answer) => return Ok((answer, attempt)),
+            Ok(answer) => {
+                attempt.answer_begins(&answer);
+                return Ok((answer, attempt));
+            }
             Err(error) => error,
         };
         if error == SendError::NotConnected {
--- a/crates/router/src/frontend/upstream.rs
+++ b/crates/router/src/frontend/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::RETRY_AFTER};
 use hyper::body::Incoming;
 use span_http::{Body, Client, empty_body};
 use span_types::{REQUEST_ID_HEADER, RESUME_OFFSET_HEADER, RequestId};
@@ -66,6 +66,17 @@
     }
 }
 
+/// Time for which an upstream that answers 503 asks for no requests, in milliseconds: its
+/// `Retry-After`, in seconds. A value that is no such number asks for nothing.
+fn requested_pause_ms(answer: &Response<Incoming>) -> Option<u64> {
+    if answer.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let seconds: f64 = answer.headers().get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    // A conversion of a float to an integer stops at the largest integer.
+    (seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+}
+
 /// An attempt at an upstream. Dropping it before its end abandons the attempt; an
 /// engine then receives a cancellation.
 pub(super) struct UpstreamAttempt {
@@ -76,6 +87,8 @@
     client: Client,
     id: RequestId,
     is_engine: bool,
+    /// Time for which the upstream's answer asks for no requests, in milliseconds.
+    requested_pause_ms: Option<u64>,
     ended: bool,
 }
 
@@ -89,13 +102,29 @@
             upstream = %permit.upstream,
         );
         let client = frontend.unpooled_client.clone();
-        Self { permit, span, client, id: id.clone(), is_engine, ended: false }
+        Self {
+            permit,
+            span,
+            client,
+            id: id.clone(),
+            is_engine,
+            requested_pause_ms: None,
+            ended: false,
+        }
+    }
+
+    /// Records what the head of the answer says of the upstream.
+    pub fn answer_begins(&mut self, answer: &Response<Incoming>) {
+        self.requested_pause_ms = requested_pause_ms(answer);
     }
 
     /// Ends the attempt; the upstream no longer works on the request.
     pub fn end(&mut self, result: AttemptResult) {
         self.ended = true;
-        self.permit.set_result(result);
+        self.permit.set_result(match (result, self.requested_pause_ms) {
+            (AttemptResult::Answered, Some(pause_ms)) => AttemptResult::Paused { pause_ms },
+            (result, _) => result,
+        });
     }
 
     /// Ends the attempt as failed, and cancels the request at an engine that may
--- a/crates/router/tests/pacing.rs
+++ b/crates/router/tests/pacing.rs
@@ -137,9 +137,11 @@
     Answered,
     Abandoned,
     Probe,
+    /// The upstream asks for a pause of 2 s.
+    Paused,
 }
 
-use Event::{Abandoned, Answered, Failed, Probe, Silent};
+use Event::{Abandoned, Answered, Failed, Paused, Probe, Silent};
 
 struct Case {
     guards_against: &'static str,
@@ -199,6 +201,25 @@
             510,
             Availability::Usable,
         ),
+        case("a pause ends early", vec![(0, Paused)], 1_999, Availability::Blocked),
+        case(
+            "all requests are sent at once after a pause",
+            vec![(0, Paused)],
+            2_000,
+            Availability::Probing,
+        ),
+        case(
+            "an answer to an earlier request ends a pause",
+            vec![(0, Paused), (100, Answered)],
+            1_999,
+            Availability::Blocked,
+        ),
+        case(
+            "a failure shortens a pause",
+            vec![(0, Paused), (100, Failed)],
+            1_999,
+            Availability::Blocked,
+        ),
         case(
             "a probe whose caller left blocks permanently",
             with(vec![(500, Probe), (510, Abandoned)]),
@@ -213,7 +234,8 @@
             match event {
                 Failed => drop(health.record_failure(now_ms, &upstream, false)),
                 Silent => drop(health.record_failure(now_ms, &upstream, true)),
-                Answered => drop(health.record_answer(&upstream)),
+                Answered => drop(health.record_answer(now_ms, &upstream)),
+                Paused => drop(health.record_pause(now_ms, &upstream, 2_000)),
                 Abandoned => health.record_abandoned(&upstream),
                 Probe => health.start_probe(&upstream),
             }
--- a/crates/router/tests/plain.rs
+++ b/crates/router/tests/plain.rs
@@ -10,11 +10,12 @@
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
 use common::{RefusingAddress, TestSetup, loopback, request, wait_until};
-use futures::{StreamExt, channel::mpsc};
+use futures::{StreamExt, channel::mpsc, future::join_all};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -276,6 +277,55 @@
     }
 }
 
+/// Guards against requests to an upstream that asked for a pause with a 503, and against a
+/// pause after an answer that asks for none.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_asks_for_a_pause_gets_no_requests() {
+    const ANSWER_TIME: Duration = Duration::from_millis(30);
+    struct Case {
+        name: &'static str,
+        status: StatusCode,
+        retry_after: &'static str,
+        pauses: bool,
+    }
+    let busy = StatusCode::SERVICE_UNAVAILABLE;
+    let cases = [
+        Case { name: "pause", status: busy, retry_after: "60", pauses: true },
+        Case { name: "no number", status: busy, retry_after: "soon", pauses: false },
+        Case { name: "success", status: StatusCode::OK, retry_after: "60", pauses: false },
+    ];
+    for Case { name, status, retry_after, pauses } in cases {
+        let count = Arc::new(AtomicU32::new(0));
+        let counted = Arc::clone(&count);
+        let pausing = bind(move |request: Request<Incoming>| {
+            counted.fetch_add(u32::from(request.method() == Method::POST), Ordering::SeqCst);
+            let response = Response::builder().status(status).header("retry-after", retry_after);
+            async move {
+                tokio::time::sleep(ANSWER_TIME).await;
+                response.body(full_body(Bytes::new())).expect("invalid response")
+            }
+        });
+        let pausing = pausing.await;
+        let other = bind(|_: Request<Incoming>| async {
+            tokio::time::sleep(ANSWER_TIME).await;
+            Response::new(full_body(Bytes::new()))
+        });
+        let other = other.await;
+        let setup = TestSetup::new().upstream("pages", pausing.address());
+        let setup = setup.upstream("pages", other.address()).start().await;
+        // Many at a time use both upstreams, unless one gets none.
+        let call = |_| setup.call(Method::POST, "/svc/pages/x", &[], "read");
+        join_all((0..6).map(call)).await;
+        let first = count.load(Ordering::SeqCst);
+        assert!(first > 0, "{name}: the upstream got no request");
+        for _ in 0..3 {
+            join_all((0..6).map(call)).await;
+        }
+        let further = count.load(Ordering::SeqCst) - first;
+        assert_eq!(further == 0, pauses, "{name}: {further} further requests");
+    }
+}
+
 /// Guards against a request that crashes upstreams being sent to one after the other until
 /// none is left.
 #[tokio::test(flavor = "multi_thread")]
