Block the most suspicious segments first, and read Retry-After in one place

With more suspects than can be blocked, those with the lowest ids were, and kept their place; the new check in few_segments_are_blocked_if_upstreams_crash_on_all fails without this. The pause that an upstream asks for is read by span-http for both routers.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use span_http::{EventBoundary, Framing, states_event_stream};
+use span_http::{EventBoundary, Framing, requested_pause_ms, states_event_stream};
 use span_types::UpstreamName;
 use tokio::time::timeout;
 
@@ -122,7 +122,8 @@
     if is_own && head::states_leaving(&parts.headers, &node.wire_format.headers) {
         node.upstream_states_leaving(upstream);
     }
-    if let Some(pause_ms) = head::requested_pause_ms(&parts).filter(|_| is_own) {
+    let pause_ms = requested_pause_ms(parts.status, &parts.headers);
+    if let Some(pause_ms) = pause_ms.filter(|_| is_own) {
         node.upstream_requests_pause(upstream, pause_ms);
     }
     let framing = Framing::of_response(&parts.headers, &body);
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use http::{
-    HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, Version,
+    HeaderMap, HeaderName, HeaderValue, Uri, Version,
     header::{
-        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, RETRY_AFTER, TE, TRAILER,
-        TRANSFER_ENCODING, UPGRADE,
+        CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING,
+        UPGRADE,
     },
     request, response,
 };
@@ -164,17 +164,6 @@
     values.any(|value| value.as_bytes().trim_ascii() == b"1")
 }
 
-/// Time for which an upstream that turned a request away asks for no further ones, in
-/// milliseconds. A `Retry-After` that is not a number of seconds from 0 on is ignored.
-pub(crate) fn requested_pause_ms(parts: &response::Parts) -> Option<u64> {
-    if parts.status != StatusCode::SERVICE_UNAVAILABLE {
-        return None;
-    }
-    let seconds: f64 = single(&parts.headers, &RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
-    // A conversion of a float to an integer stops at the largest integer.
-    (seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
-}
-
 /// Whether an answer is a series of events. Errors on the routes of streams are not.
 pub(crate) fn is_event_stream(parts: &response::Parts, kind: RouteKind) -> bool {
     states_event_stream(&parts.headers) || (kind.is_stream() && parts.status.is_success())
--- a/crates/edge/src/prompt_crashes.rs
+++ b/crates/edge/src/prompt_crashes.rs
@@ -8,6 +8,7 @@
 //! first of them, is blocked.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
@@ -64,8 +65,8 @@
 const MAX_SEGMENTS: usize = 512;
 const MAX_CRASHES: usize = 8;
 const MAX_PROCESSES: usize = 8;
-/// Largest number of blocked segments. If more seem to crash upstreams, the upstreams
-/// rather than the prompts are the reason.
+/// Largest number of blocked segments; the most suspicious ones. If more seem to crash
+/// upstreams, the upstreams rather than the prompts are the reason.
 pub const MAX_BLOCKED: usize = 8;
 
 /// Identifies the process of an upstream, for comparisons between routers.
@@ -155,6 +156,11 @@
             .filter(move |crash| answered_ms.is_none_or(|answered_ms| crash.at_ms >= answered_ms))
     }
 
+    /// Weight of the suspicion.
+    fn points(&self) -> u32 {
+        self.unanswered().map(|crash| crash.progress.points()).sum()
+    }
+
     /// Time for which a block lasts after the last crash, in milliseconds.
     fn block_ms(&self) -> u64 {
         let first_ms = self.unanswered().next().map_or(u64::MAX, |crash| crash.at_ms);
@@ -451,19 +457,12 @@
         for (sent_ms, segments) in complete {
             self.record_answered(sent_ms, &segments);
         }
-        let is_due = |segment: &SegmentId| {
-            let history = self.histories.get(segment);
-            history.is_some_and(|history| history.blocked_until_ms(now_ms).is_some())
-        };
-        let mut blocked: BTreeSet<SegmentId> =
-            self.blocked.iter().copied().filter(is_due).collect();
-        let mut due: Vec<SegmentId> = self.histories.keys().copied().filter(is_due).collect();
-        due.sort();
-        for segment in due {
-            if blocked.len() < MAX_BLOCKED {
-                blocked.insert(segment);
-            }
-        }
+        let is_due =
+            |(_, history): &(&SegmentId, &History)| history.blocked_until_ms(now_ms).is_some();
+        let mut due: Vec<(&SegmentId, &History)> = self.histories.iter().filter(is_due).collect();
+        due.sort_by_key(|(segment, history)| (Reverse(history.points()), **segment));
+        let blocked: BTreeSet<SegmentId> =
+            due.into_iter().take(MAX_BLOCKED).map(|(segment, _)| *segment).collect();
         let changed = blocked.symmetric_difference(&self.blocked).map(|segment| BlockChange {
             segment: *segment,
             is_blocked: blocked.contains(segment),
@@ -492,9 +491,7 @@
     pub fn copy(&self, now_ms: u64) -> Vec<SegmentNotice> {
         let mut suspects: Vec<(&SegmentId, &History)> =
             self.histories.iter().filter(|(_, history)| history.unanswered().count() > 1).collect();
-        suspects.sort_by_key(|(segment, history)| {
-            (std::cmp::Reverse(history.unanswered().count()), **segment)
-        });
+        suspects.sort_by_key(|(segment, history)| (Reverse(history.points()), **segment));
         suspects.truncate(MAX_NOTICES);
         suspects.into_iter().map(|(segment, history)| history.notice(now_ms, *segment)).collect()
     }
--- a/crates/edge/tests/prompt_crashes.rs
+++ b/crates/edge/tests/prompt_crashes.rs
@@ -308,14 +308,17 @@
 #[test]
 fn few_segments_are_blocked_if_upstreams_crash_on_all() {
     let mut crashes = PromptCrashes::default();
-    let prompt: Vec<u64> = (0..40).collect();
-    for number in 0..4 {
+    let others: Vec<u64> = (0..40).collect();
+    let all: Vec<u64> = others.iter().copied().chain([BAD]).collect();
+    for number in 0..5 {
         let at_ms = number * APART_MS;
-        crashes.record_broken(at_ms, &upstream(number), &segments(&prompt), Progress::Answering);
+        let prompt = if number < 4 { &all } else { &vec![BAD] };
+        crashes.record_broken(at_ms, &upstream(number), &segments(prompt), Progress::Answering);
         crashes.record_ended(at_ms, &upstream(number));
     }
     crashes.tick(10_000);
     assert_eq!(crashes.blocked_count(), MAX_BLOCKED);
+    assert!(is_blocked(&crashes, 10_000, BAD), "the most suspicious one is not blocked");
 }
 
 /// Routers that exchange news, in virtual time.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 mod event_boundary;
 mod framing;
 mod orderly_close;
+mod pause;
 mod server;
 mod write_timeout;
 
@@ -18,4 +19,5 @@
 pub use event_boundary::{BrokenStream, EventBoundary, states_event_stream};
 pub use framing::Framing;
 pub use orderly_close::{AnswerEnd, OrderlyCloseStream};
+pub use pause::requested_pause_ms;
 pub use server::{Limits, Server, serve, serve_listener};
--- a/crates/router/src/frontend/upstream.rs
+++ b/crates/router/src/frontend/upstream.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use span_http::{Body, Client, empty_body};
+use span_http::{Body, Client, empty_body, requested_pause_ms};
 use span_types::{REQUEST_ID_HEADER, RESUME_OFFSET_HEADER, RequestId};
 use tracing::Span;
 
@@ -66,17 +66,6 @@
     }
 }
 
-/// Time for which an upstream that answers 503 asks for no requests, in milliseconds: its
-/// `Retry-After`, in seconds. A value that is no such number asks for nothing.
-fn requested_pause_ms(answer: &Response<Incoming>) -> Option<u64> {
-    if answer.status() != StatusCode::SERVICE_UNAVAILABLE {
-        return None;
-    }
-    let seconds: f64 = answer.headers().get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
-    // A conversion of a float to an integer stops at the largest integer.
-    (seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
-}
-
 /// An attempt at an upstream. Dropping it before its end abandons the attempt; an
 /// engine then receives a cancellation.
 pub(super) struct UpstreamAttempt {
@@ -115,7 +104,7 @@
 
     /// Records what the head of the answer says of the upstream.
     pub fn answer_begins(&mut self, answer: &Response<Incoming>) {
-        self.requested_pause_ms = requested_pause_ms(answer);
+        self.requested_pause_ms = requested_pause_ms(answer.status(), answer.headers());
     }
 
     /// Ends the attempt; the upstream no longer works on the request.
