Do not tell callers that a request has not run after a lost answer

An idempotent request, or a stream before its first event, whose answer was lost at one upstream and that the next one refused, or that could not be sent there, got 503 "it did not run" with Retry-After. The first upstream may have run it. The caller now gets 502. request_that_may_have_run_is_not_said_to_have_not failed before (503 instead of 502).

--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -465,6 +465,8 @@
     let mut tried: Vec<UpstreamName> = Vec::new();
     let mut unsent_attempts = 0;
     let mut sent_attempts = 0;
+    // Whether any of the attempts may have run the request.
+    let mut may_have_run = false;
     let wait_until_ms = (node.now_ms() + MAX_CONTINUE_WAIT_MS).min(checked.deadline_ms);
     loop {
         let Some(upstream) = in_flight.upstream().cloned() else {
@@ -473,7 +475,8 @@
             return Err((ErrorReply::not_run(message, advice_ms), record));
         };
         // The segment may have been blocked while the request waited.
-        if let Some(error_reply) = blocked_reply(node, &mut record) {
+        let blocked = if may_have_run { None } else { blocked_reply(node, &mut record) };
+        if let Some(error_reply) = blocked {
             return Err((error_reply, record));
         }
         record.attempt_started(&upstream, in_flight.upstream_load());
@@ -544,7 +547,7 @@
             }
         };
         let is_retry = !matches!(failure, Failure::NotSent(_));
-        let may_have_run = !matches!(failure, Failure::NotSent(_) | Failure::NotRun(_));
+        may_have_run |= !matches!(failure, Failure::NotSent(_) | Failure::NotRun(_));
         match awaited_version {
             Some(version) => {
                 take_up::await_upstream(node, &checked.service, version, wait_until_ms).await;
@@ -567,7 +570,7 @@
             );
             continue;
         }
-        return reply_to_failure(node, failure, checked, &upstream, record).await;
+        return reply_to_failure(node, failure, may_have_run, checked, &upstream, record).await;
     }
 }
 
@@ -638,16 +641,22 @@
     Response::from_parts(parts, EdgeBody::complete(bytes))
 }
 
-/// Answers a request after its last attempt failed.
+/// Answers a request after its last attempt failed. `may_have_run` says whether any
+/// attempt may have run it.
 async fn reply_to_failure(
     node: &Rc<Node>,
     failure: Failure,
+    may_have_run: bool,
     checked: &CheckedRequest,
     upstream: &UpstreamName,
     record: RequestRecord,
 ) -> ForwardResult {
     let cause = describe(&failure);
     match failure {
+        Failure::NotSent(_) | Failure::NotRun(_) if may_have_run => {
+            let message = "the answer of an upstream is lost; the request may have run";
+            Err((ErrorReply::failed(StatusCode::BAD_GATEWAY, message, cause), record))
+        }
         Failure::NotSent(_) | Failure::NotRun(_) => {
             let mut error_reply = ErrorReply::not_run(
                 "no upstream took the request; it did not run",
