--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -97,7 +97,7 @@
     sent_prompt: Option<SentPrompt>,
 }
 
-/// A prompt that was sent to an upstream, and on which that has not answered for long yet.
+/// A prompt that was sent to an upstream which has not answered it for [`ANSWERED_MS`] yet.
 struct SentPrompt {
     shared_segments: Rc<[SegmentId]>,
     sent_ms: u64,
--- a/crates/edge/src/prompt_crashes.rs
+++ b/crates/edge/src/prompt_crashes.rs
@@ -19,18 +19,17 @@
 
 use crate::wire_format::SegmentId;
 
-/// Points from crashes in a row with which a segment is blocked: three crashes at the begin
-/// of an answer, or five while requests waited. A prompt that waits is mostly there by
-/// chance, but the begin of its answer may be lost with the connection.
+/// Points from crashes in a row with which a segment is blocked: three crashes at the
+/// start of an answer, or five while requests waited. A prompt that waits is mostly there
+/// by chance, but the start of its answer may be lost with the connection.
 const POINTS_TO_BLOCK: u32 = 15;
 /// Least and greatest time after the last crash for which a segment stays blocked, in
-/// milliseconds. In between, it is the time over which the segment is known to crash
-/// upstreams: each end of a block may cost an upstream and all its streams, and twice as
-/// much time passes before the next.
+/// milliseconds. In between, a block lasts as long as the segment has been known to crash
+/// upstreams: the end of each block may cost another upstream and all its streams.
 pub const MIN_AND_MAX_BLOCK_MS: (u64, u64) = (120_000, 3_600_000);
 /// Time after the last crash for which a segment is remembered at least, in milliseconds.
 const MIN_MEMORY_MS: u64 = 600_000;
-/// Time after the begin of an answer in which its prompt may be why the upstream crashes,
+/// Time after the start of an answer in which its prompt may be why the upstream crashes,
 /// in milliseconds. Covers delays on the way to this router.
 pub const RISK_MS: u64 = 250;
 /// Time after the first bytes of an answer from which its prompt has not crashed the
@@ -179,7 +178,8 @@
         (now_ms >= decisive.learned_ms + OBJECTION_MS && now_ms < until_ms).then_some(until_ms)
     }
 
-    /// Whether a router that knows of the crashes alone would wrongly suspect the segment.
+    /// Whether a router that knows the crashes but not the answers would suspect the segment
+    /// wrongly.
     fn has_answer_after_first_crash(&self) -> bool {
         self.crashes.len() > 1 && self.unanswered().count() < self.crashes.len()
     }
--- a/crates/edge/tests/prompt_crashes.rs
+++ b/crates/edge/tests/prompt_crashes.rs
@@ -132,7 +132,7 @@
 }
 
 /// Guards against blocking what waits at upstreams that crash for another reason, as if
-/// upstreams had begun to answer on it, and against not blocking it if the begins of the
+/// upstreams had begun to answer on it, and against not blocking it if the starts of the
 /// answers are always lost.
 #[test]
 fn prompts_that_wait_are_weaker_suspects() {
