Keep the order of crashes from before the start of a router

A router that starts learns of crashes from the others. Its clock starts at zero, so all that was older than the process was taken for one crash at zero, and the segment was not blocked there until it had run for longer than the crashes were old. Times of crashes are signed now.

--- a/crates/edge/src/prompt_crashes.rs
+++ b/crates/edge/src/prompt_crashes.rs
@@ -121,9 +121,10 @@
     pub answered_age_ms: Option<u64>,
 }
 
+/// A crash. Its time is signed, since it may be before the start of this process's clock.
 #[derive(Clone, Debug)]
 struct Crash {
-    at_ms: u64,
+    at_ms: i64,
     /// When this router learned of it.
     learned_ms: u64,
     processes: Vec<ProcessKey>,
@@ -135,15 +136,25 @@
     /// The oldest first.
     crashes: Vec<Crash>,
     /// When the last request with the segment was sent that got an answer.
-    answered_ms: Option<u64>,
+    answered_ms: Option<i64>,
     /// Whether a crash has to be told to the other routers.
     has_untold_crash: bool,
     /// Whether an answer has to be told to the other routers.
     has_untold_answer: bool,
 }
 
+/// Age at `now_ms` of what happened at `at_ms`, in milliseconds.
+fn age_ms(now_ms: u64, at_ms: i64) -> u64 {
+    u64::try_from(now_ms as i64 - at_ms).unwrap_or(0)
+}
+
+/// Time of what is `age_ms` old at `now_ms`, in milliseconds.
+fn time_ms(now_ms: u64, age_ms: u64) -> i64 {
+    (now_ms as i64).saturating_sub_unsigned(age_ms)
+}
+
 impl History {
-    fn last_crash_ms(&self) -> u64 {
+    fn last_crash_ms(&self) -> i64 {
         self.crashes.last().map_or(0, |crash| crash.at_ms)
     }
 
@@ -162,9 +173,9 @@
 
     /// Time for which a block lasts after the last crash, in milliseconds.
     fn block_ms(&self) -> u64 {
-        let first_ms = self.unanswered().next().map_or(u64::MAX, |crash| crash.at_ms);
-        let known_ms = self.last_crash_ms().saturating_sub(first_ms);
-        known_ms.clamp(MIN_AND_MAX_BLOCK_MS.0, MIN_AND_MAX_BLOCK_MS.1)
+        let last_ms = self.last_crash_ms();
+        let first_ms = self.unanswered().next().map_or(last_ms, |crash| crash.at_ms);
+        last_ms.abs_diff(first_ms).clamp(MIN_AND_MAX_BLOCK_MS.0, MIN_AND_MAX_BLOCK_MS.1)
     }
 
     /// End of the block at `now_ms`, if there is one.
@@ -174,7 +185,8 @@
             points += crash.progress.points();
             points >= POINTS_TO_BLOCK
         })?;
-        let until_ms = self.last_crash_ms() + self.block_ms();
+        let until_ms = self.last_crash_ms().checked_add_unsigned(self.block_ms())?;
+        let until_ms = u64::try_from(until_ms).ok()?;
         (now_ms >= decisive.learned_ms + OBJECTION_MS && now_ms < until_ms).then_some(until_ms)
     }
 
@@ -185,14 +197,14 @@
     }
 
     fn is_over(&self, now_ms: u64) -> bool {
-        now_ms >= self.last_crash_ms() + MIN_MEMORY_MS.max(2 * self.block_ms())
+        age_ms(now_ms, self.last_crash_ms()) >= MIN_MEMORY_MS.max(2 * self.block_ms())
     }
 
     /// Adds a crash, unless it is known. Returns whether it is news.
     fn add_crash(
         &mut self,
         now_ms: u64,
-        at_ms: u64,
+        at_ms: i64,
         processes: &[ProcessKey],
         progress: Progress,
     ) -> bool {
@@ -228,14 +240,14 @@
 
     fn notice(&self, now_ms: u64, segment: SegmentId) -> SegmentNotice {
         let crashes = self.crashes.iter().map(|crash| CrashNotice {
-            age_ms: now_ms.saturating_sub(crash.at_ms),
+            age_ms: age_ms(now_ms, crash.at_ms),
             processes: crash.processes.clone(),
             progress: crash.progress,
         });
         SegmentNotice {
             segment,
             crashes: crashes.collect(),
-            answered_age_ms: self.answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
+            answered_age_ms: self.answered_ms.map(|at_ms| age_ms(now_ms, at_ms)),
         }
     }
 }
@@ -364,7 +376,7 @@
         for (segment, progress) in suspects {
             let history = self.history(segment);
             let process = ProcessKey::new(upstream);
-            let is_news = history.add_crash(now_ms, at_ms, &[process], progress);
+            let is_news = history.add_crash(now_ms, at_ms as i64, &[process], progress);
             history.has_untold_crash |= is_news;
             history.has_untold_answer |= is_news && history.has_answer_after_first_crash();
         }
@@ -390,7 +402,7 @@
                 continue;
             };
             let unanswered = history.unanswered().count();
-            history.answered_ms = history.answered_ms.max(Some(sent_ms));
+            history.answered_ms = history.answered_ms.max(Some(sent_ms as i64));
             let is_news = history.unanswered().count() < unanswered;
             history.has_untold_answer |= is_news && history.has_answer_after_first_crash();
         }
@@ -407,11 +419,11 @@
             let history = self.history(notice.segment);
             let mut has_new_crash = false;
             for crash in &notice.crashes {
-                let at_ms = now_ms.saturating_sub(crash.age_ms);
+                let at_ms = time_ms(now_ms, crash.age_ms);
                 has_new_crash |= history.add_crash(now_ms, at_ms, &crash.processes, crash.progress);
             }
             history.has_untold_answer |= has_new_crash && history.has_answer_after_first_crash();
-            let told_ms = notice.answered_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms));
+            let told_ms = notice.answered_age_ms.map(|age_ms| time_ms(now_ms, age_ms));
             let own = history.unanswered().count();
             let own_ms = std::mem::replace(&mut history.answered_ms, told_ms);
             if history.unanswered().count() <= own {
--- a/crates/edge/tests/prompt_crashes.rs
+++ b/crates/edge/tests/prompt_crashes.rs
@@ -324,6 +324,8 @@
 /// Routers that exchange news, in virtual time.
 struct Fleet {
     routers: Vec<PromptCrashes>,
+    /// When each router's clock started.
+    starts_ms: Vec<u64>,
     rng: SmallRng,
     /// Fraction of the datagrams that are lost.
     loss: f64,
@@ -336,6 +338,7 @@
     fn new(routers: usize, loss: f64, seed: u64) -> Self {
         Self {
             routers: (0..routers).map(|_| PromptCrashes::default()).collect(),
+            starts_ms: vec![0; routers],
             rng: SmallRng::seed_from_u64(seed),
             loss,
             datagrams: Vec::new(),
@@ -360,7 +363,7 @@
         self.datagrams = later;
         let due: Vec<(u64, usize, Vec<SegmentNotice>)> = due;
         for (_, receiver, notices) in due {
-            self.routers[receiver].learn(now_ms, &notices);
+            self.routers[receiver].learn(now_ms - self.starts_ms[receiver], &notices);
         }
         let count = self.routers.len();
         for router in 0..count {
@@ -368,12 +371,13 @@
             if !(now_ms + phase_ms).is_multiple_of(TICK_INTERVAL_MS) {
                 continue;
             }
-            self.routers[router].tick(now_ms);
-            let news = self.routers[router].take_news(now_ms);
+            let router_now_ms = now_ms - self.starts_ms[router];
+            self.routers[router].tick(router_now_ms);
+            let news = self.routers[router].take_news(router_now_ms);
             (0..count).filter(|other| *other != router).for_each(|other| self.send(other, &news));
             let round = (now_ms + phase_ms) / TICK_INTERVAL_MS;
             if round.is_multiple_of(TICKS_PER_COPY) {
-                let copy = self.routers[router].copy(now_ms);
+                let copy = self.routers[router].copy(router_now_ms);
                 let others: Vec<usize> = (0..count).filter(|other| *other != router).collect();
                 let receivers: Vec<usize> =
                     others.sample(&mut self.rng, COPY_RECEIVERS).copied().collect();
@@ -387,7 +391,8 @@
     }
 
     fn routers_that_block(&self, id: u64) -> usize {
-        self.routers.iter().filter(|router| is_blocked(router, self.now_ms, id)).count()
+        let routers = self.routers.iter().zip(&self.starts_ms);
+        routers.filter(|(router, start_ms)| is_blocked(router, self.now_ms - *start_ms, id)).count()
     }
 }
 
@@ -456,6 +461,7 @@
             assert_eq!(fleet.routers_that_block(SOUND), 0, "{case}");
 
             fleet.routers.push(PromptCrashes::default());
+            fleet.starts_ms.push(fleet.now_ms);
             fleet.advance_by(3_000);
             assert_eq!(fleet.routers_that_block(BAD), routers + 1, "{case}: after a start");
         }
