Log the limits on requests that upstreams name

A router's logs did not say that an upstream named a limit, nor how many requests this router sends there, so they could not tell whether routers do not read the limit or exceed it together. They name both now, at each notable change, and the limit in the line of each request; limited_answers_total and limited_upstreams count them. An answer that was under way when a limit was named does not end it. The choice of upstreams is unchanged.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 use span_http::{EventBoundary, Framing, requested_pause_ms, states_event_stream};
 use span_types::UpstreamName;
 use tokio::time::timeout;
+use tracing::warn;
 
 use super::head::{self, HeadKind};
 use crate::{
@@ -49,6 +50,8 @@
     pub(crate) idle_timeout_ms: Option<u64>,
     /// Load that the upstream reported with the head.
     pub(crate) load: Option<LoadReport>,
+    /// Limit in requests per second that the upstream named with the head.
+    pub(crate) limit_per_s: Option<f64>,
 }
 
 /// Why an attempt brought no proper answer.
@@ -126,8 +129,10 @@
     if let Some(pause_ms) = pause_ms.filter(|_| is_own) {
         node.upstream_requests_pause(upstream, pause_ms);
     }
+    let limit_per_s =
+        if is_own { record_limit(node, upstream, &parts, kind, sent_ms) } else { None };
     let framing = Framing::of_response(&parts.headers, &body);
-    let answer = Answer { parts, body, framing, connection, idle_timeout_ms, load };
+    let answer = Answer { parts, body, framing, connection, idle_timeout_ms, load, limit_per_s };
     match kind {
         HeadKind::Proper => {
             node.upstream_accepted(upstream);
@@ -209,6 +214,29 @@
     Some(report)
 }
 
+/// Records what an upstream's answer says about its limit on requests per second, and
+/// returns the limit.
+fn record_limit(
+    node: &Node,
+    upstream: &UpstreamName,
+    parts: &response::Parts,
+    kind: HeadKind,
+    sent_ms: u64,
+) -> Option<f64> {
+    match head::request_limit(&parts.headers, &node.wire_format) {
+        // An error may be made by something that does not know of the limit.
+        Ok(None) if kind == HeadKind::Failure => None,
+        Ok(per_s) => {
+            node.upstream_states_limit(upstream, per_s, sent_ms);
+            per_s
+        }
+        Err(value) => {
+            warn!(upstream = upstream.as_str(), value, "cannot read the limit of an upstream");
+            None
+        }
+    }
+}
+
 async fn keep_after_rejection(node: &Node, upstream: &UpstreamName, answer: Answer) {
     let Answer { body, connection, idle_timeout_ms, .. } = answer;
     if read_to_end(body, MAX_REJECTION_BYTES).await.is_ok() {
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -164,6 +164,27 @@
     values.any(|value| value.as_bytes().trim_ascii() == b"1")
 }
 
+/// Limit in requests per second that an answer names; none if it names none.
+///
+/// # Errors
+///
+/// The answer names something else, which is returned.
+pub(crate) fn request_limit(
+    headers: &HeaderMap,
+    wire_format: &WireFormat,
+) -> Result<Option<f64>, String> {
+    let name = &wire_format.headers.request_limit;
+    if !headers.contains_key(name) {
+        return Ok(None);
+    }
+    let value = single(headers, name);
+    let per_s = value.and_then(|value| (wire_format.decode_request_limit)(value.as_bytes()));
+    per_s.map(Some).ok_or_else(|| {
+        let values: Vec<_> = headers.get_all(name).iter().collect();
+        format!("{values:?}")
+    })
+}
+
 /// Whether an answer is a series of events. Errors on the routes of streams are not.
 pub(crate) fn is_event_stream(parts: &response::Parts, kind: RouteKind) -> bool {
     states_event_stream(&parts.headers) || (kind.is_stream() && parts.status.is_success())
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -492,6 +492,7 @@
         if let Ok(answer) = &result {
             in_flight.answer_begins();
             record.reported_load = answer.load;
+            record.limit_per_s = answer.limit_per_s;
             record.framing = Some(answer.framing);
         }
         let failure = match result {
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -58,6 +58,8 @@
     upstream_load: Option<(u32, Option<u64>)>,
     /// Load that the upstream reported with its answer.
     pub(crate) reported_load: Option<LoadReport>,
+    /// Limit in requests per second that the upstream named with its answer.
+    pub(crate) limit_per_s: Option<f64>,
     /// Present if admission control rejected the request.
     pub(crate) rejection: Option<Rejection>,
     /// Retry advice that the caller got with a rejection.
@@ -95,6 +97,7 @@
             attempts: 0,
             upstream_load: None,
             reported_load: None,
+            limit_per_s: None,
             rejection: None,
             retry_after_ms: None,
             queued_ms: None,
@@ -175,6 +178,7 @@
             report_age_ms = self.upstream_load.and_then(|(_, age_ms)| age_ms),
             upstream_running = self.reported_load.map(|load| load.running),
             upstream_waiting = self.reported_load.map(|load| load.waiting),
+            upstream_limit_per_s = self.limit_per_s,
             free = self.rejection.map(|rejection| rejection.slots.free),
             taken = self.rejection.map(|rejection| rejection.slots.in_use),
             slots = self.rejection.map(|rejection| rejection.slots.total),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,8 +4,8 @@
 //! All persistent data is in the platform's store. The modules [`admission`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`],
 //! [`overload`], [`placement`], [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`shares`],
-//! [`sse`], [`store_source`], [`stream_origin`] and [`upstream_load`] make decisions
-//! without I/O, with the current time as an argument. The other modules connect them to the network.
+//! [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`] and [`upstream_load`] make
+//! decisions without I/O, with the current time as an argument. The other modules connect them to the network.
 
 pub mod admission;
 pub mod clock;
@@ -40,6 +40,7 @@
 pub mod store_source;
 mod store_sync;
 pub mod stream_origin;
+pub mod upstream_limit;
 pub mod upstream_load;
 pub mod wire_format;
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -41,6 +41,8 @@
     UpstreamRefusals,
     /// Attempts at an upstream that failed.
     UpstreamFailures,
+    /// Answers in which an upstream named a limit on requests per second.
+    LimitedAnswers,
     /// Processes of upstreams that were found to have ended.
     UpstreamProcessesEnded,
     /// Connections opened to upstreams.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -31,6 +31,7 @@
     state::{LaneTicket, ServiceState, State, WaitingRequest, retry_limit},
     store::Position,
     store_source::StartState,
+    upstream_limit::LimitStatement,
     upstream_load::AttemptResult,
     wire_format::{WireFormat, WorkEstimate},
 };
@@ -264,6 +265,42 @@
         info!(upstream = upstream.as_str(), pause_ms, "upstream asks for a pause");
     }
 
+    /// Records that an upstream named a limit on requests per second in its answer to a
+    /// request that was sent at `sent_ms`, or none.
+    pub(crate) fn upstream_states_limit(
+        &self,
+        upstream: &UpstreamName,
+        per_s: Option<f64>,
+        sent_ms: u64,
+    ) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        if per_s.is_some() {
+            state.metrics.count(Counter::LimitedAnswers);
+        }
+        let service = state.registry.get(upstream).map(|entry| entry.service.clone());
+        let Some(service) = service.and_then(|service| state.services.get_mut(&service)) else {
+            return;
+        };
+        let statement = LimitStatement { per_s, sent_ms, received_ms: now_ms };
+        let is_notable = service.placement.record_limit(upstream, statement);
+        let own_per_s = service.placement.sent_per_s(now_ms, upstream);
+        drop(state);
+        if !is_notable {
+            return;
+        }
+        match per_s {
+            Some(limit_per_s) => info!(
+                upstream = upstream.as_str(),
+                limit_per_s, own_per_s, "upstream names a limit on requests"
+            ),
+            None => info!(
+                upstream = upstream.as_str(),
+                own_per_s, "upstream names no limit on requests any more"
+            ),
+        }
+    }
+
     /// Records that an upstream has accepted a request.
     pub(crate) fn upstream_accepted(&self, upstream: &UpstreamName) {
         let now_ms = self.now_ms();
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -10,6 +10,7 @@
     admission::SlotCounts,
     lane::{Lane, LaneSplit, PREFILL_TOKENS_PER_MS},
     load_summary::ReportedLoad,
+    upstream_limit::LimitStatement,
     upstream_load::{AttemptResult, LoadReport, UpstreamState},
 };
 
@@ -156,6 +157,9 @@
     /// Until when upstreams asked for no requests. Kept apart from their state, which
     /// goes when an entry lapses.
     pauses_until_ms: HashMap<UpstreamName, u64>,
+    /// What upstreams last said about their limits on requests per second. Kept apart from
+    /// their state, which goes when an entry lapses.
+    limits: HashMap<UpstreamName, LimitStatement>,
     /// Upstreams that each prompt prefix was sent to, the last one at the end.
     prefix_holders: HashMap<u64, Vec<PrefixHolder>>,
     /// Limit on this router's requests at one upstream, from the limit on
@@ -185,6 +189,7 @@
         Self {
             upstreams: HashMap::new(),
             pauses_until_ms: HashMap::new(),
+            limits: HashMap::new(),
             prefix_holders: HashMap::new(),
             max_own_requests: 1,
             routers_per_upstream: 1,
@@ -337,6 +342,7 @@
     /// Drops the state of an upstream whose process has been replaced.
     pub fn reset(&mut self, name: &UpstreamName) {
         self.upstreams.remove(name);
+        self.limits.remove(name);
         self.prefix_holders.retain(|_, holders| {
             holders.retain(|holder| holder.upstream != *name);
             !holders.is_empty()
@@ -579,6 +585,7 @@
     fn record_sent(&mut self, now_ms: u64, name: &UpstreamName, request: PlacementRequest<'_>) {
         if let Some(state) = self.upstreams.get_mut(name) {
             state.own_requests += 1;
+            state.sent.add(now_ms, 1);
             state.pending_prefill_tokens += request.prefill_tokens;
             state.probing |= state.is_next_a_probe();
         }
@@ -701,6 +708,30 @@
         }
     }
 
+    /// Records what an upstream said about its limit on requests per second. Returns
+    /// whether that is worth a log line.
+    pub fn record_limit(&mut self, name: &UpstreamName, statement: LimitStatement) -> bool {
+        let known = self.limits.get(name);
+        if known.is_some_and(|known| !statement.replaces(known)) {
+            return false;
+        }
+        let is_notable = statement.is_notable_after(known);
+        if known.is_some() || statement.per_s.is_some() {
+            self.limits.insert(name.clone(), statement);
+        }
+        is_notable
+    }
+
+    /// Number of upstreams that are known to name a limit on requests per second.
+    pub fn limited_count(&self) -> usize {
+        self.limits.values().filter(|statement| statement.per_s.is_some()).count()
+    }
+
+    /// Requests per second that this router sends to an upstream.
+    pub fn sent_per_s(&self, now_ms: u64, name: &UpstreamName) -> f64 {
+        self.upstreams.get(name).map_or(0.0, |state| state.sent.per_s(now_ms))
+    }
+
     /// Records that an upstream has accepted a request: if it had asked for a pause that
     /// is over, further requests may follow.
     pub fn record_accepted(&mut self, now_ms: u64, name: &UpstreamName) {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -207,6 +207,11 @@
         self.view.live_routers().len()
     }
 
+    /// Number of upstreams that are known to name a limit on requests per second.
+    pub(crate) fn limited_upstream_count(&self) -> usize {
+        self.services.values().map(|service| service.placement.limited_count()).sum()
+    }
+
     /// Load from this router's callers, for services with demand.
     pub(crate) fn own_loads(&mut self, now_ms: u64) -> ServiceLoads {
         let services = self.services.iter_mut();
--- a/crates/edge/src/upstream_load.rs
+++ b/crates/edge/src/upstream_load.rs
@@ -3,7 +3,7 @@
 use span_types::{SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{lane::Lane, placement::PromptPrefix};
+use crate::{lane::Lane, placement::PromptPrefix, shares::DecayingRate};
 
 /// Weight of the newest gap between two events in the mean gap.
 const NEWEST_GAP_WEIGHT: f64 = 0.2;
@@ -63,6 +63,8 @@
     pub(crate) slots: u32,
     /// Requests of this router in flight at the upstream.
     pub(crate) own_requests: u32,
+    /// Rate of the requests that this router sends to the upstream.
+    pub(crate) sent: DecayingRate,
     /// `own_requests` as other routers were last told.
     pub(crate) reported_own_requests: u32,
     /// Time of the last load report, the report, and `own_requests` at that
@@ -98,6 +100,7 @@
             software_version,
             slots,
             own_requests: 0,
+            sent: DecayingRate::default(),
             reported_own_requests: 0,
             report: None,
             consecutive_failures: 0,
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -29,6 +29,9 @@
     pub signature: HeaderName,
     /// Load report of an upstream.
     pub load_report: HeaderName,
+    /// Requests per second that an upstream takes from all routers together, for as long
+    /// as its answers name the limit.
+    pub request_limit: HeaderName,
     /// With the value `1`, marks every answer of an upstream that is leaving.
     pub leaving: HeaderName,
     /// Id of the last event that the caller of a stream has.
@@ -91,6 +94,7 @@
 type DecodeWork = Rc<dyn Fn(&HeaderMap) -> WorkEstimate>;
 type DecodeSegments = Rc<dyn Fn(&HeaderMap) -> Rc<[SegmentId]>>;
 type DecodeLoadReport = Rc<dyn Fn(&[u8]) -> Option<LoadReport>>;
+type DecodeRequestLimit = Rc<dyn Fn(&[u8]) -> Option<f64>>;
 type DecodeCallerDomain = Rc<dyn Fn(&str) -> Option<FailureDomain>>;
 type EncodeAddresses = Rc<dyn Fn(&[Arc<str>], u64) -> String>;
 
@@ -112,6 +116,9 @@
     pub decode_shared_segments: DecodeSegments,
     /// Decodes the load report from a header of an upstream; none if invalid.
     pub decode_load_report: DecodeLoadReport,
+    /// Decodes the limit in requests per second from a header of an upstream; none if
+    /// invalid.
+    pub decode_request_limit: DecodeRequestLimit,
     /// Decodes the caller's failure domain from the query of a request to the
     /// directory.
     pub decode_caller_domain: DecodeCallerDomain,
