Divide the limits on requests that upstreams name among all routers

No router read the limit. So routers now tell each other what upstreams named, which part of the fleet's requests their callers are entitled to and how many requests they sent lately, and divide each limit by these parts. A router has send slots at even intervals; unused ones lapse within a second, so that the sum does not grow with the number of routers, and none is used once all together have sent a quarter more than the limit within 4 s. Further attempts, homes of prefixes and streams that continue keep to it too, the latter with slots of up to a second ahead. An upstream whose slots are used up counts as full, the capacity that workspaces share follows the limits, and what no slot can serve in time is rejected at once. The limit ends with an answer, to a request sent since, that names none.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -12,6 +12,8 @@
 const MAX_QUEUED_PER_WORKSPACE: usize = 64;
 /// Window over which dispatches are counted, in milliseconds.
 const DISPATCH_WINDOW_MS: u64 = 1_000;
+/// Rate of dispatches from which their mean cost says something, in requests per second.
+const MIN_DISPATCHES_PER_S: f64 = 0.1;
 /// Unused budget that a workspace may accumulate, in milliseconds of its limit.
 /// Shorter bursts are not throttled.
 const MAX_BURST_MS: f64 = 1_500.0;
@@ -60,6 +62,9 @@
     pub in_use: u32,
     /// All slots, free or in use.
     pub total: u32,
+    /// Least time until one of these slots can be free, in milliseconds, as far as the
+    /// limits on requests per second of the upstreams tell.
+    pub free_in_ms: u64,
 }
 
 impl SlotCounts {
@@ -213,6 +218,9 @@
     last_ticket: u64,
     /// Since when the queue has not been empty.
     backlog_since_ms: Option<u64>,
+    /// Rates of the cost and of the number of dispatched requests.
+    dispatched_cost: DecayingRate,
+    dispatched_count: DecayingRate,
     window_start_ms: u64,
     window_dispatches: u32,
     last_window_dispatches: u32,
@@ -263,7 +271,7 @@
             request.max_wait_ms
         };
         let own_queued = self.queues.get(&request.workspace).map_or(0, |own| own.requests.len());
-        let expected_wait_ms = self.expected_wait_ms(now_ms, own_queued, slots.free);
+        let expected_wait_ms = self.expected_wait_ms(now_ms, own_queued, slots);
         let queue = self.queues.entry(request.workspace.clone()).or_default();
         queue.refill(now_ms);
         queue.check_share(slots, expected_wait_ms)?;
@@ -302,11 +310,13 @@
         queue.dispatched.add(now_ms, request.cost);
         queue.charge(request.cost);
         self.last_ticket += 1;
-        self.count_dispatch(now_ms);
+        self.count_dispatch(now_ms, request.cost);
         Ok(Ticket(self.last_ticket))
     }
 
-    fn count_dispatch(&mut self, now_ms: u64) {
+    fn count_dispatch(&mut self, now_ms: u64, cost: u64) {
+        self.dispatched_cost.add(now_ms, cost);
+        self.dispatched_count.add(now_ms, 1);
         if now_ms.saturating_sub(self.window_start_ms) >= DISPATCH_WINDOW_MS {
             self.window_start_ms = now_ms;
             self.last_window_dispatches = std::mem::take(&mut self.window_dispatches);
@@ -317,11 +327,12 @@
     /// Wait of one more request of a workspace that has `own_queued` requests
     /// in its queue. Ahead of it are its own requests, and as many of each other
     /// workspace.
-    fn expected_wait_ms(&self, now_ms: u64, own_queued: usize, free: u32) -> u64 {
+    fn expected_wait_ms(&self, now_ms: u64, own_queued: usize, slots: SlotCounts) -> u64 {
         let queued = self.queues.values().map(|queue| queue.requests.len());
         let ahead: usize = queued.map(|queued| queued.min(own_queued + 1)).sum();
-        let ahead = (ahead as u64).saturating_sub(u64::from(free));
-        ahead * 1_000 / u64::from(self.dispatches_per_s(now_ms).max(1))
+        let ahead = (ahead as u64).saturating_sub(u64::from(slots.free));
+        let wait_ms = ahead * 1_000 / u64::from(self.dispatches_per_s(now_ms).max(1));
+        wait_ms.max(slots.free_in_ms)
     }
 
     fn dispatches_per_s(&self, now_ms: u64) -> u32 {
@@ -357,10 +368,18 @@
         queue.dispatched.add(now_ms, cost);
         queue.charge(cost);
         self.workspace_by_ticket.remove(&ticket);
-        self.count_dispatch(now_ms);
+        self.count_dispatch(now_ms, cost);
         Some(ticket)
     }
 
+    /// Mean cost of the requests that were dispatched recently, in cost units; none if
+    /// there were hardly any.
+    pub fn mean_cost(&self, now_ms: u64) -> Option<f64> {
+        let count_per_s = self.dispatched_count.per_s(now_ms);
+        (count_per_s >= MIN_DISPATCHES_PER_S)
+            .then(|| self.dispatched_cost.per_s(now_ms) / count_per_s)
+    }
+
     /// Removes a waiting request. Returns false if it has been dispatched.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let Some(name) = self.workspace_by_ticket.remove(&ticket) else {
--- a/crates/edge/src/load_summary.rs
+++ b/crates/edge/src/load_summary.rs
@@ -34,6 +34,15 @@
     pub long_tokens_per_s: u64,
 }
 
+/// What routers report and collectors sum up.
+pub trait Summary: Clone {
+    /// Adds the summary of other routers, which is `age_ms` old.
+    fn add(&mut self, other: &Self, age_ms: u64);
+
+    /// Whether the routers of the summary need no frequent news.
+    fn is_idle(&self) -> bool;
+}
+
 /// Load by service.
 pub type ServiceLoads = BTreeMap<ServiceName, ServiceLoad>;
 
@@ -61,10 +70,9 @@
     pub in_flight: BTreeMap<u32, u32>,
 }
 
-impl LoadSummary {
-    /// Adds the summary of other routers, which is `age_ms` old. Of two reports
-    /// of an upstream, the newer one stays.
-    pub fn add(&mut self, other: &LoadSummary, age_ms: u64) {
+impl Summary for LoadSummary {
+    /// Adds loads. Of two reports of an upstream, the newer one stays.
+    fn add(&mut self, other: &Self, age_ms: u64) {
         self.routers += other.routers;
         for (upstream, requests) in &other.in_flight {
             *self.in_flight.entry(*upstream).or_default() += requests;
@@ -84,37 +92,47 @@
             }
         }
     }
+
+    fn is_idle(&self) -> bool {
+        self.loads.is_empty()
+    }
 }
 
-/// Load summaries that a collector has received.
-#[derive(Debug, Default)]
-pub struct ReceivedSummaries {
-    /// Time of receipt and summary of each router of the collector's failure
-    /// domain.
-    routers: BTreeMap<InstanceName, (u64, LoadSummary)>,
+/// Summaries that a collector has received, or, in a small fleet, any router.
+#[derive(Debug)]
+pub struct ReceivedSummaries<S = LoadSummary> {
+    /// Time of receipt and summary of each router of the collector's failure domain, or
+    /// of each other router of a small fleet.
+    routers: BTreeMap<InstanceName, (u64, S)>,
     /// Time of receipt and sum of each other failure domain.
-    domains: BTreeMap<FailureDomain, (u64, LoadSummary)>,
+    domains: BTreeMap<FailureDomain, (u64, S)>,
 }
 
-impl ReceivedSummaries {
-    /// Stores the summary of a router of the collector's failure domain.
-    pub fn set_router(&mut self, now_ms: u64, name: InstanceName, summary: LoadSummary) {
+impl<S> Default for ReceivedSummaries<S> {
+    fn default() -> Self {
+        Self { routers: BTreeMap::new(), domains: BTreeMap::new() }
+    }
+}
+
+impl<S: Summary> ReceivedSummaries<S> {
+    /// Stores the summary of a router.
+    pub fn set_router(&mut self, now_ms: u64, name: InstanceName, summary: S) {
         self.routers.insert(name, (now_ms, summary));
     }
 
     /// Stores the sum of another failure domain.
-    pub fn set_domain(&mut self, now_ms: u64, domain: FailureDomain, summary: LoadSummary) {
+    pub fn set_domain(&mut self, now_ms: u64, domain: FailureDomain, summary: S) {
         self.domains.insert(domain, (now_ms, summary));
     }
 
     /// Routers of the collector's failure domain that have callers.
     pub fn busy_routers(&self) -> BTreeSet<InstanceName> {
-        let busy = self.routers.iter().filter(|(_, (_, summary))| !summary.loads.is_empty());
+        let busy = self.routers.iter().filter(|(_, (_, summary))| !summary.is_idle());
         busy.map(|(name, _)| name.clone()).collect()
     }
 
     /// Sum over the collector's failure domain; `own` is the collector's summary.
-    pub fn domain_sum(&mut self, now_ms: u64, own: &LoadSummary) -> LoadSummary {
+    pub fn domain_sum(&mut self, now_ms: u64, own: &S) -> S {
         self.routers.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < SUMMARY_LIFETIME_MS);
         let mut sum = own.clone();
         for (at_ms, summary) in self.routers.values() {
@@ -124,7 +142,7 @@
     }
 
     /// Sum over the fleet; `own` is the collector's summary.
-    pub fn fleet_sum(&mut self, now_ms: u64, own: &LoadSummary) -> LoadSummary {
+    pub fn fleet_sum(&mut self, now_ms: u64, own: &S) -> S {
         let mut sum = self.domain_sum(now_ms, own);
         self.domains.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < SUMMARY_LIFETIME_MS);
         for (at_ms, summary) in self.domains.values() {
@@ -134,20 +152,26 @@
     }
 }
 
-/// The last load summary of the whole fleet that a router received.
-#[derive(Debug, Default)]
-pub struct FleetSummary {
-    received: Option<(u64, LoadSummary)>,
+/// The last summary of the whole fleet that a router received.
+#[derive(Debug)]
+pub struct FleetSummary<S = LoadSummary> {
+    received: Option<(u64, S)>,
+}
+
+impl<S> Default for FleetSummary<S> {
+    fn default() -> Self {
+        Self { received: None }
+    }
 }
 
-impl FleetSummary {
+impl<S: Summary> FleetSummary<S> {
     /// Stores a summary of the fleet.
-    pub fn set(&mut self, now_ms: u64, sum: LoadSummary) {
+    pub fn set(&mut self, now_ms: u64, sum: S) {
         self.received = Some((now_ms, sum));
     }
 
     /// The last summary and the time of its receipt, unless it is too old.
-    pub fn get(&self, now_ms: u64) -> Option<(u64, &LoadSummary)> {
+    pub fn get(&self, now_ms: u64) -> Option<(u64, &S)> {
         let fresh = self.received.as_ref();
         let fresh = fresh.filter(|(at_ms, _)| now_ms.saturating_sub(*at_ms) < SUMMARY_LIFETIME_MS);
         fresh.map(|(at_ms, sum)| (*at_ms, sum))
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -283,7 +283,7 @@
             return;
         };
         let statement = LimitStatement { per_s, sent_ms, received_ms: now_ms };
-        let is_notable = service.placement.record_limit(upstream, statement);
+        let is_notable = service.placement.record_limit(now_ms, upstream, statement);
         let own_per_s = service.placement.sent_per_s(now_ms, upstream);
         drop(state);
         if !is_notable {
@@ -434,6 +434,8 @@
         let taken_ms = state.fleet_summary.get(now_ms).map(|(received_ms, _)| {
             received_ms.saturating_sub(load_summary::MEAN_IN_FLIGHT_AGE_MS)
         });
+        let fleet_limits = state.fleet_limits(now_ms);
+        let mut changed_limits = Vec::new();
         let State { services, config, .. } = &mut *state;
         let reporting_routers = fleet.routers.max(1) as usize;
         let scale = routers.max(reporting_routers) as f64 / reporting_routers as f64;
@@ -449,6 +451,9 @@
             }
             let config = config.as_ref().filter(|config| config.is_engine(name));
             let capacity = config.and_then(|config| config.capacity_per_s);
+            let mean_cost = |lane| service.lanes[lane as usize].admission.mean_cost(now_ms);
+            let capacity =
+                capacity.map(|capacity| service.placement.limited_capacity(capacity, mean_cost));
             let shares = shares::divide_capacity(
                 &own_load.demand,
                 &fleet_load.demand,
@@ -457,10 +462,16 @@
                 capacity,
             );
             service.placement.set_capacity_fraction(shares.capacity_fraction);
+            changed_limits.extend(service.placement.merge_limits(now_ms, &fleet_limits));
             for lane in &mut service.lanes {
                 lane.admission.set_limits(now_ms, &shares.limits);
             }
         }
+        drop(state);
+        for (upstream, limit_per_s) in changed_limits {
+            let upstream = upstream.as_str();
+            info!(upstream, limit_per_s, "other routers report the limit of an upstream");
+        }
     }
 
     /// Chooses a further upstream for a request that has a slot, if need be one
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -33,6 +33,7 @@
     store::Position,
     store_source::{START_HEARTBEAT_INTERVAL_MS, StoreKnowledge},
     stream_origin::{OriginAnswer, OriginNotice, RequestKey},
+    upstream_limit::LimitSummary,
 };
 
 /// Interval between heartbeats, in milliseconds; about a third of the time after
@@ -92,6 +93,27 @@
     },
     /// Tells of prompts that crash upstreams.
     PromptCrashes(Vec<SegmentNotice>),
+    /// Tells of the limits on requests per second that upstreams name. Goes the ways of
+    /// load summaries, and in a small fleet from each router to all others.
+    UpstreamLimits {
+        /// Name of the sender.
+        from: InstanceName,
+        /// Whose reports are summed up.
+        scope: SummaryScope,
+        /// The limits, and the claims of these routers.
+        limits: LimitSummary,
+    },
+}
+
+/// Routers that a summary covers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SummaryScope {
+    /// The sender.
+    Router,
+    /// All routers of the sender's failure domain.
+    Domain(FailureDomain),
+    /// All routers.
+    Fleet,
 }
 
 /// A load summary with what its sender knows of the store.
@@ -221,6 +243,7 @@
             let to_all = is_triggered || round.is_multiple_of(load_summary::IDLE_INTERVALS);
             let role = self.node.state().role();
             let Some(role) = role else {
+                self.send_limits_to_all();
                 continue;
             };
             let own_summary = self.node.load_summary();
@@ -229,6 +252,8 @@
                     if to_all || !own_summary.loads.is_empty() {
                         let message = self.summary_message(own_summary);
                         self.send_packet(&[collector_ip], &Packet::RouterSummary(message));
+                        let limits = self.own_limits();
+                        self.send_limits(&[collector_ip], SummaryScope::Router, limits);
                     }
                 }
                 Role::Collector { domain, members, other_collectors, .. } => {
@@ -267,13 +292,58 @@
             state.fleet_summary.set(now_ms, fleet_sum.clone());
             (state.received_summaries.domain_sum(now_ms, &own_summary), fleet_sum)
         };
-        let packet = Packet::DomainSummary(domain, self.summary_message(domain_sum));
+        let packet = Packet::DomainSummary(domain.clone(), self.summary_message(domain_sum));
         self.send_packet(other_collectors, &packet);
         let packet = Packet::FleetSummary(self.summary_message(fleet_sum));
         self.send_packet(members, &packet);
+        let (domain_limits, fleet_limits) = {
+            let mut state = self.node.state();
+            let own_limits = state.own_limits(now_ms);
+            let domain_limits = state.received_limits.domain_sum(now_ms, &own_limits);
+            (domain_limits, state.received_limits.fleet_sum(now_ms, &own_limits))
+        };
+        self.send_limits(other_collectors, SummaryScope::Domain(domain), domain_limits);
+        self.send_limits(members, SummaryScope::Fleet, fleet_limits);
         self.node.divide_capacity();
     }
 
+    fn own_limits(&self) -> LimitSummary {
+        let now_ms = self.node.now_ms();
+        self.node.state().own_limits(now_ms)
+    }
+
+    /// Tells all other routers of a small fleet of the limits that upstreams name.
+    fn send_limits_to_all(&self) {
+        let others = self.node.state().other_router_ips();
+        self.send_limits(&others, SummaryScope::Router, self.own_limits());
+    }
+
+    fn send_limits(&self, receivers: &[IpAddr], scope: SummaryScope, limits: LimitSummary) {
+        if limits.is_empty() {
+            return;
+        }
+        let from = self.node.state().view.own_update().router.member.instance.clone();
+        self.send_packet(receivers, &Packet::UpstreamLimits { from, scope, limits });
+    }
+
+    fn receive_limits(&self, from: InstanceName, scope: SummaryScope, limits: LimitSummary) {
+        let now_ms = self.node.now_ms();
+        let mut state = self.node.state();
+        // A collector divides capacity when it sends its sums.
+        let divides = scope == SummaryScope::Fleet || !state.has_collectors();
+        match scope {
+            SummaryScope::Router => state.received_limits.set_router(now_ms, from, limits),
+            SummaryScope::Domain(domain) => {
+                state.received_limits.set_domain(now_ms, domain, limits);
+            }
+            SummaryScope::Fleet => state.fleet_limits.set(now_ms, limits),
+        }
+        drop(state);
+        if divides {
+            self.node.divide_capacity();
+        }
+    }
+
     fn receive_fleet_summary(self: &Rc<Self>, message: SummaryMessage) {
         let now_ms = self.node.now_ms();
         self.node.state().fleet_summary.set(now_ms, message.summary);
@@ -482,6 +552,9 @@
                         self.node.inquiry_answered(&from, request, &answer);
                     }
                     Ok(Packet::PromptCrashes(notices)) => self.node.learn_prompt_crashes(&notices),
+                    Ok(Packet::UpstreamLimits { from, scope, limits }) => {
+                        self.receive_limits(from, scope, limits);
+                    }
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -1,6 +1,8 @@
 //! Placement: which upstream a request goes to, from the load of each upstream
 //! as this router knows it.
 
+mod limits;
+
 use std::collections::{BTreeMap, HashMap};
 
 use span_types::{InstanceName, SoftwareVersion, UpstreamName};
@@ -10,8 +12,8 @@
     admission::SlotCounts,
     lane::{Lane, LaneSplit, PREFILL_TOKENS_PER_MS},
     load_summary::ReportedLoad,
-    upstream_limit::LimitStatement,
-    upstream_load::{AttemptResult, LoadReport, UpstreamState},
+    upstream_limit::UpstreamLimits,
+    upstream_load::{self, AttemptResult, LoadReport, UpstreamState},
 };
 
 /// Age up to which a load report is passed on to other routers, in
@@ -157,9 +159,9 @@
     /// Until when upstreams asked for no requests. Kept apart from their state, which
     /// goes when an entry lapses.
     pauses_until_ms: HashMap<UpstreamName, u64>,
-    /// What upstreams last said about their limits on requests per second. Kept apart from
-    /// their state, which goes when an entry lapses.
-    limits: HashMap<UpstreamName, LimitStatement>,
+    /// Limits on requests per second that upstreams name. Kept apart from their state,
+    /// which goes when an entry lapses.
+    limits: UpstreamLimits,
     /// Upstreams that each prompt prefix was sent to, the last one at the end.
     prefix_holders: HashMap<u64, Vec<PrefixHolder>>,
     /// Limit on this router's requests at one upstream, from the limit on
@@ -189,7 +191,7 @@
         Self {
             upstreams: HashMap::new(),
             pauses_until_ms: HashMap::new(),
-            limits: HashMap::new(),
+            limits: UpstreamLimits::default(),
             prefix_holders: HashMap::new(),
             max_own_requests: 1,
             routers_per_upstream: 1,
@@ -342,7 +344,7 @@
     /// Drops the state of an upstream whose process has been replaced.
     pub fn reset(&mut self, name: &UpstreamName) {
         self.upstreams.remove(name);
-        self.limits.remove(name);
+        self.limits.forget(upstream_load::name_hash(name));
         self.prefix_holders.retain(|_, holders| {
             holders.retain(|holder| holder.upstream != *name);
             !holders.is_empty()
@@ -353,12 +355,16 @@
     pub fn slot_counts(&self, now_ms: u64, lane: Lane) -> SlotCounts {
         let usable = self.upstreams.values();
         let usable = usable.filter(|state| state.lane == lane && state.is_usable(now_ms));
-        let mut counts = SlotCounts { free: 0, in_use: 0, total: 0 };
+        let mut counts = SlotCounts { free: 0, in_use: 0, total: 0, free_in_ms: 0 };
+        let mut free_in_ms = None;
         for state in usable {
+            let wait_ms = self.send_slots(state).map_or(0, |slots| slots.wait_ms(now_ms));
+            free_in_ms = Some(free_in_ms.map_or(wait_ms, |least: u64| least.min(wait_ms)));
             counts.free += self.free_slots(now_ms, state);
             counts.in_use += self.occupied_slots(now_ms, state) as u32;
             counts.total += state.slots;
         }
+        counts.free_in_ms = free_in_ms.unwrap_or(0);
         counts
     }
 
@@ -366,7 +372,7 @@
     /// stream of `continued_version`, if that is given.
     pub fn usable_slots(&self, now_ms: u64, continued_version: Option<&SoftwareVersion>) -> u32 {
         let usable = self.upstreams.values().filter(|state| match continued_version {
-            Some(version) => state.can_continue(now_ms, version),
+            Some(version) => self.can_continue(now_ms, state, version),
             None => state.is_usable(now_ms),
         });
         usable.map(|state| state.slots).sum()
@@ -374,9 +380,11 @@
 
     /// Slots of an upstream that count as in use: those of its requests, or more if its
     /// streams are slow. An engine with many slots is slow long before they are in use.
+    /// An upstream whose limit on requests per second is used up has no slots to spare.
     fn occupied_slots(&self, now_ms: u64, state: &UpstreamState) -> f64 {
         let requests = state.total_requests(now_ms, self.routers_per_upstream);
-        let slowness = if self.is_prefill_behind(now_ms, state) {
+        let is_used_up = self.send_slots(state).is_some_and(|slots| slots.are_used_up(now_ms));
+        let slowness = if is_used_up || self.is_prefill_behind(now_ms, state) {
             1.0
         } else {
             (state.mean_gap_ms(now_ms) / self.max_mean_gap_ms).min(1.0)
@@ -399,13 +407,15 @@
         if self.is_prefill_behind(now_ms, state) {
             return 0;
         }
+        let sendable = self.send_slots(state).map_or(u32::MAX, |slots| slots.available(now_ms));
+        let own_free = self.own_limit(state).saturating_sub(state.own_requests).min(sendable);
         if !self.is_engine() {
-            return self.own_limit(state).saturating_sub(state.own_requests);
+            return own_free;
         }
         let limit = f64::from(state.slots) * (1.0 + ENGINE_QUEUE_FRACTION);
         let free =
             (limit - state.total_requests(now_ms, self.routers_per_upstream)).max(0.0) as u32;
-        free.min(self.own_limit(state).saturating_sub(state.own_requests))
+        free.min(own_free)
     }
 
     /// Requests that this router may have at an upstream. The requests of other
@@ -423,7 +433,8 @@
 
     /// Chooses the upstream for a request and counts the request as sent.
     /// `draw` is random and breaks ties. With `allow_full`, an upstream without
-    /// a free slot or of the other lane may be chosen.
+    /// a free slot or of the other lane may be chosen, but none beyond the limit on
+    /// requests per second that it names.
     pub fn assign(
         &mut self,
         now_ms: u64,
@@ -454,8 +465,13 @@
             request.prompt_prefix.and_then(|prefix| self.unassigned_home(now_ms, prefix));
         let usable = self.upstreams.iter().filter(|(name, state)| {
             let is_usable = match request.continued_version {
-                Some(version) => state.can_continue(now_ms, version),
-                None => state.is_usable(now_ms) || unassigned_home == Some(state.name_hash),
+                Some(version) => self.can_continue(now_ms, state, version),
+                None => {
+                    let may_use =
+                        state.is_usable(now_ms) || unassigned_home == Some(state.name_hash);
+                    may_use
+                        && self.send_slots(state).is_none_or(|slots| slots.available(now_ms) > 0)
+                }
             };
             is_usable
                 && !request.excluded.contains(name)
@@ -543,6 +559,7 @@
         let in_use =
             home.total_requests(now_ms, self.routers_per_upstream) / f64::from(home.slots.max(1));
         let usable = !home.is_assigned
+            && self.send_slots(home).is_none()
             && home.is_available(now_ms)
             && in_use < MAX_UNASSIGNED_HOME_IN_USE_FRACTION;
         usable.then_some(home.name_hash)
@@ -586,6 +603,7 @@
         if let Some(state) = self.upstreams.get_mut(name) {
             state.own_requests += 1;
             state.sent.add(now_ms, 1);
+            self.limits.record_sent(now_ms, state.name_hash);
             state.pending_prefill_tokens += request.prefill_tokens;
             state.probing |= state.is_next_a_probe();
         }
@@ -708,30 +726,6 @@
         }
     }
 
-    /// Records what an upstream said about its limit on requests per second. Returns
-    /// whether that is worth a log line.
-    pub fn record_limit(&mut self, name: &UpstreamName, statement: LimitStatement) -> bool {
-        let known = self.limits.get(name);
-        if known.is_some_and(|known| !statement.replaces(known)) {
-            return false;
-        }
-        let is_notable = statement.is_notable_after(known);
-        if known.is_some() || statement.per_s.is_some() {
-            self.limits.insert(name.clone(), statement);
-        }
-        is_notable
-    }
-
-    /// Number of upstreams that are known to name a limit on requests per second.
-    pub fn limited_count(&self) -> usize {
-        self.limits.values().filter(|statement| statement.per_s.is_some()).count()
-    }
-
-    /// Requests per second that this router sends to an upstream.
-    pub fn sent_per_s(&self, now_ms: u64, name: &UpstreamName) -> f64 {
-        self.upstreams.get(name).map_or(0.0, |state| state.sent.per_s(now_ms))
-    }
-
     /// Records that an upstream has accepted a request: if it had asked for a pause that
     /// is over, further requests may follow.
     pub fn record_accepted(&mut self, now_ms: u64, name: &UpstreamName) {
@@ -761,8 +755,10 @@
             state.software_version == *version && !state.replaced && !excluded.contains(name)
         });
         let waits = able.map(|(_, state)| {
-            let is_able_now = state.can_continue(now_ms, version);
-            let wait_ms = state.available_from_ms().saturating_sub(now_ms);
+            let is_able_now = self.can_continue(now_ms, state, version);
+            let slot_wait_ms =
+                self.send_slots(state).map_or(0, |slots| slots.wait_to_continue_ms(now_ms));
+            let wait_ms = state.available_from_ms().saturating_sub(now_ms).max(slot_wait_ms);
             if is_able_now { 0 } else { wait_ms.max(1) }
         });
         waits.min()
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -17,7 +17,9 @@
     config::Config,
     directory::ConfigReports,
     lane::Lane,
-    load_summary::{FleetSummary, LoadSummary, ReceivedSummaries, ServiceLoad, ServiceLoads},
+    load_summary::{
+        FleetSummary, LoadSummary, ReceivedSummaries, ServiceLoad, ServiceLoads, Summary,
+    },
     metrics::Metrics,
     placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix},
     prompt_crashes::PromptCrashes,
@@ -28,6 +30,7 @@
     shares::{DecayingRate, DemandMeter},
     store_source::{ReadOrder, StoreKnowledge, StoreSource},
     stream_origin::{RequestKey, StreamOrigin, StreamOrigins, routers_for_stream},
+    upstream_limit::LimitSummary,
 };
 
 /// Fraction of the connections that an upstream accepts which the known routers
@@ -107,6 +110,11 @@
     pub(crate) received_summaries: ReceivedSummaries,
     /// Load of the fleet, as the collector last sent it.
     pub(crate) fleet_summary: FleetSummary,
+    /// Limits of upstreams as other routers report them, to this one as a collector or
+    /// in a small fleet.
+    pub(crate) received_limits: ReceivedSummaries<LimitSummary>,
+    /// Limits of upstreams as the fleet reports them; the collector last sent it.
+    pub(crate) fleet_limits: FleetSummary<LimitSummary>,
     /// Where streams began.
     pub(crate) stream_origins: StreamOrigins,
     /// Prompts that crash upstreams.
@@ -194,6 +202,8 @@
             router_loads: BTreeMap::new(),
             received_summaries: ReceivedSummaries::default(),
             fleet_summary: FleetSummary::default(),
+            received_limits: ReceivedSummaries::default(),
+            fleet_limits: FleetSummary::default(),
             stream_origins: StreamOrigins::default(),
             prompt_crashes: PromptCrashes::default(),
             store_source: StoreSource::default(),
@@ -234,6 +244,24 @@
         sum
     }
 
+    /// What this router reports about the limits of upstreams.
+    pub(crate) fn own_limits(&self, now_ms: u64) -> LimitSummary {
+        let mut sum = LimitSummary::default();
+        for service in self.services.values() {
+            sum.add(&service.placement.limit_summary(now_ms), 0);
+        }
+        sum
+    }
+
+    /// What the whole fleet reports about the limits of upstreams, as far as it is known.
+    pub(crate) fn fleet_limits(&mut self, now_ms: u64) -> LimitSummary {
+        if let Some((at_ms, sum)) = self.fleet_limits.get(now_ms) {
+            return sum.aged(now_ms.saturating_sub(at_ms));
+        }
+        let own = self.own_limits(now_ms);
+        self.received_limits.fleet_sum(now_ms, &own)
+    }
+
     /// Role of this router in the exchange of load summaries; none in a fleet
     /// without collectors.
     pub(crate) fn role(&self) -> Option<Role> {
@@ -360,6 +388,7 @@
             let ready = self.registry.ready(name);
             let ready = ready.map(|(name, entry)| (name, entry.slots, &entry.software_version));
             service.placement.set_upstreams(ready);
+            service.placement.apply_limits(now_ms);
         }
         self.sync_fleet();
     }
--- a/crates/edge/src/upstream_load.rs
+++ b/crates/edge/src/upstream_load.rs
@@ -93,10 +93,15 @@
     pub(crate) mean_gap: Option<(f64, u64)>,
 }
 
+/// Hash by which routers name an upstream to each other.
+pub(crate) fn name_hash(name: &UpstreamName) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
+}
+
 impl UpstreamState {
     pub(crate) fn new(name: &UpstreamName, slots: u32, software_version: SoftwareVersion) -> Self {
         Self {
-            name_hash: xxh3_64(name.as_str().as_bytes()),
+            name_hash: name_hash(name),
             software_version,
             slots,
             own_requests: 0,
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -6,7 +6,7 @@
 
 use span_edge::admission::{Admission, AdmissionRequest, RejectReason, SlotCounts, Ticket};
 
-const FULL: SlotCounts = SlotCounts { free: 0, in_use: 10, total: 10 };
+const FULL: SlotCounts = SlotCounts { free: 0, in_use: 10, total: 10, free_in_ms: 0 };
 
 fn request(workspace: &str, cost: u64) -> AdmissionRequest {
     AdmissionRequest {
@@ -18,7 +18,7 @@
 }
 
 fn with_free(free: u32) -> SlotCounts {
-    SlotCounts { free, in_use: 10 - free, total: 10 }
+    SlotCounts { free, in_use: 10 - free, ..FULL }
 }
 
 /// A workspace that sends many requests at once must not make the requests of
@@ -231,3 +231,16 @@
     assert!(admission.admit_now(0, FULL, &request("b", 100)).is_ok());
     assert_eq!(admission.queue_len(), 1);
 }
+
+/// Guards against a request that waits for a place although the limits that the upstreams
+/// name leave none in time.
+#[test]
+fn request_is_rejected_at_once_if_limits_leave_no_slot_in_time() {
+    let mut admission = Admission::default();
+    let slots = SlotCounts { free_in_ms: 400, ..FULL };
+    let patient = AdmissionRequest { max_wait_ms: 400, ..request("a", 100) };
+    let hasty = AdmissionRequest { max_wait_ms: 399, ..request("a", 100) };
+    let rejection = admission.enqueue(0, slots, &hasty).unwrap_err();
+    assert_eq!((rejection.reason, rejection.retry_after_ms), (RejectReason::Busy, 400));
+    assert!(admission.enqueue(0, slots, &patient).is_ok());
+}
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -6,6 +6,7 @@
 use span_edge::{
     lane::{Lane, LaneSplit},
     placement::{Placement, PlacementRequest, PromptPrefix},
+    upstream_limit::{LimitStatement, LimitSummary},
     upstream_load::{AttemptResult, LoadReport},
 };
 use span_types::{InstanceName, SoftwareVersion, UpstreamName};
@@ -522,3 +523,92 @@
         assert_eq!(chosen.copy_source, copy_source, "{}", case.name);
     }
 }
+
+/// Guards against ways past the limit on requests per second that an upstream names, and
+/// against a limit that is forgotten or outlives its process.
+#[test]
+fn upstream_gets_no_requests_beyond_its_limit() {
+    struct Case {
+        name: &'static str,
+        /// What happens after the first request beyond the limit has been denied.
+        event: fn(&mut Placement, &UpstreamName),
+        request: PlacementRequest<'static>,
+        allow_full: bool,
+        is_sent: bool,
+    }
+    fn nothing(_: &mut Placement, _: &UpstreamName) {}
+    fn entry_lapses(placement: &mut Placement, upstream: &UpstreamName) {
+        placement.set_upstreams(std::iter::empty());
+        placement.set_upstreams([(upstream, 64, &"v1".into())].into_iter());
+        placement.apply_limits(1_100);
+    }
+    fn new_process(placement: &mut Placement, upstream: &UpstreamName) {
+        placement.reset(upstream);
+        placement.set_upstreams([(upstream, 64, &"v1".into())].into_iter());
+    }
+    fn limit_ends(placement: &mut Placement, upstream: &UpstreamName) {
+        let statement = LimitStatement { per_s: None, sent_ms: 1_050, received_ms: 1_100 };
+        placement.record_limit(1_100, upstream, statement);
+    }
+    fn late_answer(placement: &mut Placement, upstream: &UpstreamName) {
+        let statement = LimitStatement { per_s: None, sent_ms: 900, received_ms: 1_100 };
+        placement.record_limit(1_100, upstream, statement);
+    }
+    let version: &'static SoftwareVersion = Box::leak(Box::new("v1".into()));
+    let next = Case {
+        name: "the next request",
+        event: nothing,
+        request: REQUEST,
+        allow_full: false,
+        is_sent: false,
+    };
+    let cases = [
+        Case { name: "a further attempt", allow_full: true, ..next },
+        Case { name: "the home of a prefix", request: with_prefix(7), allow_full: true, ..next },
+        Case { name: "its entry lapses", event: entry_lapses, allow_full: true, ..next },
+        Case { name: "an answer from before", event: late_answer, ..next },
+        Case { name: "another process has its name", event: new_process, is_sent: true, ..next },
+        Case { name: "an answer without limit", event: limit_ends, is_sent: true, ..next },
+        Case {
+            name: "the rest of a stream, a second early",
+            request: PlacementRequest { continued_version: Some(version), ..REQUEST },
+            allow_full: true,
+            is_sent: true,
+            ..next
+        },
+        next,
+    ];
+    for Case { name, event, request, allow_full, is_sent } in cases {
+        let mut placement = placement(1, 64);
+        let upstream = "u0".into();
+        let statement = LimitStatement { per_s: Some(1.25), sent_ms: 950, received_ms: 1_000 };
+        placement.record_limit(1_000, &upstream, statement);
+        placement.merge_limits(1_000, &LimitSummary::default());
+        while placement.assign(1_000, REQUEST, 1, true).is_some() {}
+        assert_eq!(placement.slot_counts(1_000, Lane::Short).free, 0, "{name}");
+        event(&mut placement, &upstream);
+        let chosen = placement.assign(1_100, request, 1, allow_full);
+        assert_eq!(chosen.is_some(), is_sent, "{name}");
+        assert!(placement.assign(3_000, REQUEST, 1, false).is_some(), "{name}: no slot later");
+    }
+}
+
+/// Guards against workspaces that may exceed their share because upstreams with a limit seem
+/// to have slots to spare, and against shares of a capacity that the limits do not allow.
+#[test]
+fn upstream_with_a_used_up_limit_counts_as_full() {
+    let mut placement = placement(2, 64);
+    let limit = |per_s| LimitStatement { per_s: Some(per_s), sent_ms: 0, received_ms: 0 };
+    placement.record_limit(0, &"u0".into(), limit(2.0));
+    placement.record_limit(0, &"u1".into(), limit(20.0));
+    let counts = placement.slot_counts(10_000, Lane::Short);
+    assert_eq!((counts.in_use, counts.free_in_ms), (0, 0));
+    while placement.assign(10_000, REQUEST, 1, false).is_some() {}
+    let counts = placement.slot_counts(10_000, Lane::Short);
+    assert_eq!((counts.in_use, counts.free), (128, 0));
+    assert!((1..=50).contains(&counts.free_in_ms), "{}", counts.free_in_ms);
+
+    let mean_cost = |_| Some(3_000.0);
+    assert_eq!(placement.limited_capacity(100_000, mean_cost), 50_000 + 6_000);
+    assert_eq!(placement.limited_capacity(100_000, |_| None), 100_000);
+}
