Count an upstream with a limit as full as its limit is used

Whether slots are scarce decides if workspaces are held to their shares. An upstream with a limit counted as full only while this router's next send slot was yet to come, so it seemed idle whenever one slot lapsed, and a workspace that floods was not held to its share then. The part of the limit that all routers used within 4 s decides now; a new limit counts as used up until that is known.

--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -380,16 +380,16 @@
 
     /// Slots of an upstream that count as in use: those of its requests, or more if its
     /// streams are slow. An engine with many slots is slow long before they are in use.
-    /// An upstream whose limit on requests per second is used up has no slots to spare.
+    /// Of an upstream with a limit on requests per second, as large a part as of the limit.
     fn occupied_slots(&self, now_ms: u64, state: &UpstreamState) -> f64 {
         let requests = state.total_requests(now_ms, self.routers_per_upstream);
-        let is_used_up = self.send_slots(state).is_some_and(|slots| slots.are_used_up(now_ms));
-        let slowness = if is_used_up || self.is_prefill_behind(now_ms, state) {
+        let slowness = if self.is_prefill_behind(now_ms, state) {
             1.0
         } else {
             (state.mean_gap_ms(now_ms) / self.max_mean_gap_ms).min(1.0)
         };
-        requests.max(f64::from(state.slots) * slowness)
+        let used_limit = self.send_slots(state).map_or(0.0, |slots| slots.used_fraction(now_ms));
+        requests.max(f64::from(state.slots) * slowness.max(used_limit))
     }
 
     /// Whether an upstream has so many prompt tokens to process that it takes no
--- a/crates/edge/src/upstream_limit.rs
+++ b/crates/edge/src/upstream_limit.rs
@@ -345,12 +345,12 @@
     interval_ms: f64,
     /// The oldest slot that was not used, in milliseconds.
     next_ms: f64,
-    /// Whether the slot before that one lapsed.
-    has_lapsed: bool,
     /// When this router sent requests in the current span.
     sent_ms: VecDeque<u64>,
-    /// Requests that all routers together may send in a span.
-    max_in_span: f64,
+    /// When the limit began to apply.
+    since_ms: u64,
+    /// Requests that the limit allows all routers together in a span.
+    allowed_in_span: f64,
     /// Requests that all routers sent in the span that ended at `fleet_sent_at_ms`.
     fleet_sent: u32,
     fleet_sent_at_ms: u64,
@@ -364,9 +364,9 @@
         Self {
             interval_ms,
             next_ms: now_ms as f64 + phase * interval_ms,
-            has_lapsed: false,
             sent_ms: VecDeque::new(),
-            max_in_span: f64::INFINITY,
+            since_ms: now_ms,
+            allowed_in_span: f64::INFINITY,
             fleet_sent: 0,
             fleet_sent_at_ms: now_ms,
         }
@@ -380,7 +380,6 @@
             return;
         }
         let (now, next_ms) = (now_ms as f64, self.next_slot_ms(now_ms));
-        self.has_lapsed |= next_ms > self.next_ms;
         let wait_ms = next_ms - now;
         let scale = if wait_ms > 0.0 { interval_ms / self.interval_ms } else { 1.0 };
         self.next_ms = now + wait_ms * scale;
@@ -389,8 +388,7 @@
 
     /// Sets the limit of the upstream, in requests per second from all routers.
     pub fn set_fleet_limit(&mut self, per_s: f64) {
-        let (factor, slack) = MAX_IN_SPAN_FACTOR_AND_SLACK;
-        self.max_in_span = per_s * SPAN_MS as f64 / 1_000.0 * factor + slack;
+        self.allowed_in_span = per_s * SPAN_MS as f64 / 1_000.0;
     }
 
     /// Sets how many requests all routers sent in a span, as is known now.
@@ -405,11 +403,17 @@
         (self.sent_ms.len() - self.sent_ms.partition_point(|at_ms| *at_ms < begin_ms)) as u32
     }
 
+    /// Requests of all routers in a span: those that are known, and what this router sent
+    /// since.
+    fn fleet_sent_in_span(&self) -> u32 {
+        let known = self.sent_ms.partition_point(|at_ms| *at_ms <= self.fleet_sent_at_ms);
+        self.fleet_sent + (self.sent_ms.len() - known) as u32
+    }
+
     /// Whether all routers together have sent so much that no slot may be used.
     fn is_span_full(&self) -> bool {
-        let known = self.sent_ms.partition_point(|at_ms| *at_ms <= self.fleet_sent_at_ms);
-        let sent = self.fleet_sent as usize + self.sent_ms.len() - known;
-        sent as f64 >= self.max_in_span
+        let (factor, slack) = MAX_IN_SPAN_FACTOR_AND_SLACK;
+        f64::from(self.fleet_sent_in_span()) >= self.allowed_in_span * factor + slack
     }
 
     /// The oldest slot that was not used and has not lapsed.
@@ -443,18 +447,18 @@
         if self.is_span_full() { wait_ms.max(SPAN_RECHECK_MS) } else { wait_ms }
     }
 
-    /// Whether requests use all slots: the last one was used, and the next one is yet to
-    /// come.
-    pub fn are_used_up(&self, now_ms: u64) -> bool {
-        let next_ms = self.next_slot_ms(now_ms);
-        let is_last_used = next_ms == self.next_ms && !self.has_lapsed;
-        next_ms > now_ms as f64 && is_last_used || self.is_span_full()
+    /// Fraction of the limit that all routers together use, 0 to 1. Until their requests
+    /// have been counted for a span, the limit counts as used up.
+    pub fn used_fraction(&self, now_ms: u64) -> f64 {
+        if now_ms < self.since_ms + SPAN_MS {
+            return 1.0;
+        }
+        (f64::from(self.fleet_sent_in_span()) / self.allowed_in_span).min(1.0)
     }
 
     /// Uses the oldest slot, if need be one that is yet to come.
     pub fn take(&mut self, now_ms: u64) {
         self.next_ms = self.next_slot_ms(now_ms) + self.interval_ms;
-        self.has_lapsed = false;
         let begin_ms = (now_ms + 1).saturating_sub(SPAN_MS);
         while self.sent_ms.front().is_some_and(|at_ms| *at_ms < begin_ms) {
             self.sent_ms.pop_front();
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -596,19 +596,42 @@
 /// Guards against workspaces that may exceed their share because upstreams with a limit seem
 /// to have slots to spare, and against shares of a capacity that the limits do not allow.
 #[test]
-fn upstream_with_a_used_up_limit_counts_as_full() {
-    let mut placement = placement(2, 64);
-    let limit = |per_s| LimitStatement { per_s: Some(per_s), sent_ms: 0, received_ms: 0 };
-    placement.record_limit(0, &"u0".into(), limit(2.0));
-    placement.record_limit(0, &"u1".into(), limit(20.0));
-    let counts = placement.slot_counts(10_000, Lane::Short);
-    assert_eq!((counts.in_use, counts.free_in_ms), (0, 0));
-    while placement.assign(10_000, REQUEST, 1, false).is_some() {}
-    let counts = placement.slot_counts(10_000, Lane::Short);
-    assert_eq!((counts.in_use, counts.free), (128, 0));
-    assert!((1..=50).contains(&counts.free_in_ms), "{}", counts.free_in_ms);
+fn upstream_counts_as_full_as_its_limit_is_used() {
+    struct Case {
+        name: &'static str,
+        /// Time without requests before the slots are counted, in milliseconds.
+        idle_ms: u64,
+        in_use: std::ops::RangeInclusive<u32>,
+    }
+    let cases = [
+        Case { name: "pressed", idle_ms: 0, in_use: 115..=128 },
+        Case { name: "idle for half of the time", idle_ms: 2_000, in_use: 50..=80 },
+        Case { name: "idle", idle_ms: 4_000, in_use: 0..=0 },
+    ];
+    for Case { name, idle_ms, in_use } in cases {
+        let mut placement = placement(2, 64);
+        let statement = LimitStatement { per_s: Some(5.0), sent_ms: 0, received_ms: 0 };
+        for upstream in ["u0".into(), "u1".into()] {
+            placement.record_limit(0, &upstream, statement);
+        }
+        assert_eq!(placement.slot_counts(0, Lane::Short).in_use, 128, "{name}: at first");
+        let end_ms = 10_000;
+        for now_ms in (0..end_ms + idle_ms).step_by(20) {
+            let may_send = now_ms < end_ms;
+            while may_send && let Some(chosen) = placement.assign(now_ms, REQUEST, 1, false) {
+                placement.request_ended(&chosen.upstream);
+                placement.prefill_ended(&chosen.upstream, REQUEST.prefill_tokens);
+            }
+            let summary = placement.limit_summary(now_ms);
+            placement.merge_limits(now_ms, &summary);
+        }
+        let counts = placement.slot_counts(end_ms + idle_ms, Lane::Short);
+        assert!(in_use.contains(&counts.in_use), "{name}: {counts:?}");
+    }
 
-    let mean_cost = |_| Some(3_000.0);
-    assert_eq!(placement.limited_capacity(100_000, mean_cost), 50_000 + 6_000);
+    let mut placement = placement(2, 64);
+    let statement = LimitStatement { per_s: Some(2.0), sent_ms: 0, received_ms: 0 };
+    placement.record_limit(0, &"u0".into(), statement);
+    assert_eq!(placement.limited_capacity(100_000, |_| Some(3_000.0)), 50_000 + 6_000);
     assert_eq!(placement.limited_capacity(100_000, |_| None), 100_000);
 }
