--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -378,6 +378,7 @@
         max_wait_ms: until_ms.saturating_sub(now_ms),
         target_wait_ms: (arrived_ms + target_wait_ms).saturating_sub(now_ms),
     };
+    record.cost = Some(request.cost);
     let reject = |retry_after_ms, reason: &'static str| {
         ErrorReply::not_run(reason, retry_advice_ms(node, checked, retry_after_ms))
     };
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -53,6 +53,8 @@
     /// Segment of the prompt because of which the request was rejected.
     pub(crate) blocked_segment: Option<SegmentId>,
     pub(crate) attempts: u32,
+    /// Expected cost, in cost units.
+    pub(crate) cost: Option<u64>,
     /// Estimated requests at the upstream when it was chosen, and the age of its
     /// load report in milliseconds.
     upstream_load: Option<(u32, Option<u64>)>,
@@ -95,6 +97,7 @@
             shared_segments: Rc::default(),
             blocked_segment: None,
             attempts: 0,
+            cost: None,
             upstream_load: None,
             reported_load: None,
             limit_per_s: None,
@@ -174,6 +177,7 @@
             segments,
             blocked_segment = self.blocked_segment.map(|segment| segment.to_string()),
             attempts = self.attempts,
+            cost = self.cost,
             upstream_requests = self.upstream_load.map(|(requests, _)| requests),
             report_age_ms = self.upstream_load.and_then(|(_, age_ms)| age_ms),
             upstream_running = self.reported_load.map(|load| load.running),
