--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -210,8 +210,10 @@
 /// Head of an upstream's answer for the caller.
 pub(crate) fn response_head(mut parts: response::Parts, names: &HeaderNames) -> response::Parts {
     remove_hop_by_hop(&mut parts.headers);
-    parts.headers.remove(&names.load_report);
-    parts.headers.remove(&names.leaving);
+    // These concern routers, not callers.
+    for name in [&names.load_report, &names.leaving, &names.request_limit] {
+        parts.headers.remove(name);
+    }
     parts.version = Version::HTTP_11;
     parts
 }
