Use send slots early while a limit is not used up

A router could send only when its own next slot had come, a new limit counted as used up for 4 s, and the capacity that workspaces share fell with any limit, however high.

A slot may now be used up to a second early while the fleet uses less than 0.8 of the limit; whether a new limit is used up is estimated from this router's requests; and what one upstream may do above its even part makes up for others below.

--- a/crates/edge/src/placement/limits.rs
+++ b/crates/edge/src/placement/limits.rs
@@ -10,6 +10,9 @@
     upstream_load::UpstreamState,
 };
 
+/// Most that an upstream may contribute to the capacity, as a multiple of an even part.
+const MAX_CAPACITY_FACTOR: f64 = 2.0;
+
 impl Placement {
     /// Records what an upstream said about its limit on requests per second. Returns
     /// whether that is worth a log line.
@@ -23,7 +26,7 @@
             return false;
         };
         let is_notable = self.limits.record(now_ms, state.name_hash, statement);
-        self.limits.set_claim(now_ms, state.name_hash, self.claim(state));
+        self.limits.set_claim(now_ms, state.name_hash, self.claim(now_ms, state));
         is_notable
     }
 
@@ -58,14 +61,15 @@
         if self.limits.is_empty() {
             return;
         }
-        let claims = self.upstreams.values().map(|state| (state.name_hash, self.claim(state)));
+        let states = self.upstreams.values();
+        let claims = states.map(|state| (state.name_hash, self.claim(now_ms, state)));
         let claims: Vec<(u64, Claim)> = claims.collect();
         for (upstream, claim) in claims {
             self.limits.set_claim(now_ms, upstream, claim);
         }
     }
 
-    fn claim(&self, state: &UpstreamState) -> Claim {
+    fn claim(&self, now_ms: u64, state: &UpstreamState) -> Claim {
         let own =
             if state.is_assigned { self.capacity_fraction / self.upstreams_fraction } else { 0.0 };
         // In a small fleet all routers use each upstream, and their claims add up to one.
@@ -75,6 +79,7 @@
             own,
             min_fleet: if is_small { 1.0 } else { 0.0 },
             phase: hash as f64 / u64::MAX as f64,
+            sent_per_s: state.sent.per_s(now_ms),
         }
     }
 
@@ -102,12 +107,14 @@
             return capacity;
         }
         let even_part = capacity as f64 / self.upstreams.len().max(1) as f64;
+        // Upstreams differ in what they do, and a limit may be far above it.
+        let most = even_part * MAX_CAPACITY_FACTOR;
         let parts = self.upstreams.values().map(|state| {
             let per_s = self.limits.per_s(state.name_hash);
             let limited = per_s.and_then(|per_s| Some(per_s * mean_cost(state.lane)?));
-            limited.map_or(even_part, |limited| limited.min(even_part))
+            limited.map_or(even_part, |limited| limited.min(most))
         });
-        parts.sum::<f64>() as u64
+        (parts.sum::<f64>() as u64).min(capacity)
     }
 
     /// Number of upstreams that are known to name a limit on requests per second.
--- a/crates/edge/src/upstream_limit.rs
+++ b/crates/edge/src/upstream_limit.rs
@@ -21,9 +21,12 @@
 /// Time for which an unused send slot may still be used, in milliseconds. Requests come at
 /// random, and a slot must not be lost because none waits at that moment.
 const SLOT_LIFETIME_MS: f64 = 1_000.0;
-/// Time before a send slot at which a stream that continues may use it, in milliseconds.
-/// It cannot wait longer than that.
+/// Time before a send slot at which it may be used, in milliseconds: by a stream that
+/// continues, which cannot wait longer than that, and by all requests while the fleet uses
+/// less than [`FREE_USED_FRACTION`] of the limit.
 const EARLY_SLOT_MS: f64 = 1_000.0;
+/// Fraction of a limit in use below which it leaves room for requests of any router.
+const FREE_USED_FRACTION: f64 = 0.8;
 /// Length of the span of time in which the requests of all routers are counted, in
 /// milliseconds.
 const SPAN_MS: u64 = 4_000;
@@ -223,6 +226,8 @@
     /// Part of an interval until its first send slot, 0 to 1. Differs between routers, so
     /// that their slots spread.
     pub phase: f64,
+    /// Rate of its requests, per second.
+    pub sent_per_s: f64,
 }
 
 /// The limits of all upstreams of a service, by the hash of the upstream's name.
@@ -277,8 +282,9 @@
             return;
         };
         let own_per_s = per_s * known.own_fraction(now_ms, claim.min_fleet);
-        let slots =
-            known.slots.get_or_insert_with(|| SendSlots::new(now_ms, own_per_s, claim.phase));
+        let slots = known.slots.get_or_insert_with(|| {
+            SendSlots::new(now_ms, own_per_s, claim.phase, claim.sent_per_s)
+        });
         slots.set_rate(now_ms, own_per_s);
         slots.set_fleet_limit(per_s);
     }
@@ -349,6 +355,8 @@
     sent_ms: VecDeque<u64>,
     /// When the limit began to apply.
     since_ms: u64,
+    /// Fraction of its part of the limit that this router used before.
+    used_fraction_before: f64,
     /// Requests that the limit allows all routers together in a span.
     allowed_in_span: f64,
     /// Requests that all routers sent in the span that ended at `fleet_sent_at_ms`.
@@ -358,14 +366,15 @@
 
 impl SendSlots {
     /// Creates the slots for a rate. `phase`, 0 to 1, is the part of an interval until the
-    /// first slot.
-    pub fn new(now_ms: u64, own_per_s: f64, phase: f64) -> Self {
+    /// first slot, and `sent_per_s` the rate of this router's requests until now.
+    pub fn new(now_ms: u64, own_per_s: f64, phase: f64, sent_per_s: f64) -> Self {
         let interval_ms = interval_ms(own_per_s);
         Self {
             interval_ms,
             next_ms: now_ms as f64 + phase * interval_ms,
             sent_ms: VecDeque::new(),
             since_ms: now_ms,
+            used_fraction_before: (sent_per_s / own_per_s.max(f64::MIN_POSITIVE)).min(1.0),
             allowed_in_span: f64::INFINITY,
             fleet_sent: 0,
             fleet_sent_at_ms: now_ms,
@@ -425,7 +434,7 @@
 
     /// Number of requests that may be sent now.
     pub fn available(&self, now_ms: u64) -> u32 {
-        let age_ms = now_ms as f64 - self.next_slot_ms(now_ms);
+        let age_ms = now_ms as f64 + self.early_ms(now_ms) - self.next_slot_ms(now_ms);
         if age_ms < 0.0 || self.is_span_full() {
             return 0;
         }
@@ -434,7 +443,12 @@
 
     /// Time until a request may be sent, in milliseconds.
     pub fn wait_ms(&self, now_ms: u64) -> u64 {
-        self.wait_until_ms(now_ms, self.next_slot_ms(now_ms))
+        self.wait_until_ms(now_ms, self.next_slot_ms(now_ms) - self.early_ms(now_ms))
+    }
+
+    /// Time before a slot at which any request may use it.
+    fn early_ms(&self, now_ms: u64) -> f64 {
+        if self.used_fraction(now_ms) < FREE_USED_FRACTION { EARLY_SLOT_MS } else { 0.0 }
     }
 
     /// Time until a stream that continues may be sent, in milliseconds.
@@ -448,10 +462,10 @@
     }
 
     /// Fraction of the limit that all routers together use, 0 to 1. Until their requests
-    /// have been counted for a span, the limit counts as used up.
+    /// have been counted for a span, it is estimated from those of this router.
     pub fn used_fraction(&self, now_ms: u64) -> f64 {
         if now_ms < self.since_ms + SPAN_MS {
-            return 1.0;
+            return self.used_fraction_before;
         }
         (f64::from(self.fleet_sent_in_span()) / self.allowed_in_span).min(1.0)
     }
