Hold workspaces closer to their shares while upstreams name limits

Routers differ in what they know of the slots in use: some were above the 0.6 from which shares are enforced, others below, and a workspace at all of them finds those below.

While upstreams name limits, shares are now enforced from 0.4 of the slots on, and below that a workspace gets at most twice its share.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -27,6 +27,10 @@
 const SPARE_LIMIT_FACTOR: f64 = 2.0;
 /// Fraction of the slots in use below which no limits apply.
 const UNLIMITED_SLOTS_IN_USE_FRACTION: f64 = 0.4;
+/// Both fractions while upstreams name limits on requests per second. Routers then differ
+/// in what they know of the slots in use, and a workspace that floods all of them would
+/// find some at which it may exceed its share.
+const LIMITED_SLOTS_IN_USE_FRACTIONS: (f64, f64) = (0.0, 0.4);
 /// Time without an empty queue after which the service counts as overloaded, in
 /// milliseconds; until then it may be a burst. In an overload, short waits serve
 /// as many requests as long ones, and serve them in time.
@@ -65,14 +69,21 @@
     /// Least time until one of these slots can be free, in milliseconds, as far as the
     /// limits on requests per second of the upstreams tell.
     pub free_in_ms: u64,
+    /// Whether an upstream of the service names a limit on requests per second.
+    pub is_limited: bool,
 }
 
 impl SlotCounts {
     fn utilization(&self) -> Utilization {
         let (in_use, total) = (f64::from(self.in_use), f64::from(self.total));
-        if in_use < UNLIMITED_SLOTS_IN_USE_FRACTION * total {
+        let (unlimited_fraction, spare_fraction) = if self.is_limited {
+            LIMITED_SLOTS_IN_USE_FRACTIONS
+        } else {
+            (UNLIMITED_SLOTS_IN_USE_FRACTION, SPARE_SLOTS_IN_USE_FRACTION)
+        };
+        if in_use < unlimited_fraction * total {
             Utilization::Low
-        } else if in_use < SPARE_SLOTS_IN_USE_FRACTION * total {
+        } else if in_use < spare_fraction * total {
             Utilization::Medium
         } else {
             Utilization::High
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -6,7 +6,8 @@
 
 use span_edge::admission::{Admission, AdmissionRequest, RejectReason, SlotCounts, Ticket};
 
-const FULL: SlotCounts = SlotCounts { free: 0, in_use: 10, total: 10, free_in_ms: 0 };
+const FULL: SlotCounts =
+    SlotCounts { free: 0, in_use: 10, total: 10, free_in_ms: 0, is_limited: false };
 
 fn request(workspace: &str, cost: u64) -> AdmissionRequest {
     AdmissionRequest {
@@ -57,21 +58,28 @@
     struct Case {
         name: &'static str,
         free: u32,
+        is_limited: bool,
         rejected: bool,
     }
+    let free = |name, free, rejected| Case { name, free, is_limited: false, rejected };
+    let limited = |name, free, rejected| Case { name, free, is_limited: true, rejected };
     let cases = [
-        Case { name: "no slot is free", free: 0, rejected: true },
-        Case { name: "one slot of ten is free", free: 1, rejected: true },
-        Case { name: "half of the slots are in use", free: 5, rejected: true },
-        Case { name: "a third of the slots are in use", free: 7, rejected: false },
-        Case { name: "most slots are free", free: 8, rejected: false },
+        free("no slot is free", 0, true),
+        free("one slot of ten is free", 1, true),
+        free("half of the slots are in use", 5, true),
+        free("a third of the slots are in use", 7, false),
+        free("most slots are free", 8, false),
+        // The workspace has used more than twice its share.
+        limited("a third of the slots are in use, upstreams name limits", 7, true),
+        limited("all slots are free, upstreams name limits", 10, true),
     ];
     for case in cases {
         let mut admission = Admission::default();
         admission.enqueue(0, with_free(10), &request("a", 10_000)).unwrap();
         admission.set_limits(0, &BTreeMap::from([("a".into(), 1_000.0)]));
         assert!(admission.dispatch(0, with_free(10)).is_some());
-        let result = admission.enqueue(1, with_free(case.free), &request("a", 1));
+        let slots = SlotCounts { is_limited: case.is_limited, ..with_free(case.free) };
+        let result = admission.enqueue(1, slots, &request("a", 1));
         let reason = result.err().map(|rejection| rejection.reason);
         assert_eq!(reason, case.rejected.then_some(RejectReason::OverShare), "{}", case.name);
     }
