--- a/crates/edge/src/upstream_limit.rs
+++ b/crates/edge/src/upstream_limit.rs
@@ -98,7 +98,7 @@
     received_age_ms: u32,
     /// Claims of these routers, in parts of the fleet's requests.
     claim: f32,
-    /// Requests that these routers sent in the last [`SPAN_MS`].
+    /// Requests that these routers sent in the last `SPAN_MS`.
     sent: u32,
 }
 
@@ -406,7 +406,7 @@
         self.fleet_sent_at_ms = now_ms;
     }
 
-    /// Requests that this router sent in the last [`SPAN_MS`].
+    /// Requests that this router sent in the last `SPAN_MS`.
     pub fn sent_in_span(&self, now_ms: u64) -> u32 {
         let begin_ms = (now_ms + 1).saturating_sub(SPAN_MS);
         (self.sent_ms.len() - self.sent_ms.partition_point(|at_ms| *at_ms < begin_ms)) as u32
