Count a request in all lanes while upstreams name limits

Each lane holds a workspace to its whole share of the service, so one that floods with short and with long prompts gets it twice. Without limits, slots are to spare for that. While upstreams name limits they are not, so a request is now charged in all lanes.

The test fails without the charge: 21,500 cost units in 10 s, where 10,800 are allowed.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -130,6 +130,17 @@
     pub limit_per_s: Option<u64>,
 }
 
+/// A request that was taken from the queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DispatchedRequest {
+    /// Ticket of the request.
+    pub ticket: Ticket,
+    /// Workspace that was charged.
+    pub workspace: WorkspaceName,
+    /// Expected cost, in cost units.
+    pub cost: u64,
+}
+
 #[derive(Debug)]
 struct QueuedRequest {
     ticket: Ticket,
@@ -325,6 +336,14 @@
         Ok(Ticket(self.last_ticket))
     }
 
+    /// Charges a workspace for a request that was dispatched elsewhere.
+    pub fn charge(&mut self, now_ms: u64, workspace: &WorkspaceName, cost: u64) {
+        if let Some(queue) = self.queues.get_mut(workspace) {
+            queue.refill(now_ms);
+            queue.charge(cost);
+        }
+    }
+
     fn count_dispatch(&mut self, now_ms: u64, cost: u64) {
         self.dispatched_cost.add(now_ms, cost);
         self.dispatched_count.add(now_ms, 1);
@@ -356,31 +375,32 @@
     }
 
     /// Removes the next request from the queue, if a slot is free for it.
-    pub fn dispatch(&mut self, now_ms: u64, slots: SlotCounts) -> Option<Ticket> {
+    pub fn dispatch(&mut self, now_ms: u64, slots: SlotCounts) -> Option<DispatchedRequest> {
         if slots.free == 0 {
             return None;
         }
         let utilization = slots.utilization();
-        let backlogged = self.queues.values_mut().filter(|queue| !queue.requests.is_empty());
-        let mut best: Option<((bool, f64), &mut WorkspaceQueue)> = None;
-        for queue in backlogged {
+        let backlogged = self.queues.iter_mut().filter(|(_, queue)| !queue.requests.is_empty());
+        let mut best: Option<((bool, f64), &WorkspaceName, &mut WorkspaceQueue)> = None;
+        for (name, queue) in backlogged {
             queue.refill(now_ms);
             let is_over_share = queue.is_over_share();
             if !queue.may_dispatch(utilization) {
                 continue;
             }
             let key = (is_over_share, queue.dispatched.per_s(now_ms));
-            if best.as_ref().is_none_or(|(other, _)| key < *other) {
-                best = Some((key, queue));
+            if best.as_ref().is_none_or(|(other, ..)| key < *other) {
+                best = Some((key, name, queue));
             }
         }
-        let (_, queue) = best?;
+        let (_, name, queue) = best?;
+        let workspace = name.clone();
         let QueuedRequest { ticket, cost } = queue.requests.pop_front()?;
         queue.dispatched.add(now_ms, cost);
         queue.charge(cost);
         self.workspace_by_ticket.remove(&ticket);
         self.count_dispatch(now_ms, cost);
-        Some(ticket)
+        Some(DispatchedRequest { ticket, workspace, cost })
     }
 
     /// Mean cost of the requests that were dispatched recently, in cost units; none if
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -10,7 +10,7 @@
     node::Node,
     placement::{ChosenUpstream, PromptPrefix},
     prompt_crashes::{ANSWERED_MS, Progress, RISK_MS},
-    state::LaneTicket,
+    service_admission::LaneTicket,
     stream_origin::StreamOrigin,
     upstream_load::AttemptResult,
     wire_format::{SegmentId, WorkEstimate},
--- a/crates/edge/src/lane.rs
+++ b/crates/edge/src/lane.rs
@@ -27,7 +27,9 @@
 ///
 /// The prefill of a long prompt interrupts all other streams of its engine, so
 /// some engines are reserved for long prompts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumCount, strum::EnumIter)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumCount, strum::EnumIter,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Lane {
     /// Requests without a prompt, or with a short one.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! All persistent data is in the platform's store. The modules [`admission`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`],
-//! [`overload`], [`placement`], [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`shares`],
+//! [`overload`], [`placement`], [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`service_admission`], [`shares`],
 //! [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`] and [`upstream_load`] make
 //! decisions without I/O, with the current time as an argument. The other modules connect them to the network.
 
@@ -31,6 +31,7 @@
 pub mod retry_budget;
 pub mod role;
 mod run;
+pub mod service_admission;
 pub mod settings;
 pub mod shares;
 pub mod socket;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -26,9 +26,10 @@
     placement::{ChosenUpstream, PlacementRequest, PromptPrefix},
     pool::Pool,
     registry::{Registry, UpstreamChange},
+    service_admission::LaneTicket,
     settings::Settings,
     shares,
-    state::{LaneTicket, ServiceState, State, WaitingRequest, retry_limit},
+    state::{ServiceState, State, WaitingRequest, retry_limit},
     store::Position,
     store_source::StartState,
     upstream_limit::LimitStatement,
@@ -351,7 +352,8 @@
         let mut state = self.state();
         let State { services, rng, .. } = &mut *state;
         let service_state = services.get_mut(service).ok_or(NoSlot::NoUpstream)?;
-        let ServiceState { placement, retry_budget, lanes, load_meter } = service_state;
+        let ServiceState { placement, retry_budget, admission, waiting, load_meter } =
+            service_state;
         retry_budget.record_request(now_ms);
         load_meter.demand.add(now_ms, &request.workspace, request.cost);
         if placement.usable_slots(now_ms, continued_version) == 0 {
@@ -363,7 +365,6 @@
         }
         let lane = placement.lane(prefill_tokens);
         let slots = placement.slot_counts(now_ms, lane);
-        let lane_state = &mut lanes[lane as usize];
         let (sender, receiver) = oneshot::channel();
         let prompt_prefix = work.prompt_prefix;
         if continued_version.is_some() {
@@ -375,22 +376,21 @@
                 continued_version,
             };
             let ticket =
-                lane_state.admission.admit_now(now_ms, slots, request).map_err(NoSlot::Rejected)?;
+                admission.admit_now(now_ms, lane, slots, request).map_err(NoSlot::Rejected)?;
             let draw = rng.next_u64();
             let chosen = placement.assign(now_ms, placement_request, draw, false);
             let chosen = chosen.or_else(|| placement.assign(now_ms, placement_request, draw, true));
             // The receiver is not dropped yet.
             let _ = sender.send(chosen.ok_or(NoSlot::NoUpstream)?);
-            return Ok((LaneTicket { lane, ticket }, receiver));
+            return Ok((ticket, receiver));
         }
-        let ticket =
-            lane_state.admission.enqueue(now_ms, slots, request).map_err(NoSlot::Rejected)?;
+        let ticket = admission.enqueue(now_ms, lane, slots, request).map_err(NoSlot::Rejected)?;
         let until_ms = now_ms + request.max_wait_ms;
-        let waiting = WaitingRequest { sender, prompt_prefix, prefill_tokens, until_ms };
-        lane_state.waiting.insert(ticket, waiting);
+        let request = WaitingRequest { sender, prompt_prefix, prefill_tokens, until_ms };
+        waiting.insert(ticket, request);
         drop(state);
         self.dispatch(service);
-        Ok((LaneTicket { lane, ticket }, receiver))
+        Ok((ticket, receiver))
     }
 
     /// Removes a waiting request. Returns false if it has been dispatched.
@@ -399,9 +399,8 @@
         let Some(service) = state.services.get_mut(service) else {
             return false;
         };
-        let lane = &mut service.lanes[ticket.lane as usize];
-        lane.waiting.remove(&ticket.ticket);
-        lane.admission.cancel(ticket.ticket)
+        service.waiting.remove(&ticket);
+        service.admission.cancel(ticket)
     }
 
     /// Load from this router's callers.
@@ -451,7 +450,7 @@
             }
             let config = config.as_ref().filter(|config| config.is_engine(name));
             let capacity = config.and_then(|config| config.capacity_per_s);
-            let mean_cost = |lane| service.lanes[lane as usize].admission.mean_cost(now_ms);
+            let mean_cost = |lane| service.admission.lane(lane).mean_cost(now_ms);
             let capacity =
                 capacity.map(|capacity| service.placement.limited_capacity(capacity, mean_cost));
             let shares = shares::divide_capacity(
@@ -463,9 +462,7 @@
             );
             service.placement.set_capacity_fraction(shares.capacity_fraction);
             changed_limits.extend(service.placement.merge_limits(now_ms, &fleet_limits));
-            for lane in &mut service.lanes {
-                lane.admission.set_limits(now_ms, &shares.limits);
-            }
+            service.admission.set_limits(now_ms, &shares.limits);
         }
         drop(state);
         for (upstream, limit_per_s) in changed_limits {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -10,10 +10,9 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use span_member::{MAX_FULL_MESH_PEERS, MembershipTiming, MembershipView, Router};
 use span_types::{InstanceName, Member, MemberState, ServiceName};
-use strum::{EnumCount, IntoEnumIterator};
+use strum::IntoEnumIterator;
 
 use crate::{
-    admission::{Admission, Ticket},
     config::Config,
     directory::ConfigReports,
     lane::Lane,
@@ -26,6 +25,7 @@
     registry::Registry,
     retry_budget::{RetryBudget, RetryLimit},
     role::{Role, role},
+    service_admission::{LaneTicket, ServiceAdmission},
     settings::Settings,
     shares::{DecayingRate, DemandMeter},
     store_source::{ReadOrder, StoreKnowledge, StoreSource},
@@ -58,7 +58,8 @@
 pub(crate) struct ServiceState {
     pub(crate) placement: Placement,
     pub(crate) retry_budget: RetryBudget,
-    pub(crate) lanes: [LaneState; Lane::COUNT],
+    pub(crate) admission: ServiceAdmission,
+    pub(crate) waiting: HashMap<LaneTicket, WaitingRequest>,
     pub(crate) load_meter: LoadMeter,
 }
 
@@ -79,20 +80,6 @@
     }
 }
 
-/// The waiting requests of one lane.
-#[derive(Default)]
-pub(crate) struct LaneState {
-    pub(crate) admission: Admission,
-    pub(crate) waiting: HashMap<Ticket, WaitingRequest>,
-}
-
-/// Identifies a waiting request of a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct LaneTicket {
-    pub(crate) lane: Lane,
-    pub(crate) ticket: Ticket,
-}
-
 /// State of the process.
 pub(crate) struct State {
     /// Configuration in force; none until the first one is known.
@@ -146,24 +133,22 @@
     /// again.
     pub(crate) fn reject_unservable(&mut self, now_ms: u64) {
         let available_in_ms = self.placement.available_in_ms(now_ms).unwrap_or(0);
-        for LaneState { admission, waiting } in &mut self.lanes {
-            // Dropping the sender rejects the request.
-            waiting.retain(|ticket, request| {
-                let is_servable = request.until_ms >= now_ms + available_in_ms;
-                if !is_servable {
-                    admission.cancel(*ticket);
-                }
-                is_servable
-            });
-        }
+        let Self { admission, waiting, .. } = self;
+        // Dropping the sender rejects the request.
+        waiting.retain(|ticket, request| {
+            let is_servable = request.until_ms >= now_ms + available_in_ms;
+            if !is_servable {
+                admission.cancel(*ticket);
+            }
+            is_servable
+        });
     }
 
     fn dispatch_lane(&mut self, now_ms: u64, lane: Lane, rng: &mut SmallRng) {
-        let Self { placement, lanes, .. } = self;
-        let LaneState { admission, waiting } = &mut lanes[lane as usize];
-        while admission.queue_len() > 0 {
+        let Self { placement, admission, waiting, .. } = self;
+        while admission.lane(lane).queue_len() > 0 {
             let slots = placement.slot_counts(now_ms, lane);
-            let Some(ticket) = admission.dispatch(now_ms, slots) else {
+            let Some(ticket) = admission.dispatch(now_ms, lane, slots) else {
                 return;
             };
             let Some(request) = waiting.remove(&ticket) else {
@@ -366,15 +351,15 @@
             self.services.entry(name.clone()).or_insert_with(|| ServiceState {
                 placement: Placement::default(),
                 retry_budget: RetryBudget::new(limit, now_ms),
-                lanes: [(); Lane::COUNT].map(|()| LaneState::default()),
+                admission: ServiceAdmission::default(),
+                waiting: HashMap::new(),
                 load_meter: LoadMeter::default(),
             });
         }
-        let lanes = self.services.values_mut().flat_map(|service| &mut service.lanes);
-        for lane in lanes {
-            for ticket in lane.admission.retain_workspaces(&config.workspaces) {
+        for service in self.services.values_mut() {
+            for ticket in service.admission.retain_workspaces(&config.workspaces) {
                 // Dropping the sender rejects the request.
-                lane.waiting.remove(&ticket);
+                service.waiting.remove(&ticket);
             }
         }
         self.sync_upstreams(now_ms);
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -4,7 +4,11 @@
 
 use std::collections::BTreeMap;
 
-use span_edge::admission::{Admission, AdmissionRequest, RejectReason, SlotCounts, Ticket};
+use span_edge::{
+    admission::{Admission, AdmissionRequest, RejectReason, SlotCounts, Ticket},
+    lane::Lane,
+    service_admission::ServiceAdmission,
+};
 
 const FULL: SlotCounts =
     SlotCounts { free: 0, in_use: 10, total: 10, free_in_ms: 0, is_limited: false };
@@ -22,6 +26,10 @@
     SlotCounts { free, in_use: 10 - free, ..FULL }
 }
 
+fn dispatch(admission: &mut Admission, now_ms: u64, slots: SlotCounts) -> Option<Ticket> {
+    admission.dispatch(now_ms, slots).map(|request| request.ticket)
+}
+
 /// A workspace that sends many requests at once must not make the requests of
 /// other workspaces wait behind them.
 #[test]
@@ -30,9 +38,9 @@
     let flood: Vec<Ticket> =
         (0..20).map(|_| admission.enqueue(0, FULL, &request("flood", 100)).unwrap()).collect();
     let small = admission.enqueue(1, FULL, &request("small", 100)).unwrap();
-    assert_eq!(admission.dispatch(2, with_free(1)), Some(flood[0]));
-    assert_eq!(admission.dispatch(3, with_free(1)), Some(small));
-    assert_eq!(admission.dispatch(4, with_free(1)), Some(flood[1]));
+    assert_eq!(dispatch(&mut admission, 2, with_free(1)), Some(flood[0]));
+    assert_eq!(dispatch(&mut admission, 3, with_free(1)), Some(small));
+    assert_eq!(dispatch(&mut admission, 4, with_free(1)), Some(flood[1]));
 }
 
 /// Shares are measured in cost. If requests were counted instead, a workspace with
@@ -45,7 +53,8 @@
     }
     let small: Vec<Ticket> =
         (0..8).map(|_| admission.enqueue(0, FULL, &request("small", 250)).unwrap()).collect();
-    let order: Vec<Ticket> = (0..6).filter_map(|_| admission.dispatch(1, with_free(1))).collect();
+    let order: Vec<Ticket> =
+        (0..6).filter_map(|_| dispatch(&mut admission, 1, with_free(1))).collect();
     let dispatched_small = order.iter().filter(|ticket| small.contains(ticket)).count();
     assert_eq!(dispatched_small, 4, "{order:?}");
 }
@@ -77,7 +86,7 @@
         let mut admission = Admission::default();
         admission.enqueue(0, with_free(10), &request("a", 10_000)).unwrap();
         admission.set_limits(0, &BTreeMap::from([("a".into(), 1_000.0)]));
-        assert!(admission.dispatch(0, with_free(10)).is_some());
+        assert!(dispatch(&mut admission, 0, with_free(10)).is_some());
         let slots = SlotCounts { is_limited: case.is_limited, ..with_free(case.free) };
         let result = admission.enqueue(1, slots, &request("a", 1));
         let reason = result.err().map(|rejection| rejection.reason);
@@ -91,7 +100,7 @@
     let mut admission = Admission::default();
     admission.enqueue(0, with_free(10), &request("a", 2_750)).unwrap();
     admission.set_limits(0, &BTreeMap::from([("a".into(), 1_000.0)]));
-    admission.dispatch(0, with_free(10)).unwrap();
+    dispatch(&mut admission, 0, with_free(10)).unwrap();
     // The budget was 750 units, so 2,000 are missing.
     let rejection = admission.enqueue(0, FULL, &request("a", 1)).unwrap_err();
     assert_eq!(rejection.retry_after_ms, 2_000);
@@ -106,7 +115,7 @@
     let mut now_ms = 0;
     for _ in 0..20 {
         admission.enqueue(now_ms, with_free(1), &request("a", 1)).unwrap();
-        assert!(admission.dispatch(now_ms, with_free(1)).is_some());
+        assert!(dispatch(&mut admission, now_ms, with_free(1)).is_some());
         now_ms += 100;
     }
     // Ten are dispatched per second, so four in the queue take 400 ms.
@@ -125,7 +134,7 @@
     let second = admission.enqueue(0, FULL, &request("a", 1)).unwrap();
     assert!(admission.cancel(first));
     assert!(!admission.cancel(first));
-    assert_eq!(admission.dispatch(1, with_free(2)), Some(second));
+    assert_eq!(dispatch(&mut admission, 1, with_free(2)), Some(second));
     assert!(!admission.cancel(second));
     assert_eq!(admission.queue_len(), 0);
 }
@@ -137,8 +146,8 @@
     let removed = admission.enqueue(0, FULL, &request("removed", 1)).unwrap();
     let kept = admission.enqueue(0, FULL, &request("kept", 1)).unwrap();
     assert_eq!(admission.retain_workspaces(&["kept".into()]), vec![removed]);
-    assert_eq!(admission.dispatch(1, with_free(2)), Some(kept));
-    assert_eq!(admission.dispatch(1, with_free(2)), None);
+    assert_eq!(dispatch(&mut admission, 1, with_free(2)), Some(kept));
+    assert_eq!(dispatch(&mut admission, 1, with_free(2)), None);
 }
 
 /// Slots may be spare at some routers and not at others. A workspace that finds
@@ -152,7 +161,7 @@
         for now_ms in (0..6_000).step_by(10) {
             admission.set_limits(now_ms, &BTreeMap::from([("a".into(), 10_000.0)]));
             if admission.enqueue(now_ms, slots, &request("a", 1_000)).is_ok()
-                && admission.dispatch(now_ms, slots).is_some()
+                && dispatch(&mut admission, now_ms, slots).is_some()
             {
                 cost += 1_000;
             }
@@ -206,7 +215,7 @@
             }
             let slot_is_free = now_ms % WORK_MS == 0;
             let dispatched =
-                if slot_is_free { admission.dispatch(now_ms, with_free(1)) } else { None };
+                if slot_is_free { dispatch(&mut admission, now_ms, with_free(1)) } else { None };
             if let Some(arrived_ms) = dispatched.and_then(|ticket| arrivals.remove(&ticket))
                 && now_ms >= case.from_ms
             {
@@ -252,3 +261,81 @@
     assert_eq!((rejection.reason, rejection.retry_after_ms), (RejectReason::Busy, 400));
     assert!(admission.enqueue(0, slots, &patient).is_ok());
 }
+
+/// A workspace that floods a service with short and with long prompts must not get its
+/// share once for each, while upstreams name limits and others wait for their part.
+#[test]
+fn flood_of_all_lanes_gets_one_share_while_upstreams_name_limits() {
+    struct Case {
+        name: &'static str,
+        lanes: &'static [Lane],
+        is_limited: bool,
+        takes_up_streams: bool,
+        /// Most that the workspace may get within ten seconds, as a multiple of its limit.
+        max_shares: f64,
+    }
+    let both = &[Lane::Short, Lane::Long];
+    let cases = [
+        Case {
+            name: "one lane",
+            lanes: &[Lane::Long],
+            is_limited: true,
+            takes_up_streams: false,
+            max_shares: 1.0,
+        },
+        Case {
+            name: "both lanes",
+            lanes: both,
+            is_limited: true,
+            takes_up_streams: false,
+            max_shares: 1.0,
+        },
+        Case {
+            name: "both lanes, streams that callers take up",
+            lanes: both,
+            is_limited: true,
+            takes_up_streams: true,
+            max_shares: 1.0,
+        },
+        Case {
+            name: "no upstream names a limit",
+            lanes: both,
+            is_limited: false,
+            takes_up_streams: false,
+            max_shares: 2.0,
+        },
+    ];
+    const LIMIT_PER_S: f64 = 1_000.0;
+    const COST: u64 = 50;
+    const SPAN_MS: u64 = 10_000;
+    for case in cases {
+        let mut admission = ServiceAdmission::default();
+        let slots = SlotCounts { is_limited: case.is_limited, ..with_free(1) };
+        // Each lane learns of the workspace and then of its limit.
+        for &lane in case.lanes {
+            admission.enqueue(0, lane, slots, &request("flood", COST)).unwrap();
+        }
+        admission.set_limits(0, &BTreeMap::from([("flood".into(), LIMIT_PER_S)]));
+        let mut dispatched = 0;
+        for now_ms in (0..SPAN_MS).step_by(10) {
+            for &lane in case.lanes {
+                let request = request("flood", COST);
+                let is_dispatched = if case.takes_up_streams {
+                    admission.admit_now(now_ms, lane, slots, &request).is_ok()
+                } else {
+                    // Rejected while the workspace is over its share.
+                    let _ = admission.enqueue(now_ms, lane, slots, &request);
+                    admission.dispatch(now_ms, lane, slots).is_some()
+                };
+                dispatched += u64::from(is_dispatched);
+            }
+        }
+        // A workspace starts with 0.75 s of its limit, in each lane without limits of
+        // upstreams, and ends with the debt of one request.
+        let allowed = LIMIT_PER_S * case.max_shares * (SPAN_MS as f64 / 1_000.0 + 0.75)
+            + (COST as f64) * case.max_shares;
+        let got = (dispatched * COST) as f64;
+        assert!(got <= allowed, "{}: {got} of {allowed}", case.name);
+        assert!(got > 0.9 * allowed, "{}: {got} of {allowed}", case.name);
+    }
+}
