Hold workspaces to their shares as usual if few upstreams name limits

A limit of one upstream made all callers of its service pay: shares were held from 0.4 of the slots in use on, and once for both lanes, although the others had slots to spare.

The stricter rules now need limits at upstreams with a quarter of the slots.

The test fails before the change.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -69,7 +69,8 @@
     /// Least time until one of these slots can be free, in milliseconds, as far as the
     /// limits on requests per second of the upstreams tell.
     pub free_in_ms: u64,
-    /// Whether an upstream of the service names a limit on requests per second.
+    /// Whether upstreams with a good part of the service's slots name limits on requests
+    /// per second.
     pub is_limited: bool,
 }
 
--- a/crates/edge/src/placement/limits.rs
+++ b/crates/edge/src/placement/limits.rs
@@ -12,6 +12,9 @@
 
 /// Most that an upstream may contribute to the capacity, as a multiple of an even part.
 const MAX_CAPACITY_FACTOR: f64 = 2.0;
+/// Fraction of the slots from which limits of their upstreams leave no capacity to spare.
+/// Below, the other upstreams can take what workspaces send beyond their share.
+const MIN_LIMITED_SLOTS_FRACTION: f64 = 0.25;
 
 impl Placement {
     /// Records what an upstream said about its limit on requests per second. Returns
@@ -117,6 +120,18 @@
         (parts.sum::<f64>() as u64).min(capacity)
     }
 
+    /// Whether upstreams with a good part of the slots name a limit on requests per second.
+    pub(super) fn is_limited(&self) -> bool {
+        if self.limits.is_empty() {
+            return false;
+        }
+        let slots = self.upstreams.values().map(|state| state.slots).sum::<u32>();
+        let limited = self.upstreams.values().filter(|state| self.send_slots(state).is_some());
+        let limited_slots = limited.map(|state| state.slots).sum::<u32>();
+        limited_slots > 0
+            && f64::from(limited_slots) >= f64::from(slots) * MIN_LIMITED_SLOTS_FRACTION
+    }
+
     /// Number of upstreams that are known to name a limit on requests per second.
     pub fn limited_count(&self) -> usize {
         self.limits.count()
--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -355,7 +355,7 @@
     pub fn slot_counts(&self, now_ms: u64, lane: Lane) -> SlotCounts {
         let usable = self.upstreams.values();
         let usable = usable.filter(|state| state.lane == lane && state.is_usable(now_ms));
-        let is_limited = self.limits.count() > 0;
+        let is_limited = self.is_limited();
         let mut counts = SlotCounts { free: 0, in_use: 0, total: 0, free_in_ms: 0, is_limited };
         let mut free_in_ms = None;
         for state in usable {
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -40,6 +40,31 @@
     PlacementRequest { prompt_prefix: Some(PromptPrefix { hash, tokens: 5_000 }), ..REQUEST }
 }
 
+/// Guards against a limit of one upstream of many that holds workspaces to their shares
+/// while slots of the others are idle, and against limits of most upstreams that do not.
+#[test]
+fn shares_are_held_more_strictly_if_a_good_part_of_the_slots_is_limited() {
+    struct Case {
+        name: &'static str,
+        limited: usize,
+        is_limited: bool,
+    }
+    let cases = [
+        Case { name: "none of ten upstreams", limited: 0, is_limited: false },
+        Case { name: "one", limited: 1, is_limited: false },
+        Case { name: "three", limited: 3, is_limited: true },
+        Case { name: "all", limited: 10, is_limited: true },
+    ];
+    for Case { name, limited, is_limited } in cases {
+        let mut placement = placement(10, 16);
+        for upstream in &names(limited) {
+            let statement = LimitStatement { per_s: Some(5.0), sent_ms: 0, received_ms: 0 };
+            placement.record_limit(0, upstream, statement);
+        }
+        assert_eq!(placement.slot_counts(0, Lane::Short).is_limited, is_limited, "{name}");
+    }
+}
+
 /// Requests at the same time must not go to the same upstream.
 #[test]
 fn requests_spread_over_upstreams() {
