--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -186,6 +186,8 @@
             free = self.rejection.map(|rejection| rejection.slots.free),
             taken = self.rejection.map(|rejection| rejection.slots.in_use),
             slots = self.rejection.map(|rejection| rejection.slots.total),
+            slots_limited = self.rejection.map(|rejection| rejection.slots.is_limited),
+            free_in_ms = self.rejection.map(|rejection| rejection.slots.free_in_ms),
             wait_ms = self.rejection.map(|rejection| rejection.expected_wait_ms),
             limit_per_s = self.rejection.and_then(|rejection| rejection.limit_per_s),
             retry_after_ms = self.retry_after_ms,
