Let workspaces use their share after they used idle slots

A workspace that had flooded while nearly all slots were free got nothing while half of them were: what it used without limits was subtracted from what it may use of spare slots, with no bound, and only that counted there, not whether it was within its share. Its callers got 503 with advice to come back at once, for as long as the debt lasted, while slots were free. Workspaces within their share are now always admitted.

The test fails before the change: 0 cost units in six seconds, where the share is 60,000.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -181,8 +181,7 @@
             let max_budget = limit * MAX_BURST_MS / 1_000.0;
             let added = limit * elapsed_ms / 1_000.0;
             self.budget = (self.budget + added).min(max_budget);
-            self.spare_budget = (self.spare_budget + added * SPARE_LIMIT_FACTOR)
-                .min(max_budget * SPARE_LIMIT_FACTOR);
+            self.spare_budget = (self.spare_budget + added * SPARE_LIMIT_FACTOR).min(max_budget);
         }
     }
 
@@ -209,7 +208,8 @@
     fn may_dispatch(&self, utilization: Utilization) -> bool {
         match utilization {
             Utilization::Low => true,
-            Utilization::Medium => self.limit_per_s.is_none() || self.spare_budget > 0.0,
+            // What it used while no limits applied must not keep it below its share.
+            Utilization::Medium => self.spare_budget > 0.0 || !self.is_over_share(),
             Utilization::High => !self.is_over_share(),
         }
     }
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -173,6 +173,31 @@
     assert!(spare <= 2 * busy && spare > busy, "{spare} against {busy}");
 }
 
+/// Load pattern: a workspace floods while nearly all slots are free, and goes on while half
+/// of them are. Guards against a debt from the time without limits that keeps it below its
+/// share although slots are free, with advice to come back at once.
+#[test]
+fn use_of_idle_slots_does_not_count_against_the_share_later() {
+    const LIMIT_PER_S: f64 = 10_000.0;
+    const COST: u64 = 500;
+    let mut admission = Admission::default();
+    let mut dispatched_cost = |span_ms: std::ops::Range<u64>, slots: SlotCounts| {
+        let mut cost = 0;
+        for now_ms in span_ms.step_by(10) {
+            admission.set_limits(now_ms, &BTreeMap::from([("a".into(), LIMIT_PER_S)]));
+            let is_accepted = admission.enqueue(now_ms, slots, &request("a", COST)).is_ok();
+            if is_accepted && dispatch(&mut admission, now_ms, slots).is_some() {
+                cost += COST;
+            }
+        }
+        cost as f64
+    };
+    let idle = dispatched_cost(0..10_000, with_free(8));
+    assert!(idle >= 4.0 * 10.0 * LIMIT_PER_S, "{idle} while most slots are free");
+    let spare = dispatched_cost(10_000..16_000, with_free(5));
+    assert!(spare >= 0.95 * 6.0 * LIMIT_PER_S, "{spare} while half of the slots are free");
+}
+
 /// While more calls arrived than a service could answer, each waited about 400 ms
 /// at a target of 150 ms, so nearly all were late. That cost a fifth of the value
 /// of the route alert-fetch (scenario fresh-5fa8 of cordillera-rosemary-grown).
