Test that saved budget and spare slots give at most double the share; it fails

Within the users' six seconds a workspace with saved budget may get 135,000 cost units where one that is held to the same share gets 60,000; FAIR allows twice as much.

--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -173,6 +173,40 @@
     assert!(spare <= 2 * busy && spare > busy, "{spare} against {busy}");
 }
 
+/// Guards against a workspace that has saved up budget while it was idle, finds spare slots
+/// at its router, and gets more than twice as much within the users' six seconds as one
+/// that is held to the same share elsewhere.
+#[test]
+fn saved_budget_and_spare_slots_give_at_most_double_the_share_in_six_seconds() {
+    const SPAN_MS: u64 = 6_000;
+    const COST: u64 = 500;
+    let most_in_span = |slots: SlotCounts, idle_ms: u64| {
+        let mut admission = Admission::default();
+        let mut dispatched_ms = Vec::new();
+        for now_ms in (0..20_000).step_by(10) {
+            admission.set_limits(now_ms, &BTreeMap::from([("a".into(), 10_000.0)]));
+            let presses = now_ms == 0 || now_ms >= idle_ms;
+            if presses
+                && admission.enqueue(now_ms, slots, &request("a", COST)).is_ok()
+                && dispatch(&mut admission, now_ms, slots).is_some()
+            {
+                dispatched_ms.push(now_ms);
+            }
+        }
+        let in_span = |begin: &u64| {
+            dispatched_ms.iter().filter(|at| (*begin..begin + SPAN_MS).contains(at)).count() as u64
+        };
+        // The first seconds are those in which both use what they start with.
+        let begins = dispatched_ms.iter().filter(|at| (3_000..=14_000).contains(*at));
+        begins.map(in_span).max().unwrap_or(0) * COST
+    };
+    let held = most_in_span(with_free(3), 0);
+    assert!((59_000..=61_000).contains(&held), "{held}");
+    let spare = most_in_span(with_free(6), 5_000);
+    assert!(spare <= 2 * held + COST, "{spare} against {held}");
+    assert!(spare > 3 * held / 2, "{spare} against {held}");
+}
+
 /// Load pattern: a workspace floods while nearly all slots are free, and goes on while half
 /// of them are. Guards against a debt from the time without limits that keeps it below its
 /// share although slots are free, with advice to come back at once.
