--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -1,6 +1,6 @@
 //! Requests that take up a stream of an earlier one.
 
-use std::rc::Rc;
+use std::{collections::BTreeSet, rc::Rc};
 
 use http::request;
 use span_types::{ServiceName, SoftwareVersion};
@@ -14,6 +14,7 @@
 use crate::{
     config::RouteKind,
     node::Node,
+    origin_exchange::OriginFinding,
     stream_origin::{OriginVerdict, RequestKey, StreamOrigin},
 };
 
@@ -45,7 +46,7 @@
 ) -> Result<StreamOrigin, ErrorReply> {
     let started_ms = node.now_ms();
     let services: Vec<ServiceName> = checked.route.services().cloned().collect();
-    let verdict = node.find_stream_origin(request, &services).await;
+    let OriginFinding { verdict, candidates } = node.find_stream_origin(request, &services).await;
     let (origin, source) = match &verdict {
         OriginVerdict::Found(origin, source) => (Some(origin), Some(<&'static str>::from(source))),
         OriginVerdict::Unknown => (None, None),
@@ -56,6 +57,8 @@
         service = origin.map(|origin| origin.service.as_str()),
         software_version = origin.map(|origin| origin.software_version.as_str()),
         source,
+        candidates = list_versions(&candidates),
+        uptime_ms = started_ms,
         waited_ms = node.now_ms().saturating_sub(started_ms),
         "stream is taken up"
     );
@@ -69,6 +72,14 @@
     }
 }
 
+/// Formats where streams may have begun for a log line.
+fn list_versions(candidates: &BTreeSet<StreamOrigin>) -> String {
+    let texts = candidates
+        .iter()
+        .map(|StreamOrigin { service, software_version }| format!("{service} {software_version}"));
+    texts.collect::<Vec<_>>().join(", ")
+}
+
 /// Waits until an upstream can continue a stream of `version`, at most until `until_ms`.
 /// Does not wait if there is no such upstream.
 pub(super) async fn await_upstream(
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::IpAddr,
     rc::Rc,
 };
@@ -27,6 +27,15 @@
 type Answers = mpsc::UnboundedReceiver<(InstanceName, OriginAnswer)>;
 type AnswerSender = mpsc::UnboundedSender<(InstanceName, OriginAnswer)>;
 
+/// What a router found out about where a stream began.
+#[derive(Debug)]
+pub(crate) struct OriginFinding {
+    pub(crate) verdict: OriginVerdict,
+    /// Where streams of the route's services may have begun; empty if the router knew the
+    /// stream itself.
+    pub(crate) candidates: BTreeSet<StreamOrigin>,
+}
+
 /// Inquiries that wait for answers, by stream.
 #[derive(Debug, Default)]
 pub(crate) struct Inquiries {
@@ -175,12 +184,13 @@
         self: &Rc<Self>,
         request: RequestKey,
         services: &[ServiceName],
-    ) -> OriginVerdict {
+    ) -> OriginFinding {
         let now_ms = self.now_ms();
         let (mut inquiry, addresses) = {
             let state = self.state();
             if let Some(origin) = state.stream_origins.get(now_ms, request) {
-                return OriginVerdict::Found(origin.clone(), OriginSource::Known);
+                let verdict = OriginVerdict::Found(origin.clone(), OriginSource::Known);
+                return OriginFinding { verdict, candidates: BTreeSet::new() };
             }
             let routers = state.routers_for_stream(request, ASKED_ROUTERS);
             let candidates = state.origin_candidates(now_ms, services);
@@ -199,7 +209,7 @@
                     let notice = OriginNotice { request, origin: origin.clone(), lifetime_ms };
                     state.stream_origins.learn(now_ms, &notice);
                 }
-                return verdict;
+                return OriginFinding { verdict, candidates: inquiry.candidates().clone() };
             }
             if now_ms >= ask_ms {
                 ask_ms = now_ms + ASK_AGAIN_MS;
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -290,6 +290,11 @@
         }
     }
 
+    /// Where the stream may have begun, as far as any router knows.
+    pub fn candidates(&self) -> &BTreeSet<StreamOrigin> {
+        &self.candidates
+    }
+
     /// Routers that have not answered.
     pub fn awaited(&self) -> &BTreeSet<InstanceName> {
         &self.awaited
