--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -185,10 +185,10 @@
         streams.map(|route| route.timeout_ms).max().unwrap_or(0)
     }
 
-    /// Whether a route streams from a service and from others too.
+    /// Whether a route whose streams may be taken up leads to a service and to others too.
     pub fn shares_stream_route(&self, service: &ServiceName) -> bool {
         self.routes.values().flatten().any(|route| {
-            route.kind.is_stream()
+            route.kind == RouteKind::ResumableStream
                 && route.services().any(|target| target == service)
                 && route.services().any(|target| target != service)
         })
--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -15,7 +15,7 @@
     config::RouteKind,
     node::Node,
     origin_exchange::OriginFinding,
-    stream_origin::{OriginVerdict, RequestKey, StreamOrigin},
+    stream_origin::{OriginVerdict, RecordSearch, RequestKey, StreamOrigin},
 };
 
 /// The request that began the stream which a request takes up; none if it takes up none.
@@ -46,10 +46,11 @@
 ) -> Result<StreamOrigin, ErrorReply> {
     let started_ms = node.now_ms();
     let services: Vec<ServiceName> = checked.route.services().cloned().collect();
-    let OriginFinding { verdict, candidates } = node.find_stream_origin(request, &services).await;
-    let (origin, source) = match &verdict {
+    let finding = node.find_stream_origin(request, &services).await;
+    let OriginFinding { verdict, candidates, knows_history, search } = &finding;
+    let (origin, source) = match verdict {
         OriginVerdict::Found(origin, source) => (Some(origin), Some(<&'static str>::from(source))),
-        OriginVerdict::Unknown => (None, None),
+        OriginVerdict::Unknown | OriginVerdict::Contradictory => (None, None),
     };
     info!(
         request = record.id,
@@ -57,13 +58,20 @@
         service = origin.map(|origin| origin.service.as_str()),
         software_version = origin.map(|origin| origin.software_version.as_str()),
         source,
-        candidates = list_versions(&candidates),
+        candidates = list_versions(candidates),
+        knows_history,
+        records = <&'static str>::from(search),
+        contradictory = *verdict == OriginVerdict::Contradictory,
         uptime_ms = started_ms,
         waited_ms = node.now_ms().saturating_sub(started_ms),
         "stream is taken up"
     );
     let refuse = |message| Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
     match origin {
+        None if *search == RecordSearch::Failed => refuse(
+            "the store cannot be asked at the moment where the stream began; the request did not \
+             run",
+        ),
         None => refuse("it is not known where the stream began; the request did not run"),
         Some(origin) if !services.contains(&origin.service) => {
             refuse("the route no longer leads to the stream's service; the request did not run")
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -233,6 +233,8 @@
         ("limited_upstreams", state.limited_upstream_count() as u64),
         ("blocked_segments", state.prompt_crashes.blocked_count() as u64),
         ("store_era", state.registry.era()),
+        ("unrecorded_streams", state.origin_log.unwritten_len() as u64),
+        ("recorded_streams", state.recorded_origins.len() as u64),
         ("config_version", state.config.as_ref().map_or(0, |config| config.version)),
     ];
     let text = state.metrics.render(&gauges.into_iter().collect());
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -61,6 +61,8 @@
     StoreUpstreamsCalls,
     /// Of these, reads and writes of router registrations.
     StoreRoutersCalls,
+    /// Of these, reads and writes of records about streams.
+    StoreRecordsCalls,
     /// Calls to the platform's store that failed.
     StoreFailures,
     /// Heartbeats sent.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -25,6 +25,7 @@
     overload::OverloadDetector,
     placement::{ChosenUpstream, PlacementRequest, PromptPrefix},
     pool::Pool,
+    record_sync::RecordReads,
     registry::{Registry, UpstreamChange},
     service_admission::LaneTicket,
     settings::Settings,
@@ -58,6 +59,10 @@
     pub(crate) outbox: Outbox,
     /// Inquiries for streams that wait for the answers of other routers.
     pub(crate) inquiries: Inquiries,
+    /// Demand for what the store holds about streams.
+    pub(crate) record_reads: RecordReads,
+    /// Wakes the writer of records about streams after a change of the upstreams.
+    pub(crate) records_changed: Notify,
     state: RefCell<State>,
 }
 
@@ -90,6 +95,8 @@
             summary_trigger: Notify::new(),
             outbox: Outbox::default(),
             inquiries: Inquiries::default(),
+            record_reads: RecordReads::default(),
+            records_changed: Notify::new(),
             state: RefCell::new(State::new(own_router, seed)),
         })
     }
@@ -163,6 +170,7 @@
         let routers = state.live_router_count();
         drop(state);
         self.tell_stream_origins(true);
+        self.records_changed.notify_one();
         self.summary_trigger.notify_one();
         info!(version, source, routers, "configuration in force");
         true
@@ -195,6 +203,7 @@
         let known = state.registry.len();
         drop(state);
         self.tell_stream_origins(false);
+        self.records_changed.notify_one();
         self.summary_trigger.notify_one();
         for change in changes {
             let (name, kind) = match change {
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -4,21 +4,26 @@
     cell::RefCell,
     collections::{BTreeMap, BTreeSet, HashMap},
     net::IpAddr,
+    pin::pin,
     rc::Rc,
 };
 
 use futures::{StreamExt, channel::mpsc};
 use span_types::{InstanceName, ServiceName};
-use tokio::time::timeout_at;
+use tokio::{task::spawn_local, time::sleep_until};
+use tracing::warn;
 
 use crate::{
     metrics::Counter,
     node::Node,
     peers::Packet,
+    record_sync::RECORDS_FRESH_MS,
+    role::Role,
     stream_origin::{
-        ASK_AGAIN_MS, ASKED_ROUTERS, OriginAnswer, OriginInquiry, OriginNotice, OriginSource,
-        OriginVerdict, RequestKey, StreamOrigin, TOLD_ROUTERS,
+        ASK_AGAIN_MS, OriginAnswer, OriginInquiry, OriginNotice, OriginSource, OriginVerdict,
+        RecordSearch, RequestKey, StreamOrigin, TOLD_ROUTERS,
     },
+    stream_records::RecordedOrigin,
 };
 
 /// Largest number of notices in a datagram; they fit into it with long names.
@@ -31,9 +36,12 @@
 #[derive(Debug)]
 pub(crate) struct OriginFinding {
     pub(crate) verdict: OriginVerdict,
-    /// Where streams of the route's services may have begun; empty if the router knew the
-    /// stream itself.
+    /// Where streams of the route's services may have begun.
     pub(crate) candidates: BTreeSet<StreamOrigin>,
+    /// Whether any router knows which versions there were before it started.
+    pub(crate) knows_history: bool,
+    /// State of the search in the records of the store.
+    pub(crate) search: RecordSearch,
 }
 
 /// Inquiries that wait for answers, by stream.
@@ -124,10 +132,16 @@
             let services = state.services_with_origins(now_ms, false);
             state.stream_origins.hand_over(now_ms, |service| services.contains(service))
         };
-        self.send_notices(notices);
+        self.tell_routers(&notices);
     }
 
+    /// Tells others of streams, and has them recorded in the store.
     fn send_notices(&self, notices: Vec<OriginNotice>) {
+        self.tell_routers(&notices);
+        self.record_origins(&notices);
+    }
+
+    fn tell_routers(&self, notices: &[OriginNotice]) {
         let mut by_router: BTreeMap<IpAddr, Vec<OriginNotice>> = BTreeMap::new();
         for notice in notices {
             let routers = self.state().routers_for_stream(notice.request, TOLD_ROUTERS);
@@ -142,6 +156,24 @@
         }
     }
 
+    /// Has streams recorded in the store, if need be by the collector.
+    pub(crate) fn record_origins(&self, notices: &[OriginNotice]) {
+        if notices.is_empty() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        if let Some(keeper) = state.record_keeper() {
+            for part in notices.chunks(MAX_NOTICES_PER_PACKET) {
+                self.outbox.push(vec![keeper], Packet::RecordOrigins(part.to_vec()));
+            }
+            return;
+        }
+        if let Err(dropped) = state.origin_log.record(now_ms, notices) {
+            warn!(dropped, "too many streams wait to be recorded; some will not be");
+        }
+    }
+
     /// Takes over what another router tells of streams.
     pub(crate) fn learn_stream_origins(&self, notices: &[OriginNotice]) {
         let now_ms = self.now_ms();
@@ -151,21 +183,44 @@
         }
     }
 
-    /// Answers a router that asks for a stream of one of `services`.
-    pub(crate) fn answer_inquiry(&self, to: IpAddr, request: RequestKey, services: &[ServiceName]) {
+    /// Answers a router that asks for a stream of one of `services`. A collector first
+    /// searches the records for those that do not read them.
+    pub(crate) fn answer_inquiry(
+        self: &Rc<Self>,
+        to: IpAddr,
+        request: RequestKey,
+        services: Vec<ServiceName>,
+    ) {
         let now_ms = self.now_ms();
-        let packet = {
+        let (own, is_collector, needs_search) = {
             let state = self.state();
-            Packet::OriginAnswer {
-                from: state.view.own_update().router.member.instance.clone(),
-                request,
-                answer: OriginAnswer {
-                    origin: state.stream_origins.get(now_ms, request).cloned(),
-                    candidates: state.origin_candidates(now_ms, services),
-                },
-            }
+            let own = state.origin_answer(now_ms, request, &services);
+            let is_collector = matches!(state.role(), Some(Role::Collector { .. }));
+            let needs_search = state.needs_record_search(now_ms, &own, &services);
+            (own, is_collector, needs_search)
         };
-        self.outbox.push(vec![to], packet);
+        if own.origin.is_some() || !is_collector || !needs_search {
+            self.send_answer(to, request, own);
+            return;
+        }
+        let node = self.clone();
+        spawn_local(async move {
+            node.read_records(now_ms.saturating_sub(RECORDS_FRESH_MS)).await;
+            let answer = {
+                let state = node.state();
+                let mut answer = state.origin_answer(node.now_ms(), request, &services);
+                if let RecordedOrigin::At(origin) = state.recorded_origins.get(request) {
+                    answer.origin.get_or_insert(origin);
+                }
+                answer
+            };
+            node.send_answer(to, request, answer);
+        });
+    }
+
+    fn send_answer(&self, to: IpAddr, request: RequestKey, answer: OriginAnswer) {
+        let from = self.state().view.own_update().router.member.instance.clone();
+        self.outbox.push(vec![to], Packet::OriginAnswer { from, request, answer });
     }
 
     /// Passes the answer of another router on to the inquiries that wait for it.
@@ -188,40 +243,78 @@
         let now_ms = self.now_ms();
         let (mut inquiry, addresses) = {
             let state = self.state();
-            if let Some(origin) = state.stream_origins.get(now_ms, request) {
-                let verdict = OriginVerdict::Found(origin.clone(), OriginSource::Known);
-                return OriginFinding { verdict, candidates: BTreeSet::new() };
+            let own = state.origin_answer(now_ms, request, services);
+            if let Some(origin) = own.origin {
+                return OriginFinding {
+                    verdict: OriginVerdict::Found(origin, OriginSource::Known),
+                    candidates: own.candidates,
+                    knows_history: own.knows_history,
+                    search: RecordSearch::NotNeeded,
+                };
             }
-            let routers = state.routers_for_stream(request, ASKED_ROUTERS);
-            let candidates = state.origin_candidates(now_ms, services);
+            let routers = state.routers_to_ask(request);
             let asked = routers.iter().map(|(name, _)| name.clone()).collect();
             let addresses: BTreeMap<InstanceName, IpAddr> = routers.into_iter().collect();
-            (OriginInquiry::new(now_ms, asked, candidates), addresses)
+            let recorded = state.recorded_origins.get(request);
+            let search = if recorded == RecordedOrigin::None
+                && state.record_keeper().is_none()
+                && state.needs_record_search(now_ms, &own, services)
+            {
+                RecordSearch::Pending
+            } else {
+                RecordSearch::NotNeeded
+            };
+            let mut inquiry = OriginInquiry::new(now_ms, asked, own.clone(), search);
+            if recorded != RecordedOrigin::None {
+                inquiry.record_search(now_ms, Some(recorded), own);
+            }
+            (inquiry, addresses)
         };
         let mut open = self.inquiries.open(request);
+        let mut read = pin!(self.read_records(now_ms.saturating_sub(RECORDS_FRESH_MS)));
         let mut ask_ms = now_ms;
         loop {
             let now_ms = self.now_ms();
             if let Some(verdict) = inquiry.verdict(now_ms) {
-                if let OriginVerdict::Found(origin, OriginSource::Asked) = &verdict {
+                if let OriginVerdict::Found(origin, OriginSource::Asked | OriginSource::Recorded) =
+                    &verdict
+                {
                     let mut state = self.state();
                     let lifetime_ms = state.stream_lifetime_ms(&origin.service);
                     let notice = OriginNotice { request, origin: origin.clone(), lifetime_ms };
                     state.stream_origins.learn(now_ms, &notice);
                 }
-                return OriginFinding { verdict, candidates: inquiry.candidates().clone() };
+                return OriginFinding {
+                    verdict,
+                    candidates: inquiry.candidates().clone(),
+                    knows_history: inquiry.knows_history(),
+                    search: inquiry.search(),
+                };
             }
             if now_ms >= ask_ms {
                 ask_ms = now_ms + ASK_AGAIN_MS;
                 let asked = inquiry.awaited().iter();
-                let ips = asked.filter_map(|name| addresses.get(name).copied()).collect();
-                let services = services.to_vec();
-                self.outbox.push(ips, Packet::OriginQuestion { request, services });
-                self.count(Counter::OriginQuestions);
+                let ips: Vec<IpAddr> =
+                    asked.filter_map(|name| addresses.get(name).copied()).collect();
+                if !ips.is_empty() {
+                    let services = services.to_vec();
+                    self.outbox.push(ips, Packet::OriginQuestion { request, services });
+                    self.count(Counter::OriginQuestions);
+                }
             }
-            let answer = timeout_at(self.clock.instant(ask_ms), open.answers.next()).await;
-            if let Ok(Some((from, answer))) = answer {
-                inquiry.record(&from, answer);
+            let wake_ms = inquiry.next_change_ms().map_or(ask_ms, |at_ms| at_ms.min(ask_ms));
+            tokio::select! {
+                Some((from, answer)) = open.answers.next() => {
+                    inquiry.record(self.now_ms(), &from, answer);
+                }
+                has_read = &mut read, if inquiry.search() == RecordSearch::Pending => {
+                    let now_ms = self.now_ms();
+                    let state = self.state();
+                    let recorded = has_read.then(|| state.recorded_origins.get(request));
+                    let own = state.origin_answer(now_ms, request, services);
+                    inquiry.record_search(now_ms, recorded, own);
+                }
+                () = sleep_until(self.clock.instant(wake_ms)) => {}
             }
         }
     }
--- /dev/null
+++ b/crates/edge/src/origin_log.rs
@@ -0,0 +1,185 @@
+//! Origins of streams that this router writes to the store.
+//!
+//! The store takes a few hundred writes a second from the whole fleet, so streams are
+//! written in batches. A batch rewrites the newest segment, which holds the streams of a
+//! few seconds, until a new segment begins. A segment is removed when its last stream is
+//! over.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    mem,
+    sync::Arc,
+};
+
+use crate::{
+    stream_origin::{OriginNotice, StreamOrigin},
+    stream_records::OriginSegment,
+};
+
+/// Interval between two batches, in milliseconds. Streams that began since the last one are
+/// lost with the memory of all routers. Six routers make 24 calls a second, a small part of
+/// the store's rate.
+pub const FLUSH_INTERVAL_MS: u64 = 250;
+/// Time for which streams are added to a segment, in milliseconds. Each batch sends the
+/// segment whole, and each segment takes a call more for its removal.
+pub const SEGMENT_SPAN_MS: u64 = 3_000;
+/// Streams in a segment at most. They take 11 bytes each, a sixth of the size that a store
+/// allows for an object.
+pub const MAX_SEGMENT_STREAMS: usize = 16_384;
+/// Streams in all segments at most, to bound the memory while the store does not answer.
+const MAX_STREAMS: usize = 262_144;
+
+#[derive(Debug)]
+struct LogSegment {
+    segment: OriginSegment,
+    begun_ms: u64,
+    /// When the last of its streams is over.
+    expires_ms: u64,
+    len: usize,
+    /// Number of its streams that the store has; none before the first write.
+    written_len: Option<usize>,
+    /// Whether the store may have an object of this name.
+    may_exist: bool,
+}
+
+/// A segment that has to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SegmentWrite {
+    /// The segment with all its streams so far.
+    pub segment: OriginSegment,
+    /// Number of the streams.
+    pub len: usize,
+    /// Whether the store may have an object of this name.
+    pub may_exist: bool,
+}
+
+/// Segments of one router.
+#[derive(Debug)]
+pub struct OriginLog {
+    /// Start of the names of all segments, which no other process uses.
+    prefix: String,
+    next_number: u64,
+    segments: VecDeque<LogSegment>,
+}
+
+impl OriginLog {
+    /// An empty log of a process. The names of its segments begin with `prefix`.
+    pub fn new(prefix: String) -> Self {
+        Self { prefix, next_number: 0, segments: VecDeque::new() }
+    }
+
+    /// Adds streams. They wait for the next batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns the number of streams for which there is no room.
+    pub fn record(&mut self, now_ms: u64, notices: &[OriginNotice]) -> Result<(), usize> {
+        let room = MAX_STREAMS.saturating_sub(self.len());
+        for notice in notices.iter().take(room) {
+            let segment = self.open_segment(now_ms);
+            let requests: &mut Vec<_> =
+                segment.segment.streams.entry(notice.origin.clone()).or_default();
+            requests.push(notice.request);
+            segment.len += 1;
+            segment.expires_ms = segment.expires_ms.max(now_ms + notice.lifetime_ms);
+        }
+        if notices.len() > room { Err(notices.len() - room) } else { Ok(()) }
+    }
+
+    /// The segment that takes further streams.
+    fn open_segment(&mut self, now_ms: u64) -> &mut LogSegment {
+        let is_open = self.segments.back().is_some_and(|segment| {
+            now_ms < segment.begun_ms + SEGMENT_SPAN_MS && segment.len < MAX_SEGMENT_STREAMS
+        });
+        if !is_open {
+            let name: Arc<str> = format!("{}.{}", self.prefix, self.next_number).into();
+            self.next_number += 1;
+            self.segments.push_back(LogSegment {
+                segment: OriginSegment { name, streams: BTreeMap::<StreamOrigin, _>::new() },
+                begun_ms: now_ms,
+                expires_ms: now_ms,
+                len: 0,
+                written_len: None,
+                may_exist: false,
+            });
+        }
+        let last = self.segments.len() - 1;
+        &mut self.segments[last]
+    }
+
+    /// The oldest segment with streams that the store does not have.
+    pub fn next_write(&mut self) -> Option<SegmentWrite> {
+        let mut segments = self.segments.iter_mut();
+        let unwritten = segments.find(|segment| segment.written_len != Some(segment.len))?;
+        let segment = unwritten.segment.clone();
+        let may_exist = mem::replace(&mut unwritten.may_exist, true);
+        Some(SegmentWrite { segment, len: unwritten.len, may_exist })
+    }
+
+    /// Records that the store has the first `len` streams of the segment `name`.
+    pub fn written(&mut self, name: &str, len: usize) {
+        let mut segments = self.segments.iter_mut();
+        if let Some(segment) = segments.find(|segment| *segment.segment.name == *name) {
+            segment.written_len = Some(len);
+        }
+    }
+
+    /// All segments have to be written again: the store may have lost them.
+    pub fn rewrite_all(&mut self) {
+        for segment in &mut self.segments {
+            segment.written_len = None;
+        }
+    }
+
+    /// Drops the segments whose streams are over, and returns the names of those that the
+    /// store may have.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<Arc<str>> {
+        let segments = mem::take(&mut self.segments).into_iter();
+        let (over, left): (Vec<_>, Vec<_>) = segments.partition(|segment| {
+            now_ms >= segment.expires_ms && now_ms >= segment.begun_ms + SEGMENT_SPAN_MS
+        });
+        self.segments = left.into();
+        let written = over.into_iter().filter(|segment| segment.may_exist);
+        written.map(|segment| segment.segment.name).collect()
+    }
+
+    /// Number of streams that the store does not have yet.
+    pub fn unwritten_len(&self) -> usize {
+        let segments = self.segments.iter();
+        segments.map(|segment| segment.len - segment.written_len.unwrap_or(0)).sum()
+    }
+
+    fn len(&self) -> usize {
+        self.segments.iter().map(|segment| segment.len).sum()
+    }
+}
+
+/// Segments in the store whose router has died, or forgot them.
+#[derive(Debug, Default)]
+pub struct OrphanSweep {
+    /// When each segment was first seen.
+    seen: BTreeMap<Arc<str>, u64>,
+}
+
+impl OrphanSweep {
+    /// The segments of `listed`, all that the store has, that were seen for longer than a
+    /// live router would keep one whose streams last for `lifetime_ms`.
+    pub fn orphans(
+        &mut self,
+        now_ms: u64,
+        listed: &[OriginSegment],
+        lifetime_ms: u64,
+    ) -> Vec<Arc<str>> {
+        let seen = mem::take(&mut self.seen);
+        self.seen = listed
+            .iter()
+            .map(|segment| {
+                let first_ms = seen.get(&segment.name).copied().unwrap_or(now_ms);
+                (segment.name.clone(), first_ms)
+            })
+            .collect();
+        let keep_ms = lifetime_ms + 2 * SEGMENT_SPAN_MS;
+        let orphans = self.seen.iter().filter(|(_, first_ms)| now_ms >= *first_ms + keep_ms);
+        orphans.map(|(name, _)| name.clone()).collect()
+    }
+}
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -103,6 +103,8 @@
         /// The limits, and the claims of these routers.
         limits: LimitSummary,
     },
+    /// From a router to the collector of its failure domain: streams to record in the store.
+    RecordOrigins(Vec<OriginNotice>),
 }
 
 /// Routers that a summary covers.
@@ -546,7 +548,7 @@
                         self.node.learn_stream_origins(&notices);
                     }
                     Ok(Packet::OriginQuestion { request, services }) => {
-                        self.node.answer_inquiry(from.ip(), request, &services);
+                        self.node.answer_inquiry(from.ip(), request, services);
                     }
                     Ok(Packet::OriginAnswer { from, request, answer }) => {
                         self.node.inquiry_answered(&from, request, &answer);
@@ -555,6 +557,10 @@
                     Ok(Packet::UpstreamLimits { from, scope, limits }) => {
                         self.receive_limits(from, scope, limits);
                     }
+                    Ok(Packet::RecordOrigins(notices)) => {
+                        self.node.learn_stream_origins(&notices);
+                        self.node.record_origins(&notices);
+                    }
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     clock, listen, log::Log, metrics::Counter, node::Node, overload, peers::Peers, prompt_crashes,
-    settings::Settings, socket, store::Store, store_sync, wire_format::WireFormat,
+    record_sync, settings::Settings, socket, store::Store, store_sync, wire_format::WireFormat,
 };
 
 /// Interval of the periodic tasks, in milliseconds. Waiting requests are
@@ -117,7 +117,9 @@
     spawn_local(peers.clone().send_outbox());
     spawn_local(store_sync::watch_config(node.clone(), store.clone()));
     spawn_local(store_sync::watch_upstreams(node.clone(), store.clone()));
-    spawn_local(store_sync::sync_routers(node.clone(), store));
+    spawn_local(store_sync::sync_routers(node.clone(), store.clone()));
+    spawn_local(record_sync::read_on_demand(node.clone(), store.clone()));
+    spawn_local(record_sync::write_records(node.clone(), store));
     spawn_local(run_periodic_tasks(node.clone(), log));
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -9,7 +9,7 @@
 use futures::channel::oneshot;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use span_member::{MAX_FULL_MESH_PEERS, MembershipTiming, MembershipView, Router};
-use span_types::{InstanceName, Member, MemberState, ServiceName};
+use span_types::{InstanceName, Member, MemberState, ServiceName, SoftwareVersion};
 use strum::IntoEnumIterator;
 
 use crate::{
@@ -20,6 +20,7 @@
         FleetSummary, LoadSummary, ReceivedSummaries, ServiceLoad, ServiceLoads, Summary,
     },
     metrics::Metrics,
+    origin_log::OriginLog,
     placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix},
     prompt_crashes::PromptCrashes,
     registry::Registry,
@@ -29,8 +30,12 @@
     settings::Settings,
     shares::{DecayingRate, DemandMeter},
     store_source::{ReadOrder, StoreKnowledge, StoreSource},
-    stream_origin::{RequestKey, StreamOrigin, StreamOrigins, routers_for_stream},
+    stream_origin::{
+        ASKED_ROUTERS, OriginAnswer, RequestKey, StreamOrigin, StreamOrigins, routers_for_stream,
+    },
+    stream_records::RecordedOrigins,
     upstream_limit::LimitSummary,
+    version_history::VersionHistory,
 };
 
 /// Fraction of the connections that an upstream accepts which the known routers
@@ -104,6 +109,12 @@
     pub(crate) fleet_limits: FleetSummary<LimitSummary>,
     /// Where streams began.
     pub(crate) stream_origins: StreamOrigins,
+    /// Origins of streams that this router writes to the store.
+    pub(crate) origin_log: OriginLog,
+    /// Origins of streams that the store held when it was last read.
+    pub(crate) recorded_origins: RecordedOrigins,
+    /// Software versions that services had lately, as the store records them.
+    pub(crate) version_history: VersionHistory,
     /// Prompts that crash upstreams.
     pub(crate) prompt_crashes: PromptCrashes,
     /// From where this router gets what the store holds.
@@ -178,6 +189,8 @@
 
 impl State {
     pub(crate) fn new(own_router: Router, seed: u64) -> Self {
+        let Member { instance, incarnation } = &own_router.member;
+        let origin_log = OriginLog::new(format!("{instance}.{}", incarnation.0));
         Self {
             config: None,
             registry: Registry::default(),
@@ -190,6 +203,9 @@
             received_limits: ReceivedSummaries::default(),
             fleet_limits: FleetSummary::default(),
             stream_origins: StreamOrigins::default(),
+            origin_log,
+            recorded_origins: RecordedOrigins::default(),
+            version_history: VersionHistory::default(),
             prompt_crashes: PromptCrashes::default(),
             store_source: StoreSource::default(),
             metrics: Metrics::default(),
@@ -287,6 +303,67 @@
         candidates.collect()
     }
 
+    /// What this router knows of a stream of `services` that `request` began.
+    pub(crate) fn origin_answer(
+        &self,
+        now_ms: u64,
+        request: RequestKey,
+        services: &[ServiceName],
+    ) -> OriginAnswer {
+        let lifetime_ms = self.longest_lifetime_ms(services);
+        OriginAnswer {
+            origin: self.stream_origins.get(now_ms, request).cloned(),
+            candidates: self.origin_candidates(now_ms, services),
+            knows_history: self.stream_origins.knows_history(now_ms, lifetime_ms),
+        }
+    }
+
+    /// Longest time within which streams of `services` may be taken up, in milliseconds.
+    pub(crate) fn longest_lifetime_ms<'a>(
+        &self,
+        services: impl IntoIterator<Item = &'a ServiceName>,
+    ) -> u64 {
+        let lifetimes_ms = services.into_iter().map(|service| self.stream_lifetime_ms(service));
+        lifetimes_ms.max().unwrap_or(0)
+    }
+
+    /// Versions at which open streams of each service may have begun.
+    pub(crate) fn candidate_versions(
+        &self,
+        now_ms: u64,
+    ) -> BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> {
+        let streaming = self.services.keys().filter(|service| self.stream_lifetime_ms(service) > 0);
+        let services = streaming.map(|service| {
+            let candidates = self.origin_candidates(now_ms, [service]);
+            let versions = candidates.into_iter().map(|origin| origin.software_version);
+            (service.clone(), versions.collect())
+        });
+        services.collect()
+    }
+
+    /// Address of the router that keeps the records in the store for this one; none if it
+    /// does so itself. In a large fleet only collectors do, as the store's rate does not
+    /// grow with the fleet.
+    pub(crate) fn record_keeper(&self) -> Option<IpAddr> {
+        match self.role() {
+            Some(Role::Member { collector_ip, .. }) => Some(collector_ip),
+            Some(Role::Collector { .. }) | None => None,
+        }
+    }
+
+    /// Whether this router removes the records that dead routers have left.
+    pub(crate) fn sweeps_records(&self) -> bool {
+        match self.role() {
+            Some(Role::Collector { rank, .. }) => rank == 0,
+            Some(Role::Member { .. }) => false,
+            None => {
+                let live = self.view.live_routers().into_iter();
+                let first = live.map(|router| &router.member.instance).min();
+                first.is_none_or(|first| *first == self.view.own_update().router.member.instance)
+            }
+        }
+    }
+
     /// Whether a stream of `service` that another router takes up may have begun
     /// elsewhere than at the only version that the service has.
     pub(crate) fn origins_may_differ(&self, now_ms: u64, service: &ServiceName) -> bool {
@@ -319,6 +396,34 @@
         chosen.filter_map(|name| Some((name.clone(), *others.get(name)?))).collect()
     }
 
+    /// Other routers that are asked where a stream began, with their addresses: those that
+    /// may have been told, and the one that keeps the records for this one.
+    pub(crate) fn routers_to_ask(&self, request: RequestKey) -> Vec<(InstanceName, IpAddr)> {
+        let mut routers = self.routers_for_stream(request, ASKED_ROUTERS);
+        if let Some(keeper_ip) = self.record_keeper() {
+            let mut live = self.view.live_routers().into_iter();
+            let keeper = live.find(|router| router.peer_address.ip() == keeper_ip);
+            let keeper = keeper.map(|router| (router.member.instance.clone(), keeper_ip));
+            routers
+                .extend(keeper.filter(|(name, _)| routers.iter().all(|(known, _)| known != name)));
+        }
+        routers
+    }
+
+    /// Whether the records of the store may tell more about a stream of `services` than
+    /// `own`, what this router knows of it. A router that has run for the lifetime of
+    /// streams has seen all versions itself.
+    pub(crate) fn needs_record_search(
+        &self,
+        now_ms: u64,
+        own: &OriginAnswer,
+        services: &[ServiceName],
+    ) -> bool {
+        own.candidates.len() != 1
+            || !own.knows_history
+            || now_ms < self.longest_lifetime_ms(services)
+    }
+
     /// Addresses of the other live routers.
     pub(crate) fn other_router_ips(&self) -> Vec<IpAddr> {
         let own_name = &self.view.own_update().router.member.instance;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -1,13 +1,17 @@
 //! Interface to the platform's store.
 
-use std::{fmt, rc::Rc};
+use std::{fmt, rc::Rc, sync::Arc};
 
 use futures::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 use span_member::Router;
 use span_types::UpstreamName;
 
-use crate::{config::Config, registry::UpstreamEntry};
+use crate::{
+    config::Config,
+    registry::UpstreamEntry,
+    stream_records::{OriginSegment, StreamRecords, VersionRecord},
+};
 
 /// Why a call to the store failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -16,6 +20,9 @@
     /// dropped them, or is in another era.
     #[error("the store does not have the changes since that position")]
     HistoryDropped,
+    /// The object has changed since the revision that the call named.
+    #[error("the object has changed meanwhile")]
+    Conflict,
     /// The store did not answer, or rejected the call.
     #[error("the store is unavailable: {0}")]
     Unavailable(String),
@@ -84,6 +91,15 @@
     pub read_routers: Read<Vec<Router>>,
     /// Registers this router.
     pub register: Rc<dyn Fn(Router) -> Answer<()>>,
+    /// Reads what routers recorded about streams.
+    pub read_stream_records: Read<StreamRecords>,
+    /// Creates a segment, or replaces it. The flag says whether it was written before.
+    pub write_segment: Rc<dyn Fn(OriginSegment, bool) -> Answer<()>>,
+    /// Removes the segment of that name, if it exists.
+    pub remove_segment: Rc<dyn Fn(Arc<str>) -> Answer<()>>,
+    /// Writes a record if the one in the store still has its revision, or creates it.
+    /// Returns the new revision.
+    pub write_versions: Rc<dyn Fn(VersionRecord) -> Answer<u64>>,
 }
 
 impl fmt::Debug for Store {
--- a/crates/edge/src/store_sync.rs
+++ b/crates/edge/src/store_sync.rs
@@ -38,12 +38,13 @@
 const SOURCE_CHECK_INTERVAL_MS: u64 = 100;
 
 /// Exponential backoff with jitter.
-struct Backoff {
-    failures: u32,
+#[derive(Debug, Default)]
+pub(crate) struct Backoff {
+    pub(crate) failures: u32,
 }
 
 impl Backoff {
-    async fn pause(&mut self, node: &Node) {
+    pub(crate) async fn pause(&mut self, node: &Node) {
         let pause_ms =
             (MIN_AND_MAX_BACKOFF_MS.0 << self.failures.min(8)).min(MIN_AND_MAX_BACKOFF_MS.1);
         self.failures += 1;
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -12,6 +12,8 @@
 use span_types::{InstanceName, ServiceName, SoftwareVersion};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::stream_records::{RecordedOrigin, VersionRecord};
+
 /// Routers that are told of a stream. With three, streams of a router that dies together
 /// with others are mostly still known.
 pub const TOLD_ROUTERS: usize = 3;
@@ -23,6 +25,9 @@
 pub const ASK_AGAIN_MS: u64 = 100;
 /// Longest time for which answers are awaited, in milliseconds.
 pub const ANSWER_TIMEOUT_MS: u64 = 400;
+/// Time for which further answers are awaited once one says where a stream began, in
+/// milliseconds. Others that know answer within a round trip.
+pub const AGREEMENT_WAIT_MS: u64 = 30;
 /// Streams that are remembered at most, to bound the memory.
 const MAX_KNOWN_STREAMS: usize = 65_536;
 /// Interval between two removals of streams that are over, in milliseconds.
@@ -37,6 +42,16 @@
     pub fn new(id: &[u8]) -> Self {
         Self(xxh3_64(id))
     }
+
+    /// The hash, for storage.
+    pub fn to_bytes(self) -> [u8; 8] {
+        self.0.to_le_bytes()
+    }
+
+    /// The reverse of [`RequestKey::to_bytes`].
+    pub fn from_bytes(bytes: [u8; 8]) -> Self {
+        Self(u64::from_le_bytes(bytes))
+    }
 }
 
 /// Service and software version of the upstream that sent the first event of a stream.
@@ -66,6 +81,8 @@
     pub origin: Option<StreamOrigin>,
     /// Where streams of the services in question may have begun.
     pub candidates: BTreeSet<StreamOrigin>,
+    /// Whether the router knows which versions there were before it started.
+    pub knows_history: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +100,10 @@
     /// Versions of each service's upstreams, with the time at which the last one of the
     /// version went; none while there is one.
     versions: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Option<u64>>>,
+    /// When versions were first recorded.
+    versions_since_ms: Option<u64>,
+    /// Whether the versions from before this process are known.
+    has_history: bool,
     swept_ms: u64,
 }
 
@@ -94,6 +115,9 @@
         service: &ServiceName,
         present: &BTreeSet<SoftwareVersion>,
     ) {
+        if !present.is_empty() {
+            self.versions_since_ms.get_or_insert(now_ms);
+        }
         let versions = self.versions.entry(service.clone()).or_default();
         for (version, gone_ms) in versions.iter_mut() {
             if !present.contains(version) {
@@ -103,6 +127,27 @@
         versions.extend(present.iter().map(|version| (version.clone(), None)));
     }
 
+    /// Records the versions that services had before this process, or at other routers.
+    /// Those that it has not seen itself count as gone from now on.
+    pub fn add_history(&mut self, now_ms: u64, records: &[VersionRecord]) {
+        self.has_history = true;
+        for VersionRecord { service, versions, .. } in records {
+            let known = self.versions.entry(service.clone()).or_default();
+            for version in versions {
+                known.entry(version.clone()).or_insert(Some(now_ms));
+            }
+        }
+    }
+
+    /// Whether all versions are known at which streams may have begun that last for
+    /// `lifetime_ms` at most: from the store, or because all such streams began while this
+    /// process knew the upstreams.
+    pub fn knows_history(&self, now_ms: u64, lifetime_ms: u64) -> bool {
+        let knows_since =
+            |since_ms: u64| now_ms.saturating_sub(since_ms) >= lifetime_ms && lifetime_ms > 0;
+        self.has_history || self.versions_since_ms.is_some_and(knows_since)
+    }
+
     /// Where streams of `service` may have begun that last for `lifetime_ms` at most.
     pub fn candidates(
         &self,
@@ -245,6 +290,8 @@
     Known,
     /// Another router knew.
     Asked,
+    /// The store has a record.
+    Recorded,
     /// There is nowhere else where the stream could have begun.
     OnlyCandidate,
 }
@@ -256,6 +303,22 @@
     Found(StreamOrigin, OriginSource),
     /// The stream may have begun at several versions, or no other router can be reached.
     Unknown,
+    /// Routers or records contradict each other.
+    Contradictory,
+}
+
+/// State of the search for a stream in the records of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RecordSearch {
+    /// The router has no need to search, or another one does.
+    NotNeeded,
+    /// The records are being read.
+    Pending,
+    /// The records were read.
+    Done,
+    /// The store does not answer.
+    Failed,
 }
 
 /// The question to other routers where a stream began, and their answers so far.
@@ -268,25 +331,34 @@
     awaited: BTreeSet<InstanceName>,
     /// Whether a router has answered that knows upstreams of the services.
     is_confirmed: bool,
-    found: Option<StreamOrigin>,
+    /// Whether any router knows which versions there were before it started.
+    knows_history: bool,
+    /// The first origin that was found, how, and when.
+    found: Option<(StreamOrigin, OriginSource, u64)>,
+    is_contradictory: bool,
     /// Where the stream may have begun, as far as any router knows.
     candidates: BTreeSet<StreamOrigin>,
+    search: RecordSearch,
 }
 
 impl OriginInquiry {
-    /// Begins an inquiry at `asked` routers. `candidates` are those of this router.
+    /// Begins an inquiry at `asked` routers. `own` is what this router knows.
     pub fn new(
         now_ms: u64,
         asked: BTreeSet<InstanceName>,
-        candidates: BTreeSet<StreamOrigin>,
+        own: OriginAnswer,
+        search: RecordSearch,
     ) -> Self {
         Self {
             asked_ms: now_ms,
             asked: asked.len(),
             awaited: asked,
             is_confirmed: false,
+            knows_history: own.knows_history,
             found: None,
-            candidates,
+            is_contradictory: false,
+            candidates: own.candidates,
+            search,
         }
     }
 
@@ -295,39 +367,90 @@
         &self.candidates
     }
 
+    /// Whether any router knows which versions there were before it started.
+    pub fn knows_history(&self) -> bool {
+        self.knows_history
+    }
+
+    /// State of the search in the records of the store.
+    pub fn search(&self) -> RecordSearch {
+        self.search
+    }
+
     /// Routers that have not answered.
     pub fn awaited(&self) -> &BTreeSet<InstanceName> {
         &self.awaited
     }
 
     /// Records the answer of a router.
-    pub fn record(&mut self, from: &InstanceName, answer: OriginAnswer) {
+    pub fn record(&mut self, now_ms: u64, from: &InstanceName, answer: OriginAnswer) {
         self.awaited.remove(from);
-        self.found = self.found.take().or(answer.origin);
+        if let Some(origin) = answer.origin {
+            self.find(now_ms, origin, OriginSource::Asked);
+        }
         self.is_confirmed |= !answer.candidates.is_empty();
+        self.knows_history |= answer.knows_history;
         self.candidates.extend(answer.candidates);
     }
 
+    /// Records what the store holds about the stream; none if it does not answer. `own` is
+    /// what this router knows now.
+    pub fn record_search(
+        &mut self,
+        now_ms: u64,
+        recorded: Option<RecordedOrigin>,
+        own: OriginAnswer,
+    ) {
+        self.search = if recorded.is_some() { RecordSearch::Done } else { RecordSearch::Failed };
+        self.knows_history |= own.knows_history;
+        self.candidates.extend(own.candidates);
+        match recorded {
+            Some(RecordedOrigin::At(origin)) => self.find(now_ms, origin, OriginSource::Recorded),
+            Some(RecordedOrigin::Contradictory) => self.is_contradictory = true,
+            Some(RecordedOrigin::None) | None => {}
+        }
+    }
+
+    fn find(&mut self, now_ms: u64, origin: StreamOrigin, source: OriginSource) {
+        match &self.found {
+            Some((found, ..)) => self.is_contradictory |= *found != origin,
+            None => self.found = Some((origin, source, now_ms)),
+        }
+    }
+
+    /// When [`OriginInquiry::verdict`] may change without a further answer, in milliseconds.
+    pub fn next_change_ms(&self) -> Option<u64> {
+        self.found.as_ref().map(|(.., found_ms)| found_ms + AGREEMENT_WAIT_MS)
+    }
+
     /// Where the stream began; none while answers are awaited that may tell.
     ///
     /// A router that no other one answers may not know of a new version, so its own
-    /// knowledge counts only if it is alone in the fleet.
+    /// knowledge counts only if it is alone in the fleet. That all upstreams have one version
+    /// says nothing about streams that began before, unless the versions of that time are
+    /// known.
     pub fn verdict(&self, now_ms: u64) -> Option<OriginVerdict> {
-        if let Some(origin) = &self.found {
-            return Some(OriginVerdict::Found(origin.clone(), OriginSource::Asked));
+        if self.is_contradictory {
+            return Some(OriginVerdict::Contradictory);
+        }
+        let is_searching = self.search == RecordSearch::Pending;
+        let has_all_answers = self.awaited.is_empty() && !is_searching;
+        if let Some((origin, source, found_ms)) = &self.found {
+            let is_settled = has_all_answers || now_ms >= found_ms + AGREEMENT_WAIT_MS;
+            return is_settled.then(|| OriginVerdict::Found(origin.clone(), *source));
         }
         let elapsed_ms = now_ms.saturating_sub(self.asked_ms);
         let mut candidates = self.candidates.iter();
         let only = candidates.next().filter(|_| candidates.next().is_none());
-        let only = only.filter(|_| self.is_confirmed || self.asked == 0);
+        let only = only.filter(|_| self.knows_history && (self.is_confirmed || self.asked == 0));
         // Routers that have just died do not answer, so most answers are enough for a
         // version of which nobody knows another one.
-        let has_most_answers = self.awaited.len() * 2 < self.asked;
+        let has_most_answers = self.awaited.len() * 2 < self.asked && !is_searching;
         let is_settled = match only {
             Some(_) => has_most_answers || elapsed_ms >= ASK_AGAIN_MS,
             None => elapsed_ms >= ANSWER_TIMEOUT_MS,
         };
-        if !is_settled && !self.awaited.is_empty() {
+        if !is_settled && !has_all_answers {
             return None;
         }
         Some(match only {
--- /dev/null
+++ b/crates/edge/src/stream_records.rs
@@ -0,0 +1,99 @@
+//! What routers keep in the platform's store about streams, for when the memory of all
+//! routers is lost at once.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use span_types::{ServiceName, SoftwareVersion};
+
+use crate::stream_origin::{RequestKey, StreamOrigin};
+
+/// Origins of streams that began within a few seconds, as one object of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OriginSegment {
+    /// Name of the object, which no other router uses.
+    pub name: Arc<str>,
+    /// The streams that began at each origin.
+    pub streams: BTreeMap<StreamOrigin, Vec<RequestKey>>,
+}
+
+/// Software versions at which open streams of a service may have begun.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionRecord {
+    /// The service.
+    pub service: ServiceName,
+    /// Versions of its upstreams, and of those that left within the lifetime of streams.
+    pub versions: BTreeSet<SoftwareVersion>,
+    /// Revision of the object that holds the record; none if there is no object yet.
+    pub revision: Option<u64>,
+}
+
+/// All that the store holds about streams.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamRecords {
+    /// Origins of single streams.
+    pub segments: Vec<OriginSegment>,
+    /// Versions by service.
+    pub versions: Vec<VersionRecord>,
+}
+
+/// What the store holds about one stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecordedOrigin {
+    /// Nothing.
+    None,
+    /// The stream began there.
+    At(StreamOrigin),
+    /// Records contradict each other.
+    Contradictory,
+}
+
+/// Index of the origins that the store held when it was last read.
+#[derive(Debug, Default)]
+pub struct RecordedOrigins {
+    origins: Vec<StreamOrigin>,
+    /// Position of each stream's origin in `origins`; none if records contradict each other.
+    streams: HashMap<RequestKey, Option<usize>>,
+}
+
+impl RecordedOrigins {
+    /// Indexes `segments` instead of those before.
+    pub fn replace(&mut self, segments: &[OriginSegment]) {
+        self.origins.clear();
+        self.streams.clear();
+        for (origin, requests) in segments.iter().flat_map(|segment| &segment.streams) {
+            let known = self.origins.iter().position(|known| known == origin);
+            let index = known.unwrap_or_else(|| {
+                self.origins.push(origin.clone());
+                self.origins.len() - 1
+            });
+            for request in requests {
+                let entry = self.streams.entry(*request).or_insert(Some(index));
+                if *entry != Some(index) {
+                    *entry = None;
+                }
+            }
+        }
+    }
+
+    /// Where a stream began.
+    pub fn get(&self, request: RequestKey) -> RecordedOrigin {
+        match self.streams.get(&request) {
+            None => RecordedOrigin::None,
+            Some(None) => RecordedOrigin::Contradictory,
+            Some(Some(index)) => RecordedOrigin::At(self.origins[*index].clone()),
+        }
+    }
+
+    /// Number of streams in the index.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Whether the index has no stream.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+}
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -4,9 +4,13 @@
 
 use std::collections::BTreeSet;
 
-use span_edge::stream_origin::{
-    ANSWER_TIMEOUT_MS, ASK_AGAIN_MS, ASKED_ROUTERS, OriginAnswer, OriginInquiry, OriginSource,
-    OriginVerdict, RequestKey, StreamOrigin, StreamOrigins, TOLD_ROUTERS, routers_for_stream,
+use span_edge::{
+    stream_origin::{
+        AGREEMENT_WAIT_MS, ANSWER_TIMEOUT_MS, ASK_AGAIN_MS, ASKED_ROUTERS, OriginAnswer,
+        OriginInquiry, OriginSource, OriginVerdict, RecordSearch, RequestKey, StreamOrigin,
+        StreamOrigins, TOLD_ROUTERS, routers_for_stream,
+    },
+    stream_records::{RecordedOrigin, VersionRecord},
 };
 use span_types::{InstanceName, ServiceName, SoftwareVersion};
 
@@ -148,66 +152,220 @@
     }
 }
 
+/// Guards against a router that has just started and takes the only version that it sees for
+/// that of every stream, although another one served before.
+#[test]
+fn versions_from_before_the_start_are_candidates_for_the_lifetime_of_their_streams() {
+    const START_MS: u64 = 200;
+    let mut known = StreamOrigins::default();
+    known.set_versions(100, &service(), &versions(&["v2"]));
+    assert!(!known.knows_history(START_MS, LIFETIME_MS));
+    let record =
+        VersionRecord { service: service(), versions: versions(&["v1", "v2"]), revision: None };
+    known.add_history(START_MS, std::slice::from_ref(&record));
+    assert!(known.knows_history(START_MS, LIFETIME_MS));
+    // Another router that has just started may keep the version in the record for longer.
+    known.add_history(START_MS + LIFETIME_MS / 2, &[record]);
+    let candidates = |now_ms| known.candidates(now_ms, &service(), LIFETIME_MS);
+    assert_eq!(candidates(START_MS + LIFETIME_MS - 1), origins(&["v1", "v2"]));
+    assert_eq!(candidates(START_MS + LIFETIME_MS), origins(&["v2"]));
+}
+
+/// Guards against a fleet that refuses all streams because the store has been away since it
+/// started, although every stream began while it knew the upstreams.
+#[test]
+fn router_that_has_run_for_the_lifetime_of_streams_knows_their_versions() {
+    let mut known = StreamOrigins::default();
+    known.set_versions(0, &service(), &versions(&[]));
+    known.set_versions(100, &service(), &versions(&["v1"]));
+    let cases = [(100, false), (99 + LIFETIME_MS, false), (100 + LIFETIME_MS, true)];
+    for (now_ms, expected) in cases {
+        assert_eq!(known.knows_history(now_ms, LIFETIME_MS), expected, "{now_ms}");
+    }
+}
+
 /// Guards against a stream that goes on at a version which it may not have begun at, and
 /// against callers that wait for routers that cannot change the verdict.
 #[test]
 fn verdict_follows_from_the_answers() {
     struct Case {
         name: &'static str,
-        own: &'static [&'static str],
+        own: OriginAnswer,
         asked: usize,
-        /// Known version and candidates of each router that answers.
-        answers: &'static [(Option<&'static str>, &'static [&'static str])],
+        answers: Vec<OriginAnswer>,
         /// Time from which the verdict holds.
         after_ms: u64,
-        verdict: Option<(&'static str, OriginSource)>,
+        verdict: OriginVerdict,
     }
     const V1: &[&str] = &["v1"];
     const BOTH: &[&str] = &["v1", "v2"];
-    const SAYS_V1: (Option<&str>, &[&str]) = (None, V1);
-    const SAYS_BOTH: (Option<&str>, &[&str]) = (None, BOTH);
-    const KNOWS_V2: (Option<&str>, &[&str]) = (Some("v2"), BOTH);
-    // It has just started.
-    const SAYS_NONE: (Option<&str>, &[&str]) = (None, &[]);
-    let only = Some(("v1", OriginSource::OnlyCandidate));
-    let asked = Some(("v2", OriginSource::Asked));
+    let knows = |candidates: &[&str]| OriginAnswer {
+        origin: None,
+        candidates: origins(candidates),
+        knows_history: true,
+    };
+    let just_started =
+        |candidates: &[&str]| OriginAnswer { knows_history: false, ..knows(candidates) };
+    let began = |version, candidates: &[&str]| OriginAnswer {
+        origin: Some(origin(version)),
+        ..just_started(candidates)
+    };
+    let found = |version, source| OriginVerdict::Found(origin(version), source);
+    let only = found("v1", OriginSource::OnlyCandidate);
+    let asked = found("v2", OriginSource::Asked);
+    let (unknown, contradictory) = (OriginVerdict::Unknown, OriginVerdict::Contradictory);
     let (soon_ms, late_ms) = (ASK_AGAIN_MS, ANSWER_TIMEOUT_MS);
-    let case = |name, own, asked, answers, after_ms, verdict| Case {
-        name,
-        own,
-        asked,
-        answers,
-        after_ms,
-        verdict,
+    let case = |name, own, asked, answers: &[OriginAnswer], after_ms, verdict: &OriginVerdict| {
+        let (answers, verdict) = (answers.to_vec(), verdict.clone());
+        Case { name, own, asked, answers, after_ms, verdict }
     };
     let cases = [
-        case("alone with one version", V1, 0, &[], 0, only),
-        case("alone with two versions", BOTH, 0, &[], 0, None),
-        case("another router knows", BOTH, 3, &[KNOWS_V2], 0, asked),
-        case("nobody knows, one version", V1, 2, &[SAYS_V1, SAYS_V1], 0, only),
-        case("one of two is dead, one version", V1, 2, &[SAYS_V1], soon_ms, only),
-        case("one of three is dead, one version", V1, 3, &[SAYS_V1, SAYS_V1], 0, only),
-        case("one of two is dead, two versions", BOTH, 2, &[SAYS_BOTH], late_ms, None),
-        case("another one knows of a second version", V1, 2, &[SAYS_V1, SAYS_BOTH], 0, None),
-        case("cut off from all other routers", V1, 2, &[], late_ms, None),
-        case("the only other one knows no upstreams", V1, 1, &[SAYS_NONE], 0, None),
+        case("alone with one version", knows(V1), 0, &[], 0, &only),
+        case("alone with one version, just started", just_started(V1), 0, &[], 0, &unknown),
+        case("alone with two versions", knows(BOTH), 0, &[], 0, &unknown),
+        case(
+            "another router knows",
+            knows(BOTH),
+            3,
+            &[began("v2", BOTH)],
+            AGREEMENT_WAIT_MS,
+            &asked,
+        ),
+        case(
+            "all have answered, one knows",
+            knows(BOTH),
+            2,
+            &[knows(BOTH), began("v2", BOTH)],
+            0,
+            &asked,
+        ),
+        case(
+            "two contradict each other",
+            knows(BOTH),
+            3,
+            &[began("v2", BOTH), began("v1", BOTH)],
+            0,
+            &contradictory,
+        ),
+        case("nobody knows, one version", knows(V1), 2, &[knows(V1), knows(V1)], 0, &only),
+        case(
+            "the whole fleet has just started",
+            just_started(V1),
+            2,
+            &[just_started(V1), just_started(V1)],
+            0,
+            &unknown,
+        ),
+        case(
+            "another one has run for longer",
+            just_started(V1),
+            2,
+            &[just_started(V1), knows(V1)],
+            0,
+            &only,
+        ),
+        case("one of two is dead, one version", knows(V1), 2, &[knows(V1)], soon_ms, &only),
+        case("one of three is dead, one version", knows(V1), 3, &[knows(V1), knows(V1)], 0, &only),
+        case("one of two is dead, two versions", knows(BOTH), 2, &[knows(BOTH)], late_ms, &unknown),
+        case(
+            "another one knows of a second version",
+            knows(V1),
+            2,
+            &[knows(V1), knows(BOTH)],
+            0,
+            &unknown,
+        ),
+        case("cut off from all other routers", knows(V1), 2, &[], late_ms, &unknown),
+        case(
+            "the only other one knows no upstreams",
+            knows(V1),
+            1,
+            &[just_started(&[])],
+            0,
+            &unknown,
+        ),
     ];
     for case in cases {
         let names = routers(0..case.asked);
         let asked: BTreeSet<InstanceName> = names.iter().cloned().collect();
-        let mut inquiry = OriginInquiry::new(1_000, asked, origins(case.own));
-        for (name, (known, candidates)) in names.iter().zip(case.answers) {
-            let answer =
-                OriginAnswer { origin: known.map(origin), candidates: origins(candidates) };
-            inquiry.record(name, answer);
+        let mut inquiry = OriginInquiry::new(1_000, asked, case.own, RecordSearch::NotNeeded);
+        for (name, answer) in names.iter().zip(case.answers) {
+            inquiry.record(1_000, name, answer);
         }
         let after_ms = case.after_ms;
-        let expected = case.verdict.map_or(OriginVerdict::Unknown, |(version, source)| {
-            OriginVerdict::Found(origin(version), source)
-        });
         if after_ms > 0 {
             assert_eq!(inquiry.verdict(1_000 + after_ms - 1), None, "{}", case.name);
         }
-        assert_eq!(inquiry.verdict(1_000 + after_ms), Some(expected), "{}", case.name);
+        assert_eq!(inquiry.verdict(1_000 + after_ms), Some(case.verdict), "{}", case.name);
+    }
+}
+
+/// Guards against a verdict before the records of the store have been read, which alone
+/// remember streams after a restart of all routers, and against a wait for a store that does
+/// not answer.
+#[test]
+fn verdict_awaits_the_search_in_the_records() {
+    struct Case {
+        name: &'static str,
+        /// Result of the search and the versions from before the start; none if it has not
+        /// ended.
+        searched: Option<(Option<RecordedOrigin>, &'static [&'static str])>,
+        after_ms: u64,
+        verdict: OriginVerdict,
+    }
+    let recorded = OriginVerdict::Found(origin("v1"), OriginSource::Recorded);
+    let only = OriginVerdict::Found(origin("v2"), OriginSource::OnlyCandidate);
+    let cases = [
+        Case {
+            name: "the store does not answer in time",
+            searched: None,
+            after_ms: ANSWER_TIMEOUT_MS,
+            verdict: OriginVerdict::Unknown,
+        },
+        Case {
+            name: "the store refuses",
+            searched: Some((None, &[])),
+            after_ms: 0,
+            verdict: OriginVerdict::Unknown,
+        },
+        Case {
+            name: "recorded",
+            searched: Some((Some(RecordedOrigin::At(origin("v1"))), &["v1"])),
+            after_ms: 0,
+            verdict: recorded,
+        },
+        Case {
+            name: "records contradict each other",
+            searched: Some((Some(RecordedOrigin::Contradictory), &["v1"])),
+            after_ms: 0,
+            verdict: OriginVerdict::Contradictory,
+        },
+        Case {
+            name: "not recorded, another version before",
+            searched: Some((Some(RecordedOrigin::None), &["v1"])),
+            after_ms: 0,
+            verdict: OriginVerdict::Unknown,
+        },
+        Case {
+            name: "not recorded, the same version before",
+            searched: Some((Some(RecordedOrigin::None), &["v2"])),
+            after_ms: 0,
+            verdict: only,
+        },
+    ];
+    for case in cases {
+        let own = OriginAnswer { origin: None, candidates: origins(&["v2"]), knows_history: false };
+        let search = RecordSearch::Pending;
+        let mut inquiry = OriginInquiry::new(0, BTreeSet::new(), own.clone(), search);
+        assert_eq!(inquiry.verdict(0), None, "{}", case.name);
+        if let Some((recorded, before)) = case.searched {
+            let knows_history = recorded.is_some();
+            let candidates = own.candidates.union(&origins(before)).cloned().collect();
+            let own = OriginAnswer { origin: None, candidates, knows_history };
+            inquiry.record_search(0, recorded, own);
+        } else {
+            assert_eq!(inquiry.verdict(case.after_ms - 1), None, "{}", case.name);
+        }
+        assert_eq!(inquiry.verdict(case.after_ms), Some(case.verdict), "{}", case.name);
     }
 }
