Take up streams before new requests of their workspace

A workspace may now be in debt by 1.5 s of its share for such streams; its new requests wait until the debt is repaid, so that its share over time stays the same. The debt is counted in all lanes while upstreams name limits.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -17,6 +17,10 @@
 /// Unused budget that a workspace may accumulate, in milliseconds of its limit.
 /// Shorter bursts are not throttled.
 const MAX_BURST_MS: f64 = 1_500.0;
+/// Debt that a workspace may have for streams that its callers take up, in milliseconds of
+/// its limit. After a restart of all routers its open streams, of some seconds of its share,
+/// all come back at once; its new requests wait until the debt is repaid.
+pub const MAX_TAKE_UP_DEBT_MS: f64 = 1_500.0;
 /// Fraction of the slots in use below which workspaces may exceed their share.
 /// Capacity should not stay idle, but fuller batches slow down every stream, and
 /// a dispatched request cannot be recalled when other workspaces need the slot.
@@ -190,14 +194,19 @@
     }
 
     /// Checks that a request of the workspace may be dispatched while `slots` are as they
-    /// are.
-    fn check_share(&self, slots: SlotCounts, expected_wait_ms: u64) -> Result<(), Rejection> {
-        if self.may_dispatch(slots.utilization()) {
+    /// are, or that its debt is below `max_debt`, in cost units.
+    fn check_share(
+        &self,
+        slots: SlotCounts,
+        expected_wait_ms: u64,
+        max_debt: f64,
+    ) -> Result<(), Rejection> {
+        if self.may_dispatch(slots.utilization()) || self.budget > -max_debt {
             return Ok(());
         }
         Err(Rejection {
             reason: RejectReason::OverShare,
-            retry_after_ms: self.recovery_ms(),
+            retry_after_ms: self.recovery_ms(max_debt),
             slots,
             expected_wait_ms,
             limit_per_s: self.limit_per_s.map(|limit| limit as u64),
@@ -214,18 +223,25 @@
         }
     }
 
-    fn charge(&mut self, cost: u64) {
+    fn charge(&mut self, cost: u64, max_debt: f64) {
         if self.limit_per_s.is_some() {
             self.spare_budget -= cost as f64;
-            // Usage of spare slots leaves at most the debt of one request.
-            self.budget = (self.budget - cost as f64).max(-(cost as f64));
+            // Usage of spare slots leaves at most the debt of one request, but does not
+            // forgive a larger one.
+            let floor = self.budget.min(-max_debt - cost as f64);
+            self.budget = (self.budget - cost as f64).max(floor);
         }
     }
 
-    /// Time until the workspace is within its share again, in milliseconds.
-    fn recovery_ms(&self) -> u64 {
+    /// Largest debt for streams that callers take up, in cost units.
+    fn max_take_up_debt(&self) -> f64 {
+        self.limit_per_s.map_or(0.0, |limit| limit * MAX_TAKE_UP_DEBT_MS / 1_000.0)
+    }
+
+    /// Time until the workspace has less than `max_debt`, in milliseconds.
+    fn recovery_ms(&self, max_debt: f64) -> u64 {
         let limit = self.limit_per_s.unwrap_or(f64::INFINITY).max(1.0);
-        (-self.budget / limit * 1_000.0).max(0.0) as u64
+        ((-self.budget - max_debt) / limit * 1_000.0).max(0.0) as u64
     }
 }
 
@@ -297,7 +313,7 @@
         let expected_wait_ms = self.expected_wait_ms(now_ms, own_queued, slots);
         let queue = self.queues.entry(request.workspace.clone()).or_default();
         queue.refill(now_ms);
-        queue.check_share(slots, expected_wait_ms)?;
+        queue.check_share(slots, expected_wait_ms, 0.0)?;
         if expected_wait_ms > wait_limit_ms || own_queued >= MAX_QUEUED_PER_WORKSPACE {
             return Err(Rejection {
                 reason: RejectReason::Busy,
@@ -315,8 +331,9 @@
         Ok(ticket)
     }
 
-    /// Admits a request without a wait, and returns a ticket that counts as dispatched.
-    /// Its workspace is charged and held to its share as for any other request.
+    /// Admits a request that takes up a stream without a wait, and returns a ticket that
+    /// counts as dispatched. Its workspace is charged as for any other request, and may be in
+    /// debt for it: what the callers already have of the stream would be in vain otherwise.
     ///
     /// # Errors
     ///
@@ -329,19 +346,22 @@
     ) -> Result<Ticket, Rejection> {
         let queue = self.queues.entry(request.workspace.clone()).or_default();
         queue.refill(now_ms);
-        queue.check_share(slots, 0)?;
+        let max_debt = queue.max_take_up_debt();
+        queue.check_share(slots, 0, max_debt)?;
         queue.dispatched.add(now_ms, request.cost);
-        queue.charge(request.cost);
+        queue.charge(request.cost, max_debt);
         self.last_ticket += 1;
         self.count_dispatch(now_ms, request.cost);
         Ok(Ticket(self.last_ticket))
     }
 
-    /// Charges a workspace for a request that was dispatched elsewhere.
-    pub fn charge(&mut self, now_ms: u64, workspace: &WorkspaceName, cost: u64) {
+    /// Charges a workspace for a request that was dispatched elsewhere. `takes_up` says
+    /// whether it takes up a stream.
+    pub fn charge(&mut self, now_ms: u64, workspace: &WorkspaceName, cost: u64, takes_up: bool) {
         if let Some(queue) = self.queues.get_mut(workspace) {
             queue.refill(now_ms);
-            queue.charge(cost);
+            let max_debt = if takes_up { queue.max_take_up_debt() } else { 0.0 };
+            queue.charge(cost, max_debt);
         }
     }
 
@@ -398,7 +418,7 @@
         let workspace = name.clone();
         let QueuedRequest { ticket, cost } = queue.requests.pop_front()?;
         queue.dispatched.add(now_ms, cost);
-        queue.charge(cost);
+        queue.charge(cost, 0.0);
         self.workspace_by_ticket.remove(&ticket);
         self.count_dispatch(now_ms, cost);
         Some(DispatchedRequest { ticket, workspace, cost })
--- a/crates/edge/src/service_admission.rs
+++ b/crates/edge/src/service_admission.rs
@@ -52,7 +52,7 @@
         Ok(LaneTicket { lane, ticket })
     }
 
-    /// Admits a request without a wait, and returns a ticket that counts as dispatched.
+    /// Admits a request that takes up a stream without a wait, and returns a ticket that counts as dispatched.
     ///
     /// # Errors
     ///
@@ -65,7 +65,9 @@
         request: &AdmissionRequest,
     ) -> Result<LaneTicket, Rejection> {
         let ticket = self.lanes[lane as usize].admit_now(now_ms, slots, request)?;
-        self.charge_other_lanes(now_ms, lane, slots, &request.workspace, request.cost);
+        if slots.is_limited {
+            self.charge_other_lanes(now_ms, lane, &request.workspace, request.cost, true);
+        }
         Ok(LaneTicket { lane, ticket })
     }
 
@@ -73,7 +75,9 @@
     pub fn dispatch(&mut self, now_ms: u64, lane: Lane, slots: SlotCounts) -> Option<LaneTicket> {
         let dispatched = self.lanes[lane as usize].dispatch(now_ms, slots)?;
         let DispatchedRequest { ticket, workspace, cost } = dispatched;
-        self.charge_other_lanes(now_ms, lane, slots, &workspace, cost);
+        if slots.is_limited {
+            self.charge_other_lanes(now_ms, lane, &workspace, cost, false);
+        }
         Some(LaneTicket { lane, ticket })
     }
 
@@ -81,15 +85,12 @@
         &mut self,
         now_ms: u64,
         lane: Lane,
-        slots: SlotCounts,
         workspace: &WorkspaceName,
         cost: u64,
+        takes_up: bool,
     ) {
-        if !slots.is_limited {
-            return;
-        }
         for other in Lane::iter().filter(|other| *other != lane) {
-            self.lanes[other as usize].charge(now_ms, workspace, cost);
+            self.lanes[other as usize].charge(now_ms, workspace, cost, takes_up);
         }
     }
 
