--- a/crates/edge/src/origin_log.rs
+++ b/crates/edge/src/origin_log.rs
@@ -11,10 +11,7 @@
     sync::Arc,
 };
 
-use crate::{
-    stream_origin::{OriginNotice, StreamOrigin},
-    stream_records::OriginSegment,
-};
+use crate::{stream_origin::OriginNotice, stream_records::OriginSegment};
 
 /// Interval between two batches, in milliseconds. Streams that began since the last one are
 /// lost with the memory of all routers. Six routers make 24 calls a second, a small part of
@@ -42,6 +39,12 @@
     may_exist: bool,
 }
 
+impl LogSegment {
+    fn new(segment: OriginSegment) -> Self {
+        Self { segment, begun_ms: 0, expires_ms: 0, len: 0, written_len: None, may_exist: false }
+    }
+}
+
 /// A segment that has to be written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SegmentWrite {
@@ -86,21 +89,23 @@
         if notices.len() > room { Err(notices.len() - room) } else { Ok(()) }
     }
 
+    fn next_name(&mut self) -> Arc<str> {
+        let number = self.next_number;
+        self.next_number += 1;
+        format!("{}.{number}", self.prefix).into()
+    }
+
     /// The segment that takes further streams.
     fn open_segment(&mut self, now_ms: u64) -> &mut LogSegment {
         let is_open = self.segments.back().is_some_and(|segment| {
             now_ms < segment.begun_ms + SEGMENT_SPAN_MS && segment.len < MAX_SEGMENT_STREAMS
         });
         if !is_open {
-            let name: Arc<str> = format!("{}.{}", self.prefix, self.next_number).into();
-            self.next_number += 1;
+            let segment = OriginSegment { name: self.next_name(), streams: BTreeMap::new() };
             self.segments.push_back(LogSegment {
-                segment: OriginSegment { name, streams: BTreeMap::<StreamOrigin, _>::new() },
                 begun_ms: now_ms,
                 expires_ms: now_ms,
-                len: 0,
-                written_len: None,
-                may_exist: false,
+                ..LogSegment::new(segment)
             });
         }
         let last = self.segments.len() - 1;
@@ -110,7 +115,8 @@
     /// The oldest segment with streams that the store does not have.
     pub fn next_write(&mut self) -> Option<SegmentWrite> {
         let mut segments = self.segments.iter_mut();
-        let unwritten = segments.find(|segment| segment.written_len != Some(segment.len))?;
+        let unwritten =
+            segments.find(|segment| segment.len > 0 && segment.written_len != Some(segment.len))?;
         let segment = unwritten.segment.clone();
         let may_exist = mem::replace(&mut unwritten.may_exist, true);
         Some(SegmentWrite { segment, len: unwritten.len, may_exist })
@@ -124,6 +130,23 @@
         }
     }
 
+    /// Records that the store did not answer the write of the segment `name`. It may execute
+    /// the write later and undo a further one, so the streams move to a segment of another
+    /// name.
+    pub fn unanswered(&mut self, name: &str) {
+        let mut segments = self.segments.iter_mut();
+        let Some(segment) = segments.find(|segment| *segment.segment.name == *name) else {
+            return;
+        };
+        let streams = mem::take(&mut segment.segment.streams);
+        let (begun_ms, expires_ms, len) = (segment.begun_ms, segment.expires_ms, segment.len);
+        // Stays to be removed from the store.
+        (segment.len, segment.written_len) = (0, Some(0));
+        let name = self.next_name();
+        let moved = OriginSegment { name, streams };
+        self.segments.push_back(LogSegment { begun_ms, expires_ms, len, ..LogSegment::new(moved) });
+    }
+
     /// All segments have to be written again: the store may have lost them.
     pub fn rewrite_all(&mut self) {
         for segment in &mut self.segments {
--- a/crates/edge/src/record_sync.rs
+++ b/crates/edge/src/record_sync.rs
@@ -207,6 +207,9 @@
         let name = segment.name.clone();
         let written = (store.write_segment)(segment, may_exist).await;
         record_result(node, "segment", &written, failures);
+        if let Err(StoreError::Unanswered(_)) = &written {
+            node.state().origin_log.unanswered(&name);
+        }
         written?;
         node.state().origin_log.written(&name, len);
     }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -23,6 +23,9 @@
     /// The object has changed since the revision that the call named.
     #[error("the object has changed meanwhile")]
     Conflict,
+    /// The store did not answer a write, which may have been executed or may still be.
+    #[error("the store did not answer: {0}")]
+    Unanswered(String),
     /// The store did not answer, or rejected the call.
     #[error("the store is unavailable: {0}")]
     Unavailable(String),
--- a/crates/edge/tests/stream_records.rs
+++ b/crates/edge/tests/stream_records.rs
@@ -93,6 +93,26 @@
     assert_eq!((log.next_write(), log.unwritten_len()), (None, 0));
 }
 
+/// Guards against a write that the store did not answer, executes later, and that undoes a
+/// further write of the same segment.
+#[test]
+fn streams_of_an_unanswered_write_move_to_another_segment() {
+    let mut log = OriginLog::new("m-1.7".to_owned());
+    log.record(0, &notices(0..2)).unwrap();
+    flush(&mut log);
+    log.record(1_000, &notices(2..3)).unwrap();
+    let write = log.next_write().unwrap();
+    log.unanswered(&write.segment.name);
+    assert_eq!(flush(&mut log), [("m-1.7.1".to_owned(), 3, false)]);
+    // Further streams of these seconds go there too.
+    log.record(1_500, &notices(3..4)).unwrap();
+    assert_eq!(flush(&mut log), [("m-1.7.1".to_owned(), 4, true)]);
+    log.rewrite_all();
+    assert_eq!(flush(&mut log).len(), 1);
+    assert_eq!(log.expire(LIFETIME_MS + 1_000), [Arc::from("m-1.7.0")]);
+    assert_eq!(log.expire(LIFETIME_MS + 1_500), [Arc::from("m-1.7.1")]);
+}
+
 /// Guards against streams that are lost because the store came back from a copy.
 #[test]
 fn restored_store_gets_all_segments_again() {
