Treat answers that name no request as lost

What callers saw: 503 with a Retry-After for a request that is not idempotent and may be running, and such requests at a second upstream. The cause: head::classify took status 421 and the header for requests that did not run as a rejection of this request also where the answer names no request, or names this one and another. A faulty upstream that writes an earlier rejection once more, without its id, was believed. A 404 or 500 without an id was passed on to the caller.

An answer now counts only if every request id in it is that of the request. All others count as lost: the caller gets 502, and the connection is closed.

answer_that_names_no_request_is_no_rejection fails before the change.

--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -130,8 +130,12 @@
 ) -> HeadKind {
     let names = &wire_format.headers;
     let status = parts.status.as_u16();
-    let echoed = parts.headers.get(&names.request_id);
-    if echoed.is_some_and(|echoed| echoed != id) {
+    let mut echoed = parts.headers.get_all(&names.request_id).iter().peekable();
+    // It may be a copy of an answer to an earlier request on the connection.
+    if echoed.peek().is_none() {
+        return HeadKind::Foreign("the answer names no request");
+    }
+    if echoed.any(|echoed| echoed != id) {
         return HeadKind::Foreign("the answer belongs to another request");
     }
     if status == 421 {
@@ -146,9 +150,6 @@
     if !(200..300).contains(&status) {
         return HeadKind::Proper;
     }
-    if echoed.is_none() {
-        return HeadKind::Foreign("the answer names no request");
-    }
     if !parts.headers.contains_key(&names.signature) {
         return HeadKind::Foreign("the answer has no signature");
     }
