Send no request again on a connection that carried its rejection

What callers saw: 503 with a Retry-After for a request that an upstream was running, and the same request running twice at an upstream. The cause: after a rejection the connection goes back to the pool, and a stream that waits for a full upstream is sent there again, with the same id, mostly on that connection. A faulty upstream that writes the rejection once more wrote a copy with the right id, which was taken for the answer to the second send.

A pooled connection now remembers which requests were rejected on it, as hashes of their ids, and is not taken for these, also after others have used it. They may still be sent to the upstream on another connection. After 32 rejections the connection is closed.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -99,7 +99,8 @@
     destination: &Destination<'_>,
 ) -> Result<Answer, Failure> {
     let upstream = destination.upstream;
-    let mut connection = match node.pool.take(node.now_ms(), upstream) {
+    let key = RequestKey::new(data.id.as_bytes());
+    let mut connection = match node.pool.take(node.now_ms(), upstream, key) {
         Some(connection) => connection,
         None => connect(node, upstream).await?,
     };
@@ -140,7 +141,7 @@
         }
         HeadKind::Failure => Err(Failure::Upstream(Box::new(answer))),
         HeadKind::NotRun(result) => {
-            keep_after_rejection(node, upstream, answer).await;
+            keep_after_rejection(node, upstream, answer, key).await;
             Err(Failure::NotRun(result))
         }
         // The connection is closed: its further bytes belong to no request either.
@@ -237,8 +238,14 @@
     }
 }
 
-async fn keep_after_rejection(node: &Node, upstream: &UpstreamName, answer: Answer) {
-    let Answer { body, connection, idle_timeout_ms, .. } = answer;
+async fn keep_after_rejection(
+    node: &Node,
+    upstream: &UpstreamName,
+    answer: Answer,
+    request: RequestKey,
+) {
+    let Answer { body, mut connection, idle_timeout_ms, .. } = answer;
+    connection.record_rejection(request);
     if read_to_end(body, MAX_REJECTION_BYTES).await.is_ok() {
         node.pool.keep(node.now_ms(), upstream, connection, idle_timeout_ms);
     }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -15,7 +15,7 @@
     time::timeout,
 };
 
-use crate::socket::set_options;
+use crate::{socket::set_options, stream_origin::RequestKey};
 
 /// Time limit for connecting, in milliseconds. The links between failure domains
 /// take a few milliseconds; a lost SYN packet is sent again only after a second.
@@ -28,6 +28,9 @@
 /// Time before the end of an upstream's idle timeout from which a connection is no
 /// longer used, in milliseconds. The upstream's close may be in transit.
 const IDLE_TIMEOUT_MARGIN_MS: u64 = 600;
+/// Number of rejections after which a connection is closed. It remembers each of them, and
+/// a new connection has a price.
+const MAX_REJECTIONS: usize = 32;
 
 /// Read buffer of a connection to an upstream, in bytes. The memory of a small
 /// instance must suffice for thousands of connections.
@@ -65,6 +68,8 @@
     _task: ConnectionTask,
     /// Whether an earlier request used the connection.
     pub(crate) reused: bool,
+    /// Requests whose rejection it has carried.
+    rejected: Vec<RequestKey>,
 }
 
 impl Connection {
@@ -73,6 +78,12 @@
         self.sender.is_ready()
     }
 
+    /// Records that the upstream rejected a request. The request must not be sent again
+    /// on this connection: a copy of the rejection would be taken for its answer.
+    pub(crate) fn record_rejection(&mut self, request: RequestKey) {
+        self.rejected.push(request);
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(
         &mut self,
@@ -105,11 +116,21 @@
 }
 
 impl Pool {
-    /// Takes an idle connection to an upstream out of the pool, if there is one.
-    pub(crate) fn take(&self, now_ms: u64, name: &UpstreamName) -> Option<Connection> {
+    /// Takes an idle connection to an upstream out of the pool, if there is one that can
+    /// carry `request`.
+    pub(crate) fn take(
+        &self,
+        now_ms: u64,
+        name: &UpstreamName,
+        request: RequestKey,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(name)?;
-        while let Some(candidate) = connections.pop() {
+        for index in (0..connections.len()).rev() {
+            if connections[index].connection.rejected.contains(&request) {
+                continue;
+            }
+            let candidate = connections.remove(index);
             let usable = candidate.expires_ms > now_ms && candidate.connection.is_ready();
             if usable {
                 return Some(candidate.connection);
@@ -118,7 +139,8 @@
         None
     }
 
-    /// Returns a connection to the pool after its answer was read to the end.
+    /// Returns a connection to the pool after its answer was read to the end, or closes it
+    /// if it cannot be used again.
     /// `idle_timeout_ms` is the idle timeout that the upstream stated, if any.
     pub(crate) fn keep(
         &self,
@@ -130,7 +152,8 @@
         let keep_ms = idle_timeout_ms
             .unwrap_or(DEFAULT_IDLE_TIMEOUT_MS)
             .saturating_sub(IDLE_TIMEOUT_MARGIN_MS);
-        if keep_ms == 0 || connection.sender.is_closed() {
+        let is_used_up = connection.rejected.len() >= MAX_REJECTIONS;
+        if keep_ms == 0 || is_used_up || connection.sender.is_closed() {
             return;
         }
         connection.reused = true;
@@ -187,5 +210,6 @@
         // A request in flight gets the error through its response.
         let _ = connection.await;
     });
-    Ok(Connection { sender, _task: ConnectionTask(task.abort_handle()), reused: false })
+    let task = ConnectionTask(task.abort_handle());
+    Ok(Connection { sender, _task: task, reused: false, rejected: Vec::new() })
 }
