--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -1,10 +1,15 @@
 //! The configuration in force: routes, services and workspaces.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use span_types::{ServiceName, WorkspaceName};
 
+use crate::stream_records::RouteId;
+
 /// Whether a route streams and which of its requests may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -20,6 +25,11 @@
 }
 
 impl Route {
+    /// Identifies the route whatever its name is.
+    pub fn id(&self) -> RouteId {
+        format!("{}{}", self.host, self.path_prefix).into()
+    }
+
     /// Services that take requests.
     pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
         self.targets.iter().filter(|target| target.weight > 0).map(|target| &target.service)
@@ -175,23 +185,18 @@
         streams.map(|route| route.target_gap_ms).min()
     }
 
-    /// Longest time limit of the routes that stream from a service, in milliseconds; 0
-    /// without such a route.
-    pub fn longest_stream_ms(&self, service: &ServiceName) -> u64 {
-        let streams = self.routes.values().flatten().filter(|route| {
-            let has_target = route.targets.iter().any(|target| target.service == *service);
-            route.kind.is_stream() && has_target
-        });
+    /// Longest time limit of the routes that stream, in milliseconds; 0 without such a
+    /// route.
+    pub fn longest_stream_ms(&self) -> u64 {
+        let streams = self.routes.values().flatten().filter(|route| route.kind.is_stream());
         streams.map(|route| route.timeout_ms).max().unwrap_or(0)
     }
 
-    /// Whether a route whose streams may be taken up leads to a service and to others too.
-    pub fn shares_stream_route(&self, service: &ServiceName) -> bool {
-        self.routes.values().flatten().any(|route| {
-            route.kind == RouteKind::ResumableStream
-                && route.services().any(|target| target == service)
-                && route.services().any(|target| target != service)
-        })
+    /// Services of each route whose streams may be taken up.
+    pub fn resumable_routes(&self) -> BTreeMap<RouteId, BTreeSet<ServiceName>> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.kind == RouteKind::ResumableStream);
+        resumable.map(|route| (route.id(), route.services().cloned().collect())).collect()
     }
 
     /// Whether requests must carry the key of a workspace, except on routes that allow
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -34,7 +34,8 @@
     pub(crate) shared_segments: Rc<[SegmentId]>,
     /// Id of the request.
     pub(crate) id: HeaderValue,
-    /// The request that began the stream which this one takes up.
+    /// The request that began the stream which this one takes up; none if it takes up none,
+    /// or its caller does not name it.
     pub(crate) resumed_request: Option<RequestKey>,
     /// When the caller gives up, in milliseconds.
     pub(crate) deadline_ms: u64,
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -237,9 +237,9 @@
         let error_reply = ErrorReply::not_run("this instance is about to end; use another", 0);
         return Err((error_reply, record));
     }
-    let resumed_request = take_up::resumed_request(node, &parts, checked.route.kind);
-    if let Some(request) = resumed_request {
-        match take_up::find_origin(node, request, &checked, &record).await {
+    let taken_up = take_up::taken_up_stream(node, &parts, checked.route.kind);
+    if let Some(stream) = taken_up {
+        match take_up::find_origin(node, stream, &checked, &record).await {
             Ok(origin) => {
                 checked.service = origin.service;
                 checked.continued_version = Some(origin.software_version);
@@ -265,7 +265,7 @@
         work,
         shared_segments,
         id: checked.id.clone(),
-        resumed_request,
+        resumed_request: taken_up.and_then(|stream| stream.request),
         deadline_ms,
     };
     run_attempts(node, Rc::new(data), &checked, in_flight, record).await
--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -18,21 +18,27 @@
     stream_origin::{OriginVerdict, RecordSearch, RequestKey, StreamOrigin},
 };
 
-/// The request that began the stream which a request takes up; none if it takes up none.
-/// If its caller does not name that request, nothing is known of the stream.
-pub(super) fn resumed_request(
+/// A stream that a request takes up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TakenUpStream {
+    /// The request that began it; none if the caller does not name it.
+    pub(super) request: Option<RequestKey>,
+}
+
+/// The stream that a request takes up, if it does.
+pub(super) fn taken_up_stream(
     node: &Node,
     parts: &request::Parts,
     kind: RouteKind,
-) -> Option<RequestKey> {
+) -> Option<TakenUpStream> {
     let names = &node.wire_format.headers;
     let resumed = parts.headers.get(&names.resumed_request_id);
     let takes_up = resumed.is_some() || parts.headers.contains_key(&names.last_event_id);
-    let id = resumed.map_or(&[][..], |id| id.as_bytes());
-    (kind.is_stream() && takes_up).then(|| RequestKey::new(id))
+    let request = resumed.map(|id| RequestKey::new(id.as_bytes()));
+    (kind.is_stream() && takes_up).then_some(TakenUpStream { request })
 }
 
-/// Finds out where the stream can go on that `request` began.
+/// Finds out where a stream can go on that its caller takes up.
 ///
 /// # Errors
 ///
@@ -40,12 +46,14 @@
 /// then, so the caller is told at once.
 pub(super) async fn find_origin(
     node: &Rc<Node>,
-    request: RequestKey,
+    stream: TakenUpStream,
     checked: &CheckedRequest,
     record: &RequestRecord,
 ) -> Result<StreamOrigin, ErrorReply> {
     let started_ms = node.now_ms();
-    let services: Vec<ServiceName> = checked.route.services().cloned().collect();
+    let services = node.state().route_services(started_ms, &checked.route);
+    // Nobody knows the request's own id, as they do not know a stream without a name.
+    let request = stream.request.unwrap_or_else(|| RequestKey::new(checked.id.as_bytes()));
     let finding = node.find_stream_origin(request, &services).await;
     let OriginFinding { verdict, candidates, knows_history, search } = &finding;
     let (origin, source) = match verdict {
@@ -73,7 +81,7 @@
              run",
         ),
         None => refuse("it is not known where the stream began; the request did not run"),
-        Some(origin) if !services.contains(&origin.service) => {
+        Some(origin) if checked.route.services().all(|service| *service != origin.service) => {
             refuse("the route no longer leads to the stream's service; the request did not run")
         }
         Some(origin) => Ok(origin.clone()),
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -82,6 +82,7 @@
         own_router: Router,
         seed: u64,
     ) -> Rc<Self> {
+        let is_first_start = settings.is_first_start;
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             wire_format,
@@ -97,7 +98,7 @@
             inquiries: Inquiries::default(),
             record_reads: RecordReads::default(),
             records_changed: Notify::new(),
-            state: RefCell::new(State::new(own_router, seed)),
+            state: RefCell::new(State::new(own_router, seed, is_first_start)),
         })
     }
 
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -92,7 +92,7 @@
         let now_ms = self.now_ms();
         let notices = {
             let mut state = self.state();
-            let lifetime_ms = state.stream_lifetime_ms(&origin.service);
+            let lifetime_ms = state.stream_lifetime_ms;
             let is_told = state.origins_may_differ(now_ms, &origin.service);
             let origins = &mut state.stream_origins;
             for request in requests {
@@ -157,23 +157,42 @@
     }
 
     /// Has streams recorded in the store, if need be by the collector.
-    pub(crate) fn record_origins(&self, notices: &[OriginNotice]) {
+    fn record_origins(&self, notices: &[OriginNotice]) {
         if notices.is_empty() {
             return;
         }
         let now_ms = self.now_ms();
-        let mut state = self.state();
-        if let Some(keeper) = state.record_keeper() {
-            for part in notices.chunks(MAX_NOTICES_PER_PACKET) {
-                self.outbox.push(vec![keeper], Packet::RecordOrigins(part.to_vec()));
-            }
+        let keeper = self.state().record_keeper();
+        let Some(keeper) = keeper else {
+            self.log_origins(notices);
             return;
+        };
+        self.state().sent_origins.push(now_ms, notices);
+        for part in notices.chunks(MAX_NOTICES_PER_PACKET) {
+            let receivers = vec![keeper.peer_address.ip()];
+            self.outbox.push(receivers, Packet::RecordOrigins(part.to_vec()));
         }
-        if let Err(dropped) = state.origin_log.record(now_ms, notices) {
-            warn!(dropped, "too many streams wait to be recorded; some will not be");
+    }
+
+    /// Adds streams to those that this router writes to the store.
+    pub(crate) fn log_origins(&self, notices: &[OriginNotice]) {
+        let now_ms = self.now_ms();
+        if let Err(dropped) = self.state().origin_log.record(now_ms, notices) {
+            warn!(dropped, "the log of streams is full; some will not be recorded");
         }
     }
 
+    /// Has streams recorded again that a collector may not have written which has died.
+    pub(crate) fn resend_origins(&self) {
+        let now_ms = self.now_ms();
+        let notices = {
+            let mut state = self.state();
+            let keeper = state.record_keeper().map(|keeper| keeper.member);
+            state.sent_origins.set_keeper(now_ms, keeper)
+        };
+        self.record_origins(&notices);
+    }
+
     /// Takes over what another router tells of streams.
     pub(crate) fn learn_stream_origins(&self, notices: &[OriginNotice]) {
         let now_ms = self.now_ms();
@@ -189,14 +208,14 @@
         self: &Rc<Self>,
         to: IpAddr,
         request: RequestKey,
-        services: Vec<ServiceName>,
+        services: BTreeSet<ServiceName>,
     ) {
         let now_ms = self.now_ms();
         let (own, is_collector, needs_search) = {
             let state = self.state();
             let own = state.origin_answer(now_ms, request, &services);
             let is_collector = matches!(state.role(), Some(Role::Collector { .. }));
-            let needs_search = state.needs_record_search(now_ms, &own, &services);
+            let needs_search = state.needs_record_search(now_ms, &own);
             (own, is_collector, needs_search)
         };
         if own.origin.is_some() || !is_collector || !needs_search {
@@ -234,11 +253,11 @@
     }
 
     /// Finds out where the stream that `request` began can go on, if need be from other
-    /// routers. Its route streams from `services`.
+    /// routers. It may have begun at `services`.
     pub(crate) async fn find_stream_origin(
         self: &Rc<Self>,
         request: RequestKey,
-        services: &[ServiceName],
+        services: &BTreeSet<ServiceName>,
     ) -> OriginFinding {
         let now_ms = self.now_ms();
         let (mut inquiry, addresses) = {
@@ -258,7 +277,7 @@
             let recorded = state.recorded_origins.get(request);
             let search = if recorded == RecordedOrigin::None
                 && state.record_keeper().is_none()
-                && state.needs_record_search(now_ms, &own, services)
+                && state.needs_record_search(now_ms, &own)
             {
                 RecordSearch::Pending
             } else {
@@ -280,7 +299,7 @@
                     &verdict
                 {
                     let mut state = self.state();
-                    let lifetime_ms = state.stream_lifetime_ms(&origin.service);
+                    let lifetime_ms = state.stream_lifetime_ms;
                     let notice = OriginNotice { request, origin: origin.clone(), lifetime_ms };
                     state.stream_origins.learn(now_ms, &notice);
                 }
@@ -297,7 +316,7 @@
                 let ips: Vec<IpAddr> =
                     asked.filter_map(|name| addresses.get(name).copied()).collect();
                 if !ips.is_empty() {
-                    let services = services.to_vec();
+                    let services = services.clone();
                     self.outbox.push(ips, Packet::OriginQuestion { request, services });
                     self.count(Counter::OriginQuestions);
                 }
--- a/crates/edge/src/origin_log.rs
+++ b/crates/edge/src/origin_log.rs
@@ -11,6 +11,8 @@
     sync::Arc,
 };
 
+use span_types::Member;
+
 use crate::{stream_origin::OriginNotice, stream_records::OriginSegment};
 
 /// Interval between two batches, in milliseconds. Streams that began since the last one are
@@ -23,6 +25,9 @@
 /// Streams in a segment at most. They take 11 bytes each, a sixth of the size that a store
 /// allows for an object.
 pub const MAX_SEGMENT_STREAMS: usize = 16_384;
+/// Time after which a router that has died is known not to write any more, in milliseconds,
+/// with a batch that it had not written. Routers take a silent one for dead after 2.6 s.
+const MAX_UNNOTICED_DEATH_MS: u64 = 4_000;
 /// Streams in all segments at most, to bound the memory while the store does not answer.
 const MAX_STREAMS: usize = 262_144;
 
@@ -112,14 +117,18 @@
         &mut self.segments[last]
     }
 
-    /// The oldest segment with streams that the store does not have.
-    pub fn next_write(&mut self) -> Option<SegmentWrite> {
-        let mut segments = self.segments.iter_mut();
-        let unwritten =
-            segments.find(|segment| segment.len > 0 && segment.written_len != Some(segment.len))?;
-        let segment = unwritten.segment.clone();
-        let may_exist = mem::replace(&mut unwritten.may_exist, true);
-        Some(SegmentWrite { segment, len: unwritten.len, may_exist })
+    /// The next batch: all segments with streams that the store does not have, oldest first.
+    pub fn take_batch(&mut self) -> Vec<SegmentWrite> {
+        let unwritten = self
+            .segments
+            .iter_mut()
+            .filter(|segment| segment.len > 0 && segment.written_len != Some(segment.len));
+        let writes = unwritten.map(|unwritten| SegmentWrite {
+            segment: unwritten.segment.clone(),
+            len: unwritten.len,
+            may_exist: mem::replace(&mut unwritten.may_exist, true),
+        });
+        writes.collect()
     }
 
     /// Records that the store has the first `len` streams of the segment `name`.
@@ -177,6 +186,31 @@
     }
 }
 
+/// Streams that a router sent to the one that writes them to the store.
+#[derive(Debug, Default)]
+pub struct SentOrigins {
+    sent: VecDeque<(u64, OriginNotice)>,
+    keeper: Option<Member>,
+}
+
+impl SentOrigins {
+    /// Records that `notices` are sent.
+    pub fn push(&mut self, now_ms: u64, notices: &[OriginNotice]) {
+        self.sent.extend(notices.iter().map(|notice| (now_ms, notice.clone())));
+    }
+
+    /// Sets the router that writes them from now on, none for this one itself, and forgets
+    /// what an earlier one has written. If it is another one, returns the streams that the
+    /// one before may not have written.
+    pub fn set_keeper(&mut self, now_ms: u64, keeper: Option<Member>) -> Vec<OriginNotice> {
+        self.sent.retain(|(sent_ms, _)| now_ms < sent_ms + MAX_UNNOTICED_DEATH_MS);
+        if mem::replace(&mut self.keeper, keeper.clone()) == keeper {
+            return Vec::new();
+        }
+        mem::take(&mut self.sent).into_iter().map(|(_, notice)| notice).collect()
+    }
+}
+
 /// Segments in the store whose router has died, or forgot them.
 #[derive(Debug, Default)]
 pub struct OrphanSweep {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -7,6 +7,7 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeSet,
     io,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -79,8 +80,8 @@
     OriginQuestion {
         /// The request that began the stream.
         request: RequestKey,
-        /// Services of its route.
-        services: Vec<ServiceName>,
+        /// Services at which it may have begun.
+        services: BTreeSet<ServiceName>,
     },
     /// Answers an [`Packet::OriginQuestion`].
     OriginAnswer {
@@ -558,8 +559,7 @@
                         self.receive_limits(from, scope, limits);
                     }
                     Ok(Packet::RecordOrigins(notices)) => {
-                        self.node.learn_stream_origins(&notices);
-                        self.node.record_origins(&notices);
+                        self.node.log_origins(&notices);
                     }
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
--- /dev/null
+++ b/crates/edge/src/recent_values.rs
@@ -0,0 +1,99 @@
+//! Sets of values that change, and what was in them lately.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RecentValue {
+    /// When the value left the set; none while it is in it.
+    gone_ms: Option<u64>,
+    /// Whether it is known from a record alone.
+    is_from_record: bool,
+}
+
+/// Values of each key now and lately.
+#[derive(Debug)]
+pub struct RecentValues<K, V> {
+    values: BTreeMap<K, BTreeMap<V, RecentValue>>,
+}
+
+impl<K, V> Default for RecentValues<K, V> {
+    fn default() -> Self {
+        Self { values: BTreeMap::new() }
+    }
+}
+
+impl<K: Ord + Clone, V: Ord + Clone> RecentValues<K, V> {
+    /// Records the values that `key` has from now on.
+    pub fn set(&mut self, now_ms: u64, key: &K, present: &BTreeSet<V>) {
+        let values = self.values.entry(key.clone()).or_default();
+        for (value, recent) in values.iter_mut() {
+            if !present.contains(value) {
+                recent.gone_ms.get_or_insert(now_ms);
+            }
+        }
+        let seen = RecentValue { gone_ms: None, is_from_record: false };
+        values.extend(present.iter().map(|value| (value.clone(), seen)));
+    }
+
+    /// As [`RecentValues::set`], for all keys. Those that are missing have no values.
+    pub fn set_all(&mut self, now_ms: u64, present: &BTreeMap<K, BTreeSet<V>>) {
+        let gone = self.values.keys().filter(|key| !present.contains_key(key));
+        for key in gone.cloned().collect::<Vec<K>>() {
+            self.set(now_ms, &key, &BTreeSet::new());
+        }
+        for (key, values) in present {
+            self.set(now_ms, key, values);
+        }
+    }
+
+    /// Records that `key` has or had `value` elsewhere until now.
+    pub fn note(&mut self, now_ms: u64, key: &K, value: &V) {
+        let values = self.values.entry(key.clone()).or_default();
+        let noted = RecentValue { gone_ms: Some(now_ms), is_from_record: false };
+        let recent = values.entry(value.clone()).or_insert(noted);
+        recent.gone_ms = recent.gone_ms.map(|_| now_ms);
+    }
+
+    /// Takes over a record of the values that keys had lately. Values that are not known yet
+    /// count as gone from now on. Those that only an earlier record named, and this complete
+    /// one does not, have been gone for long enough.
+    pub fn add_record(
+        &mut self,
+        now_ms: u64,
+        record: &BTreeMap<K, BTreeSet<V>>,
+        is_complete: bool,
+    ) {
+        for (key, values) in &mut self.values {
+            let recorded = record.get(key);
+            values.retain(|value, recent| {
+                let is_recorded = recorded.is_some_and(|recorded| recorded.contains(value));
+                !recent.is_from_record || !is_complete || is_recorded
+            });
+        }
+        let gone = RecentValue { gone_ms: Some(now_ms), is_from_record: true };
+        for (key, recorded) in record {
+            let values = self.values.entry(key.clone()).or_default();
+            for value in recorded {
+                values.entry(value.clone()).or_insert(gone);
+            }
+        }
+    }
+
+    /// Values that `key` has, or had within `lifetime_ms`.
+    pub fn recent(&self, now_ms: u64, key: &K, lifetime_ms: u64) -> impl Iterator<Item = &V> {
+        let values = self.values.get(key).into_iter().flatten();
+        values.filter(move |(_, recent)| is_recent(now_ms, recent, lifetime_ms)).map(|(v, _)| v)
+    }
+
+    /// As [`RecentValues::recent`], for all keys that have or had any.
+    pub fn all_recent(&self, now_ms: u64, lifetime_ms: u64) -> BTreeMap<K, BTreeSet<V>> {
+        let keys = self.values.keys().map(|key| {
+            (key.clone(), self.recent(now_ms, key, lifetime_ms).cloned().collect::<BTreeSet<V>>())
+        });
+        keys.filter(|(_, values)| !values.is_empty()).collect()
+    }
+}
+
+fn is_recent(now_ms: u64, recent: &RecentValue, lifetime_ms: u64) -> bool {
+    recent.gone_ms.is_none_or(|gone_ms| now_ms.saturating_sub(gone_ms) < lifetime_ms)
+}
--- a/crates/edge/src/record_sync.rs
+++ b/crates/edge/src/record_sync.rs
@@ -5,8 +5,13 @@
 //! broken streams alone, so a store that does not answer here counts neither as an outage
 //! for the entries of upstreams nor as an answer.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
+use span_types::{ServiceName, SoftwareVersion};
 use tokio::{
     sync::{Notify, watch},
     time::timeout,
@@ -19,7 +24,7 @@
     origin_log::{FLUSH_INTERVAL_MS, OrphanSweep, SegmentWrite},
     store::{Position, Store, StoreError},
     store_sync::Backoff,
-    stream_records::{StreamRecords, VersionRecord},
+    stream_records::{HistoryRecord, StreamRecords},
 };
 
 /// Age up to which records need not be read again for one more stream, in milliseconds.
@@ -58,8 +63,12 @@
     fn take_records(&self, records: &StreamRecords) {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        state.stream_origins.add_history(now_ms, &records.versions);
-        state.version_history.replace(&records.versions);
+        if let Some(history) = &records.history {
+            // One from before a restore of the store may lack what was recorded since.
+            let is_complete = history.complete_era == Some(records.era);
+            state.stream_origins.add_history(now_ms, history, is_complete);
+        }
+        state.stream_history.replace(records.era, records.history.clone());
         state.recorded_origins.replace(&records.segments);
     }
 
@@ -69,8 +78,7 @@
         let now_ms = self.now_ms();
         let read_ms = self.record_reads.latest.borrow().started_ms.unwrap_or(0);
         let mut state = self.state();
-        let lifetime_ms = state.longest_lifetime_ms(state.services.keys());
-        if now_ms >= read_ms + lifetime_ms {
+        if now_ms >= read_ms + state.stream_lifetime_ms {
             state.recorded_origins.replace(&[]);
         }
     }
@@ -133,10 +141,11 @@
             // A restored store may lack what was written shortly before.
             era = known_era;
             let mut state = node.state();
-            state.version_history.invalidate();
+            state.stream_history.invalidate();
             state.origin_log.rewrite_all();
         }
-        let mut result = write_versions(&node, &store, &mut failures).await;
+        node.resend_origins();
+        let mut result = write_history(&node, &store, &mut failures).await;
         if now_ms >= flushed_ms + FLUSH_INTERVAL_MS {
             flushed_ms = now_ms;
             if result.is_ok() {
@@ -157,13 +166,13 @@
     }
 }
 
-/// Brings the record of versions in line with what this router knows.
-async fn write_versions(node: &Node, store: &Store, failures: &mut u32) -> Result<(), StoreError> {
+/// Brings the record of where streams may have begun in line with what this router knows.
+async fn write_history(node: &Node, store: &Store, failures: &mut u32) -> Result<(), StoreError> {
     let (is_ready, is_read) = {
         let state = node.state();
         // Before that, there is nothing to record.
         let knows_upstreams = state.registry.position() != Position::default();
-        (knows_upstreams && state.record_keeper().is_none(), state.version_history.is_read())
+        (knows_upstreams && state.record_keeper().is_none(), state.stream_history.is_read())
     };
     if !is_ready {
         return Ok(());
@@ -171,39 +180,48 @@
     if !is_read && !node.read_records(node.now_ms()).await {
         return Err(StoreError::Unavailable("the records cannot be read".to_owned()));
     }
-    let due = {
-        let state = node.state();
-        state.version_history.due(&state.candidate_versions(node.now_ms()))
+    let Some(record) = node.state().due_history(node.now_ms()) else {
+        return Ok(());
     };
-    for record in due {
-        let written = (store.write_versions)(record.clone()).await;
-        record_result(node, "versions", &written, failures);
-        match written {
-            Ok(revision) => {
-                let versions: Vec<&str> =
-                    record.versions.iter().map(|version| version.as_str()).collect();
-                info!(
-                    service = record.service.as_str(),
-                    versions = versions.join(", "),
-                    revision,
-                    "software versions recorded"
-                );
-                let record = VersionRecord { revision: Some(revision), ..record };
-                node.state().version_history.written(record);
-            }
-            // Another router was first. The next round starts from what it wrote.
-            Err(StoreError::Conflict) => node.state().version_history.invalidate(),
-            Err(error) => return Err(error),
+    let written = (store.write_history)(record.clone()).await;
+    record_result(node, "history", &written, failures);
+    match written {
+        Ok(revision) => {
+            info!(
+                versions = list_values(&record.versions),
+                routes = record.routes.len(),
+                complete_era = record.complete_era,
+                revision,
+                "history of streams recorded"
+            );
+            let record = HistoryRecord { revision: Some(revision), ..record };
+            node.state().stream_history.written(record);
+            Ok(())
+        }
+        // Another router was first, or the write may be executed later. The next round
+        // starts from what the store has.
+        Err(error) => {
+            node.state().stream_history.invalidate();
+            if error == StoreError::Conflict { Ok(()) } else { Err(error) }
         }
     }
-    Ok(())
 }
 
-/// Writes the streams that wait, and removes the segments whose streams are over.
+/// Formats the versions of services for a log line.
+fn list_values(versions: &BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>) -> String {
+    let texts = versions.iter().flat_map(|(service, versions)| {
+        versions.iter().map(move |version| format!("{service} {version}"))
+    });
+    texts.collect::<Vec<_>>().join(", ")
+}
+
+/// Writes the streams that wait, each segment once, and removes the segments whose streams
+/// are over.
 async fn flush_log(node: &Node, store: &Store, failures: &mut u32) -> Result<(), StoreError> {
-    loop {
-        let next = node.state().origin_log.next_write();
-        let Some(SegmentWrite { segment, len, may_exist }) = next else { break };
+    let over = node.state().origin_log.expire(node.now_ms());
+    // Streams that begin meanwhile wait for the next batch.
+    let batch = node.state().origin_log.take_batch();
+    for SegmentWrite { segment, len, may_exist } in batch {
         let name = segment.name.clone();
         let written = (store.write_segment)(segment, may_exist).await;
         record_result(node, "segment", &written, failures);
@@ -213,7 +231,6 @@
         written?;
         node.state().origin_log.written(&name, len);
     }
-    let over = node.state().origin_log.expire(node.now_ms());
     for name in over {
         // The sweep removes it if this fails.
         let removed = (store.remove_segment)(name).await;
@@ -227,10 +244,7 @@
     let read = (store.read_stream_records)().await;
     record_result(node, "sweep", &read, failures);
     let Ok(records) = read else { return };
-    let lifetime_ms = {
-        let state = node.state();
-        state.longest_lifetime_ms(state.services.keys())
-    };
+    let lifetime_ms = node.state().stream_lifetime_ms;
     let orphans = sweep.orphans(node.now_ms(), &records.segments, lifetime_ms);
     if !orphans.is_empty() {
         info!(segments = orphans.len(), "removing records of streams that are over");
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -64,6 +64,8 @@
     pub resources: Resources,
     /// Limits that the users set on the behaviour of the fleet.
     pub fleet_limits: FleetLimits,
+    /// Whether the whole system starts for the first time, so that nothing was before.
+    pub is_first_start: bool,
     /// Interval at which upstreams renew their entries, in milliseconds.
     pub entry_renewal_interval_ms: u64,
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -9,18 +9,18 @@
 use futures::channel::oneshot;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use span_member::{MAX_FULL_MESH_PEERS, MembershipTiming, MembershipView, Router};
-use span_types::{InstanceName, Member, MemberState, ServiceName, SoftwareVersion};
+use span_types::{InstanceName, Member, MemberState, ServiceName};
 use strum::IntoEnumIterator;
 
 use crate::{
-    config::Config,
+    config::{Config, Route},
     directory::ConfigReports,
     lane::Lane,
     load_summary::{
         FleetSummary, LoadSummary, ReceivedSummaries, ServiceLoad, ServiceLoads, Summary,
     },
     metrics::Metrics,
-    origin_log::OriginLog,
+    origin_log::{OriginLog, SentOrigins},
     placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix},
     prompt_crashes::PromptCrashes,
     registry::Registry,
@@ -30,12 +30,12 @@
     settings::Settings,
     shares::{DecayingRate, DemandMeter},
     store_source::{ReadOrder, StoreKnowledge, StoreSource},
+    stream_history::StreamHistory,
     stream_origin::{
         ASKED_ROUTERS, OriginAnswer, RequestKey, StreamOrigin, StreamOrigins, routers_for_stream,
     },
-    stream_records::RecordedOrigins,
+    stream_records::{HistoryRecord, RecordedOrigins},
     upstream_limit::LimitSummary,
-    version_history::VersionHistory,
 };
 
 /// Fraction of the connections that an upstream accepts which the known routers
@@ -111,10 +111,16 @@
     pub(crate) stream_origins: StreamOrigins,
     /// Origins of streams that this router writes to the store.
     pub(crate) origin_log: OriginLog,
+    /// Streams that this router sent to the one that writes them to the store.
+    pub(crate) sent_origins: SentOrigins,
     /// Origins of streams that the store held when it was last read.
     pub(crate) recorded_origins: RecordedOrigins,
-    /// Software versions that services had lately, as the store records them.
-    pub(crate) version_history: VersionHistory,
+    /// Where streams of late may have begun, as the store records it.
+    pub(crate) stream_history: StreamHistory,
+    /// Time within which a stream may be taken up, in milliseconds: it lasts for the longest
+    /// time limit of a route at most, and so does the attempt that takes it up. Does not
+    /// fall, as streams go on with the limits with which they began.
+    pub(crate) stream_lifetime_ms: u64,
     /// Prompts that crash upstreams.
     pub(crate) prompt_crashes: PromptCrashes,
     /// From where this router gets what the store holds.
@@ -188,7 +194,7 @@
 }
 
 impl State {
-    pub(crate) fn new(own_router: Router, seed: u64) -> Self {
+    pub(crate) fn new(own_router: Router, seed: u64, is_first_start: bool) -> Self {
         let Member { instance, incarnation } = &own_router.member;
         let origin_log = OriginLog::new(format!("{instance}.{}", incarnation.0));
         Self {
@@ -202,10 +208,12 @@
             fleet_summary: FleetSummary::default(),
             received_limits: ReceivedSummaries::default(),
             fleet_limits: FleetSummary::default(),
-            stream_origins: StreamOrigins::default(),
+            stream_origins: StreamOrigins::new(is_first_start),
             origin_log,
+            sent_origins: SentOrigins::default(),
             recorded_origins: RecordedOrigins::default(),
-            version_history: VersionHistory::default(),
+            stream_history: StreamHistory::default(),
+            stream_lifetime_ms: 0,
             prompt_crashes: PromptCrashes::default(),
             store_source: StoreSource::default(),
             metrics: Metrics::default(),
@@ -284,13 +292,6 @@
         }
     }
 
-    /// Time within which a stream of `service` may be taken up, in milliseconds: it lasts
-    /// for its route's time limit at most, and so does the attempt that takes it up.
-    pub(crate) fn stream_lifetime_ms(&self, service: &ServiceName) -> u64 {
-        let config = self.config.as_ref();
-        2 * config.map_or(0, |config| config.longest_stream_ms(service))
-    }
-
     /// Where streams of `services` may have begun, as far as this router knows.
     pub(crate) fn origin_candidates<'a>(
         &self,
@@ -298,57 +299,52 @@
         services: impl IntoIterator<Item = &'a ServiceName>,
     ) -> BTreeSet<StreamOrigin> {
         let candidates = services.into_iter().flat_map(|service| {
-            self.stream_origins.candidates(now_ms, service, self.stream_lifetime_ms(service))
+            self.stream_origins.candidates(now_ms, service, self.stream_lifetime_ms)
         });
         candidates.collect()
     }
 
+    /// Services at which streams of `route` may have begun, as far as this router knows.
+    pub(crate) fn route_services(&self, now_ms: u64, route: &Route) -> BTreeSet<ServiceName> {
+        let route_id = route.id();
+        let lately = self.stream_origins.route_services(now_ms, &route_id, self.stream_lifetime_ms);
+        lately.chain(route.services()).cloned().collect()
+    }
+
     /// What this router knows of a stream of `services` that `request` began.
     pub(crate) fn origin_answer(
         &self,
         now_ms: u64,
         request: RequestKey,
-        services: &[ServiceName],
+        services: &BTreeSet<ServiceName>,
     ) -> OriginAnswer {
-        let lifetime_ms = self.longest_lifetime_ms(services);
         OriginAnswer {
             origin: self.stream_origins.get(now_ms, request).cloned(),
             candidates: self.origin_candidates(now_ms, services),
-            knows_history: self.stream_origins.knows_history(now_ms, lifetime_ms),
+            knows_history: self.stream_origins.knows_history(now_ms, self.stream_lifetime_ms),
         }
     }
 
-    /// Longest time within which streams of `services` may be taken up, in milliseconds.
-    pub(crate) fn longest_lifetime_ms<'a>(
-        &self,
-        services: impl IntoIterator<Item = &'a ServiceName>,
-    ) -> u64 {
-        let lifetimes_ms = services.into_iter().map(|service| self.stream_lifetime_ms(service));
-        lifetimes_ms.max().unwrap_or(0)
+    /// The record of where streams may have begun that has to be written; none if the one in
+    /// the store agrees with what this router knows.
+    pub(crate) fn due_history(&self, now_ms: u64) -> Option<HistoryRecord> {
+        let lifetime_ms = self.stream_lifetime_ms;
+        let mut wanted = self.stream_origins.history(now_ms, lifetime_ms);
+        let streaming: BTreeSet<&ServiceName> = wanted.routes.values().flatten().collect();
+        wanted.versions.retain(|service, _| streaming.contains(service));
+        let knows_history = self.stream_origins.knows_history(now_ms, lifetime_ms);
+        self.stream_history.due(&wanted, knows_history)
     }
 
-    /// Versions at which open streams of each service may have begun.
-    pub(crate) fn candidate_versions(
-        &self,
-        now_ms: u64,
-    ) -> BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> {
-        let streaming = self.services.keys().filter(|service| self.stream_lifetime_ms(service) > 0);
-        let services = streaming.map(|service| {
-            let candidates = self.origin_candidates(now_ms, [service]);
-            let versions = candidates.into_iter().map(|origin| origin.software_version);
-            (service.clone(), versions.collect())
-        });
-        services.collect()
-    }
-
-    /// Address of the router that keeps the records in the store for this one; none if it
-    /// does so itself. In a large fleet only collectors do, as the store's rate does not
-    /// grow with the fleet.
-    pub(crate) fn record_keeper(&self) -> Option<IpAddr> {
-        match self.role() {
-            Some(Role::Member { collector_ip, .. }) => Some(collector_ip),
-            Some(Role::Collector { .. }) | None => None,
-        }
+    /// The router that keeps the records in the store for this one; none if it does so
+    /// itself. In a large fleet only collectors do, as the store's rate does not grow with
+    /// the fleet.
+    pub(crate) fn record_keeper(&self) -> Option<Router> {
+        let Some(Role::Member { collector_ip, .. }) = self.role() else {
+            return None;
+        };
+        let mut live = self.view.live_routers().into_iter();
+        live.find(|router| router.peer_address.ip() == collector_ip).cloned()
     }
 
     /// Whether this router removes the records that dead routers have left.
@@ -367,8 +363,7 @@
     /// Whether a stream of `service` that another router takes up may have begun
     /// elsewhere than at the only version that the service has.
     pub(crate) fn origins_may_differ(&self, now_ms: u64, service: &ServiceName) -> bool {
-        self.origin_candidates(now_ms, [service]).len() > 1
-            || self.config.as_ref().is_some_and(|config| config.shares_stream_route(service))
+        self.stream_origins.may_differ(now_ms, service, self.stream_lifetime_ms)
     }
 
     /// Services of whose streams others have to be told: all of them, or those whose
@@ -400,28 +395,20 @@
     /// may have been told, and the one that keeps the records for this one.
     pub(crate) fn routers_to_ask(&self, request: RequestKey) -> Vec<(InstanceName, IpAddr)> {
         let mut routers = self.routers_for_stream(request, ASKED_ROUTERS);
-        if let Some(keeper_ip) = self.record_keeper() {
-            let mut live = self.view.live_routers().into_iter();
-            let keeper = live.find(|router| router.peer_address.ip() == keeper_ip);
-            let keeper = keeper.map(|router| (router.member.instance.clone(), keeper_ip));
-            routers
-                .extend(keeper.filter(|(name, _)| routers.iter().all(|(known, _)| known != name)));
+        if let Some(keeper) = self.record_keeper() {
+            let keeper = (keeper.member.instance, keeper.peer_address.ip());
+            if !routers.contains(&keeper) {
+                routers.push(keeper);
+            }
         }
         routers
     }
 
-    /// Whether the records of the store may tell more about a stream of `services` than
-    /// `own`, what this router knows of it. A router that has run for the lifetime of
-    /// streams has seen all versions itself.
-    pub(crate) fn needs_record_search(
-        &self,
-        now_ms: u64,
-        own: &OriginAnswer,
-        services: &[ServiceName],
-    ) -> bool {
-        own.candidates.len() != 1
-            || !own.knows_history
-            || now_ms < self.longest_lifetime_ms(services)
+    /// Whether the records of the store may tell more about a stream than `own`, what this
+    /// router knows of it. A router that has run for the lifetime of streams has seen all
+    /// versions itself.
+    pub(crate) fn needs_record_search(&self, now_ms: u64, own: &OriginAnswer) -> bool {
+        own.candidates.len() != 1 || !own.knows_history || now_ms < self.stream_lifetime_ms
     }
 
     /// Addresses of the other live routers.
@@ -451,6 +438,8 @@
         let Some(config) = self.config.clone() else {
             return;
         };
+        self.stream_lifetime_ms = self.stream_lifetime_ms.max(2 * config.longest_stream_ms());
+        self.stream_origins.set_routes(now_ms, &config.resumable_routes());
         let limit = retry_limit(settings);
         for name in config.services.keys() {
             self.services.entry(name.clone()).or_insert_with(|| ServiceState {
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -10,7 +10,7 @@
 use crate::{
     config::Config,
     registry::UpstreamEntry,
-    stream_records::{OriginSegment, StreamRecords, VersionRecord},
+    stream_records::{HistoryRecord, OriginSegment, StreamRecords},
 };
 
 /// Why a call to the store failed.
@@ -100,9 +100,9 @@
     pub write_segment: Rc<dyn Fn(OriginSegment, bool) -> Answer<()>>,
     /// Removes the segment of that name, if it exists.
     pub remove_segment: Rc<dyn Fn(Arc<str>) -> Answer<()>>,
-    /// Writes a record if the one in the store still has its revision, or creates it.
+    /// Writes the record if the one in the store still has its revision, or creates it.
     /// Returns the new revision.
-    pub write_versions: Rc<dyn Fn(VersionRecord) -> Answer<u64>>,
+    pub write_history: Rc<dyn Fn(HistoryRecord) -> Answer<u64>>,
 }
 
 impl fmt::Debug for Store {
--- /dev/null
+++ b/crates/edge/src/stream_history.rs
@@ -0,0 +1,61 @@
+//! Where streams of late may have begun, as the store records it.
+//!
+//! A router learns from the record which versions services had, and which services routes
+//! led to, before it started. So these have to be recorded before streams can outlive the
+//! memory of all routers, and stay in the record until all such streams are over.
+
+use crate::stream_records::HistoryRecord;
+
+/// The record, as this router knows it.
+#[derive(Debug, Default)]
+pub struct StreamHistory {
+    record: Option<HistoryRecord>,
+    /// Era of the store that the record was read from.
+    era: u64,
+    is_read: bool,
+}
+
+impl StreamHistory {
+    /// Takes over what the store holds in its `era`.
+    pub fn replace(&mut self, era: u64, record: Option<HistoryRecord>) {
+        (self.era, self.record, self.is_read) = (era, record, true);
+    }
+
+    /// Whether the store was read since the last [`StreamHistory::invalidate`].
+    pub fn is_read(&self) -> bool {
+        self.is_read
+    }
+
+    /// The record may have changed, and has to be read again.
+    pub fn invalidate(&mut self) {
+        self.is_read = false;
+    }
+
+    /// The record to write so that it agrees with `wanted`, if that is needed.
+    ///
+    /// A record is complete by its presence. So only a router that `knows_history`, all that
+    /// there was within the lifetime of streams, may create one, or say that one from before
+    /// a restore of the store is complete.
+    pub fn due(&self, wanted: &HistoryRecord, knows_history: bool) -> Option<HistoryRecord> {
+        let has_changed = |record: &HistoryRecord| {
+            record.versions != wanted.versions || record.routes != wanted.routes
+        };
+        let is_due = match &self.record {
+            None => knows_history && !wanted.versions.is_empty(),
+            Some(record) => {
+                has_changed(record) || (knows_history && record.complete_era != Some(self.era))
+            }
+        };
+        let known = self.record.as_ref();
+        let known_era = known.and_then(|record| record.complete_era);
+        let complete_era = if knows_history { Some(self.era) } else { known_era };
+        let revision = known.and_then(|record| record.revision);
+        let due = HistoryRecord { complete_era, revision, ..wanted.clone() };
+        (self.is_read && is_due).then_some(due)
+    }
+
+    /// Records that the store has taken `record`, which has its new revision.
+    pub fn written(&mut self, record: HistoryRecord) {
+        self.record = Some(record);
+    }
+}
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -12,7 +12,10 @@
 use span_types::{InstanceName, ServiceName, SoftwareVersion};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::stream_records::{RecordedOrigin, VersionRecord};
+use crate::{
+    recent_values::RecentValues,
+    stream_records::{HistoryRecord, RecordedOrigin, RouteId},
+};
 
 /// Routers that are told of a stream. With three, streams of a router that dies together
 /// with others are mostly still known.
@@ -97,17 +100,24 @@
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     streams: HashMap<RequestKey, KnownStream>,
-    /// Versions of each service's upstreams, with the time at which the last one of the
-    /// version went; none while there is one.
-    versions: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Option<u64>>>,
+    /// Versions of each service's upstreams.
+    versions: RecentValues<ServiceName, SoftwareVersion>,
+    /// Services that each route leads to whose streams may be taken up.
+    routes: RecentValues<RouteId, ServiceName>,
     /// When versions were first recorded.
     versions_since_ms: Option<u64>,
-    /// Whether the versions from before this process are known.
-    has_history: bool,
+    /// Whether it is known where streams may have begun before this process.
+    has_record: bool,
     swept_ms: u64,
 }
 
 impl StreamOrigins {
+    /// The knowledge of a process that has just started. With `is_first_start`, the whole
+    /// system starts for the first time, so that there are no streams from before.
+    pub fn new(is_first_start: bool) -> Self {
+        Self { has_record: is_first_start, ..Self::default() }
+    }
+
     /// Records the versions of the upstreams that a service has from now on.
     pub fn set_versions(
         &mut self,
@@ -118,34 +128,39 @@
         if !present.is_empty() {
             self.versions_since_ms.get_or_insert(now_ms);
         }
-        let versions = self.versions.entry(service.clone()).or_default();
-        for (version, gone_ms) in versions.iter_mut() {
-            if !present.contains(version) {
-                gone_ms.get_or_insert(now_ms);
-            }
-        }
-        versions.extend(present.iter().map(|version| (version.clone(), None)));
-    }
-
-    /// Records the versions that services had before this process, or at other routers.
-    /// Those that it has not seen itself count as gone from now on.
-    pub fn add_history(&mut self, now_ms: u64, records: &[VersionRecord]) {
-        self.has_history = true;
-        for VersionRecord { service, versions, .. } in records {
-            let known = self.versions.entry(service.clone()).or_default();
-            for version in versions {
-                known.entry(version.clone()).or_insert(Some(now_ms));
-            }
-        }
+        self.versions.set(now_ms, service, present);
+    }
+
+    /// Records the services that routes lead to from now on.
+    pub fn set_routes(&mut self, now_ms: u64, routes: &BTreeMap<RouteId, BTreeSet<ServiceName>>) {
+        self.routes.set_all(now_ms, routes);
+    }
+
+    /// Takes over where streams may have begun before this process, or at other routers.
+    /// `is_complete` says whether that is all.
+    pub fn add_history(&mut self, now_ms: u64, record: &HistoryRecord, is_complete: bool) {
+        self.has_record |= is_complete;
+        self.versions.add_record(now_ms, &record.versions, is_complete);
+        self.routes.add_record(now_ms, &record.routes, is_complete);
     }
 
-    /// Whether all versions are known at which streams may have begun that last for
-    /// `lifetime_ms` at most: from the store, or because all such streams began while this
-    /// process knew the upstreams.
+    /// Whether all versions and services are known at which streams may have begun that last
+    /// for `lifetime_ms` at most: from the store, or because all such streams began while
+    /// this process knew the upstreams.
     pub fn knows_history(&self, now_ms: u64, lifetime_ms: u64) -> bool {
         let knows_since =
             |since_ms: u64| now_ms.saturating_sub(since_ms) >= lifetime_ms && lifetime_ms > 0;
-        self.has_history || self.versions_since_ms.is_some_and(knows_since)
+        self.has_record || self.versions_since_ms.is_some_and(knows_since)
+    }
+
+    /// Where streams that last for `lifetime_ms` at most may have begun, as far as this
+    /// router knows.
+    pub fn history(&self, now_ms: u64, lifetime_ms: u64) -> HistoryRecord {
+        HistoryRecord {
+            versions: self.versions.all_recent(now_ms, lifetime_ms),
+            routes: self.routes.all_recent(now_ms, lifetime_ms),
+            ..HistoryRecord::default()
+        }
     }
 
     /// Where streams of `service` may have begun that last for `lifetime_ms` at most.
@@ -155,16 +170,33 @@
         service: &ServiceName,
         lifetime_ms: u64,
     ) -> BTreeSet<StreamOrigin> {
-        let versions = self.versions.get(service).into_iter().flatten();
-        let recent = versions.filter(|(_, gone_ms)| {
-            gone_ms.is_none_or(|gone_ms| now_ms.saturating_sub(gone_ms) < lifetime_ms)
+        let versions = self.versions.recent(now_ms, service, lifetime_ms);
+        let origins = versions.map(|version| StreamOrigin {
+            service: service.clone(),
+            software_version: version.clone(),
         });
-        recent
-            .map(|(version, _)| StreamOrigin {
-                service: service.clone(),
-                software_version: version.clone(),
-            })
-            .collect()
+        origins.collect()
+    }
+
+    /// Services at which streams of a route may have begun that last for `lifetime_ms` at
+    /// most.
+    pub fn route_services(
+        &self,
+        now_ms: u64,
+        route: &RouteId,
+        lifetime_ms: u64,
+    ) -> impl Iterator<Item = &ServiceName> {
+        self.routes.recent(now_ms, route, lifetime_ms)
+    }
+
+    /// Whether a stream that may have begun at `service` may have begun at another service or
+    /// version as well, as far as its route tells.
+    pub fn may_differ(&self, now_ms: u64, service: &ServiceName, lifetime_ms: u64) -> bool {
+        if self.versions.recent(now_ms, service, lifetime_ms).nth(1).is_some() {
+            return true;
+        }
+        let routes = self.routes.all_recent(now_ms, lifetime_ms);
+        routes.values().any(|services| services.len() > 1 && services.contains(service))
     }
 
     /// Records a stream that this router began, or goes on with.
@@ -182,9 +214,7 @@
     /// router knows no upstream yet.
     pub fn learn(&mut self, now_ms: u64, notice: &OriginNotice) {
         let StreamOrigin { service, software_version } = &notice.origin;
-        let versions = self.versions.entry(service.clone()).or_default();
-        let gone_ms = versions.entry(software_version.clone()).or_insert(Some(now_ms));
-        *gone_ms = gone_ms.map(|_| now_ms);
+        self.versions.note(now_ms, service, software_version);
         self.insert(now_ms, notice.request, &notice.origin, notice.lifetime_ms, false);
     }
 
@@ -447,10 +477,10 @@
         // version of which nobody knows another one.
         let has_most_answers = self.awaited.len() * 2 < self.asked && !is_searching;
         let is_settled = match only {
-            Some(_) => has_most_answers || elapsed_ms >= ASK_AGAIN_MS,
-            None => elapsed_ms >= ANSWER_TIMEOUT_MS,
+            Some(_) => has_most_answers || (elapsed_ms >= ASK_AGAIN_MS && !is_searching),
+            None => false,
         };
-        if !is_settled && !has_all_answers {
+        if !is_settled && !has_all_answers && elapsed_ms < ANSWER_TIMEOUT_MS {
             return None;
         }
         Some(match only {
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -19,13 +19,20 @@
     pub streams: BTreeMap<StreamOrigin, Vec<RequestKey>>,
 }
 
-/// Software versions at which open streams of a service may have begun.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct VersionRecord {
-    /// The service.
-    pub service: ServiceName,
-    /// Versions of its upstreams, and of those that left within the lifetime of streams.
-    pub versions: BTreeSet<SoftwareVersion>,
+/// A route in records: its host and path prefix.
+pub type RouteId = Arc<str>;
+
+/// Where streams that are open may have begun.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HistoryRecord {
+    /// Software versions of each service's upstreams, and of those that left within the
+    /// lifetime of streams.
+    pub versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    /// Services that each route whose streams may be taken up leads to, or led to within the
+    /// lifetime of streams.
+    pub routes: BTreeMap<RouteId, BTreeSet<ServiceName>>,
+    /// Era of the store in which the record was complete; none if it never was.
+    pub complete_era: Option<u64>,
     /// Revision of the object that holds the record; none if there is no object yet.
     pub revision: Option<u64>,
 }
@@ -35,8 +42,10 @@
 pub struct StreamRecords {
     /// Origins of single streams.
     pub segments: Vec<OriginSegment>,
-    /// Versions by service.
-    pub versions: Vec<VersionRecord>,
+    /// Where they may have begun; none if no router has recorded it.
+    pub history: Option<HistoryRecord>,
+    /// Era of the store that the records were read from.
+    pub era: u64,
 }
 
 /// What the store holds about one stream.
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -28,6 +28,7 @@
             retry_slack: 52,
             directory_lifetime_ms: 5_000,
         },
+        is_first_start: false,
         entry_renewal_interval_ms: 1_200,
     }
 }
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use span_edge::{
     stream_origin::{
@@ -10,7 +10,7 @@
         OriginInquiry, OriginSource, OriginVerdict, RecordSearch, RequestKey, StreamOrigin,
         StreamOrigins, TOLD_ROUTERS, routers_for_stream,
     },
-    stream_records::{RecordedOrigin, VersionRecord},
+    stream_records::{HistoryRecord, RecordedOrigin},
 };
 use span_types::{InstanceName, ServiceName, SoftwareVersion};
 
@@ -160,15 +160,54 @@
     let mut known = StreamOrigins::default();
     known.set_versions(100, &service(), &versions(&["v2"]));
     assert!(!known.knows_history(START_MS, LIFETIME_MS));
-    let record =
-        VersionRecord { service: service(), versions: versions(&["v1", "v2"]), revision: None };
-    known.add_history(START_MS, std::slice::from_ref(&record));
+    let record = HistoryRecord {
+        versions: BTreeMap::from([(service(), versions(&["v1", "v2"]))]),
+        ..HistoryRecord::default()
+    };
+    known.add_history(START_MS, &record, false);
+    assert!(!known.knows_history(START_MS, LIFETIME_MS));
+    known.add_history(START_MS, &record, true);
     assert!(known.knows_history(START_MS, LIFETIME_MS));
-    // Another router that has just started may keep the version in the record for longer.
-    known.add_history(START_MS + LIFETIME_MS / 2, &[record]);
     let candidates = |now_ms| known.candidates(now_ms, &service(), LIFETIME_MS);
     assert_eq!(candidates(START_MS + LIFETIME_MS - 1), origins(&["v1", "v2"]));
     assert_eq!(candidates(START_MS + LIFETIME_MS), origins(&["v2"]));
+    // Another router, which knows for longer, has let v1 go.
+    let record = HistoryRecord {
+        versions: BTreeMap::from([(service(), versions(&["v2"]))]),
+        ..HistoryRecord::default()
+    };
+    known.add_history(START_MS + 1_000, &record, true);
+    let candidates = |now_ms| known.candidates(now_ms, &service(), LIFETIME_MS);
+    assert_eq!(candidates(START_MS + 1_000), origins(&["v2"]));
+}
+
+/// Guards against a stream that goes on at the service that its route has moved to, and against
+/// streams that nobody is told of while a route leads, or led lately, to several services.
+#[test]
+fn services_of_a_route_are_candidates_for_the_lifetime_of_its_streams() {
+    let route = "h/a/".into();
+    let routes =
+        |service: &str| BTreeMap::from([("h/a/".into(), BTreeSet::from([service.into()]))]);
+    let mut known = StreamOrigins::new(true);
+    known.set_routes(0, &routes("old"));
+    assert!(!known.may_differ(1_000, &"old".into(), LIFETIME_MS));
+    known.set_routes(1_000, &routes("new"));
+    let services = |known: &StreamOrigins, now_ms| {
+        let services = known.route_services(now_ms, &route, LIFETIME_MS);
+        services.map(|service| service.as_str().to_owned()).collect::<Vec<_>>()
+    };
+    for now_ms in [1_000, 1_000 + LIFETIME_MS - 1] {
+        assert_eq!(services(&known, now_ms), ["new", "old"]);
+        assert!(known.may_differ(now_ms, &"new".into(), LIFETIME_MS));
+    }
+    assert_eq!(services(&known, 1_000 + LIFETIME_MS), ["new"]);
+    assert!(!known.may_differ(1_000 + LIFETIME_MS, &"new".into(), LIFETIME_MS));
+
+    let record = known.history(2_000, LIFETIME_MS);
+    let mut restarted = StreamOrigins::default();
+    restarted.set_routes(0, &routes("new"));
+    restarted.add_history(0, &record, true);
+    assert_eq!(services(&restarted, 0), ["new", "old"]);
 }
 
 /// Guards against a fleet that refuses all streams because the store has been away since it
@@ -365,6 +404,12 @@
             inquiry.record_search(0, recorded, own);
         } else {
             assert_eq!(inquiry.verdict(case.after_ms - 1), None, "{}", case.name);
+            // What others know of the history does not end the wait for the records.
+            let name = InstanceName::from("r1");
+            let answer = OriginAnswer { knows_history: true, ..own.clone() };
+            let mut asking = OriginInquiry::new(0, BTreeSet::from([name.clone()]), own, search);
+            asking.record(0, &name, answer);
+            assert_eq!(asking.verdict(case.after_ms - 1), None, "{}", case.name);
         }
         assert_eq!(inquiry.verdict(case.after_ms), Some(case.verdict), "{}", case.name);
     }
--- a/crates/edge/tests/stream_records.rs
+++ b/crates/edge/tests/stream_records.rs
@@ -2,18 +2,17 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 use span_edge::{
-    origin_log::{MAX_SEGMENT_STREAMS, OriginLog, OrphanSweep, SEGMENT_SPAN_MS, SegmentWrite},
+    origin_log::{
+        MAX_SEGMENT_STREAMS, OriginLog, OrphanSweep, SEGMENT_SPAN_MS, SegmentWrite, SentOrigins,
+    },
+    stream_history::StreamHistory,
     stream_origin::{OriginNotice, RequestKey, StreamOrigin},
-    stream_records::{OriginSegment, RecordedOrigin, RecordedOrigins, VersionRecord},
-    version_history::VersionHistory,
+    stream_records::{HistoryRecord, OriginSegment, RecordedOrigin, RecordedOrigins},
 };
-use span_types::SoftwareVersion;
+use span_types::{Incarnation, Member};
 
 const LIFETIME_MS: u64 = 30_000;
 
@@ -42,7 +41,7 @@
 /// Writes all that waits and returns the name, the length and whether the segment may exist.
 fn flush(log: &mut OriginLog) -> Vec<(String, usize, bool)> {
     let mut writes = Vec::new();
-    while let Some(SegmentWrite { segment, len, may_exist }) = log.next_write() {
+    for SegmentWrite { segment, len, may_exist } in log.take_batch() {
         assert_eq!(segment.streams.values().map(Vec::len).sum::<usize>(), len);
         log.written(&segment.name, len);
         writes.push((segment.name.to_string(), len, may_exist));
@@ -63,7 +62,7 @@
     assert_eq!(flush(&mut log), [("m-1.7.0".to_owned(), 4, true)]);
     // A stream that is recorded during the write waits for the next one.
     log.record(SEGMENT_SPAN_MS, &notices(4..5)).unwrap();
-    let write = log.next_write().unwrap();
+    let write = log.take_batch().remove(0);
     log.record(SEGMENT_SPAN_MS, &notices(5..6)).unwrap();
     log.written(&write.segment.name, write.len);
     assert_eq!(flush(&mut log), [("m-1.7.1".to_owned(), 2, true)]);
@@ -83,14 +82,15 @@
     flush(&mut log);
     // The store does not answer, but may have taken the first write of this one.
     log.record(10_000, &notices(2..3)).unwrap();
-    log.next_write().unwrap();
+    assert_eq!(log.take_batch().len(), 1);
     // Never sent to the store.
     log.record(20_000, &notices(3..4)).unwrap();
     assert!(log.expire(LIFETIME_MS + 999).is_empty());
     assert_eq!(log.expire(LIFETIME_MS + 1_000), [Arc::from("m-1.7.0")]);
     assert_eq!(log.expire(LIFETIME_MS + 10_000), [Arc::from("m-1.7.1")]);
     assert!(log.expire(LIFETIME_MS + 20_000).is_empty());
-    assert_eq!((log.next_write(), log.unwritten_len()), (None, 0));
+    assert!(log.take_batch().is_empty());
+    assert_eq!(log.unwritten_len(), 0);
 }
 
 /// Guards against a write that the store did not answer, executes later, and that undoes a
@@ -101,7 +101,7 @@
     log.record(0, &notices(0..2)).unwrap();
     flush(&mut log);
     log.record(1_000, &notices(2..3)).unwrap();
-    let write = log.next_write().unwrap();
+    let write = log.take_batch().remove(0);
     log.unanswered(&write.segment.name);
     assert_eq!(flush(&mut log), [("m-1.7.1".to_owned(), 3, false)]);
     // Further streams of these seconds go there too.
@@ -159,31 +159,83 @@
     assert!(recorded.is_empty());
 }
 
-/// Guards against a version that is used before it is recorded, against a write that undoes
-/// what another router has added, and against calls while nothing changes.
+/// Guards against streams that are not recorded because the collector that they were sent to
+/// has died, and against those that are sent once more each time.
 #[test]
-fn versions_are_recorded_when_they_change() {
-    let versions = |names: &[&str]| -> BTreeSet<SoftwareVersion> {
-        names.iter().map(|name| (*name).into()).collect()
+fn streams_sent_to_a_dead_collector_are_sent_to_the_next_one() {
+    let member = |name: &str, incarnation| Member {
+        instance: name.into(),
+        incarnation: Incarnation(incarnation),
     };
-    let record = |names: &[&str], revision| VersionRecord {
-        service: "svc".into(),
-        versions: versions(names),
+    let mut sent = SentOrigins::default();
+    assert!(sent.set_keeper(0, Some(member("c-1", 1))).is_empty());
+    sent.push(0, &notices(0..1));
+    sent.push(3_000, &notices(1..2));
+    assert!(sent.set_keeper(3_000, Some(member("c-1", 1))).is_empty());
+    sent.push(4_500, &notices(2..3));
+    // The same instance after a restart is another one.
+    assert_eq!(sent.set_keeper(5_000, Some(member("c-1", 2))), notices(1..3));
+    assert!(sent.set_keeper(5_000, None).is_empty());
+}
+
+/// Guards against a history that is recorded late or only in part, that takes the lack of a
+/// record for knowledge, and against calls while nothing changes.
+#[test]
+fn history_is_recorded_when_it_changes() {
+    struct Case {
+        name: &'static str,
+        /// Era in which the record in the store was complete, and its versions.
+        recorded: Option<(Option<u64>, &'static [&'static str])>,
+        wanted: &'static [&'static str],
+        knows_history: bool,
+        /// Era in which the record to write is complete.
+        due: Option<Option<u64>>,
+    }
+    const ERA: u64 = 3;
+    let record = |complete_era, names: &[&str], revision| HistoryRecord {
+        versions: BTreeMap::from([(
+            "svc".into(),
+            names.iter().map(|name| (*name).into()).collect(),
+        )]),
+        complete_era,
         revision,
+        ..HistoryRecord::default()
+    };
+    let case = |name, recorded, wanted, knows_history, due| Case {
+        name,
+        recorded,
+        wanted,
+        knows_history,
+        due,
     };
-    let candidates = |names: &[&str]| BTreeMap::from([("svc".into(), versions(names))]);
-    let mut history = VersionHistory::default();
-    assert!(history.due(&candidates(&["v1"])).is_empty());
-    history.replace(&[]);
-    assert!(history.due(&candidates(&[])).is_empty());
-    assert_eq!(history.due(&candidates(&["v1"])), [record(&["v1"], None)]);
-    history.written(record(&["v1"], Some(9)));
-    assert!(history.due(&candidates(&["v1"])).is_empty());
-    let both = candidates(&["v1", "v2"]);
-    assert_eq!(history.due(&both), [record(&["v1", "v2"], Some(9))]);
-    history.invalidate();
-    assert!(history.due(&both).is_empty());
-    history.replace(&[record(&["v1", "v2"], Some(12))]);
-    assert!(history.due(&both).is_empty());
-    assert_eq!(history.due(&candidates(&["v2"])), [record(&["v2"], Some(12))]);
+    let now = Some(ERA);
+    const V1: &[&str] = &["v1"];
+    const BOTH: &[&str] = &["v1", "v2"];
+    let cases = [
+        case("the first one", None, V1, true, Some(now)),
+        case("no record, what was before is not known", None, V1, false, None),
+        case("nothing has changed", Some((now, V1)), V1, true, None),
+        case("a version has come", Some((now, V1)), BOTH, true, Some(now)),
+        case("restored from a copy", Some((Some(2), V1)), V1, true, Some(now)),
+        case("restored before the start", Some((Some(2), V1)), V1, false, None),
+        case("the same, a version has come", Some((Some(2), V1)), BOTH, false, Some(Some(2))),
+        case("unreadable", Some((None, &[])), V1, true, Some(now)),
+    ];
+    for Case { name, recorded, wanted, knows_history, due } in cases {
+        let wanted = record(None, wanted, None);
+        let mut history = StreamHistory::default();
+        assert_eq!(history.due(&wanted, knows_history), None, "{name}");
+        let revision = recorded.map(|_| 9);
+        let recorded = recorded.map(|(era, versions)| record(era, versions, revision));
+        history.replace(ERA, recorded);
+        let expected =
+            due.map(|complete_era| HistoryRecord { complete_era, revision, ..wanted.clone() });
+        assert_eq!(history.due(&wanted, knows_history), expected, "{name}");
+        if let Some(due) = expected {
+            history.written(HistoryRecord { revision: Some(10), ..due });
+            assert_eq!(history.due(&wanted, knows_history), None, "{name}");
+        }
+        history.invalidate();
+        assert_eq!(history.due(&wanted, knows_history), None, "{name}");
+    }
 }
