Continue no error answer that states a stream of events

What callers saw: a status 404 whose body goes on with the events of another upstream, as a complete answer. The cause: on a route whose streams may be resumed, any answer with the content type of events was continued when it broke off, whatever its status.

error_that_states_events_is_not_continued fails before the change: the caller gets the text of the error, then event 2.

--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -604,7 +604,9 @@
     in_flight.prompt_read(data.work.prompt_prefix);
     let kind = checked.route.kind;
     let is_event_stream = head::is_event_stream(&answer.parts, kind);
-    let resumable = is_event_stream && kind == RouteKind::ResumableStream;
+    let is_success = answer.parts.status.is_success();
+    // Events must not be joined to an error.
+    let resumable = is_event_stream && is_success && kind == RouteKind::ResumableStream;
     if is_event_stream {
         // The server would end the answer as complete once it has these bytes, before
         // the end of the stream is checked or another upstream continues it.
