Check that an answer continues the stream that the caller has

What callers saw, after a stream had begun and broken off: the text or the head of an error in the middle of their stream, events that they had already, or a stream that ended as complete although nothing had continued it. The cause: any signed 2xx of the next upstream was joined to what the caller had, as far as it consisted of whole events. The same held for the answer to a caller that takes up a stream itself.

An answer that is joined to a stream now has to state that it is a stream of events, and its first event has to have an id that comes after the last one that the caller has: a larger number, or another text if they are no numbers. Comments and reconnection times may precede it. If the answer fails this, its upstream counts as failed and the next one is tried; if there is none, the stream breaks off. An answer that ends before any event does not continue a stream of which this request has sent events. To a caller that takes up a stream itself it is passed on: it is the upstream's whole answer.

The splitter now also takes LF CRLF for the end of an event, as the check of the end does. Otherwise such bytes reached the caller unchecked at the end of a stream. So nothing is left in it at a proper end, and its test reads what is left with `partial`.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -37,6 +37,8 @@
     /// The request that began the stream which this one takes up; none if it takes up none,
     /// or its caller does not name it.
     pub(crate) resumed_request: Option<RequestKey>,
+    /// Id of the last event that the caller has of a stream which it takes up.
+    pub(crate) last_event: Option<Box<str>>,
     /// When the caller gives up, in milliseconds.
     pub(crate) deadline_ms: u64,
 }
@@ -74,8 +76,10 @@
     pub(crate) upstream: &'a UpstreamName,
     /// Engine from which the upstream can copy the prompt prefix.
     pub(crate) copy_source: Option<&'a UpstreamName>,
-    /// Id of the last event that the caller has.
+    /// Id of the last event that the caller has, if it got the event from this request.
     pub(crate) last_event: Option<&'a str>,
+    /// Whether the caller has the beginning of the stream, at least its head.
+    pub(crate) continues: bool,
 }
 
 /// Sends the request to an upstream and reads the head of the answer, at the
@@ -122,7 +126,7 @@
     let now_ms = node.now_ms();
     let load = record_head(node, upstream, &parts, now_ms, sent_ms);
     let idle_timeout_ms = head::idle_timeout_ms(&parts.headers);
-    let kind = head::classify(&parts, &node.wire_format, &data.id);
+    let kind = head::classify(&parts, &node.wire_format, &data.id, destination.continues);
     let is_own = !matches!(kind, HeadKind::Foreign(_) | HeadKind::NotRun(AttemptResult::Replaced));
     if is_own && head::states_leaving(&parts.headers, &node.wire_format.headers) {
         node.upstream_states_leaving(upstream);
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -118,15 +118,17 @@
     Failure,
     /// The upstream did not run the request.
     NotRun(AttemptResult),
-    /// Not an answer to this request.
+    /// Not an answer to this request, or not a usable one.
     Foreign(&'static str),
 }
 
-/// Classifies the head of an upstream's answer to the request `id`.
+/// Classifies the head of an upstream's answer to the request `id`. `continues` says
+/// whether the caller has the beginning of a stream, to which a success is joined.
 pub(crate) fn classify(
     parts: &response::Parts,
     wire_format: &WireFormat,
     id: &HeaderValue,
+    continues: bool,
 ) -> HeadKind {
     let names = &wire_format.headers;
     let status = parts.status.as_u16();
@@ -156,6 +158,9 @@
     if parts.headers.contains_key(CONTENT_ENCODING) {
         return HeadKind::Foreign("the answer is encoded");
     }
+    if continues && !states_event_stream(&parts.headers) {
+        return HeadKind::Foreign("the answer is no stream of events");
+    }
     HeadKind::Proper
 }
 
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -15,7 +15,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use span_http::Framing;
+use span_http::{EventBoundary, Framing};
 use span_types::{
     PLAIN_CALL_COST_UNITS, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName,
 };
@@ -247,6 +247,8 @@
             Err(error_reply) => return Err((error_reply, record)),
         }
     }
+    let last_event = record.last_event.as_deref().filter(|id| !id.is_empty());
+    let last_event = last_event.filter(|_| checked.route.kind.is_stream()).map(Box::from);
     let work = (node.wire_format.decode_work)(&parts.headers);
     let shared_segments = (node.wire_format.decode_shared_segments)(&parts.headers);
     record.shared_segments = shared_segments.clone();
@@ -266,6 +268,7 @@
         shared_segments,
         id: checked.id.clone(),
         resumed_request: taken_up.and_then(|stream| stream.request),
+        last_event,
         deadline_ms,
     };
     run_attempts(node, Rc::new(data), &checked, in_flight, record).await
@@ -488,6 +491,7 @@
             upstream: &upstream,
             copy_source: in_flight.copy_source(),
             last_event: None,
+            continues: data.last_event.is_some(),
         };
         let result = attempt::attempt(node, &data, &destination, until_ms).await;
         if let Ok(answer) = &result {
@@ -613,6 +617,8 @@
         parts.headers.remove(header::CONTENT_LENGTH);
     }
     let own_request = RequestKey::new(data.id.as_bytes());
+    let continues = is_event_stream && is_success && data.last_event.is_some();
+    let splitter = (resumable || continues).then(|| EventSplitter::after(data.last_event.clone()));
     let resume = resumable.then(|| ResumeState {
         requests: data.resumed_request.into_iter().chain([own_request]).collect(),
         has_begun: false,
@@ -620,11 +626,11 @@
         data,
         remaining_attempts,
         tried,
-        splitter: EventSplitter::default(),
     });
     let deadline_ms = checked.deadline_ms;
+    let boundary = is_event_stream.then(EventBoundary::default);
     let body =
-        StreamBody::new(node, answer, in_flight, record, deadline_ms, is_event_stream, resume);
+        StreamBody::new(node, answer, in_flight, record, deadline_ms, (boundary, splitter), resume);
     Response::from_parts(parts, EdgeBody::Stream(Box::pin(body)))
 }
 
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -11,7 +11,7 @@
 use futures::future::LocalBoxFuture;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
-use span_http::{BrokenStream, EventBoundary, Framing};
+use span_http::{EventBoundary, Framing};
 use span_types::{SoftwareVersion, UpstreamName};
 use tokio::time::Sleep;
 use tracing::info;
@@ -26,7 +26,7 @@
     metrics::Counter,
     node::Node,
     pool::{self, Connection},
-    sse::{EventSplitter, EventTooLarge},
+    sse::{EventError, EventSplitter},
     stream_origin::RequestKey,
     upstream_load::AttemptResult,
     wire_format::list_segments,
@@ -43,7 +43,6 @@
     pub(crate) data: Rc<RequestData>,
     pub(crate) remaining_attempts: u32,
     pub(crate) tried: Vec<UpstreamName>,
-    pub(crate) splitter: EventSplitter,
     /// Requests by whose ids a caller may take up the stream.
     pub(crate) requests: Vec<RequestKey>,
     /// Whether the caller has got an event.
@@ -97,6 +96,8 @@
     record: RequestRecord,
     /// Where the bytes of the current upstream stop, if they are events.
     boundary: Option<EventBoundary>,
+    /// Present if the events continue a stream, or another upstream may continue them.
+    splitter: Option<EventSplitter>,
     framing: Framing,
     deadline: Pin<Box<Sleep>>,
     /// Present if another upstream may continue the stream.
@@ -112,7 +113,7 @@
         in_flight: InFlightRequest,
         record: RequestRecord,
         deadline_ms: u64,
-        is_event_stream: bool,
+        (boundary, splitter): (Option<EventBoundary>, Option<EventSplitter>),
         resume: Option<ResumeState>,
     ) -> Self {
         let Answer { body, framing, connection, idle_timeout_ms, .. } = answer;
@@ -122,7 +123,8 @@
             source: Source::Body { body, connection, idle_timeout_ms },
             in_flight,
             record,
-            boundary: is_event_stream.then(EventBoundary::default),
+            boundary,
+            splitter,
             framing,
             deadline: Box::pin(deadline),
             resume,
@@ -131,8 +133,8 @@
     }
 
     /// Records the arrival of bytes and returns those to forward: all, or the
-    /// complete events of a resumable stream.
-    fn receive(&mut self, bytes: Bytes) -> Result<Option<Bytes>, EventTooLarge> {
+    /// complete events of a stream that is continued or may be.
+    fn receive(&mut self, bytes: Bytes) -> Result<Option<Bytes>, EventError> {
         if let Some(boundary) = &mut self.boundary {
             boundary.push(&bytes);
         }
@@ -143,14 +145,17 @@
         if let Some(upstream) = self.in_flight.upstream().filter(|_| gap_ms > 0) {
             self.node.record_event_gap(self.in_flight.service(), upstream, gap_ms);
         }
-        let Some(resume) = &mut self.resume else {
+        let Some(splitter) = &mut self.splitter else {
             return Ok(Some(bytes));
         };
-        let events = resume.splitter.push(&bytes)?;
+        let events = splitter.push(&bytes)?;
         if events.is_empty() {
             return Ok(None);
         }
-        if !resume.has_begun {
+        if let Some(resume) = &mut self.resume
+            && splitter.has_passed_event()
+            && !resume.has_begun
+        {
             resume.has_begun = true;
             if let Some(origin) = self.in_flight.stream_began() {
                 self.node.stream_began(&resume.requests, &origin);
@@ -159,18 +164,22 @@
         Ok(Some(events))
     }
 
-    /// Checks that the stream of the current upstream is complete.
-    fn check_end(&self) -> Result<(), BrokenStream> {
-        self.boundary.as_ref().map_or(Ok(()), |boundary| boundary.check_end(self.framing))
+    /// Checks that the stream of the current upstream is complete. An answer without an
+    /// event does not show that it continues the stream.
+    fn check_end(&self) -> Result<(), String> {
+        if self.splitter.as_ref().is_some_and(EventSplitter::awaits_continuation) {
+            return Err("the answer ends before an event that continues the stream".to_owned());
+        }
+        let checked = self.boundary.map_or(Ok(()), |boundary| boundary.check_end(self.framing));
+        checked.map_err(|broken| broken.to_string())
     }
 
     fn ends_inside_event(&self) -> Option<bool> {
         self.boundary.as_ref().map(EventBoundary::is_inside_event)
     }
 
-    /// Ends the stream after its last byte. Returns what the splitter still
-    /// holds.
-    fn finish(&mut self) -> Option<Bytes> {
+    /// Ends the stream after its last byte, which ends an event.
+    fn finish(&mut self) {
         self.record.ended_inside_event = self.ends_inside_event();
         let source = std::mem::replace(&mut self.source, Source::Ended);
         if let (Source::Body { connection, idle_timeout_ms, .. }, Some(upstream)) =
@@ -186,8 +195,6 @@
         if let Some(resume) = &self.resume {
             self.node.stream_ended(&resume.requests);
         }
-        let rest = self.resume.as_mut().map(|resume| resume.splitter.take_partial());
-        rest.filter(|rest| !rest.is_empty())
     }
 
     /// Ends the stream as interrupted. The error follows with the next poll: the
@@ -210,7 +217,7 @@
         let source = std::mem::replace(&mut self.source, Source::Ended);
         let inside_event = self.ends_inside_event();
         let now_ms = self.node.now_ms();
-        let Some(resume) = &mut self.resume else {
+        let (Some(resume), Some(splitter)) = (&mut self.resume, &mut self.splitter) else {
             return false;
         };
         if now_ms >= resume.data.deadline_ms {
@@ -255,8 +262,8 @@
             return false;
         }
         resume.remaining_attempts -= 1;
-        resume.splitter.take_partial();
-        let last_event = resume.splitter.last_id().map(str::to_owned);
+        splitter.start_next_answer();
+        let last_event = splitter.last_id().map(str::to_owned);
         let to_version = self.node.software_version(&upstream);
         info!(
             request = self.record.id,
@@ -280,8 +287,9 @@
         self.source = Source::Resuming(Box::pin(async move {
             let until_ms = data.deadline_ms;
             let last_event = last_event.as_deref();
+            let copy_source = copy_source.as_ref();
             let destination =
-                Destination { upstream: &upstream, copy_source: copy_source.as_ref(), last_event };
+                Destination { upstream: &upstream, copy_source, last_event, continues: true };
             attempt::attempt(&node, &data, &destination, until_ms).await
         }));
         true
@@ -340,19 +348,23 @@
                         match self.receive(bytes) {
                             Ok(Some(bytes)) => return Poll::Ready(Some(Ok(Frame::data(bytes)))),
                             Ok(None) => continue,
-                            Err(error) => {
+                            Err(error @ EventError::TooLarge) => {
                                 self.fail(cx, AttemptResult::Unknown, error.to_string());
                                 return Poll::Pending;
                             }
+                            Err(error @ EventError::NotContinued { .. }) => {
+                                Broken::failed(error.to_string())
+                            }
                         }
                     }
                     None => match self.check_end() {
                         Ok(()) => {
-                            return Poll::Ready(self.finish().map(|rest| Ok(Frame::data(rest))));
+                            self.finish();
+                            return Poll::Ready(None);
                         }
-                        Err(broken) => {
+                        Err(cause) => {
                             self.in_flight.connection_broke();
-                            Broken::failed(broken.to_string())
+                            Broken::failed(cause)
                         }
                     },
                     Some(Err(error)) => {
--- a/crates/edge/tests/sse.rs
+++ b/crates/edge/tests/sse.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use span_edge::sse::EventSplitter;
+use span_edge::sse::{EventError, EventSplitter};
 
 /// A caller that got part of an event would get the event twice, or broken, after
 /// another upstream continues the stream.
@@ -60,6 +60,50 @@
         }
         assert_eq!(String::from_utf8(forwarded).unwrap(), case.forwarded, "{}", case.name);
         assert_eq!(splitter.last_id(), case.last_id, "{}", case.name);
-        assert_eq!(splitter.take_partial(), case.partial, "{}", case.name);
+        assert_eq!(splitter.partial(), case.partial.as_bytes(), "{}", case.name);
+    }
+}
+
+/// An answer that does not go on after the caller's last event would repeat events, or put
+/// the text of an error into the stream.
+#[test]
+fn first_event_of_an_answer_comes_after_the_last_one() {
+    struct Case {
+        name: &'static str,
+        last_id: &'static str,
+        answer: &'static str,
+        continues: bool,
+    }
+    let cases = [
+        Case { name: "next number", last_id: "9", answer: "id: 10\n\n", continues: true },
+        Case { name: "same number", last_id: "9", answer: "id:09\n\n", continues: false },
+        Case { name: "earlier number", last_id: "10", answer: "id: 9\n\n", continues: false },
+        Case { name: "other text", last_id: "b", answer: "id: a\n\n", continues: true },
+        Case { name: "same text", last_id: "b", answer: "id: b\n\n", continues: false },
+        Case { name: "no id", last_id: "1", answer: "data: a\n\nid: 2\n\n", continues: false },
+        Case { name: "blank lines", last_id: "1", answer: "\n\r\n\nid: 2\n\n", continues: true },
+        Case { name: "comment", last_id: "1", answer: ": a\n\nid: 2\n\n", continues: true },
+        Case {
+            name: "only the first",
+            last_id: "1",
+            answer: "id: 3\n\nid: 2\n\n",
+            continues: true,
+        },
+    ];
+    for Case { name, last_id, answer, continues } in cases {
+        let taken_up = EventSplitter::after(Some(last_id.into()));
+        let mut continued = EventSplitter::default();
+        continued.push(format!("id: {last_id}\n\nid: ").as_bytes()).unwrap();
+        continued.start_next_answer();
+        for mut splitter in [taken_up, continued] {
+            let result = splitter.push(answer.as_bytes());
+            let last_id = last_id.into();
+            let expected = if continues {
+                Ok(answer.into())
+            } else {
+                Err(EventError::NotContinued { last_id })
+            };
+            assert_eq!(result, expected, "{name}");
+        }
     }
 }
