Continue no stream whose last event has no id

What callers saw: events twice, in a stream that ended as complete. The cause: the id of the last event tells the next upstream where to go on. Where that event has no id, the last known one was sent, or none: then the stream began anew. The same held for an id that no header can hold. Such a stream now breaks off for its caller.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -77,7 +77,7 @@
     /// Engine from which the upstream can copy the prompt prefix.
     pub(crate) copy_source: Option<&'a UpstreamName>,
     /// Id of the last event that the caller has, if it got the event from this request.
-    pub(crate) last_event: Option<&'a str>,
+    pub(crate) last_event: Option<&'a HeaderValue>,
     /// Whether the caller has the beginning of the stream, at least its head.
     pub(crate) continues: bool,
 }
@@ -193,8 +193,8 @@
         copy_from,
         remaining_ms,
     );
-    if let Some(value) = destination.last_event.and_then(|id| HeaderValue::from_str(id).ok()) {
-        parts.headers.insert(names.last_event_id.clone(), value);
+    if let Some(value) = destination.last_event {
+        parts.headers.insert(names.last_event_id.clone(), value.clone());
     }
     Request::from_parts(parts, Full::new(data.body.clone()))
 }
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
+use http::HeaderValue;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
 use span_http::{EventBoundary, Framing};
@@ -220,6 +221,11 @@
         let (Some(resume), Some(splitter)) = (&mut self.resume, &mut self.splitter) else {
             return false;
         };
+        // Without an id, another upstream would repeat events.
+        let last_event = splitter.last_id().map(HeaderValue::from_str).transpose();
+        let Some(last_event) = last_event.ok().filter(|_| splitter.can_continue()) else {
+            return false;
+        };
         if now_ms >= resume.data.deadline_ms {
             return false;
         }
@@ -263,7 +269,6 @@
         }
         resume.remaining_attempts -= 1;
         splitter.start_next_answer();
-        let last_event = splitter.last_id().map(str::to_owned);
         let to_version = self.node.software_version(&upstream);
         info!(
             request = self.record.id,
@@ -271,7 +276,7 @@
             from_version = self.record.software_version.as_ref().map(SoftwareVersion::as_str),
             to = upstream.as_str(),
             to_version = to_version.as_ref().map(SoftwareVersion::as_str),
-            last_event,
+            last_event = splitter.last_id(),
             framing = <&'static str>::from(self.framing),
             inside_event,
             segments = list_segments(&resume.data.shared_segments),
@@ -286,10 +291,12 @@
         let copy_source = self.in_flight.copy_source().cloned();
         self.source = Source::Resuming(Box::pin(async move {
             let until_ms = data.deadline_ms;
-            let last_event = last_event.as_deref();
-            let copy_source = copy_source.as_ref();
-            let destination =
-                Destination { upstream: &upstream, copy_source, last_event, continues: true };
+            let destination = Destination {
+                upstream: &upstream,
+                copy_source: copy_source.as_ref(),
+                last_event: last_event.as_ref(),
+                continues: true,
+            };
             attempt::attempt(&node, &data, &destination, until_ms).await
         }));
         true
--- a/crates/edge/src/sse.rs
+++ b/crates/edge/src/sse.rs
@@ -21,20 +21,28 @@
 
 /// Buffers incomplete events, so that another upstream can continue the stream
 /// after the last complete event, and checks that it does.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
     partial: BytesMut,
     last_id: Option<Box<str>>,
     /// Whether the next event is the first of an answer that has to go on after `last_id`.
     checks_next: bool,
     has_passed_event: bool,
+    /// Whether the last complete event has an id; true before the first one.
+    last_has_id: bool,
 }
 
 impl EventSplitter {
     /// Splits the stream of a caller that has the events up to the one with `last_id`;
     /// none if it has no events.
     pub fn after(last_id: Option<Box<str>>) -> Self {
-        Self { checks_next: last_id.is_some(), last_id, ..Self::default() }
+        Self {
+            partial: BytesMut::new(),
+            checks_next: last_id.is_some(),
+            last_id,
+            has_passed_event: false,
+            last_has_id: true,
+        }
     }
 
     /// Adds bytes of the stream and returns the events that are now complete.
@@ -59,6 +67,7 @@
             }
             self.checks_next = false;
             self.has_passed_event = true;
+            self.last_has_id = id.is_some();
             if let Some(id) = id {
                 self.last_id = Some(id.into());
             }
@@ -78,6 +87,11 @@
         self.last_id.as_deref()
     }
 
+    /// Whether another upstream can be told after which event it has to go on.
+    pub fn can_continue(&self) -> bool {
+        self.last_has_id
+    }
+
     /// Bytes of an incomplete event.
     pub fn partial(&self) -> &[u8] {
         &self.partial
@@ -124,7 +138,8 @@
                     break;
                 }
             } else if let Some(id) = line.strip_prefix(b"id:") {
-                event = Some(std::str::from_utf8(id).ok().map(str::trim));
+                let id = std::str::from_utf8(id).ok().map(str::trim);
+                event = Some(id.filter(|id| !id.is_empty()));
             } else if !line.starts_with(b":") && !line.starts_with(b"retry:") {
                 event.get_or_insert(None);
             }
--- a/crates/edge/tests/sse.rs
+++ b/crates/edge/tests/sse.rs
@@ -53,7 +53,7 @@
         },
     ];
     for case in cases {
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::after(None);
         let mut forwarded = Vec::new();
         for chunk in case.chunks {
             forwarded.extend_from_slice(&splitter.push(chunk.as_bytes()).unwrap());
@@ -92,7 +92,7 @@
     ];
     for Case { name, last_id, answer, continues } in cases {
         let taken_up = EventSplitter::after(Some(last_id.into()));
-        let mut continued = EventSplitter::default();
+        let mut continued = EventSplitter::after(None);
         continued.push(format!("id: {last_id}\n\nid: ").as_bytes()).unwrap();
         continued.start_next_answer();
         for mut splitter in [taken_up, continued] {
