Keep an upstream's x-span-outcome header from callers

A caller was told "not run" for a request that had run: an upstream that sent this header itself had it passed on, in answers without a length and in streams, where the router states the outcome only at the end. Now only the router states an outcome.

outcome_header_of_an_upstream_does_not_reach_the_caller failed before for a plain call and for a stream (not_run instead of completed). The test comes with an upstream that writes scripted bytes, since the stand-ins give only proper answers.

--- a/crates/router/src/frontend/headers.rs
+++ b/crates/router/src/frontend/headers.rs
@@ -1,9 +1,11 @@
-//! Hop-by-hop headers (RFC 9110, section 7.6.1).
+//! Headers that are not passed on: hop-by-hop ones (RFC 9110, section 7.6.1), and the
+//! outcome that an upstream states.
 
 use http::{
     HeaderMap, HeaderName, HeaderValue,
     header::{CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRANSFER_ENCODING, UPGRADE},
 };
+use span_types::OUTCOME_HEADER;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
@@ -33,6 +35,13 @@
     }
 }
 
+/// Removes the headers of an upstream's answer that do not reach the caller: the
+/// hop-by-hop ones, and the outcome, which only the router states.
+pub(super) fn clean_answer_headers(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    headers.remove(OUTCOME_HEADER);
+}
+
 fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
     let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
     let names = values.flat_map(|value| value.split(','));
--- a/crates/router/src/frontend/json_answer.rs
+++ b/crates/router/src/frontend/json_answer.rs
@@ -13,7 +13,7 @@
     Failure, Frontend,
     answer::set_outcome_headers,
     attempts::resume,
-    headers::remove_hop_by_hop,
+    headers::clean_answer_headers,
     idempotency::Run,
     sse::Usage,
     upstream::{SendError, UpstreamAttempt, UpstreamRequest, attempt_failure},
@@ -96,7 +96,7 @@
     attempt.permit.add_cost(cost);
     attempt.end(AttemptResult::Answered);
     run.end(Outcome::Completed);
-    remove_hop_by_hop(&mut head.headers);
+    clean_answer_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let mut response = Response::from_parts(head, full_body(body));
     set_outcome_headers(&mut response, &run.id, Outcome::Completed);
--- a/crates/router/src/frontend/plain.rs
+++ b/crates/router/src/frontend/plain.rs
@@ -27,7 +27,7 @@
     body::{IdleTimeout, IdleTimeoutBody, RequestBody},
     chat::admit_request,
     config_index::ConfigIndex,
-    headers::remove_hop_by_hop,
+    headers::{clean_answer_headers, remove_hop_by_hop},
     idempotency::{self, Run},
     upstream::{SendError, UpstreamAttempt, UpstreamRequest},
 };
@@ -105,7 +105,7 @@
 ) -> Response<Body> {
     let (mut head, body) = answer.into_parts();
     let framing = Framing::of_response(&head.headers, &body);
-    remove_hop_by_hop(&mut head.headers);
+    clean_answer_headers(&mut head.headers);
     let checks_events = !body.is_end_stream() && states_event_stream(&head.headers);
     if checks_events {
         head.headers.remove(CONTENT_LENGTH);
--- a/crates/router/src/frontend/stream.rs
+++ b/crates/router/src/frontend/stream.rs
@@ -30,7 +30,7 @@
     Frontend,
     answer::set_request_id_header,
     attempts::{MAX_FAILED_RESUMES, resume, send_with_retries},
-    headers::remove_hop_by_hop,
+    headers::clean_answer_headers,
     idempotency::Run,
     sse::{self, Event, EventSplitter},
     upstream::{SendError, UpstreamAttempt, UpstreamRequest, attempt_failure},
@@ -110,7 +110,7 @@
 /// Relays an engine's stream to the caller.
 pub(super) fn pass_through(request: StreamedRequest, answer: Response<Incoming>) -> Response<Body> {
     let (mut head, body) = answer.into_parts();
-    remove_hop_by_hop(&mut head.headers);
+    clean_answer_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     head.headers.entry(CACHE_CONTROL).or_insert(http::HeaderValue::from_static("no-cache"));
     let id = request.run.id.clone();
