Verify errors on pooled connections that do not name their request

When an engine wrote an earlier answer once more on a kept connection, the next caller got it: an error that was not its own, with 503 or 429 telling it to try again, while the engine ran its request. A late 503 with Retry-After also paused the upstream. Successful answers were checked by the request id in their body; errors by nothing.

An error on a pooled connection now counts only if its x-request-id header names the request. Otherwise the connection is not used again, and the engine is asked on a new one to resume the answer. If it does not know the request, the request is sent there once more, and that answer is certain, since nothing else was sent on the connection. Only idempotent requests use pooled connections, and the request does not go to another upstream. The stand-in engine names its requests, so that its errors need no second exchange.

late_copy_of_an_earlier_answer_is_not_the_answer_to_the_next_request failed before in all six cases with an error (the caller got the error); the three cases with a successful answer passed. error_of_an_engine_reaches_its_caller guards the opposite: errors must still arrive.

--- a/crates/router/src/frontend/attempts.rs
+++ b/crates/router/src/frontend/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::Response;
+use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use span_once::{Backoff, Delivery, FailedAttempt, RetryDecision, decide_retry};
 use tokio::time::Instant;
@@ -11,7 +11,7 @@
 use super::{
     Failure, Frontend,
     idempotency::Run,
-    upstream::{SendError, UpstreamAttempt, UpstreamRequest, attempt_failure},
+    upstream::{SendError, UpstreamAttempt, UpstreamRequest, attempt_failure, discard_answer},
 };
 use crate::control::{AdmitRequest, AttemptResult};
 
@@ -114,6 +114,34 @@
         Err(error) if upstream_request.is_engine && error != SendError::NotConnected => {
             resume(frontend, upstream_request, attempt, 0, error).await
         }
+        Ok(answer) if pooled && !answer.status().is_success() && !attempt.is_named_by(&answer) => {
+            discard_answer(answer);
+            verify_error(frontend, upstream_request, attempt).await
+        }
+        sent => sent,
+    }
+}
+
+/// Asks an engine again, on new connections, after an error on a pooled connection that
+/// does not name the request. The error may be a late copy of the answer to an earlier
+/// request on that connection, while the engine runs this one. Only if the engine does
+/// not know the request is it sent once more.
+async fn verify_error(
+    frontend: &Arc<Frontend>,
+    upstream_request: &UpstreamRequest,
+    attempt: &UpstreamAttempt,
+) -> Result<Response<Incoming>, SendError> {
+    match resume(frontend, upstream_request, attempt, 0, SendError::Interrupted).await {
+        Err(SendError::AnswerLost) => {}
+        resumed => return resumed,
+    }
+    match upstream_request.send(&frontend.unpooled_client, attempt, None).await {
+        // The engine has meanwhile read the request from the first connection.
+        Ok(answer) if answer.status() == StatusCode::CONFLICT => {
+            resume(frontend, upstream_request, attempt, 0, SendError::Interrupted).await
+        }
+        // The first connection has delivered the request.
+        Err(SendError::NotConnected) => Err(SendError::Interrupted),
         sent => sent,
     }
 }
--- a/crates/router/src/frontend/upstream.rs
+++ b/crates/router/src/frontend/upstream.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 use span_http::{Body, Client, empty_body, requested_pause_ms};
 use span_types::{REQUEST_ID_HEADER, RESUME_OFFSET_HEADER, RequestId};
 use tracing::Span;
@@ -107,6 +108,12 @@
         self.requested_pause_ms = requested_pause_ms(answer.status(), answer.headers());
     }
 
+    /// Whether the head of an answer names the request of this attempt.
+    pub fn is_named_by(&self, answer: &Response<Incoming>) -> bool {
+        let name = answer.headers().get(REQUEST_ID_HEADER);
+        name.is_some_and(|name| name.as_bytes() == self.id.to_string().as_bytes())
+    }
+
     /// Ends the attempt; the upstream no longer works on the request.
     pub fn end(&mut self, result: AttemptResult) {
         self.ended = true;
@@ -161,9 +168,14 @@
         attempt: &UpstreamAttempt,
         offset: Option<u64>,
     ) -> Result<Response<Incoming>, SendError> {
-        let request = self.build_request(attempt, offset).map_err(|_| SendError::NotConnected)?;
+        let mut request =
+            self.build_request(attempt, offset).map_err(|_| SendError::NotConnected)?;
+        let connection = capture_connection(&mut request);
         let limit = Duration::from_millis(self.silence_timeout_ms);
-        let answer = tokio::time::timeout(limit, client.request(request)).await;
+        let mut answer = tokio::time::timeout(limit, client.request(request)).await;
+        if let Ok(Ok(answer)) = &mut answer {
+            answer.extensions_mut().insert(connection);
+        }
         match answer {
             Ok(Ok(answer)) if offset.is_none() => Ok(answer),
             Ok(Ok(answer)) if answer.status() == StatusCode::OK => Ok(answer),
@@ -196,6 +208,16 @@
     }
 }
 
+/// Drops an answer that may belong to another request, and its connection, on which the
+/// answer to this request may still arrive.
+pub(super) fn discard_answer(answer: Response<Incoming>) {
+    if let Some(connection) = answer.extensions().get::<CaptureConnection>()
+        && let Some(connected) = &*connection.connection_metadata()
+    {
+        connected.poison();
+    }
+}
+
 fn uri(address: SocketAddr, target: &str) -> String {
     format!("http://{address}{target}")
 }
--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -3,9 +3,115 @@
 mod common;
 mod scripted;
 
-use common::TestSetup;
+use std::sync::OnceLock;
+
+use common::{Answer, TestSetup};
 use http::Method;
-use scripted::{Script, TOKENS, events};
+use scripted::{Script, TOKENS, answer, completion, events, resumed};
+
+const JSON: &str = "application/json";
+const ERROR: &str = r#"{"error":{"message":"the engine is full"}}"#;
+
+/// The text of an answer, streamed or not.
+fn text(answer: &Answer, stream: bool) -> String {
+    if stream {
+        return common::parse_stream(answer).0;
+    }
+    answer.json()["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned()
+}
+
+/// Guards against an upstream that writes an earlier answer once more on a kept connection.
+/// The next caller got it, and was told to try again although its request was running.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_an_earlier_answer_is_not_the_answer_to_the_next_request() {
+    struct Case {
+        name: &'static str,
+        copy: fn(earlier: &str) -> String,
+        stream: bool,
+        /// The engine reads the request from the first connection after it was asked for
+        /// the answer on another one.
+        reads_late: bool,
+    }
+    let full = |_: &str| answer("503 Service Unavailable", JSON, "", ERROR);
+    let named = |earlier: &str| {
+        answer("503 Service Unavailable", JSON, &format!("x-request-id: {earlier}\r\n"), ERROR)
+    };
+    let limited = |_: &str| answer("429 Too Many Requests", JSON, "retry-after: 1\r\n", ERROR);
+    let outcome = |_: &str| answer("409 Conflict", JSON, "x-span-outcome: not_run\r\n", ERROR);
+    let whole = |earlier: &str| answer("200 OK", JSON, "", &completion(earlier));
+    let streamed = |earlier: &str| resumed(earlier, 0, true);
+    let cases = [
+        Case { name: "error", copy: full, stream: false, reads_late: false },
+        Case { name: "error, read late", copy: full, stream: false, reads_late: true },
+        Case { name: "error, streamed", copy: full, stream: true, reads_late: false },
+        Case {
+            name: "error that names the earlier request",
+            copy: named,
+            stream: false,
+            reads_late: false,
+        },
+        Case { name: "limit", copy: limited, stream: false, reads_late: false },
+        Case { name: "outcome, streamed", copy: outcome, stream: true, reads_late: false },
+        Case { name: "completion", copy: whole, stream: false, reads_late: false },
+        Case { name: "completion, streamed", copy: whole, stream: true, reads_late: false },
+        Case { name: "stream", copy: streamed, stream: true, reads_late: false },
+    ];
+    for Case { name, copy, stream, reads_late } in cases {
+        let first = OnceLock::new();
+        let engine = scripted::bind(move |request| match request.offset {
+            Some(_) if reads_late && request.earlier == 1 => {
+                Script::keep(answer("410 Gone", JSON, "", ERROR))
+            }
+            None if reads_late && request.earlier == 2 => {
+                Script::keep(answer("409 Conflict", JSON, "", ERROR))
+            }
+            Some(offset) => Script::keep(resumed(&request.id, offset, stream)),
+            None if first.set(request.id.clone()).is_ok() => {
+                Script::keep(resumed(&request.id, 0, stream))
+            }
+            None => Script::keep(copy(first.get().map_or("", String::as_str))),
+        });
+        let engine = engine.await;
+        let setup = TestSetup::new().upstream("stitch-assist", engine.address).start().await;
+        setup.chat("earlier", TOKENS, stream).await;
+        let next = setup.chat("next", TOKENS, stream).await;
+        let id = next.header("x-request-id");
+        let requests = engine.received();
+        let sent = requests.iter().find(|request| request.id == id).expect("no request arrived");
+        assert!(requests[0].connection == sent.connection, "{name}: the connection was not kept");
+        assert_eq!(text(&next, stream), scripted::whole_text(), "{name}: {next:?}");
+        assert_eq!(next.outcome().as_deref(), Some("completed"), "{name}");
+        assert_eq!(engine.sends(id), 1 + usize::from(reads_late), "{name}: runs");
+    }
+}
+
+/// Guards against errors of an engine that are taken for late copies and do not reach the
+/// caller. An error that names no request is asked for again on a new connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_an_engine_reaches_its_caller() {
+    for (names_request, runs) in [(true, 1), (false, 2)] {
+        for stream in [true, false] {
+            let engine = scripted::bind(move |request| {
+                let name = format!("x-request-id: {}\r\n", request.id);
+                let name = if names_request { name.as_str() } else { "" };
+                let status = if request.offset.is_some() { "410 Gone" } else { "400 Bad Request" };
+                Script::keep(answer(status, JSON, name, ERROR))
+            });
+            let engine = engine.await;
+            let setup = TestSetup::new().upstream("stitch-assist", engine.address).start().await;
+            for _ in 0..2 {
+                let answer = setup.chat("rejected", TOKENS, stream).await;
+                let case = format!("named {names_request}, streamed {stream}: {answer:?}");
+                assert_eq!(
+                    (answer.status.as_u16(), answer.text().as_str()),
+                    (400, ERROR),
+                    "{case}"
+                );
+                assert_eq!(engine.sends(answer.header("x-request-id")), runs, "{case}");
+            }
+        }
+    }
+}
 
 /// Guards against a caller that is told "not run" because the upstream, which has run the
 /// request, sent a header with that name.
--- a/crates/router/tests/scripted/mod.rs
+++ b/crates/router/tests/scripted/mod.rs
@@ -26,6 +26,8 @@
     /// Number of the connection, in order of their opening.
     pub connection: usize,
     pub id: String,
+    /// Requests with this id that arrived before.
+    pub earlier: usize,
     /// The offset that the router asks the stream to resume from.
     pub offset: Option<u64>,
 }
@@ -59,8 +61,8 @@
         lock(&self.received).clone()
     }
 
-    /// How often the request with this id was sent to be run.
-    pub fn runs(&self, id: &str) -> usize {
+    /// How often the request with this id was sent, resumptions apart.
+    pub fn sends(&self, id: &str) -> usize {
         self.received()
             .iter()
             .filter(|request| request.id == id && request.offset.is_none())
@@ -120,8 +122,10 @@
         let script = if head.starts_with("POST") {
             let id = header("x-request-id").unwrap_or_default();
             let offset = header("x-resume-offset").and_then(|text| text.parse().ok());
-            let request = Received { connection, id, offset };
-            lock(log).push(request.clone());
+            let mut log = lock(log);
+            let earlier = log.iter().filter(|request| request.id == id).count();
+            let request = Received { connection, id, earlier, offset };
+            log.push(request.clone());
             script(&request)
         } else {
             let load = r#"{"running":0,"waiting":0,"slots":64,"age_ms":0}"#;
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -77,10 +77,17 @@
     request.headers().get(name).and_then(|value| value.to_str().ok())
 }
 
+/// Runs or resumes a chat completion. Each answer names its request, errors included.
 async fn complete_chat(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
-    let Some(id) = header(&request, REQUEST_ID_HEADER).map(str::to_owned) else {
+    let Some(id) = request.headers().get(REQUEST_ID_HEADER).cloned() else {
         return error(StatusCode::BAD_REQUEST, "x-request-id is missing");
     };
+    let mut response = run_chat(state, id.to_str().unwrap_or_default().to_owned(), request).await;
+    response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    response
+}
+
+async fn run_chat(state: Arc<State>, id: String, request: Request<Incoming>) -> Response<Body> {
     let offset = header(&request, RESUME_OFFSET_HEADER).and_then(|text| text.parse::<u64>().ok());
     let chat: ChatRequest = match read_json_body(request.into_body(), MAX_BODY_BYTES).await {
         Ok(chat) => chat,
