Pass only chunks and events without data to the callers of a stream

Callers found the text of an error, or its whole head, in their stream: when a stream was resumed, any answer with status 200 was relayed, whatever its content type, and events that were not chunks were passed on, on the first connection as well. A streamed request now takes only an event stream as its answer, and an event with other data or with lines that no server-sent event has breaks the connection off; the stream is resumed on a new one.

broken_stream_goes_on_with_its_next_event_or_ends_as_unknown failed before in six cases: another content type, text in an event and a head in the resumed stream, and a head, text and text in an event after the chunks of the first connection. A resumption that was answered with an error status was handled before.

--- a/crates/router/src/frontend/sse.rs
+++ b/crates/router/src/frontend/sse.rs
@@ -140,17 +140,42 @@
     Chunk(Chunk<'a>),
     /// The end of the answer.
     Done,
-    /// An event without data, such as a comment, or one that is not a chunk.
-    Other,
+    /// An event without data, such as a comment.
+    Empty,
+    /// Anything else, such as the text of an error. No stream of chunks has it.
+    Invalid,
 }
 
 /// Parses a complete event.
 pub(super) fn parse_event(event: &[u8]) -> Event<'_> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let data = lines.find_map(|line| line.strip_prefix(b"data:")).map(<[u8]>::trim_ascii);
+    let mut data = None;
+    for line in event.split(|byte| *byte == b'\n') {
+        match parse_line(line.trim_ascii_end()) {
+            Line::Ignored => {}
+            Line::Data(value) if data.is_none() => data = Some(value),
+            Line::Data(_) | Line::Invalid => return Event::Invalid,
+        }
+    }
     match data {
-        None => Event::Other,
+        None => Event::Empty,
         Some(b"[DONE]") => Event::Done,
-        Some(data) => serde_json::from_slice(data).map_or(Event::Other, Event::Chunk),
+        Some(data) => serde_json::from_slice(data).map_or(Event::Invalid, Event::Chunk),
+    }
+}
+
+enum Line<'a> {
+    Data(&'a [u8]),
+    /// Blank, a comment, or a field that a chunk may have besides its data.
+    Ignored,
+    Invalid,
+}
+
+fn parse_line(line: &[u8]) -> Line<'_> {
+    let colon = line.iter().position(|byte| *byte == b':');
+    let (field, value) = line.split_at(colon.unwrap_or(line.len()));
+    match field {
+        b"data" => Line::Data(value.strip_prefix(b":").unwrap_or(value).trim_ascii()),
+        b"" | b"event" | b"id" | b"retry" => Line::Ignored,
+        _ => Line::Invalid,
     }
 }
--- a/crates/router/src/frontend/stream.rs
+++ b/crates/router/src/frontend/stream.rs
@@ -233,13 +233,9 @@
         while let Some(length) = sse::event_length(&events[checked..]) {
             let end = checked + length;
             match sse::parse_event(&events[checked..end]) {
-                // The chunk belongs to another request's answer, so the
-                // connection cannot be trusted.
-                Event::Chunk(chunk) if !chunk.id.contains(&self.id_text) => {
-                    self.state = State::Failed(SendError::Interrupted);
-                    break;
+                Event::Chunk(chunk) if chunk.id.contains(&self.id_text) => {
+                    self.count_chunk(&chunk);
                 }
-                Event::Chunk(chunk) => self.count_chunk(&chunk),
                 Event::Done => {
                     let comment = self.outcome_comment(Outcome::Completed);
                     self.complete();
@@ -247,7 +243,13 @@
                         .concat()
                         .into();
                 }
-                Event::Other => {}
+                Event::Empty => {}
+                // The event does not belong to this request's answer, so the
+                // connection cannot be trusted.
+                Event::Chunk(_) | Event::Invalid => {
+                    self.state = State::Failed(SendError::Interrupted);
+                    break;
+                }
             }
             checked = end;
         }
--- a/crates/router/src/frontend/upstream.rs
+++ b/crates/router/src/frontend/upstream.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
-use span_http::{Body, Client, empty_body, requested_pause_ms};
+use span_http::{Body, Client, empty_body, requested_pause_ms, states_event_stream};
 use span_types::{REQUEST_ID_HEADER, RESUME_OFFSET_HEADER, RequestId};
 use tracing::Span;
 
@@ -177,16 +177,32 @@
             answer.extensions_mut().insert(connection);
         }
         match answer {
-            Ok(Ok(answer)) if offset.is_none() => Ok(answer),
-            Ok(Ok(answer)) if answer.status() == StatusCode::OK => Ok(answer),
-            Ok(Ok(answer)) if answer.status() == StatusCode::GONE => Err(SendError::AnswerLost),
-            Ok(Ok(_)) => Err(SendError::Interrupted),
+            Ok(Ok(answer)) => self.check_head(answer, offset),
             Ok(Err(error)) if error.is_connect() => Err(SendError::NotConnected),
             Ok(Err(_)) => Err(SendError::Interrupted),
             Err(_) => Err(SendError::Silent),
         }
     }
 
+    /// Checks the head of an answer to a request that asks to resume from `offset`.
+    fn check_head(
+        &self,
+        answer: Response<Incoming>,
+        offset: Option<u64>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let status = answer.status();
+        let expects_events = self.is_engine && self.is_streamed && status.is_success();
+        if expects_events && !states_event_stream(answer.headers()) {
+            return Err(SendError::Interrupted);
+        }
+        match status {
+            StatusCode::OK => Ok(answer),
+            _ if offset.is_none() => Ok(answer),
+            StatusCode::GONE => Err(SendError::AnswerLost),
+            _ => Err(SendError::Interrupted),
+        }
+    }
+
     fn build_request(
         &self,
         attempt: &UpstreamAttempt,
--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -3,11 +3,14 @@
 mod common;
 mod scripted;
 
-use std::sync::OnceLock;
+use std::sync::{
+    OnceLock,
+    atomic::{AtomicU32, Ordering},
+};
 
 use common::{Answer, TestSetup};
 use http::Method;
-use scripted::{Script, TOKENS, answer, completion, events, resumed};
+use scripted::{DONE, Script, TOKENS, answer, chunks, completion, events, offset_header, resumed};
 
 const JSON: &str = "application/json";
 const ERROR: &str = r#"{"error":{"message":"the engine is full"}}"#;
@@ -136,3 +139,66 @@
         assert_eq!(answer.outcome().as_deref(), Some("completed"), "{answer:?}");
     }
 }
+
+/// Guards against streams that broke off and go on with anything but the next event of the
+/// same answer, such as the text of an error or its head.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_stream_goes_on_with_its_next_event_or_ends_as_unknown() {
+    const SENT: u64 = 3;
+    struct Case {
+        name: &'static str,
+        /// Bytes of the first connection after the chunks.
+        tail: fn(id: &str) -> String,
+        /// First answer to a resumption; the next one is proper.
+        resumed: fn(id: &str) -> String,
+        outcome: &'static str,
+    }
+    let proper = |id: &str| resumed(id, SENT, true);
+    let busy = |_: &str| answer("503 Service Unavailable", JSON, "", ERROR);
+    let page = |_: &str| {
+        answer("200 OK", "text/plain", &offset_header(SENT), "engine full\n\ndata: x\n\n")
+    };
+    let text_event = |_: &str| events(&offset_header(SENT), "data: the engine is full\n\n");
+    let head_in_stream = |_: &str| {
+        let head = "HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n\r\nfull\n\n";
+        events(&offset_header(SENT), head)
+    };
+    let nothing = |_: &str| String::new();
+    let head = |_: &str| "HTTP/1.1 503 Service Unavailable\r\nserver: x\r\n\r\n".to_owned();
+    let text = |_: &str| "full\n\n".to_owned();
+    let text_data = |_: &str| "data: full\n\n".to_owned();
+    let case = |name, tail, resumed, outcome| Case { name, tail, resumed, outcome };
+    let cases = [
+        case("proper", nothing, proper as fn(&str) -> String, "completed"),
+        case("error", nothing, busy, "completed"),
+        case("another content type", nothing, page, "completed"),
+        case("text in an event", nothing, text_event, "completed"),
+        case("head in the stream", nothing, head_in_stream, "completed"),
+        case("head after the chunks", head, proper, "completed"),
+        case("text after the chunks", text, proper, "completed"),
+        case("text in an event after the chunks", text_data, proper, "completed"),
+    ];
+    for Case { name, tail, resumed: first_resumed, outcome } in cases {
+        let resumptions = AtomicU32::new(0);
+        let engine = scripted::bind(move |request| match request.offset {
+            None => Script::close(events("", &(chunks(&request.id, 0, SENT) + &tail(&request.id)))),
+            Some(_) => match resumptions.fetch_add(1, Ordering::SeqCst) {
+                0 => Script::close(first_resumed(&request.id)),
+                _ => Script::close(proper(&request.id)),
+            },
+        });
+        let engine = engine.await;
+        let setup = TestSetup::new().upstream("stitch-assist", engine.address).start().await;
+        let streamed = setup.chat(name, TOKENS, true).await;
+        let raw = streamed.text();
+        assert_eq!(streamed.outcome().as_deref(), Some(outcome), "{name}: {raw}");
+        assert!(!raw.contains("full") && !raw.contains("HTTP/1.1"), "{name}: {raw}");
+        let is_complete = outcome == "completed";
+        let id = streamed.header("x-request-id");
+        let expected = chunks(id, 0, if is_complete { TOKENS + 1 } else { SENT });
+        let received: String =
+            raw.split_inclusive("\n\n").filter(|event| event.contains("\"choices\"")).collect();
+        assert_eq!(received, expected, "{name}");
+        assert_eq!(raw.contains(DONE), is_complete, "{name}: {raw}");
+    }
+}
