Tell request ids from longer ones in the ids of answers

An answer counted as the request's own if its id contained the request id. The id of request r1.x.3 is contained in those of r1.x.30 to r1.x.3f, so a caller could get a chunk or a whole completion of one of these. The request id now has to end where it ends in the answer's id; an engine's prefix or suffix such as chatcmpl- is still allowed.

The case "chunk of a request whose id is longer" failed before: the caller's stream had the foreign chunk.

--- a/crates/router/src/frontend/json_answer.rs
+++ b/crates/router/src/frontend/json_answer.rs
@@ -15,7 +15,7 @@
     attempts::resume,
     headers::clean_answer_headers,
     idempotency::Run,
-    sse::Usage,
+    sse::{Usage, contains_request_id},
     upstream::{SendError, UpstreamAttempt, UpstreamRequest, attempt_failure},
 };
 use crate::control::AttemptResult;
@@ -83,7 +83,7 @@
 /// not the completion of this request.
 fn read_usage(id: &str, body: &Bytes) -> Option<Option<Usage>> {
     let completion: Completion = serde_json::from_slice(body).ok()?;
-    completion.id.contains(id).then_some(completion.usage)
+    contains_request_id(&completion.id, id).then_some(completion.usage)
 }
 
 fn finish(
--- a/crates/router/src/frontend/sse.rs
+++ b/crates/router/src/frontend/sse.rs
@@ -127,12 +127,26 @@
 }
 
 impl Chunk<'_> {
+    /// Whether the chunk belongs to the answer to the request with this id.
+    pub fn is_of(&self, request_id: &str) -> bool {
+        contains_request_id(&self.id, request_id)
+    }
+
     /// Whether the chunk carries a token.
     pub fn is_token(&self) -> bool {
         self.choices.has_token
     }
 }
 
+/// Whether the id of an answer, such as `chatcmpl-<request id>`, contains this request id,
+/// and not one with more digits.
+pub(super) fn contains_request_id(answer_id: &str, request_id: &str) -> bool {
+    let mut matches = answer_id.match_indices(request_id);
+    matches.any(|(start, id)| {
+        !answer_id[start + id.len()..].starts_with(|next: char| next.is_ascii_hexdigit())
+    })
+}
+
 /// A parsed event.
 #[derive(Debug)]
 pub(super) enum Event<'a> {
--- a/crates/router/src/frontend/stream.rs
+++ b/crates/router/src/frontend/stream.rs
@@ -233,7 +233,7 @@
         while let Some(length) = sse::event_length(&events[checked..]) {
             let end = checked + length;
             match sse::parse_event(&events[checked..end]) {
-                Event::Chunk(chunk) if chunk.id.contains(&self.id_text) => {
+                Event::Chunk(chunk) if chunk.is_of(&self.id_text) => {
                     self.count_chunk(&chunk);
                 }
                 Event::Done => {
--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -167,6 +167,7 @@
     let head = |_: &str| "HTTP/1.1 503 Service Unavailable\r\nserver: x\r\n\r\n".to_owned();
     let text = |_: &str| "full\n\n".to_owned();
     let text_data = |_: &str| "data: full\n\n".to_owned();
+    let longer_id = |id: &str| chunks(&format!("{id}0"), 0, 1);
     let case = |name, tail, resumed, outcome| Case { name, tail, resumed, outcome };
     let cases = [
         case("proper", nothing, proper as fn(&str) -> String, "completed"),
@@ -177,6 +178,7 @@
         case("head after the chunks", head, proper, "completed"),
         case("text after the chunks", text, proper, "completed"),
         case("text in an event after the chunks", text_data, proper, "completed"),
+        case("chunk of a request whose id is longer", longer_id, proper, "completed"),
     ];
     for Case { name, tail, resumed: first_resumed, outcome } in cases {
         let resumptions = AtomicU32::new(0);
