Require an engine to confirm where a resumed stream begins

A caller got events twice when a stream broke off and its upstream, instead of resuming it at the requested chunk, started from the first one: an engine that ignores x-resume-offset, or another one behind the same address that runs the request anew. The router counted chunks and compared nothing with the answer. The engine now repeats x-resume-offset in a resumed answer, as the stand-in does; a stream without it, or with another value, is not passed on, and the caller's stream ends as unknown.

The cases "from the start again" and "offset not confirmed" failed before: the stream had repeated chunks and ended as completed.

--- a/crates/router/src/frontend/attempts.rs
+++ b/crates/router/src/frontend/attempts.rs
@@ -162,7 +162,7 @@
         frontend.back_off(failed_resumes).await;
         match upstream_request.send(&frontend.unpooled_client, attempt, Some(offset)).await {
             Ok(answer) => return Ok(answer),
-            Err(SendError::AnswerLost) => return Err(SendError::AnswerLost),
+            Err(error @ (SendError::AnswerLost | SendError::NotResumed)) => return Err(error),
             // The engine may still be generating an answer that is not streamed.
             Err(SendError::Silent) if !upstream_request.is_streamed => {
                 last_error = SendError::Silent
--- a/crates/router/src/frontend/stream.rs
+++ b/crates/router/src/frontend/stream.rs
@@ -15,14 +15,14 @@
     stream,
 };
 use http::{
-    Response,
+    HeaderName, Response,
     header::{CACHE_CONTROL, CONTENT_LENGTH},
 };
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use span_http::Body;
-use span_types::{OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER};
+use span_types::{OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, RESUME_OFFSET_HEADER};
 use tokio::time::{Instant, Sleep, sleep};
 use tracing::Instrument;
 
@@ -111,7 +111,9 @@
 pub(super) fn pass_through(request: StreamedRequest, answer: Response<Incoming>) -> Response<Body> {
     let (mut head, body) = answer.into_parts();
     clean_answer_headers(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
+    for name in [CONTENT_LENGTH, HeaderName::from_static(RESUME_OFFSET_HEADER)] {
+        head.headers.remove(name);
+    }
     head.headers.entry(CACHE_CONTROL).or_insert(http::HeaderValue::from_static("no-cache"));
     let id = request.run.id.clone();
     let relay = Box::new(Relay {
--- a/crates/router/src/frontend/upstream.rs
+++ b/crates/router/src/frontend/upstream.rs
@@ -55,6 +55,9 @@
     /// The engine no longer has the answer, so it cannot be resumed.
     #[error("the upstream lost the answer")]
     AnswerLost,
+    /// The engine did not confirm that its answer begins at the requested chunk.
+    #[error("the upstream did not resume the answer")]
+    NotResumed,
 }
 
 impl SendError {
@@ -62,7 +65,9 @@
     pub fn attempt_result(self) -> AttemptResult {
         match self {
             Self::Silent => AttemptResult::Silent,
-            Self::NotConnected | Self::Interrupted | Self::AnswerLost => AttemptResult::Failed,
+            Self::NotConnected | Self::Interrupted | Self::AnswerLost | Self::NotResumed => {
+                AttemptResult::Failed
+            }
         }
     }
 }
@@ -195,9 +200,15 @@
         if expects_events && !states_event_stream(answer.headers()) {
             return Err(SendError::Interrupted);
         }
+        let Some(offset) = offset else {
+            return Ok(answer);
+        };
         match status {
+            // A stream from the first chunk on is complete in any case.
+            StatusCode::OK if expects_events && offset > 0 && !confirms(&answer, offset) => {
+                Err(SendError::NotResumed)
+            }
             StatusCode::OK => Ok(answer),
-            _ if offset.is_none() => Ok(answer),
             StatusCode::GONE => Err(SendError::AnswerLost),
             _ => Err(SendError::Interrupted),
         }
@@ -224,6 +235,12 @@
     }
 }
 
+/// Whether a resumed answer states that it begins at chunk `offset`.
+fn confirms(answer: &Response<Incoming>, offset: u64) -> bool {
+    let stated = answer.headers().get(RESUME_OFFSET_HEADER);
+    stated.is_some_and(|stated| stated.as_bytes() == offset.to_string().as_bytes())
+}
+
 /// Drops an answer that may belong to another request, and its connection, on which the
 /// answer to this request may still arrive.
 pub(super) fn discard_answer(answer: Response<Incoming>) {
@@ -242,7 +259,7 @@
 pub(super) fn attempt_failure(error: SendError, outcome: span_types::Outcome) -> Failure {
     let (status, kind) = match error {
         SendError::NotConnected => (StatusCode::SERVICE_UNAVAILABLE, "upstream_unreachable"),
-        SendError::Interrupted | SendError::AnswerLost => {
+        SendError::Interrupted | SendError::AnswerLost | SendError::NotResumed => {
             (StatusCode::BAD_GATEWAY, "upstream_failed")
         }
         SendError::Silent => (StatusCode::GATEWAY_TIMEOUT, "upstream_silent"),
--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -141,7 +141,7 @@
 }
 
 /// Guards against streams that broke off and go on with anything but the next event of the
-/// same answer, such as the text of an error or its head.
+/// same answer, such as the text of an error, its head, or events that the caller has.
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_stream_goes_on_with_its_next_event_or_ends_as_unknown() {
     const SENT: u64 = 3;
@@ -163,6 +163,8 @@
         let head = "HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n\r\nfull\n\n";
         events(&offset_header(SENT), head)
     };
+    let from_start = |id: &str| resumed(id, 0, true);
+    let unconfirmed = |id: &str| events("", &scripted::chunks_to_end(id, 0));
     let nothing = |_: &str| String::new();
     let head = |_: &str| "HTTP/1.1 503 Service Unavailable\r\nserver: x\r\n\r\n".to_owned();
     let text = |_: &str| "full\n\n".to_owned();
@@ -179,6 +181,8 @@
         case("text after the chunks", text, proper, "completed"),
         case("text in an event after the chunks", text_data, proper, "completed"),
         case("chunk of a request whose id is longer", longer_id, proper, "completed"),
+        case("from the start again", nothing, from_start, "unknown"),
+        case("offset not confirmed", nothing, unconfirmed, "unknown"),
     ];
     for Case { name, tail, resumed: first_resumed, outcome } in cases {
         let resumptions = AtomicU32::new(0);
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -104,7 +104,7 @@
         state.generations.remove(&id);
     }
     if chat.stream {
-        stream_response(reader, &chat.model, &id, offset.unwrap_or(0), faults)
+        stream_response(reader, &chat.model, &id, offset, faults)
     } else {
         complete_response(reader, &chat.model, &id, faults).await
     }
@@ -163,11 +163,15 @@
     reader: Reader,
     model: &str,
     id: &str,
-    offset: u64,
+    offset: Option<u64>,
     faults: Faults,
 ) -> Response<Body> {
-    let events = stream_events(reader, model.to_owned(), id.to_owned(), offset);
-    build_response(faults, id, events, "text/event-stream")
+    let events = stream_events(reader, model.to_owned(), id.to_owned(), offset.unwrap_or(0));
+    let mut response = build_response(faults, id, events, "text/event-stream");
+    if let Some(offset) = offset {
+        response.headers_mut().insert(RESUME_OFFSET_HEADER, HeaderValue::from(offset));
+    }
+    response
 }
 
 struct EventCursor {
--- a/crates/types/src/headers.rs
+++ b/crates/types/src/headers.rs
@@ -12,7 +12,8 @@
 pub const IDEMPOTENT_HEADER: &str = "x-span-idempotent";
 /// Cost that the caller expects, in cost units. Not binding.
 pub const COST_HINT_HEADER: &str = "x-span-cost-hint";
-/// Number of chunks of a resumed stream that the caller already has.
+/// Number of chunks of a resumed stream that the caller already has. The engine repeats it
+/// in the answer, which then begins with the chunk after these.
 pub const RESUME_OFFSET_HEADER: &str = "x-resume-offset";
 /// Hash of the prompt prefix, as 16 hexadecimal digits.
 pub const PROMPT_PREFIX_HASH_HEADER: &str = "x-span-prefix";
