Take the end of a stream only after a chunk that says that it is finished

A caller's stream ended as completed although events were missing: [DONE] names no request, and it was believed at any place. An engine that no longer had the rest, or a late copy of the end of another stream, ended it early. [DONE] now counts only after a chunk with a finish reason; before, the stream counts as interrupted and is resumed.

--- a/crates/router/src/frontend/sse.rs
+++ b/crates/router/src/frontend/sse.rs
@@ -94,6 +94,7 @@
 #[derive(Debug, Default)]
 struct Choices {
     has_token: bool,
+    has_finish_reason: bool,
 }
 
 impl<'de> Deserialize<'de> for Choices {
@@ -112,11 +113,12 @@
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Choices, A::Error> {
-        let mut has_token = false;
+        let mut choices = Choices::default();
         while let Some(choice) = list.next_element::<Choice>()? {
-            has_token |= choice.finish_reason.is_none();
+            choices.has_token |= choice.finish_reason.is_none();
+            choices.has_finish_reason |= choice.finish_reason.is_some();
         }
-        Ok(Choices { has_token })
+        Ok(choices)
     }
 }
 
@@ -136,6 +138,11 @@
     pub fn is_token(&self) -> bool {
         self.choices.has_token
     }
+
+    /// Whether the chunk says that the answer is finished.
+    pub fn is_last(&self) -> bool {
+        self.choices.has_finish_reason
+    }
 }
 
 /// Whether the id of an answer, such as `chatcmpl-<request id>`, contains this request id,
--- a/crates/router/src/frontend/stream.rs
+++ b/crates/router/src/frontend/stream.rs
@@ -84,6 +84,8 @@
 struct Progress {
     /// Chunks relayed to the caller; the offset for resumptions.
     chunks: u64,
+    /// Whether a chunk said that the answer is finished.
+    finished: bool,
     /// Consecutive connections that were interrupted without a chunk.
     resumes_without_chunk: u32,
     /// Arrival time of the last chunk.
@@ -99,6 +101,7 @@
         let last_chunk_at = Instant::now();
         Self {
             chunks: 0,
+            finished: false,
             resumes_without_chunk: 0,
             last_chunk_at,
             counted_cost: 0,
@@ -238,7 +241,7 @@
                 Event::Chunk(chunk) if chunk.is_of(&self.id_text) => {
                     self.count_chunk(&chunk);
                 }
-                Event::Done => {
+                Event::Done if self.progress.finished => {
                     let comment = self.outcome_comment(Outcome::Completed);
                     self.complete();
                     return [&events[..checked], comment.as_bytes(), &events[checked..end]]
@@ -246,9 +249,9 @@
                         .into();
                 }
                 Event::Empty => {}
-                // The event does not belong to this request's answer, so the
-                // connection cannot be trusted.
-                Event::Chunk(_) | Event::Invalid => {
+                // The event does not belong to this request's answer, or ends it early,
+                // so the connection cannot be trusted.
+                Event::Chunk(_) | Event::Done | Event::Invalid => {
                     self.state = State::Failed(SendError::Interrupted);
                     break;
                 }
@@ -262,6 +265,7 @@
     fn count_chunk(&mut self, chunk: &sse::Chunk<'_>) {
         let progress = &mut self.progress;
         progress.chunks += 1;
+        progress.finished |= chunk.is_last();
         progress.resumes_without_chunk = 0;
         progress.last_chunk_at = Instant::now();
         if chunk.is_token() {
--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -141,7 +141,8 @@
 }
 
 /// Guards against streams that broke off and go on with anything but the next event of the
-/// same answer, such as the text of an error, its head, or events that the caller has.
+/// same answer, such as the text of an error, its head, events that the caller has, or an
+/// early end.
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_stream_goes_on_with_its_next_event_or_ends_as_unknown() {
     const SENT: u64 = 3;
@@ -165,6 +166,8 @@
     };
     let from_start = |id: &str| resumed(id, 0, true);
     let unconfirmed = |id: &str| events("", &scripted::chunks_to_end(id, 0));
+    let done = |_: &str| events(&offset_header(SENT), DONE);
+    let early_done = |_: &str| DONE.to_owned();
     let nothing = |_: &str| String::new();
     let head = |_: &str| "HTTP/1.1 503 Service Unavailable\r\nserver: x\r\n\r\n".to_owned();
     let text = |_: &str| "full\n\n".to_owned();
@@ -183,6 +186,8 @@
         case("chunk of a request whose id is longer", longer_id, proper, "completed"),
         case("from the start again", nothing, from_start, "unknown"),
         case("offset not confirmed", nothing, unconfirmed, "unknown"),
+        case("ends at once", nothing, done, "completed"),
+        case("ends early after the chunks", early_done, proper, "completed"),
     ];
     for Case { name, tail, resumed: first_resumed, outcome } in cases {
         let resumptions = AtomicU32::new(0);
