Give up a stream whose engine sends bytes but makes no progress

A stalled stream never ended while its engine sent a comment or a part of an event now and then: each byte restarted the silence timer, and the time without a chunk was compared with answer_ms only after a connection had broken. Reading now stops answer_ms after the last chunk as well, and such a stream ends like one that cannot be resumed.

--- a/crates/router/src/frontend/stream.rs
+++ b/crates/router/src/frontend/stream.rs
@@ -61,7 +61,7 @@
     id_text: String,
     body: Incoming,
     splitter: EventSplitter,
-    /// Expires when the engine is silent. One timer serves the whole stream,
+    /// Expires when the engine is silent or makes no progress. One timer serves the whole stream,
     /// because resetting it is cheaper than a new timer for each chunk.
     silence_timer: Pin<Box<Sleep>>,
     progress: Progress,
@@ -200,7 +200,7 @@
         progress.resumes_without_chunk += u32::from(error == SendError::Interrupted);
         let since_last_chunk = progress.last_chunk_at.elapsed();
         let timed_out =
-            since_last_chunk > Duration::from_millis(request.upstream_request.answer_timeout_ms);
+            since_last_chunk >= Duration::from_millis(request.upstream_request.answer_timeout_ms);
         if progress.resumes_without_chunk > MAX_FAILED_RESUMES
             || timed_out
             || error == SendError::AnswerLost
@@ -215,10 +215,14 @@
     /// The complete events that arrived; empty while an event is incomplete.
     async fn read(&mut self) -> Result<Bytes, SendError> {
         // The timer starts here, so that time in which a slow caller did not
-        // read does not count as silence of the engine.
-        let silence_timeout =
-            Duration::from_millis(self.request.upstream_request.silence_timeout_ms);
-        self.silence_timer.as_mut().reset(Instant::now() + silence_timeout);
+        // read does not count as silence of the engine. Comments and parts of
+        // events break the silence, but they are no progress.
+        let upstream_request = &self.request.upstream_request;
+        let silence_timeout = Duration::from_millis(upstream_request.silence_timeout_ms);
+        let answer_timeout = Duration::from_millis(upstream_request.answer_timeout_ms);
+        let deadline =
+            (Instant::now() + silence_timeout).min(self.progress.last_chunk_at + answer_timeout);
+        self.silence_timer.as_mut().reset(deadline);
         let frame = match select(pin!(self.body.frame()), self.silence_timer.as_mut()).await {
             Either::Left((frame, _)) => frame,
             Either::Right(_) => return Err(SendError::Silent),
--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -3,12 +3,15 @@
 mod common;
 mod scripted;
 
-use std::sync::{
-    OnceLock,
-    atomic::{AtomicU32, Ordering},
+use std::{
+    sync::{
+        OnceLock,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
 };
 
-use common::{Answer, TestSetup};
+use common::{Answer, TestSetup, chat_body};
 use http::Method;
 use scripted::{DONE, Script, TOKENS, answer, chunks, completion, events, offset_header, resumed};
 
@@ -213,3 +216,58 @@
         assert_eq!(raw.contains(DONE), is_complete, "{name}: {raw}");
     }
 }
+
+/// Guards against stalled answers that never end because the engine sends a byte now and
+/// then, and against slow streams that are cut although they make progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_stalled_answers_are_given_up() {
+    const INTERVAL_MS: u64 = 100;
+    /// Far longer than the timeout after which a stalled answer is given up.
+    const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+    struct Case {
+        name: &'static str,
+        stream: bool,
+        /// Pieces of the answer, written at intervals.
+        pieces: fn(id: &str) -> Vec<String>,
+        outcome: &'static str,
+    }
+    let comments = |_: &str| vec![": waiting\n\n".to_owned(); 600];
+    let bytes = |id: &str| {
+        let first = chunks(id, 0, 1);
+        std::iter::once(first).chain("data: ".repeat(100).chars().map(String::from)).collect()
+    };
+    let slow = |id: &str| {
+        let piece =
+            |n| [": waiting\n\n".to_owned(), ": waiting\n\n".to_owned(), chunks(id, n, n + 1)];
+        (0..=TOKENS).flat_map(piece).chain([DONE.to_owned()]).collect()
+    };
+    let spaces = |_: &str| vec![" ".to_owned(); 600];
+    let cases = [
+        Case { name: "comments", stream: true, pieces: comments, outcome: "unknown" },
+        Case { name: "bytes", stream: true, pieces: bytes, outcome: "unknown" },
+        Case { name: "slow stream", stream: true, pieces: slow, outcome: "completed" },
+        Case { name: "spaces", stream: false, pieces: spaces, outcome: "unknown" },
+    ];
+    for Case { name, stream, pieces, outcome } in cases {
+        let engine = scripted::bind(move |request| {
+            if request.offset.is_some() {
+                return Script::close(answer("410 Gone", JSON, "", ERROR));
+            }
+            let content_type = if stream { "text/event-stream" } else { JSON };
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n\r\n");
+            let pieces = pieces(&request.id).into_iter().map(|piece| (INTERVAL_MS, piece));
+            Script { parts: std::iter::once((0, head)).chain(pieces).collect(), closes: true }
+        });
+        let engine = engine.await;
+        let mut setup = TestSetup::new().upstream("stitch-assist", engine.address);
+        setup.timeouts.silence_ms = 600;
+        setup.timeouts.answer_ms = 2_000;
+        let setup = setup.start().await;
+        let headers = [("x-span-idempotent", "false")];
+        let body = chat_body(name, TOKENS, stream).to_string();
+        let call = setup.call(Method::POST, "/v1/chat/completions", &headers, &body);
+        let answer = tokio::time::timeout(TEST_TIMEOUT, call).await;
+        let answer = answer.unwrap_or_else(|_| panic!("{name}: the answer never ended"));
+        assert_eq!(answer.outcome().as_deref(), Some(outcome), "{name}: {answer:?}");
+    }
+}
