Cut a completion for silence only while no byte arrives

A completion whose body took longer than silence_ms to arrive was cut although its bytes kept coming, read again from its start up to four times, and lost: the whole body had to arrive within the silence timeout. The timeout now holds between two frames of the body, and answer_ms limits the whole of it, so that a body of single bytes ends too.

The case "slow completion" of only_stalled_answers_are_given_up failed before: status 502, outcome unknown.

--- a/crates/router/src/frontend/json_answer.rs
+++ b/crates/router/src/frontend/json_answer.rs
@@ -4,15 +4,18 @@
 
 use bytes::Bytes;
 use http::{Response, header::CONTENT_LENGTH};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::Deserialize;
-use span_http::{Body, collect_body, full_body};
+use span_http::{Body, ReadError, collect_body, full_body};
 use span_types::Outcome;
+use tokio::time::{Instant, timeout_at};
 
 use super::{
     Failure, Frontend,
     answer::set_outcome_headers,
     attempts::resume,
+    body::{IdleTimeout, IdleTimeoutBody},
     headers::clean_answer_headers,
     idempotency::Run,
     sse::{Usage, contains_request_id},
@@ -41,10 +44,12 @@
     mut answer: Response<Incoming>,
     prompt_cost: u64,
 ) -> Result<Response<Body>, Failure> {
+    let deadline = Instant::now() + Duration::from_millis(upstream_request.answer_timeout_ms);
+    let mut last_error = SendError::Interrupted;
     for _ in 0..MAX_READ_ATTEMPTS {
         let status = answer.status();
         let (head, body) = answer.into_parts();
-        let error = match read(body, upstream_request.silence_timeout_ms).await {
+        let error = match read(body, upstream_request.silence_timeout_ms, deadline).await {
             // A status other than success carries an error of the engine.
             Ok(body) if !status.is_success() => {
                 return Ok(finish(run, attempt, head, body, 0));
@@ -58,6 +63,10 @@
             },
             Err(error) => error,
         };
+        last_error = error;
+        if Instant::now() >= deadline {
+            break;
+        }
         answer = match resume(frontend, upstream_request, &attempt, 0, error).await {
             Ok(answer) => answer,
             Err(error) => {
@@ -66,14 +75,23 @@
             }
         };
     }
-    attempt.fail(SendError::Interrupted);
-    Err(attempt_failure(SendError::Interrupted, Outcome::Unknown))
+    attempt.fail(last_error);
+    Err(attempt_failure(last_error, Outcome::Unknown))
 }
 
-async fn read(body: Incoming, silence_timeout_ms: u64) -> Result<Bytes, SendError> {
-    let limit = Duration::from_millis(silence_timeout_ms);
-    match tokio::time::timeout(limit, collect_body(body, MAX_ANSWER_BYTES)).await {
+/// Reads an answer that may take until `deadline`, but must not be silent for longer than
+/// the silence timeout.
+async fn read(
+    body: Incoming,
+    silence_timeout_ms: u64,
+    deadline: Instant,
+) -> Result<Bytes, SendError> {
+    let body = IdleTimeoutBody::new(body.map_err(Into::into).boxed(), silence_timeout_ms);
+    match timeout_at(deadline, collect_body(body, MAX_ANSWER_BYTES)).await {
         Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::Incomplete(error))) if error.is::<IdleTimeout>() => {
+            Err(SendError::Silent)
+        }
         Ok(Err(_)) => Err(SendError::Interrupted),
         Err(_) => Err(SendError::Silent),
     }
--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -218,7 +218,8 @@
 }
 
 /// Guards against stalled answers that never end because the engine sends a byte now and
-/// then, and against slow streams that are cut although they make progress.
+/// then, and against answers that are cut because they take longer than the silence timeout
+/// although bytes arrive all the time.
 #[tokio::test(flavor = "multi_thread")]
 async fn only_stalled_answers_are_given_up() {
     const INTERVAL_MS: u64 = 100;
@@ -242,11 +243,16 @@
         (0..=TOKENS).flat_map(piece).chain([DONE.to_owned()]).collect()
     };
     let spaces = |_: &str| vec![" ".to_owned(); 600];
+    let slow_json = |id: &str| {
+        let text = completion(id);
+        text.as_bytes().chunks(8).map(|piece| String::from_utf8_lossy(piece).into()).collect()
+    };
     let cases = [
         Case { name: "comments", stream: true, pieces: comments, outcome: "unknown" },
         Case { name: "bytes", stream: true, pieces: bytes, outcome: "unknown" },
         Case { name: "slow stream", stream: true, pieces: slow, outcome: "completed" },
         Case { name: "spaces", stream: false, pieces: spaces, outcome: "unknown" },
+        Case { name: "slow completion", stream: false, pieces: slow_json, outcome: "completed" },
     ];
     for Case { name, stream, pieces, outcome } in cases {
         let engine = scripted::bind(move |request| {
