--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -4,8 +4,9 @@
 mod scripted;
 
 use std::{
+    collections::BTreeSet,
     sync::{
-        OnceLock,
+        Arc, OnceLock,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -13,7 +14,9 @@
 
 use common::{Answer, TestSetup, chat_body};
 use http::Method;
-use scripted::{DONE, Script, TOKENS, answer, chunks, completion, events, offset_header, resumed};
+use scripted::{
+    DONE, Received, Script, TOKENS, answer, chunks, completion, events, offset_header, resumed,
+};
 
 const JSON: &str = "application/json";
 const ERROR: &str = r#"{"error":{"message":"the engine is full"}}"#;
@@ -217,6 +220,59 @@
     }
 }
 
+/// Guards against the text of an error in a stream that broke off before its first event and
+/// is run again, and against such a stream that ends as complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_stream_that_the_next_upstream_rejects_ends_as_unknown() {
+    let page = answer("200 OK", "text/plain", "", "full\n\ndata: [DONE]\n\n");
+    let cases = [
+        ("error", answer("503 Service Unavailable", JSON, "", ERROR)),
+        ("another content type", page),
+        ("end of a stream", events("", DONE)),
+    ];
+    for (name, second) in cases {
+        let first = Arc::new(OnceLock::new());
+        let script = move |request: &Received| {
+            if request.offset.is_some() {
+                return Script::close(answer("410 Gone", JSON, "", ERROR));
+            }
+            let is_first = first.set(()).is_ok();
+            Script::close(if is_first { events("", "") } else { second.clone() })
+        };
+        let engines = [scripted::bind(script.clone()).await, scripted::bind(script).await];
+        let setup = TestSetup::new().upstream("stitch-assist", engines[0].address);
+        let setup = setup.upstream("stitch-assist", engines[1].address).start().await;
+        let lost = setup.chat(name, TOKENS, true).await;
+        assert_eq!(lost.outcome().as_deref(), Some("unknown"), "{name}: {lost:?}");
+        let text = lost.text();
+        assert!(!text.contains("full") && !text.contains(DONE), "{name}: {text}");
+        assert!(engines.iter().all(|engine| !engine.received().is_empty()), "{name}: no retry");
+    }
+}
+
+/// Guards against a plain call or one that may run once that shares a connection, on which a
+/// late copy of an earlier answer could be taken for its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_cannot_be_verified_use_their_own_connections() {
+    let upstream = || {
+        scripted::bind(|request| Script::keep(answer("200 OK", JSON, "", &completion(&request.id))))
+    };
+    let (plain, engine) = (upstream().await, upstream().await);
+    let setup = TestSetup::new().upstream("pages", plain.address);
+    let setup = setup.upstream("stitch-assist", engine.address).start().await;
+    let chat = chat_body("booked", TOKENS, false).to_string();
+    for _ in 0..3 {
+        setup.call(Method::POST, "/svc/pages/x", &[], "read").await;
+        let headers = [("x-span-idempotent", "false")];
+        setup.call(Method::POST, "/v1/chat/completions", &headers, &chat).await;
+    }
+    for upstream in [plain, engine] {
+        let requests = upstream.received();
+        let connections: BTreeSet<_> = requests.iter().map(|request| request.connection).collect();
+        assert_eq!(connections.len(), 3, "{requests:?}");
+    }
+}
+
 /// Guards against stalled answers that never end because the engine sends a byte now and
 /// then, and against answers that are cut because they take longer than the silence timeout
 /// although bytes arrive all the time.
