Reject callers that ask for the rest of a stream

A caller that took up a broken stream with x-resume-offset or last-event-id got status 200 and the start of another run: routers keep no streams, in memory or elsewhere, and the headers were ignored. The text was then joined from two runs with nothing in the answer to show it, whether routers had been restarted or not. Such a request is now rejected at once, as not run.

caller_that_takes_up_a_stream_is_rejected failed before: status 200 with a whole other run.

--- a/crates/router/src/frontend/chat.rs
+++ b/crates/router/src/frontend/chat.rs
@@ -11,7 +11,10 @@
 use serde::Deserialize;
 use serde_json::{json, value::RawValue};
 use span_http::{Body, json_response};
-use span_types::{COST_HINT_HEADER, Outcome, PROMPT_PREFIX_HASH_HEADER, RequestId, ServiceName};
+use span_types::{
+    COST_HINT_HEADER, Outcome, PROMPT_PREFIX_HASH_HEADER, RESUME_OFFSET_HEADER, RequestId,
+    ServiceName,
+};
 
 use super::{
     Failure, Frontend,
@@ -26,6 +29,8 @@
 use crate::control::AdmitRequest;
 
 const ESTIMATED_BYTES_PER_TOKEN: usize = 4;
+/// Header with which clients of server-sent events resume a stream.
+const LAST_EVENT_ID_HEADER: &str = "last-event-id";
 /// Trace context headers of the caller that are sent to the engine.
 const PROPAGATED_HEADERS: [HeaderName; 3] = [
     HeaderName::from_static("traceparent"),
@@ -52,6 +57,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
     let (parts, body) = request.into_parts();
+    reject_resumption(&parts.headers)?;
     let limits = &frontend.settings.limits;
     let idle_timeout_ms = frontend.settings.timeouts.body_ms;
     let body = body::read_to_end(&parts.headers, body, limits.body_bytes, idle_timeout_ms).await?;
@@ -106,6 +112,17 @@
     }
 }
 
+/// Rejects a caller that asks for the rest of a stream. Routers keep no streams, so it would
+/// get the start of another run.
+fn reject_resumption(headers: &HeaderMap) -> Result<(), Failure> {
+    let resumption_headers = [RESUME_OFFSET_HEADER, LAST_EVENT_ID_HEADER];
+    let Some(name) = resumption_headers.iter().find(|name| headers.contains_key(**name)) else {
+        return Ok(());
+    };
+    let message = format!("streams cannot be resumed; send the request without {name}");
+    Err(Failure::not_run(StatusCode::BAD_REQUEST, "not_resumable", message))
+}
+
 fn invalid_request(error: &serde_json::Error) -> Failure {
     let message = format!("the body is not a chat completion request: {error}");
     Failure::not_run(StatusCode::BAD_REQUEST, "invalid_request", message)
--- a/crates/router/tests/chat.rs
+++ b/crates/router/tests/chat.rs
@@ -146,6 +146,29 @@
     assert!(answer.text().contains("upstream_failed") && !answer.text().contains("[DONE]"));
 }
 
+/// Guards against a caller that asks for the rest of a stream and gets the start of another
+/// run, such as after a restart of the routers, which remember no streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_takes_up_a_stream_is_rejected() {
+    let engine = engine::bind(loopback(), fast_engine()).await.expect("bind failed");
+    let setup = TestSetup::new().upstream("stitch-assist", engine.address()).start().await;
+    assert_complete(&setup.chat("whole", 10, true).await, "whole", 10);
+    let restarted = common::spawn(&setup.settings).await;
+    for router in [&setup.router, &restarted] {
+        for header in ["x-resume-offset", "last-event-id"] {
+            let (address, path) = (router.http_address(), "/v1/chat/completions");
+            let body = chat_body("rest", 10, true).to_string();
+            let headers = [(header, "3")];
+            let client = &setup.client;
+            let answer = common::call(client, address, Method::POST, path, &headers, &body).await;
+            assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{header}: {answer:?}");
+            assert_eq!(answer.outcome().as_deref(), Some("not_run"), "{header}");
+            assert_eq!(answer.json()["error"]["type"], "not_resumable", "{header}");
+        }
+    }
+    assert_eq!(executions(&engine, "rest").len(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn abandoned_request_is_cancelled() {
     // The engine would keep the request for this long without a reader, so it
