Answer requests that reach open connections during a graceful shutdown

At the end of the shutdown the server closed idle connections, on which a request may be on its way, those that had been accepted and not read yet, and those that waited to be accepted, and nothing told callers before that a connection would close.

A stopping server now accepts what waits, announces the end of the connection in each answer, and closes an idle connection only after it has read nothing for 500 ms more. Requests that arrive in this time are served or rejected as not run. A shutdown takes up to 500 ms longer.

A connection that the kernel accepts between the last accept and the close of the listener is still reset.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,13 +1,12 @@
 //! HTTP server with limits on connections, request heads and blocked writes.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, future::Future, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
+};
 
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
@@ -19,6 +18,9 @@
 };
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a stopping server still reads a request from an idle connection. A
+/// request may be on its way, and the answer to it announces the end of the connection.
+const LAST_REQUEST_GRACE: Duration = Duration::from_millis(500);
 
 /// Limits of a [`Server`].
 #[derive(Clone, Copy, Debug)]
@@ -59,7 +61,8 @@
         self.address
     }
 
-    /// Stops accepting connections and waits until open requests have finished.
+    /// Stops accepting connections and waits until open requests have finished, those
+    /// included that arrive on an open connection within a short time.
     pub async fn shutdown(self) {
         self.stop.send_replace(true);
         // The task fails only if it panicked, and then it has stopped already.
@@ -120,10 +123,25 @@
     Fut: Future<Output = Response<Body>> + Send + 'static,
     R: Fn() -> Response<Body> + Clone + Send + Sync + 'static,
 {
-    let graceful = GracefulShutdown::new();
     // If the accept loop is aborted, dropping the set closes all connections.
     let mut connections = JoinSet::new();
     let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let connection_stopped = stopped.clone();
+    let serve = |stream: TcpStream, peer: SocketAddr| {
+        let permit = Arc::clone(&permits).try_acquire_owned().ok();
+        let (handler, reject) = (handler.clone(), reject.clone());
+        let respond = move |request: Request<Incoming>, is_admitted: bool| {
+            let handler = handler.clone();
+            let rejection = (!is_admitted).then(&reject);
+            async move {
+                match rejection {
+                    Some(response) => response,
+                    None => handler(request, peer).await,
+                }
+            }
+        };
+        handle_connection(stream, limits, permit, connection_stopped.clone(), respond)
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -132,33 +150,42 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                let permit = Arc::clone(&permits).try_acquire_owned().ok();
-                let (handler, reject) = (handler.clone(), reject.clone());
-                let respond = move |request: Request<Incoming>, is_admitted: bool| {
-                    let handler = handler.clone();
-                    let rejection = (!is_admitted).then(&reject);
-                    async move {
-                        match rejection {
-                            Some(response) => response,
-                            None => handler(request, peer).await,
-                        }
-                    }
-                };
-                connections.spawn(handle_connection(stream, limits, permit, &graceful, respond));
+                connections.spawn(serve(stream, peer));
             }
             // Usually out of file descriptors: wait until some are closed.
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
-    drop(listener);
-    graceful.shutdown().await;
+    for (stream, peer) in drain_backlog(listener) {
+        connections.spawn(serve(stream, peer));
+    }
+    while connections.join_next().await.is_some() {}
+}
+
+/// Closes a listener and returns the connections that the kernel has accepted; their
+/// callers may have sent requests.
+fn drain_backlog(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::warn!(%error, "connections that wait to be accepted are closed");
+            return Vec::new();
+        }
+    };
+    // The listener does not block, so that an empty backlog is an error.
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let connections = accepted.filter_map(|(stream, peer)| {
+        stream.set_nonblocking(true).ok()?;
+        Some((TcpStream::from_std(stream).ok()?, peer))
+    });
+    connections.collect()
 }
 
 fn handle_connection<F, Fut>(
     stream: TcpStream,
     limits: Limits,
     permit: Option<OwnedSemaphorePermit>,
-    graceful: &GracefulShutdown,
+    mut stopped: watch::Receiver<bool>,
     respond: F,
 ) -> impl Future<Output = ()> + Send + 'static
 where
@@ -170,11 +197,16 @@
     let _ = stream.set_nodelay(true);
     let answer_end = AnswerEnd::default();
     let stream = OrderlyCloseStream::new(stream, answer_end.clone());
+    let is_stopped = stopped.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (version, answer_end) = (request.version(), answer_end.clone());
+        let is_stopped = is_stopped.clone();
         let response = respond(request, is_admitted);
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            if *is_stopped.borrow() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             answer_end.record(version, &response);
             Ok::<_, Infallible>(response)
         }
@@ -186,9 +218,19 @@
         .max_buf_size(limits.max_header_bytes)
         .keep_alive(is_admitted)
         .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
     async move {
+        let mut connection = pin!(connection);
         // A connection that the client interrupts is not an error of the server.
+        let last_request_grace = async {
+            // Fails if the server was dropped, which stops it as well.
+            let _ = stopped.wait_for(|stop| *stop).await;
+            tokio::time::sleep(LAST_REQUEST_GRACE).await;
+        };
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = last_request_grace => {}
+        }
+        connection.as_mut().graceful_shutdown();
         let _ = connection.await;
         drop(permit);
     }
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -3,10 +3,18 @@
 
 mod common;
 
-use common::{TestSetup, assert_complete, executions, fast_engine, loopback, wait_until};
+use std::net::SocketAddr;
+
+use common::{
+    TestSetup, WORKSPACE_KEY, assert_complete, executions, fast_engine, loopback, wait_until,
+};
 use futures::future::{join_all, pending, ready};
 use http::Method;
 use span_standin::{engine, service};
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufStream},
+    net::TcpStream,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn graceful_shutdown_completes_all_requests() {
@@ -48,6 +56,70 @@
     plain_call.await.expect("the task failed");
 }
 
+/// Sends requests on one connection after the other until none can be opened. Returns the
+/// number of requests, and of those that got no answer.
+async fn send_until_refused(address: SocketAddr) -> (u32, u32) {
+    let head = format!(
+        "GET /svc/pages/x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {WORKSPACE_KEY}\r\n\r\n"
+    );
+    let (mut sent, mut unanswered) = (0, 0);
+    while let Ok(stream) = TcpStream::connect(address).await {
+        let mut stream = BufStream::new(stream);
+        loop {
+            sent += 1;
+            let _ = stream.write_all(head.as_bytes()).await;
+            let _ = stream.flush().await;
+            match read_answer(&mut stream).await {
+                None => {
+                    unanswered += 1;
+                    break;
+                }
+                Some(closes) if closes => break,
+                Some(_) => {}
+            }
+        }
+    }
+    (sent, unanswered)
+}
+
+/// Reads one answer with a length; returns whether it announces that the connection closes.
+async fn read_answer(stream: &mut BufStream<TcpStream>) -> Option<bool> {
+    let (mut length, mut closes) = (0, false);
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).await.ok().filter(|bytes| *bytes > 0)?;
+        match line.trim_end().split_once(": ") {
+            Some(("content-length", value)) => length = value.parse().ok()?,
+            Some(("connection", value)) => closes = value == "close",
+            None if line == "\r\n" => break,
+            _ => {}
+        }
+    }
+    stream.read_exact(&mut vec![0; length]).await.ok()?;
+    Some(closes)
+}
+
+/// Guards against requests that get no answer because the router closes the connection they
+/// were sent on, while callers use open connections until the process is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_sent_during_the_shutdown_are_answered() {
+    let pages = service::bind(loopback(), service::Settings { call_ms: 2, ..Default::default() });
+    let pages = pages.await.expect("bind failed");
+    let mut setup = TestSetup::new().upstream("pages", pages.address());
+    setup.timeouts.address_lifetime_ms = 100;
+    let common::RunningSetup { router, .. } = setup.start().await;
+    let callers: Vec<_> =
+        (0..16).map(|_| tokio::spawn(send_until_refused(router.http_address()))).collect();
+    assert_eq!(router.shutdown(pending()).await, []);
+    let mut total = (0, 0);
+    for caller in callers {
+        let (sent, unanswered) = caller.await.expect("the task failed");
+        total = (total.0 + sent, total.1 + unanswered);
+    }
+    assert!(total.0 > 100, "only {} requests", total.0);
+    assert_eq!(total.1, 0, "of {} requests", total.0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn forced_shutdown_lists_interrupted_requests() {
     struct Case {
