Test that a silent engine keeps its request

An engine that answers nothing for four silence timeouts in a row still gets its request resumed, before the first chunk, after it, and for a completion that is not streamed; no other upstream runs it.

--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -273,6 +273,46 @@
     }
 }
 
+/// Guards against requests that are run again at another upstream, or given up, because the
+/// first one was silent for a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_engine_keeps_its_request() {
+    const SILENT_RESUMPTIONS: usize = 3;
+    const SILENCE_MS: u64 = 60_000;
+    struct Case {
+        name: &'static str,
+        stream: bool,
+        /// Chunks before the silence; without any, there is no head either.
+        sent: u64,
+    }
+    let cases = [
+        Case { name: "before the stream", stream: true, sent: 0 },
+        Case { name: "in the stream", stream: true, sent: 2 },
+        Case { name: "before the completion", stream: false, sent: 0 },
+    ];
+    for Case { name, stream, sent } in cases {
+        let script = move |request: &Received| match request.offset {
+            Some(offset) if request.earlier > SILENT_RESUMPTIONS => {
+                Script::keep(resumed(&request.id, offset, stream))
+            }
+            None if sent > 0 => {
+                let begun = events("", &chunks(&request.id, 0, sent));
+                Script { parts: vec![(0, begun), (SILENCE_MS, String::new())], closes: true }
+            }
+            _ => Script { parts: vec![(SILENCE_MS, String::new())], closes: true },
+        };
+        let engines = [scripted::bind(script).await, scripted::bind(script).await];
+        let setup = TestSetup::new().upstream("stitch-assist", engines[0].address);
+        let setup = setup.upstream("stitch-assist", engines[1].address).start().await;
+        let answer = setup.chat(name, TOKENS, stream).await;
+        assert_eq!(answer.outcome().as_deref(), Some("completed"), "{name}: {answer:?}");
+        assert_eq!(text(&answer, stream), scripted::whole_text(), "{name}");
+        let id = answer.header("x-request-id");
+        let sends: usize = engines.iter().map(|engine| engine.sends(id)).sum();
+        assert_eq!(sends, 1, "{name}: runs");
+    }
+}
+
 /// Guards against stalled answers that never end because the engine sends a byte now and
 /// then, and against answers that are cut because they take longer than the silence timeout
 /// although bytes arrive all the time.
