--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -93,7 +93,12 @@
         failure_domain: settings.failure_domain.clone(),
         processor_millicores: settings.resources.processor_millicores,
     };
-    info!(instance = settings.instance.as_str(), incarnation, "router process starting");
+    info!(
+        instance = settings.instance.as_str(),
+        incarnation,
+        is_first_start = settings.is_first_start,
+        "router process starting"
+    );
     let node = Node::new(settings, wire_format, own_router, incarnation);
     let (stop, stopped) = watch::channel(false);
     let callers = bind(addresses.callers, "callers")?;
