Mend what a second review of the records found

A second reviewer showed with tests that streams could still go on elsewhere: at members of a large fleet, which asked their collector only about the services that they knew themselves; where the first stream was taken up before the history was read; after a router without a configuration had emptied the history; after time limits got shorter before a restart; and where settings of the first start were still in force. And that streams which began before the history was read were never recorded, that routers wrote the history in turn, and read it again after each rejection.

Questions name the route, and each router adds the services that it knows; what may be is computed again after the search. The history is written only with a configuration and holds the lifetimes of streams, and the first start counts only if the store has no record. A value that another router has seen later is taken over instead of removed again. A debt for streams that are taken up follows a limit that falls, and none is made for spare slots.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -175,6 +175,13 @@
             self.budget = limit_per_s.map_or(0.0, |limit| limit * MAX_BURST_MS / 2_000.0);
             self.spare_budget = self.budget * SPARE_LIMIT_FACTOR;
         }
+        if let (Some(old), Some(new)) = (self.limit_per_s, limit_per_s)
+            && new < old
+            && self.budget < 0.0
+        {
+            // A debt takes as long to repay as before.
+            self.budget *= new / old;
+        }
         self.limit_per_s = limit_per_s;
     }
 
@@ -349,7 +356,9 @@
         let max_debt = queue.max_take_up_debt();
         queue.check_share(slots, 0, max_debt)?;
         queue.dispatched.add(now_ms, request.cost);
-        queue.charge(request.cost, max_debt);
+        // Slots that others do not need are used without debt.
+        let needs_debt = !queue.may_dispatch(slots.utilization());
+        queue.charge(request.cost, if needs_debt { max_debt } else { 0.0 });
         self.last_ticket += 1;
         self.count_dispatch(now_ms, request.cost);
         Ok(Ticket(self.last_ticket))
--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -15,7 +15,7 @@
     config::RouteKind,
     node::Node,
     origin_exchange::OriginFinding,
-    stream_origin::{OriginVerdict, RecordSearch, RequestKey, StreamOrigin},
+    stream_origin::{OriginVerdict, RecordSearch, RequestKey, RouteScope, StreamOrigin},
 };
 
 /// A stream that a request takes up.
@@ -51,10 +51,11 @@
     record: &RequestRecord,
 ) -> Result<StreamOrigin, ErrorReply> {
     let started_ms = node.now_ms();
-    let services = node.state().route_services(started_ms, &checked.route);
+    let services = checked.route.services().cloned().collect();
+    let scope = RouteScope { route: checked.route.id(), services };
     // Nobody knows the request's own id, as they do not know a stream without a name.
     let request = stream.request.unwrap_or_else(|| RequestKey::new(checked.id.as_bytes()));
-    let finding = node.find_stream_origin(request, &services).await;
+    let finding = node.find_stream_origin(request, &scope).await;
     let OriginFinding { verdict, candidates, knows_history, search } = &finding;
     let (origin, source) = match verdict {
         OriginVerdict::Found(origin, source) => (Some(origin), Some(<&'static str>::from(source))),
@@ -76,12 +77,12 @@
     );
     let refuse = |message| Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
     match origin {
-        None if *search == RecordSearch::Failed => refuse(
+        None if matches!(search, RecordSearch::Failed | RecordSearch::Pending) => refuse(
             "the store cannot be asked at the moment where the stream began; the request did not \
              run",
         ),
         None => refuse("it is not known where the stream began; the request did not run"),
-        Some(origin) if checked.route.services().all(|service| *service != origin.service) => {
+        Some(origin) if !scope.services.contains(&origin.service) => {
             refuse("the route no longer leads to the stream's service; the request did not run")
         }
         Some(origin) => Ok(origin.clone()),
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -61,7 +61,8 @@
     pub(crate) inquiries: Inquiries,
     /// Demand for what the store holds about streams.
     pub(crate) record_reads: RecordReads,
-    /// Wakes the writer of records about streams after a change of the upstreams.
+    /// Wakes the writer of records about streams after a change of the upstreams or of the
+    /// configuration.
     pub(crate) records_changed: Notify,
     state: RefCell<State>,
 }
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -9,7 +9,7 @@
 };
 
 use futures::{StreamExt, channel::mpsc};
-use span_types::{InstanceName, ServiceName};
+use span_types::InstanceName;
 use tokio::{task::spawn_local, time::sleep_until};
 use tracing::warn;
 
@@ -21,7 +21,7 @@
     role::Role,
     stream_origin::{
         ASK_AGAIN_MS, OriginAnswer, OriginInquiry, OriginNotice, OriginSource, OriginVerdict,
-        RecordSearch, RequestKey, StreamOrigin, TOLD_ROUTERS,
+        RecordSearch, RequestKey, RouteScope, StreamOrigin, TOLD_ROUTERS,
     },
     stream_records::RecordedOrigin,
 };
@@ -36,9 +36,9 @@
 #[derive(Debug)]
 pub(crate) struct OriginFinding {
     pub(crate) verdict: OriginVerdict,
-    /// Where streams of the route's services may have begun.
+    /// Where streams of the route may have begun.
     pub(crate) candidates: BTreeSet<StreamOrigin>,
-    /// Whether any router knows which versions there were before it started.
+    /// Whether any router knows where they may have begun before it started.
     pub(crate) knows_history: bool,
     /// State of the search in the records of the store.
     pub(crate) search: RecordSearch,
@@ -193,27 +193,36 @@
         self.record_origins(&notices);
     }
 
-    /// Takes over what another router tells of streams.
+    /// Takes over what another router tells of streams. They may have begun at a version of
+    /// which this router knows no upstream yet; others have to be told of its own then.
     pub(crate) fn learn_stream_origins(&self, notices: &[OriginNotice]) {
         let now_ms = self.now_ms();
         let mut state = self.state();
+        let mut differs_now = false;
         for notice in notices {
+            let service = &notice.origin.service;
+            let differed = state.origins_may_differ(now_ms, service);
             state.stream_origins.learn(now_ms, notice);
+            differs_now |= !differed && state.origins_may_differ(now_ms, service);
+        }
+        drop(state);
+        if differs_now {
+            self.tell_stream_origins(false);
         }
     }
 
-    /// Answers a router that asks for a stream of one of `services`. A collector first
-    /// searches the records for those that do not read them.
+    /// Answers a router that asks for a stream. A collector first searches the records for
+    /// those that do not read them.
     pub(crate) fn answer_inquiry(
         self: &Rc<Self>,
         to: IpAddr,
         request: RequestKey,
-        services: BTreeSet<ServiceName>,
+        scope: RouteScope,
     ) {
         let now_ms = self.now_ms();
         let (own, is_collector, needs_search) = {
             let state = self.state();
-            let own = state.origin_answer(now_ms, request, &services);
+            let own = state.origin_answer(now_ms, request, &scope);
             let is_collector = matches!(state.role(), Some(Role::Collector { .. }));
             let needs_search = state.needs_record_search(now_ms, &own);
             (own, is_collector, needs_search)
@@ -227,7 +236,7 @@
             node.read_records(now_ms.saturating_sub(RECORDS_FRESH_MS)).await;
             let answer = {
                 let state = node.state();
-                let mut answer = state.origin_answer(node.now_ms(), request, &services);
+                let mut answer = state.origin_answer(node.now_ms(), request, &scope);
                 if let RecordedOrigin::At(origin) = state.recorded_origins.get(request) {
                     answer.origin.get_or_insert(origin);
                 }
@@ -253,16 +262,16 @@
     }
 
     /// Finds out where the stream that `request` began can go on, if need be from other
-    /// routers. It may have begun at `services`.
+    /// routers.
     pub(crate) async fn find_stream_origin(
         self: &Rc<Self>,
         request: RequestKey,
-        services: &BTreeSet<ServiceName>,
+        scope: &RouteScope,
     ) -> OriginFinding {
         let now_ms = self.now_ms();
         let (mut inquiry, addresses) = {
             let state = self.state();
-            let own = state.origin_answer(now_ms, request, services);
+            let own = state.origin_answer(now_ms, request, scope);
             if let Some(origin) = own.origin {
                 return OriginFinding {
                     verdict: OriginVerdict::Found(origin, OriginSource::Known),
@@ -316,8 +325,8 @@
                 let ips: Vec<IpAddr> =
                     asked.filter_map(|name| addresses.get(name).copied()).collect();
                 if !ips.is_empty() {
-                    let services = services.clone();
-                    self.outbox.push(ips, Packet::OriginQuestion { request, services });
+                    let scope = scope.clone();
+                    self.outbox.push(ips, Packet::OriginQuestion { request, scope });
                     self.count(Counter::OriginQuestions);
                 }
             }
@@ -330,7 +339,7 @@
                     let now_ms = self.now_ms();
                     let state = self.state();
                     let recorded = has_read.then(|| state.recorded_origins.get(request));
-                    let own = state.origin_answer(now_ms, request, services);
+                    let own = state.origin_answer(now_ms, request, scope);
                     inquiry.record_search(now_ms, recorded, own);
                 }
                 () = sleep_until(self.clock.instant(wake_ms)) => {}
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -7,7 +7,6 @@
 
 use std::{
     cell::Cell,
-    collections::BTreeSet,
     io,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -19,7 +18,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use span_member::{MemberChange, MemberUpdate, Router, heartbeat_peers, heartbeat_targets};
-use span_types::{FailureDomain, InstanceName, ServiceName};
+use span_types::{FailureDomain, InstanceName};
 use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
 use tracing::{info, warn};
 
@@ -33,7 +32,7 @@
     role::Role,
     store::Position,
     store_source::{START_HEARTBEAT_INTERVAL_MS, StoreKnowledge},
-    stream_origin::{OriginAnswer, OriginNotice, RequestKey},
+    stream_origin::{OriginAnswer, OriginNotice, RequestKey, RouteScope},
     upstream_limit::LimitSummary,
 };
 
@@ -76,12 +75,12 @@
     FleetSummary(SummaryMessage),
     /// Tells of streams that the sender began.
     StreamOrigins(Vec<OriginNotice>),
-    /// Asks where a stream began that may be of these services.
+    /// Asks where a stream began.
     OriginQuestion {
         /// The request that began the stream.
         request: RequestKey,
-        /// Services at which it may have begun.
-        services: BTreeSet<ServiceName>,
+        /// Where it may have begun.
+        scope: RouteScope,
     },
     /// Answers an [`Packet::OriginQuestion`].
     OriginAnswer {
@@ -548,8 +547,8 @@
                     Ok(Packet::StreamOrigins(notices)) => {
                         self.node.learn_stream_origins(&notices);
                     }
-                    Ok(Packet::OriginQuestion { request, services }) => {
-                        self.node.answer_inquiry(from.ip(), request, services);
+                    Ok(Packet::OriginQuestion { request, scope }) => {
+                        self.node.answer_inquiry(from.ip(), request, scope);
                     }
                     Ok(Packet::OriginAnswer { from, request, answer }) => {
                         self.node.inquiry_answered(&from, request, &answer);
--- a/crates/edge/src/recent_values.rs
+++ b/crates/edge/src/recent_values.rs
@@ -6,7 +6,7 @@
 struct RecentValue {
     /// When the value left the set; none while it is in it.
     gone_ms: Option<u64>,
-    /// Whether it is known from a record alone.
+    /// Whether a record alone says that it was in the set so late.
     is_from_record: bool,
 }
 
@@ -51,17 +51,21 @@
         let values = self.values.entry(key.clone()).or_default();
         let noted = RecentValue { gone_ms: Some(now_ms), is_from_record: false };
         let recent = values.entry(value.clone()).or_insert(noted);
-        recent.gone_ms = recent.gone_ms.map(|_| now_ms);
+        if recent.gone_ms.is_some() {
+            *recent = noted;
+        }
     }
 
-    /// Takes over a record of the values that keys had lately. Values that are not known yet
-    /// count as gone from now on. Those that only an earlier record named, and this complete
-    /// one does not, have been gone for long enough.
+    /// Takes over a record of the values that keys had lately. Values that are not known yet,
+    /// or were gone for `lifetime_ms`, count as gone from now on: another router has seen them
+    /// later. Those that only an earlier record named, and this complete one does not, have
+    /// been gone for long enough.
     pub fn add_record(
         &mut self,
         now_ms: u64,
         record: &BTreeMap<K, BTreeSet<V>>,
         is_complete: bool,
+        lifetime_ms: u64,
     ) {
         for (key, values) in &mut self.values {
             let recorded = record.get(key);
@@ -74,15 +78,41 @@
         for (key, recorded) in record {
             let values = self.values.entry(key.clone()).or_default();
             for value in recorded {
-                values.entry(value.clone()).or_insert(gone);
+                let known = values.entry(value.clone()).or_insert(gone);
+                if !is_recent(now_ms, known, lifetime_ms) {
+                    *known = gone;
+                }
             }
         }
     }
 
     /// Values that `key` has, or had within `lifetime_ms`.
     pub fn recent(&self, now_ms: u64, key: &K, lifetime_ms: u64) -> impl Iterator<Item = &V> {
+        self.recent_by(now_ms, key, move |_| lifetime_ms)
+    }
+
+    /// Values that `key` has, or had within the lifetime of each in milliseconds.
+    pub fn recent_by(
+        &self,
+        now_ms: u64,
+        key: &K,
+        lifetime_ms: impl Fn(&V) -> u64,
+    ) -> impl Iterator<Item = &V> {
         let values = self.values.get(key).into_iter().flatten();
-        values.filter(move |(_, recent)| is_recent(now_ms, recent, lifetime_ms)).map(|(v, _)| v)
+        let recent =
+            values.filter(move |(value, recent)| is_recent(now_ms, recent, lifetime_ms(value)));
+        recent.map(|(value, _)| value)
+    }
+
+    /// Whether a key has, or had within `lifetime_ms`, `value` and another one.
+    pub fn is_ambiguous(&self, now_ms: u64, value: &V, lifetime_ms: u64) -> bool {
+        self.values.values().any(|values| {
+            let has = |of: &dyn Fn(&V) -> bool| {
+                let mut values = values.iter();
+                values.any(|(value, recent)| of(value) && is_recent(now_ms, recent, lifetime_ms))
+            };
+            has(&|other| other == value) && has(&|other| other != value)
+        })
     }
 
     /// As [`RecentValues::recent`], for all keys that have or had any.
@@ -92,6 +122,14 @@
         });
         keys.filter(|(_, values)| !values.is_empty()).collect()
     }
+
+    /// Forgets the values that were gone for `lifetime_ms`.
+    pub fn expire(&mut self, now_ms: u64, lifetime_ms: u64) {
+        for values in self.values.values_mut() {
+            values.retain(|_, recent| is_recent(now_ms, recent, lifetime_ms));
+        }
+        self.values.retain(|_, values| !values.is_empty());
+    }
 }
 
 fn is_recent(now_ms: u64, recent: &RecentValue, lifetime_ms: u64) -> bool {
--- a/crates/edge/src/record_sync.rs
+++ b/crates/edge/src/record_sync.rs
@@ -1,9 +1,9 @@
 //! Keeps the records about streams in the platform's store.
 //!
-//! Nothing is read while all upstreams of a service have had one software version for as
-//! long as streams last, except once after the start. Records concern the callers of
-//! broken streams alone, so a store that does not answer here counts neither as an outage
-//! for the entries of upstreams nor as an answer.
+//! Records are read at the start, to look for segments of dead routers, after a conflict of
+//! two writes, and while callers take up streams that may have begun at several places.
+//! They concern the callers of broken streams alone, so a store that does not answer here
+//! counts neither as an outage for the entries of upstreams nor as an answer.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -63,22 +63,27 @@
     fn take_records(&self, records: &StreamRecords) {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        if let Some(history) = &records.history {
-            // One from before a restore of the store may lack what was recorded since.
-            let is_complete = history.complete_era == Some(records.era);
-            state.stream_origins.add_history(now_ms, history, is_complete);
-        }
+        let history = records.history.as_ref();
+        // One from before a restore of the store may lack what was recorded since.
+        let is_complete = history.is_some_and(|history| history.complete_era == Some(records.era));
+        state.stream_origins.add_history(now_ms, history, is_complete);
+        state.refresh_stream_lifetime(now_ms);
         state.stream_history.replace(records.era, records.history.clone());
         state.recorded_origins.replace(&records.segments);
+        drop(state);
+        // The history may name further places where streams may have begun.
+        self.tell_stream_origins(false);
     }
 
-    /// Drops the index of recorded origins if no stream has been searched for in it within
-    /// the lifetime of streams.
-    fn expire_recorded_origins(&self) {
+    /// Forgets what was gone for the lifetime of streams, and the index of recorded origins if
+    /// no stream has been searched for in it for as long.
+    fn expire_records(&self) {
         let now_ms = self.now_ms();
         let read_ms = self.record_reads.latest.borrow().started_ms.unwrap_or(0);
         let mut state = self.state();
-        if now_ms >= read_ms + state.stream_lifetime_ms {
+        let lifetime_ms = state.stream_lifetime_ms;
+        state.stream_origins.expire_history(now_ms, lifetime_ms);
+        if now_ms >= read_ms + lifetime_ms {
             state.recorded_origins.replace(&[]);
         }
     }
@@ -145,16 +150,16 @@
             state.origin_log.rewrite_all();
         }
         node.resend_origins();
+        node.state().refresh_stream_lifetime(now_ms);
         let mut result = write_history(&node, &store, &mut failures).await;
         if now_ms >= flushed_ms + FLUSH_INTERVAL_MS {
             flushed_ms = now_ms;
-            if result.is_ok() {
-                result = flush_log(&node, &store, &mut failures).await;
-            }
+            // The store may take streams although it does not take the history.
+            result = result.and(flush_log(&node, &store, &mut failures).await);
         }
         if now_ms >= swept_ms + SWEEP_INTERVAL_MS {
             swept_ms = now_ms;
-            node.expire_recorded_origins();
+            node.expire_records();
             if node.state().sweeps_records() {
                 remove_orphans(&node, &store, &mut sweep, &mut failures).await;
             }
@@ -198,6 +203,8 @@
             node.state().stream_history.written(record);
             Ok(())
         }
+        // The store has done nothing.
+        Err(error @ StoreError::Unavailable(_)) => Err(error),
         // Another router was first, or the write may be executed later. The next round
         // starts from what the store has.
         Err(error) => {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -13,7 +13,7 @@
 use strum::IntoEnumIterator;
 
 use crate::{
-    config::{Config, Route},
+    config::Config,
     directory::ConfigReports,
     lane::Lane,
     load_summary::{
@@ -32,7 +32,8 @@
     store_source::{ReadOrder, StoreKnowledge, StoreSource},
     stream_history::StreamHistory,
     stream_origin::{
-        ASKED_ROUTERS, OriginAnswer, RequestKey, StreamOrigin, StreamOrigins, routers_for_stream,
+        ASKED_ROUTERS, OriginAnswer, RequestKey, RouteScope, StreamOrigin, StreamOrigins,
+        routers_for_stream,
     },
     stream_records::{HistoryRecord, RecordedOrigins},
     upstream_limit::LimitSummary,
@@ -118,8 +119,8 @@
     /// Where streams of late may have begun, as the store records it.
     pub(crate) stream_history: StreamHistory,
     /// Time within which a stream may be taken up, in milliseconds: it lasts for the longest
-    /// time limit of a route at most, and so does the attempt that takes it up. Does not
-    /// fall, as streams go on with the limits with which they began.
+    /// time limit of a route at most, and so does the attempt that takes it up. Falls only
+    /// when streams are over that began with longer limits.
     pub(crate) stream_lifetime_ms: u64,
     /// Prompts that crash upstreams.
     pub(crate) prompt_crashes: PromptCrashes,
@@ -304,23 +305,31 @@
         candidates.collect()
     }
 
-    /// Services at which streams of `route` may have begun, as far as this router knows.
-    pub(crate) fn route_services(&self, now_ms: u64, route: &Route) -> BTreeSet<ServiceName> {
-        let route_id = route.id();
-        let lately = self.stream_origins.route_services(now_ms, &route_id, self.stream_lifetime_ms);
-        lately.chain(route.services()).cloned().collect()
+    /// Services at which a stream may have begun, as far as this router knows.
+    fn recent_services(&self, now_ms: u64, scope: &RouteScope) -> BTreeSet<ServiceName> {
+        let lifetime_ms = self.stream_lifetime_ms;
+        let lately = self.stream_origins.route_services(now_ms, &scope.route, lifetime_ms);
+        lately.chain(&scope.services).cloned().collect()
+    }
+
+    /// Brings the lifetime of streams in line with the configuration.
+    pub(crate) fn refresh_stream_lifetime(&mut self, now_ms: u64) {
+        if let Some(config) = &self.config {
+            self.stream_origins.set_lifetime(now_ms, 2 * config.longest_stream_ms());
+        }
+        self.stream_lifetime_ms = self.stream_origins.lifetime_ms(now_ms);
     }
 
-    /// What this router knows of a stream of `services` that `request` began.
+    /// What this router knows of the stream that `request` began.
     pub(crate) fn origin_answer(
         &self,
         now_ms: u64,
         request: RequestKey,
-        services: &BTreeSet<ServiceName>,
+        scope: &RouteScope,
     ) -> OriginAnswer {
         OriginAnswer {
             origin: self.stream_origins.get(now_ms, request).cloned(),
-            candidates: self.origin_candidates(now_ms, services),
+            candidates: self.origin_candidates(now_ms, &self.recent_services(now_ms, scope)),
             knows_history: self.stream_origins.knows_history(now_ms, self.stream_lifetime_ms),
         }
     }
@@ -328,6 +337,8 @@
     /// The record of where streams may have begun that has to be written; none if the one in
     /// the store agrees with what this router knows.
     pub(crate) fn due_history(&self, now_ms: u64) -> Option<HistoryRecord> {
+        // Without a configuration, neither routes nor lifetimes are known.
+        self.config.as_ref()?;
         let lifetime_ms = self.stream_lifetime_ms;
         let mut wanted = self.stream_origins.history(now_ms, lifetime_ms);
         let streaming: BTreeSet<&ServiceName> = wanted.routes.values().flatten().collect();
@@ -408,7 +419,8 @@
     /// router knows of it. A router that has run for the lifetime of streams has seen all
     /// versions itself.
     pub(crate) fn needs_record_search(&self, now_ms: u64, own: &OriginAnswer) -> bool {
-        own.candidates.len() != 1 || !own.knows_history || now_ms < self.stream_lifetime_ms
+        let uptime_ms = now_ms;
+        own.candidates.len() != 1 || !own.knows_history || uptime_ms < self.stream_lifetime_ms
     }
 
     /// Addresses of the other live routers.
@@ -438,7 +450,7 @@
         let Some(config) = self.config.clone() else {
             return;
         };
-        self.stream_lifetime_ms = self.stream_lifetime_ms.max(2 * config.longest_stream_ms());
+        self.refresh_stream_lifetime(now_ms);
         self.stream_origins.set_routes(now_ms, &config.resumable_routes());
         let limit = retry_limit(settings);
         for name in config.services.keys() {
--- a/crates/edge/src/stream_history.rs
+++ b/crates/edge/src/stream_history.rs
@@ -38,7 +38,8 @@
     /// a restore of the store is complete.
     pub fn due(&self, wanted: &HistoryRecord, knows_history: bool) -> Option<HistoryRecord> {
         let has_changed = |record: &HistoryRecord| {
-            record.versions != wanted.versions || record.routes != wanted.routes
+            (&record.versions, &record.routes, &record.lifetimes_ms)
+                != (&wanted.versions, &wanted.routes, &wanted.lifetimes_ms)
         };
         let is_due = match &self.record {
             None => knows_history && !wanted.versions.is_empty(),
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -77,14 +77,23 @@
     pub lifetime_ms: u64,
 }
 
+/// Where a stream may have begun, as the router knows that asks for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteScope {
+    /// The route of the request that takes the stream up.
+    pub route: RouteId,
+    /// Services to which the route leads.
+    pub services: BTreeSet<ServiceName>,
+}
+
 /// Answer of a router that was asked for a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginAnswer {
     /// Where the stream began, if the router knows it.
     pub origin: Option<StreamOrigin>,
-    /// Where streams of the services in question may have begun.
+    /// Where streams of the route in question may have begun.
     pub candidates: BTreeSet<StreamOrigin>,
-    /// Whether the router knows which versions there were before it started.
+    /// Whether the router knows where they may have begun before it started.
     pub knows_history: bool,
 }
 
@@ -104,18 +113,35 @@
     versions: RecentValues<ServiceName, SoftwareVersion>,
     /// Services that each route leads to whose streams may be taken up.
     routes: RecentValues<RouteId, ServiceName>,
+    /// Times within which streams may be taken up, in milliseconds.
+    lifetimes_ms: RecentValues<(), u64>,
     /// When versions were first recorded.
     versions_since_ms: Option<u64>,
-    /// Whether it is known where streams may have begun before this process.
+    /// Whether the whole system starts for the first time, as far as the settings tell.
+    is_first_start: bool,
+    /// Whether the store said where streams may have begun before this process.
     has_record: bool,
     swept_ms: u64,
 }
 
 impl StreamOrigins {
     /// The knowledge of a process that has just started. With `is_first_start`, the whole
-    /// system starts for the first time, so that there are no streams from before.
+    /// system starts for the first time, so that there are no streams from before unless the
+    /// store has a record.
     pub fn new(is_first_start: bool) -> Self {
-        Self { has_record: is_first_start, ..Self::default() }
+        Self { is_first_start, ..Self::default() }
+    }
+
+    /// Records the time within which streams that begin from now on may be taken up.
+    pub fn set_lifetime(&mut self, now_ms: u64, lifetime_ms: u64) {
+        self.lifetimes_ms.set(now_ms, &(), &BTreeSet::from([lifetime_ms]));
+    }
+
+    /// Longest time within which streams may be taken up that began by now, in milliseconds;
+    /// 0 if none is known.
+    pub fn lifetime_ms(&self, now_ms: u64) -> u64 {
+        let lifetimes_ms = self.lifetimes_ms.recent_by(now_ms, &(), |lifetime_ms| *lifetime_ms);
+        lifetimes_ms.max().copied().unwrap_or(0)
     }
 
     /// Records the versions of the upstreams that a service has from now on.
@@ -136,12 +162,27 @@
         self.routes.set_all(now_ms, routes);
     }
 
-    /// Takes over where streams may have begun before this process, or at other routers.
-    /// `is_complete` says whether that is all.
-    pub fn add_history(&mut self, now_ms: u64, record: &HistoryRecord, is_complete: bool) {
+    /// Takes over where streams may have begun before this process, or at other routers; none
+    /// if the store has no record. `is_complete` says whether the record has it all.
+    pub fn add_history(&mut self, now_ms: u64, record: Option<&HistoryRecord>, is_complete: bool) {
+        let Some(record) = record else {
+            self.has_record |= self.is_first_start;
+            return;
+        };
         self.has_record |= is_complete;
-        self.versions.add_record(now_ms, &record.versions, is_complete);
-        self.routes.add_record(now_ms, &record.routes, is_complete);
+        for lifetime_ms in &record.lifetimes_ms {
+            self.lifetimes_ms.note(now_ms, &(), lifetime_ms);
+        }
+        let lifetime_ms = self.lifetime_ms(now_ms);
+        self.versions.add_record(now_ms, &record.versions, is_complete, lifetime_ms);
+        self.routes.add_record(now_ms, &record.routes, is_complete, lifetime_ms);
+    }
+
+    /// Forgets what was gone for `lifetime_ms`.
+    pub fn expire_history(&mut self, now_ms: u64, lifetime_ms: u64) {
+        self.versions.expire(now_ms, lifetime_ms);
+        self.routes.expire(now_ms, lifetime_ms);
+        self.lifetimes_ms.expire(now_ms, lifetime_ms);
     }
 
     /// Whether all versions and services are known at which streams may have begun that last
@@ -159,6 +200,11 @@
         HistoryRecord {
             versions: self.versions.all_recent(now_ms, lifetime_ms),
             routes: self.routes.all_recent(now_ms, lifetime_ms),
+            lifetimes_ms: self
+                .lifetimes_ms
+                .recent_by(now_ms, &(), |lifetime_ms| *lifetime_ms)
+                .copied()
+                .collect(),
             ..HistoryRecord::default()
         }
     }
@@ -192,11 +238,8 @@
     /// Whether a stream that may have begun at `service` may have begun at another service or
     /// version as well, as far as its route tells.
     pub fn may_differ(&self, now_ms: u64, service: &ServiceName, lifetime_ms: u64) -> bool {
-        if self.versions.recent(now_ms, service, lifetime_ms).nth(1).is_some() {
-            return true;
-        }
-        let routes = self.routes.all_recent(now_ms, lifetime_ms);
-        routes.values().any(|services| services.len() > 1 && services.contains(service))
+        self.versions.recent(now_ms, service, lifetime_ms).nth(1).is_some()
+            || self.routes.is_ambiguous(now_ms, service, lifetime_ms)
     }
 
     /// Records a stream that this router began, or goes on with.
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -31,6 +31,9 @@
     /// Services that each route whose streams may be taken up leads to, or led to within the
     /// lifetime of streams.
     pub routes: BTreeMap<RouteId, BTreeSet<ServiceName>>,
+    /// Times within which streams may be taken up, in milliseconds; those of now, and those
+    /// that have changed within these times.
+    pub lifetimes_ms: BTreeSet<u64>,
     /// Era of the store in which the record was complete; none if it never was.
     pub complete_era: Option<u64>,
     /// Revision of the object that holds the record; none if there is no object yet.
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -311,6 +311,54 @@
     assert_eq!(admission.queue_len(), 1);
 }
 
+/// Guards against a workspace that is kept from its share for long after a limit has fallen, as
+/// it does when other routers report demand, and against a debt for slots that were spare.
+#[test]
+fn debt_for_streams_that_are_taken_up_lasts_as_long_as_stated() {
+    const LIMIT_PER_S: f64 = 1_000.0;
+    const COST: u64 = 100;
+    struct Case {
+        name: &'static str,
+        slots: SlotCounts,
+        later_limit_per_s: f64,
+        /// Longest time until the workspace is within its share again, in milliseconds.
+        max_ms: f64,
+    }
+    let request_ms = |limit_per_s: f64| COST as f64 / limit_per_s * 1_000.0;
+    let low = LIMIT_PER_S / 6.0;
+    let cases = [
+        Case {
+            name: "the limit stays",
+            slots: FULL,
+            later_limit_per_s: LIMIT_PER_S,
+            max_ms: MAX_TAKE_UP_DEBT_MS + request_ms(LIMIT_PER_S),
+        },
+        Case {
+            name: "the limit falls",
+            slots: FULL,
+            later_limit_per_s: low,
+            max_ms: MAX_TAKE_UP_DEBT_MS + request_ms(low),
+        },
+        Case {
+            name: "spare slots",
+            slots: with_free(8),
+            later_limit_per_s: LIMIT_PER_S,
+            max_ms: request_ms(LIMIT_PER_S),
+        },
+    ];
+    for Case { name, slots, later_limit_per_s, max_ms } in cases {
+        let mut admission = Admission::default();
+        admission.enqueue(0, slots, &request("a", COST)).unwrap();
+        admission.set_limits(0, &BTreeMap::from([("a".into(), LIMIT_PER_S)]));
+        for _ in 0..100 {
+            let _ = admission.admit_now(0, slots, &request("a", COST));
+        }
+        admission.set_limits(0, &BTreeMap::from([("a".into(), later_limit_per_s)]));
+        let rejection = admission.enqueue(0, FULL, &request("a", COST)).unwrap_err();
+        assert!(rejection.retry_after_ms as f64 <= max_ms, "{name}: {rejection:?}");
+    }
+}
+
 /// Streams that callers take up after all routers restarted, while their workspace also
 /// floods with new requests: guards against streams that are refused because new requests
 /// have used the share, and against a share that grows by the streams, also where slots are
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -158,15 +158,16 @@
 fn versions_from_before_the_start_are_candidates_for_the_lifetime_of_their_streams() {
     const START_MS: u64 = 200;
     let mut known = StreamOrigins::default();
+    known.set_lifetime(0, LIFETIME_MS);
     known.set_versions(100, &service(), &versions(&["v2"]));
     assert!(!known.knows_history(START_MS, LIFETIME_MS));
     let record = HistoryRecord {
         versions: BTreeMap::from([(service(), versions(&["v1", "v2"]))]),
         ..HistoryRecord::default()
     };
-    known.add_history(START_MS, &record, false);
+    known.add_history(START_MS, Some(&record), false);
     assert!(!known.knows_history(START_MS, LIFETIME_MS));
-    known.add_history(START_MS, &record, true);
+    known.add_history(START_MS, Some(&record), true);
     assert!(known.knows_history(START_MS, LIFETIME_MS));
     let candidates = |now_ms| known.candidates(now_ms, &service(), LIFETIME_MS);
     assert_eq!(candidates(START_MS + LIFETIME_MS - 1), origins(&["v1", "v2"]));
@@ -176,7 +177,7 @@
         versions: BTreeMap::from([(service(), versions(&["v2"]))]),
         ..HistoryRecord::default()
     };
-    known.add_history(START_MS + 1_000, &record, true);
+    known.add_history(START_MS + 1_000, Some(&record), true);
     let candidates = |now_ms| known.candidates(now_ms, &service(), LIFETIME_MS);
     assert_eq!(candidates(START_MS + 1_000), origins(&["v2"]));
 }
@@ -205,11 +206,43 @@
 
     let record = known.history(2_000, LIFETIME_MS);
     let mut restarted = StreamOrigins::default();
+    restarted.set_lifetime(0, LIFETIME_MS);
     restarted.set_routes(0, &routes("new"));
-    restarted.add_history(0, &record, true);
+    restarted.add_history(0, Some(&record), true);
     assert_eq!(services(&restarted, 0), ["new", "old"]);
 }
 
+/// Guards against a first start that the settings still state after a restart, and against a
+/// fleet that refuses streams because the store has no record yet.
+#[test]
+fn first_start_counts_once_the_store_has_no_record() {
+    let record = HistoryRecord::default();
+    let cases = [(true, None, true), (true, Some(&record), false), (false, None, false)];
+    for (is_first_start, record, knows_history) in cases {
+        let mut known = StreamOrigins::new(is_first_start);
+        assert!(!known.knows_history(0, LIFETIME_MS));
+        known.add_history(0, record, false);
+        assert_eq!(known.knows_history(0, LIFETIME_MS), knows_history, "{record:?}");
+    }
+}
+
+/// Guards against a history that goes too early because a new configuration has shorter time
+/// limits than the one with which open streams began, also before a restart.
+#[test]
+fn lifetime_of_streams_falls_when_those_with_longer_limits_are_over() {
+    let mut known = StreamOrigins::default();
+    known.set_lifetime(0, LIFETIME_MS);
+    known.set_lifetime(1_000, 2_000);
+    let record = known.history(1_000, known.lifetime_ms(1_000));
+    let mut restarted = StreamOrigins::default();
+    restarted.set_lifetime(0, 2_000);
+    restarted.add_history(0, Some(&record), true);
+    for (known, start_ms) in [(known, 1_000), (restarted, 0)] {
+        assert_eq!(known.lifetime_ms(start_ms + LIFETIME_MS - 1), LIFETIME_MS);
+        assert_eq!(known.lifetime_ms(start_ms + LIFETIME_MS), 2_000);
+    }
+}
+
 /// Guards against a fleet that refuses all streams because the store has been away since it
 /// started, although every stream began while it knew the upstreams.
 #[test]
--- a/crates/edge/tests/stream_records.rs
+++ b/crates/edge/tests/stream_records.rs
@@ -9,7 +9,7 @@
         MAX_SEGMENT_STREAMS, OriginLog, OrphanSweep, SEGMENT_SPAN_MS, SegmentWrite, SentOrigins,
     },
     stream_history::StreamHistory,
-    stream_origin::{OriginNotice, RequestKey, StreamOrigin},
+    stream_origin::{OriginNotice, RequestKey, StreamOrigin, StreamOrigins},
     stream_records::{HistoryRecord, OriginSegment, RecordedOrigin, RecordedOrigins},
 };
 use span_types::{Incarnation, Member};
@@ -239,3 +239,57 @@
         assert_eq!(history.due(&wanted, knows_history), None, "{name}");
     }
 }
+
+/// Guards against routers that write the history in turn for as long as they differ in when a
+/// version went: one was told of a stream, or knows longer time limits, and the other was not.
+/// Both read it four times a second, as they do while streams of another service are taken up.
+#[test]
+fn routers_that_differ_in_when_a_version_went_do_not_write_in_turn() {
+    struct Case {
+        name: &'static str,
+        /// When the second router is told of a stream at the version that is gone.
+        told_ms: Option<u64>,
+        lifetimes_ms: [u64; 2],
+    }
+    // One for the version that goes at each router and one to put it back, and one for the
+    // lifetimes of each router, which the first record lacks.
+    const MAX_WRITES: u32 = 5;
+    let cases = [
+        Case { name: "same", told_ms: None, lifetimes_ms: [LIFETIME_MS; 2] },
+        Case { name: "told later", told_ms: Some(20_000), lifetimes_ms: [LIFETIME_MS; 2] },
+        Case { name: "limits", told_ms: None, lifetimes_ms: [LIFETIME_MS / 2, LIFETIME_MS] },
+    ];
+    for Case { name, told_ms, lifetimes_ms } in cases {
+        let versions = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
+        let mut routers = lifetimes_ms.map(|lifetime_ms| {
+            let mut origins = StreamOrigins::new(true);
+            origins.set_lifetime(0, lifetime_ms);
+            origins.set_versions(0, &"svc".into(), &versions(&["v1", "v2"]));
+            origins.set_versions(1_000, &"svc".into(), &versions(&["v2"]));
+            (origins, StreamHistory::default())
+        });
+        let mut stored = HistoryRecord {
+            versions: BTreeMap::from([("svc".into(), versions(&["v1", "v2"]))]),
+            complete_era: Some(0),
+            revision: Some(1),
+            ..HistoryRecord::default()
+        };
+        let mut writes = 0;
+        for now_ms in (1_000..90_000).step_by(250) {
+            if told_ms == Some(now_ms) {
+                routers[1].0.learn(now_ms, &notices(0..1)[0]);
+            }
+            for (origins, history) in &mut routers {
+                origins.add_history(now_ms, Some(&stored), true);
+                history.replace(0, Some(stored.clone()));
+                let wanted = origins.history(now_ms, origins.lifetime_ms(now_ms));
+                if let Some(due) = history.due(&wanted, true) {
+                    writes += 1;
+                    stored = HistoryRecord { revision: stored.revision.map(|at| at + 1), ..due };
+                    history.written(stored.clone());
+                }
+            }
+        }
+        assert!(writes <= MAX_WRITES, "{name}: {writes} writes");
+    }
+}
