Keep the head of another request's stream from callers

When an engine wrote an earlier stream once more on a kept connection, the next caller got none of its events but its headers: the head of a stream is passed on before a chunk shows which request it belongs to. Of a streamed answer on a pooled connection that does not name the request, only the content type is passed on now.

The case "stream" of late_copy_of_an_earlier_answer_is_not_the_answer_to_the_next_request failed before with a header of the earlier answer.

--- a/crates/router/src/frontend/attempts.rs
+++ b/crates/router/src/frontend/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, header::CONTENT_TYPE};
 use hyper::body::Incoming;
 use span_once::{Backoff, Delivery, FailedAttempt, RetryDecision, decide_retry};
 use tokio::time::Instant;
@@ -114,7 +114,10 @@
         Err(error) if upstream_request.is_engine && error != SendError::NotConnected => {
             resume(frontend, upstream_request, attempt, 0, error).await
         }
-        Ok(answer) if pooled && !answer.status().is_success() && !attempt.is_named_by(&answer) => {
+        Ok(answer) if pooled && !attempt.is_named_by(&answer) => {
+            if answer.status().is_success() {
+                return Ok(keep_content_type(upstream_request, answer));
+            }
             discard_answer(answer);
             verify_error(frontend, upstream_request, attempt).await
         }
@@ -122,6 +125,20 @@
     }
 }
 
+/// Removes the headers of a streamed answer but its content type. The head is passed on
+/// before a chunk shows which request it belongs to.
+fn keep_content_type(
+    upstream_request: &UpstreamRequest,
+    mut answer: Response<Incoming>,
+) -> Response<Incoming> {
+    if upstream_request.is_streamed {
+        let content_type = answer.headers_mut().remove(CONTENT_TYPE);
+        answer.headers_mut().clear();
+        answer.headers_mut().extend(content_type.map(|value| (CONTENT_TYPE, value)));
+    }
+    answer
+}
+
 /// Asks an engine again, on new connections, after an error on a pooled connection that
 /// does not name the request. The error may be a late copy of the answer to an earlier
 /// request on that connection, while the engine runs this one. Only if the engine does
--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -48,7 +48,10 @@
     let limited = |_: &str| answer("429 Too Many Requests", JSON, "retry-after: 1\r\n", ERROR);
     let outcome = |_: &str| answer("409 Conflict", JSON, "x-span-outcome: not_run\r\n", ERROR);
     let whole = |earlier: &str| answer("200 OK", JSON, "", &completion(earlier));
-    let streamed = |earlier: &str| resumed(earlier, 0, true);
+    let streamed = |earlier: &str| {
+        let events = scripted::chunks_to_end(earlier, 0);
+        answer("200 OK", "text/event-stream", "x-of: the earlier request\r\n", &events)
+    };
     let cases = [
         Case { name: "error", copy: full, stream: false, reads_late: false },
         Case { name: "error, read late", copy: full, stream: false, reads_late: true },
@@ -90,6 +93,7 @@
         assert!(requests[0].connection == sent.connection, "{name}: the connection was not kept");
         assert_eq!(text(&next, stream), scripted::whole_text(), "{name}: {next:?}");
         assert_eq!(next.outcome().as_deref(), Some("completed"), "{name}");
+        assert!(!next.headers.contains_key("x-of"), "{name}: {:?}", next.headers);
         assert_eq!(engine.sends(id), 1 + usize::from(reads_late), "{name}: runs");
     }
 }
