Record where a stream begins when its request is sent

The origin is now recorded as the request is sent. The prompt is read meanwhile, so the batch is mostly written before the first event, without a call or a wait more. A request that is sent to another version before its first event has two records, and its stream is refused after a restart of all routers, unless a router knows it.

stream_that_has_just_begun_goes_on_after_a_restart fails without the record (503) and passes.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -43,6 +43,14 @@
     pub(crate) deadline_ms: u64,
 }
 
+impl RequestData {
+    /// Requests by whose ids a caller may take up the stream that this one gets.
+    pub(crate) fn stream_requests(&self) -> Vec<RequestKey> {
+        let own_request = RequestKey::new(self.id.as_bytes());
+        self.resumed_request.into_iter().chain([own_request]).collect()
+    }
+}
+
 /// The head of a proper answer, and the connection that its body comes on.
 pub(crate) struct Answer {
     pub(crate) parts: response::Parts,
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -11,7 +11,7 @@
     placement::{ChosenUpstream, PromptPrefix},
     prompt_crashes::{ANSWERED_MS, Progress, RISK_MS},
     service_admission::LaneTicket,
-    stream_origin::StreamOrigin,
+    stream_origin::{RequestKey, StreamOrigin},
     upstream_load::AttemptResult,
     wire_format::{SegmentId, WorkEstimate},
 };
@@ -65,6 +65,7 @@
             chosen: Some(chosen),
             prefill_tokens: self.prefill_tokens,
             continued_version: self.continued_version.take(),
+            is_origin_recorded: false,
             sent_prompt: None,
         })
     }
@@ -93,6 +94,9 @@
     prefill_tokens: u64,
     /// Software version that began the stream; none before its first event.
     continued_version: Option<SoftwareVersion>,
+    /// Whether the origin of the stream is recorded that it has if it begins at the current
+    /// upstream.
+    is_origin_recorded: bool,
     /// The prompt, since it was sent to the current upstream.
     sent_prompt: Option<SentPrompt>,
 }
@@ -179,11 +183,29 @@
     /// Records that the caller gets events of the current upstream: only upstreams of
     /// its software version can continue them. Returns where the stream began.
     pub(crate) fn stream_began(&mut self) -> Option<StreamOrigin> {
+        let origin = self.origin()?;
+        self.continued_version = Some(origin.software_version.clone());
+        Some(origin)
+    }
+
+    /// Where a stream begins whose first event comes from the current upstream.
+    fn origin(&self) -> Option<StreamOrigin> {
         let software_version = self.chosen.as_ref()?.software_version.clone();
-        self.continued_version = Some(software_version.clone());
         Some(StreamOrigin { service: self.service.clone(), software_version })
     }
 
+    /// Has the origin recorded of a stream that `requests` are about to begin at the current
+    /// upstream, if that is needed.
+    pub(crate) fn record_origin(&mut self, requests: &[RequestKey]) {
+        let origin = self.origin();
+        self.is_origin_recorded =
+            origin.is_some_and(|origin| self.node.record_sent_stream(requests, &origin));
+    }
+
+    pub(crate) fn is_origin_recorded(&self) -> bool {
+        self.is_origin_recorded
+    }
+
     /// Records that the upstream has processed the prompt, or never will.
     pub(crate) fn prefill_ended(&mut self) {
         let tokens = std::mem::take(&mut self.prefill_tokens);
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -29,7 +29,6 @@
     metrics::{Counter, Timing},
     node::{NoSlot, Node},
     sse::EventSplitter,
-    stream_origin::RequestKey,
     upstream_load::AttemptResult,
     wire_format::{WorkEstimate, list_segments},
 };
@@ -486,6 +485,9 @@
         record.attempt_started(&upstream, in_flight.upstream_load());
         sent_attempts += 1;
         in_flight.prompt_sent(&data.shared_segments);
+        if kind == RouteKind::ResumableStream {
+            in_flight.record_origin(&data.stream_requests());
+        }
         let until_ms = attempt_until_ms(node.now_ms(), checked, sent_attempts);
         let destination = Destination {
             upstream: &upstream,
@@ -616,11 +618,10 @@
         // the end of the stream is checked or another upstream continues it.
         parts.headers.remove(header::CONTENT_LENGTH);
     }
-    let own_request = RequestKey::new(data.id.as_bytes());
     let continues = is_event_stream && is_success && data.last_event.is_some();
     let splitter = (resumable || continues).then(|| EventSplitter::after(data.last_event.clone()));
     let resume = resumable.then(|| ResumeState {
-        requests: data.resumed_request.into_iter().chain([own_request]).collect(),
+        requests: data.stream_requests(),
         has_begun: false,
         broken_ms: 0,
         data,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -159,7 +159,8 @@
         {
             resume.has_begun = true;
             if let Some(origin) = self.in_flight.stream_began() {
-                self.node.stream_began(&resume.requests, &origin);
+                let is_recorded = self.in_flight.is_origin_recorded();
+                self.node.stream_began(&resume.requests, &origin, is_recorded);
             }
         }
         Ok(Some(events))
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -86,11 +86,41 @@
 }
 
 impl Node {
+    /// Has the origin recorded of a stream that `requests` are about to begin or take up, if
+    /// streams may begin elsewhere. Its first event mostly comes after the next batch, so
+    /// that few streams are lost if all routers die. Returns whether that was needed.
+    pub(crate) fn record_sent_stream(
+        &self,
+        requests: &[RequestKey],
+        origin: &StreamOrigin,
+    ) -> bool {
+        let now_ms = self.now_ms();
+        let (is_needed, lifetime_ms) = {
+            let state = self.state();
+            (state.origins_may_differ(now_ms, &origin.service), state.stream_lifetime_ms)
+        };
+        if is_needed {
+            let notice = |request: &RequestKey| OriginNotice {
+                request: *request,
+                origin: origin.clone(),
+                lifetime_ms,
+            };
+            self.record_origins(&requests.iter().map(notice).collect::<Vec<_>>());
+        }
+        is_needed
+    }
+
     /// Records that a caller gets the first event of a stream that `requests` began or
-    /// took up, and tells others of it if they could not find out.
-    pub(crate) fn stream_began(&self, requests: &[RequestKey], origin: &StreamOrigin) {
+    /// took up, and tells others of it if they could not find out. `is_recorded` says whether
+    /// the origin was recorded before.
+    pub(crate) fn stream_began(
+        &self,
+        requests: &[RequestKey],
+        origin: &StreamOrigin,
+        is_recorded: bool,
+    ) {
         let now_ms = self.now_ms();
-        let notices = {
+        let notices: Vec<OriginNotice> = {
             let mut state = self.state();
             let lifetime_ms = state.stream_lifetime_ms;
             let is_told = state.origins_may_differ(now_ms, &origin.service);
@@ -101,7 +131,10 @@
             let told = requests.iter().filter(|_| is_told);
             told.filter_map(|request| origins.tell(now_ms, *request)).collect()
         };
-        self.send_notices(notices);
+        self.tell_routers(&notices);
+        if !is_recorded {
+            self.record_origins(&notices);
+        }
     }
 
     /// Forgets a stream whose caller has all of it.
--- a/crates/edge/src/origin_log.rs
+++ b/crates/edge/src/origin_log.rs
@@ -15,9 +15,8 @@
 
 use crate::{stream_origin::OriginNotice, stream_records::OriginSegment};
 
-/// Interval between two batches, in milliseconds. Streams that began since the last one are
-/// lost with the memory of all routers. Six routers make 24 calls a second, a small part of
-/// the store's rate.
+/// Interval between two batches, in milliseconds. Streams whose requests were sent since the
+/// last one are lost with the memory of all routers; most of them have no event by then.
 pub const FLUSH_INTERVAL_MS: u64 = 250;
 /// Time for which streams are added to a segment, in milliseconds. Each batch sends the
 /// segment whole, and each segment takes a call more for its removal.
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -409,6 +409,9 @@
     /// The first origin that was found, how, and when.
     found: Option<(StreamOrigin, OriginSource, u64)>,
     is_contradictory: bool,
+    /// Whether the store has several records of the stream: its request was sent to upstreams
+    /// of several versions before one sent an event.
+    has_several_records: bool,
     /// Where the stream may have begun, as far as any router knows.
     candidates: BTreeSet<StreamOrigin>,
     search: RecordSearch,
@@ -430,6 +433,7 @@
             knows_history: own.knows_history,
             found: None,
             is_contradictory: false,
+            has_several_records: false,
             candidates: own.candidates,
             search,
         }
@@ -479,7 +483,7 @@
         self.candidates.extend(own.candidates);
         match recorded {
             Some(RecordedOrigin::At(origin)) => self.find(now_ms, origin, OriginSource::Recorded),
-            Some(RecordedOrigin::Contradictory) => self.is_contradictory = true,
+            Some(RecordedOrigin::Several) => self.has_several_records = true,
             Some(RecordedOrigin::None) | None => {}
         }
     }
@@ -516,6 +520,7 @@
         let mut candidates = self.candidates.iter();
         let only = candidates.next().filter(|_| candidates.next().is_none());
         let only = only.filter(|_| self.knows_history && (self.is_confirmed || self.asked == 0));
+        let only = only.filter(|_| !self.has_several_records);
         // Routers that have just died do not answer, so most answers are enough for a
         // version of which nobody knows another one.
         let has_most_answers = self.awaited.len() * 2 < self.asked && !is_searching;
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -58,15 +58,15 @@
     None,
     /// The stream began there.
     At(StreamOrigin),
-    /// Records contradict each other.
-    Contradictory,
+    /// Its request was sent to several places, and it began at one of them.
+    Several,
 }
 
 /// Index of the origins that the store held when it was last read.
 #[derive(Debug, Default)]
 pub struct RecordedOrigins {
     origins: Vec<StreamOrigin>,
-    /// Position of each stream's origin in `origins`; none if records contradict each other.
+    /// Position of each stream's origin in `origins`; none if there are several.
     streams: HashMap<RequestKey, Option<usize>>,
 }
 
@@ -94,7 +94,7 @@
     pub fn get(&self, request: RequestKey) -> RecordedOrigin {
         match self.streams.get(&request) {
             None => RecordedOrigin::None,
-            Some(None) => RecordedOrigin::Contradictory,
+            Some(None) => RecordedOrigin::Several,
             Some(Some(index)) => RecordedOrigin::At(self.origins[*index].clone()),
         }
     }
