--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -338,8 +338,8 @@
         Ok(ticket)
     }
 
-    /// Admits a request that takes up a stream without a wait, and returns a ticket that
-    /// counts as dispatched. Its workspace is charged as for any other request, and may be in
+    /// Admits a request that takes up a stream. It does not wait: the returned ticket counts
+    /// as dispatched. Its workspace is charged as for any other request, and may be in
     /// debt for it: what the callers already have of the stream would be in vain otherwise.
     ///
     /// # Errors
--- a/crates/edge/src/service_admission.rs
+++ b/crates/edge/src/service_admission.rs
@@ -52,7 +52,8 @@
         Ok(LaneTicket { lane, ticket })
     }
 
-    /// Admits a request that takes up a stream without a wait, and returns a ticket that counts as dispatched.
+    /// Admits a request that takes up a stream. It does not wait: the returned ticket counts
+    /// as dispatched.
     ///
     /// # Errors
     ///
--- a/crates/edge/src/store_source.rs
+++ b/crates/edge/src/store_source.rs
@@ -130,7 +130,8 @@
 
 impl StoreSource {
     /// Records that another router reported an answer of the store, which was
-    /// `store_age_ms` ago. `is_collector` says whether it is the collector of this router's failure domain.
+    /// `store_age_ms` ago. `is_collector` says whether it is the collector of this router's
+    /// failure domain.
     pub fn record_peer_report(&mut self, now_ms: u64, store_age_ms: u64, is_collector: bool) {
         self.record_confirmed(now_ms.saturating_sub(store_age_ms));
         if is_collector {
