--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,8 +18,10 @@
         begun.append(rig.send(r.Stream(rig, f"/draft/{number}", tag=f"s{number}")))
         await asyncio.sleep(0.012)
     await asyncio.sleep(0.8)
+    killed = rig.routers[0]
     if r.TROUBLE:
-        rig.routers[0].kill()
+        killed.kill()
+        asyncio.get_running_loop().call_later(3.0, killed.start, rig.seeds(), False)
     # A release begins: the new replica starts first.
     rig.replicas.append(new)
     await new.start()
@@ -28,11 +30,12 @@
         fresh.append(rig.send(r.Stream(rig, f"/draft/n{number}", tag=f"n{number}"), max_attempts=1))
         await asyncio.sleep(0.05)
     await rig.settle()
-    # Only attempts that a living router has answered: it is in touch.
-    tries = [[attempt for attempt in stream.attempts[1:] if attempt.status] for stream in begun]
+    # Only attempts at the routers that are in touch, those that live all the time.
+    in_touch = [router.ip for router in rig.routers if router is not killed]
+    tries = [[attempt for attempt in stream.attempts[1:] if attempt.ip in in_touch] for stream in begun]
     taken_up = [attempts for attempts in tries if attempts]
     go_on = sum(any(attempt.events for attempt in attempts) for attempts in taken_up)
-    new_tries = [stream for stream in fresh if stream.attempts[0].status]
+    new_tries = [stream for stream in fresh if stream.attempts[0].ip in in_touch]
     begin = sum(bool(stream.events()) for stream in new_tries)
     statuses = [attempt.status for attempts in taken_up for attempt in attempts]
     counts = {status: statuses.count(status) for status in sorted(set(statuses))}
--- a/review/rig.py
+++ b/review/rig.py
@@ -549,6 +549,7 @@
         self.number, self.status, self.events, self.complete = number, 0, [], False
         self.retry_after_s, self.cause = None, ""
         self.body = b""
+        self.ip = None
 
 
 class Stream:
@@ -600,6 +601,7 @@
         if address is None:
             attempt.cause = "no address"
             return
+        attempt.ip = address[0]
         reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), 1.0)
         try:
             lines = [f"POST {self.path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {attempt.id}",
