--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -16,7 +16,7 @@
     metrics::{Counter, Timing},
     node::Node,
     pool::{self, Connection, SendError},
-    stream_origin::RequestKey,
+    stream_origin::{RequestKey, StreamAttempt},
     upstream_load::{AttemptResult, LoadReport},
     wire_format::{SegmentId, WorkEstimate},
 };
@@ -34,9 +34,9 @@
     pub(crate) shared_segments: Rc<[SegmentId]>,
     /// Id of the request.
     pub(crate) id: HeaderValue,
-    /// The request that began the stream which this one takes up; none if it takes up none,
-    /// or its caller does not name it.
-    pub(crate) resumed_request: Option<RequestKey>,
+    /// The attempt that began the stream which this request takes up; none if it takes up
+    /// none, or its caller does not name it.
+    pub(crate) resumed_attempt: Option<StreamAttempt>,
     /// Id of the last event that the caller has of a stream which it takes up.
     pub(crate) last_event: Option<Box<str>>,
     /// When the caller gives up, in milliseconds.
@@ -44,10 +44,15 @@
 }
 
 impl RequestData {
-    /// Requests by whose ids a caller may take up the stream that this one gets.
-    pub(crate) fn stream_requests(&self) -> Vec<RequestKey> {
-        let own_request = RequestKey::new(self.id.as_bytes());
-        self.resumed_request.into_iter().chain([own_request]).collect()
+    /// Requests by whose ids a caller may take up the stream that this one gets at its
+    /// `attempt`, each with the attempt that counts.
+    pub(crate) fn stream_attempts(&self, attempt: u32) -> Vec<StreamAttempt> {
+        self.resumed_attempt.into_iter().chain([self.own_attempt(attempt)]).collect()
+    }
+
+    /// Attempt number `attempt` at this request.
+    pub(crate) fn own_attempt(&self, attempt: u32) -> StreamAttempt {
+        StreamAttempt { request: RequestKey::new(self.id.as_bytes()), attempt }
     }
 }
 
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -6,12 +6,14 @@
 use span_http::Framing;
 use span_types::{ServiceName, SoftwareVersion, UpstreamName};
 
+use super::attempt::RequestData;
 use crate::{
     node::Node,
+    origin_exchange::OpenConfirmation,
     placement::{ChosenUpstream, PromptPrefix},
     prompt_crashes::{ANSWERED_MS, Progress, RISK_MS},
     service_admission::LaneTicket,
-    stream_origin::{RequestKey, StreamOrigin},
+    stream_origin::StreamOrigin,
     upstream_load::AttemptResult,
     wire_format::{SegmentId, WorkEstimate},
 };
@@ -65,7 +67,8 @@
             chosen: Some(chosen),
             prefill_tokens: self.prefill_tokens,
             continued_version: self.continued_version.take(),
-            is_origin_recorded: false,
+            attempt: 0,
+            confirmation: None,
             sent_prompt: None,
         })
     }
@@ -94,9 +97,11 @@
     prefill_tokens: u64,
     /// Software version that began the stream; none before its first event.
     continued_version: Option<SoftwareVersion>,
-    /// Whether the origin of the stream is recorded that it has if it begins at the current
-    /// upstream.
-    is_origin_recorded: bool,
+    /// Number of attempts at a stream so far.
+    attempt: u32,
+    /// What others know of the stream that the current attempt begins; none if they need not
+    /// know.
+    confirmation: Option<OpenConfirmation>,
     /// The prompt, since it was sent to the current upstream.
     sent_prompt: Option<SentPrompt>,
 }
@@ -194,16 +199,25 @@
         Some(StreamOrigin { service: self.service.clone(), software_version })
     }
 
-    /// Has the origin recorded of a stream that `requests` are about to begin at the current
-    /// upstream, if that is needed.
-    pub(crate) fn record_origin(&mut self, requests: &[RequestKey]) {
-        let origin = self.origin();
-        self.is_origin_recorded =
-            origin.is_some_and(|origin| self.node.record_sent_stream(requests, &origin));
+    /// Has the origin recorded of the stream that a further attempt at a request is about to
+    /// begin at the current upstream, if that is needed.
+    pub(crate) fn record_origin(&mut self, data: &RequestData) {
+        self.attempt += 1;
+        if let Some(origin) = self.origin() {
+            let confirmation = self.confirmation.take();
+            self.confirmation = self.node.stream_sent(data, self.attempt, &origin, confirmation);
+        }
+    }
+
+    /// Number of attempts at a stream so far.
+    pub(crate) fn attempt(&self) -> u32 {
+        self.attempt
     }
 
-    pub(crate) fn is_origin_recorded(&self) -> bool {
-        self.is_origin_recorded
+    /// What others know of the stream that the current attempt begins; none if they need not
+    /// know.
+    pub(crate) fn take_confirmation(&mut self) -> Option<OpenConfirmation> {
+        self.confirmation.take()
     }
 
     /// Records that the upstream has processed the prompt, or never will.
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -29,10 +29,12 @@
     metrics::{Counter, Timing},
     node::{NoSlot, Node},
     sse::EventSplitter,
+    stream_origin::{AttemptOrigin, StreamAttempt},
     upstream_load::AttemptResult,
     wire_format::{WorkEstimate, list_segments},
 };
-use attempt::{Answer, Destination, Failure, RequestData};
+pub(crate) use attempt::RequestData;
+use attempt::{Answer, Destination, Failure};
 pub(crate) use body::EdgeBody;
 use in_flight::{InFlightRequest, SlotWait};
 use record::{Outcome, RequestRecord};
@@ -237,11 +239,13 @@
         return Err((error_reply, record));
     }
     let taken_up = take_up::taken_up_stream(node, &parts, checked.route.kind);
+    let mut resumed_attempt = None;
     if let Some(stream) = taken_up {
         match take_up::find_origin(node, stream, &checked, &record).await {
-            Ok(origin) => {
+            Ok(AttemptOrigin { origin, attempt }) => {
                 checked.service = origin.service;
                 checked.continued_version = Some(origin.software_version);
+                resumed_attempt = stream.request.map(|request| StreamAttempt { request, attempt });
             }
             Err(error_reply) => return Err((error_reply, record)),
         }
@@ -266,7 +270,7 @@
         work,
         shared_segments,
         id: checked.id.clone(),
-        resumed_request: taken_up.and_then(|stream| stream.request),
+        resumed_attempt,
         last_event,
         deadline_ms,
     };
@@ -486,7 +490,7 @@
         sent_attempts += 1;
         in_flight.prompt_sent(&data.shared_segments);
         if kind == RouteKind::ResumableStream {
-            in_flight.record_origin(&data.stream_requests());
+            in_flight.record_origin(&data);
         }
         let until_ms = attempt_until_ms(node.now_ms(), checked, sent_attempts);
         let destination = Destination {
@@ -621,7 +625,6 @@
     let continues = is_event_stream && is_success && data.last_event.is_some();
     let splitter = (resumable || continues).then(|| EventSplitter::after(data.last_event.clone()));
     let resume = resumable.then(|| ResumeState {
-        requests: data.stream_requests(),
         has_begun: false,
         broken_ms: 0,
         data,
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -28,7 +28,6 @@
     node::Node,
     pool::{self, Connection},
     sse::{EventError, EventSplitter},
-    stream_origin::RequestKey,
     upstream_load::AttemptResult,
     wire_format::list_segments,
 };
@@ -44,8 +43,6 @@
     pub(crate) data: Rc<RequestData>,
     pub(crate) remaining_attempts: u32,
     pub(crate) tried: Vec<UpstreamName>,
-    /// Requests by whose ids a caller may take up the stream.
-    pub(crate) requests: Vec<RequestKey>,
     /// Whether the caller has got an event.
     pub(crate) has_begun: bool,
     /// When the upstream that sent the last bytes broke off.
@@ -65,6 +62,12 @@
     }
 }
 
+/// Events that the caller gets once others know where the stream began.
+struct UnconfirmedEvents {
+    events: Bytes,
+    confirmed: LocalBoxFuture<'static, bool>,
+}
+
 type PendingAttempt = LocalBoxFuture<'static, Result<Answer, Failure>>;
 
 /// Where the next bytes come from.
@@ -103,6 +106,8 @@
     deadline: Pin<Box<Sleep>>,
     /// Present if another upstream may continue the stream.
     resume: Option<ResumeState>,
+    /// The first events, until it is known to others where the stream began.
+    unconfirmed: Option<UnconfirmedEvents>,
     /// Time of the last event, or of the start of the answer.
     last_event_ms: u64,
 }
@@ -129,6 +134,7 @@
             framing,
             deadline: Box::pin(deadline),
             resume,
+            unconfirmed: None,
             last_event_ms: node.now_ms(),
         }
     }
@@ -159,8 +165,16 @@
         {
             resume.has_begun = true;
             if let Some(origin) = self.in_flight.stream_began() {
-                let is_recorded = self.in_flight.is_origin_recorded();
-                self.node.stream_began(&resume.requests, &origin, is_recorded);
+                let streams = resume.data.stream_attempts(self.in_flight.attempt());
+                let confirmation = self.in_flight.take_confirmation();
+                self.node.stream_began(&streams, &origin, confirmation.is_some());
+                if let Some(confirmation) = confirmation.filter(|known| !known.is_confirmed()) {
+                    self.unconfirmed = Some(UnconfirmedEvents {
+                        events,
+                        confirmed: Box::pin(self.node.clone().await_confirmation(confirmation)),
+                    });
+                    return Ok(None);
+                }
             }
         }
         Ok(Some(events))
@@ -195,7 +209,8 @@
         self.in_flight.end_attempt(AttemptResult::Good);
         self.record.outcome = Outcome::Answered;
         if let Some(resume) = &self.resume {
-            self.node.stream_ended(&resume.requests);
+            let streams = resume.data.stream_attempts(self.in_flight.attempt());
+            self.node.stream_ended(&streams);
         }
     }
 
@@ -270,6 +285,9 @@
         }
         resume.remaining_attempts -= 1;
         splitter.start_next_answer();
+        if !resume.has_begun {
+            self.in_flight.record_origin(&resume.data);
+        }
         let to_version = self.node.software_version(&upstream);
         info!(
             request = self.record.id,
@@ -315,6 +333,17 @@
             self.fail(cx, AttemptResult::Unknown, cause);
             return Poll::Pending;
         }
+        if let Some(UnconfirmedEvents { events, confirmed }) = &mut self.unconfirmed {
+            let is_confirmed = ready!(confirmed.as_mut().poll(cx));
+            let events = std::mem::take(events);
+            self.unconfirmed = None;
+            if is_confirmed {
+                return Poll::Ready(Some(Ok(Frame::data(events))));
+            }
+            let cause = "others could not be told where the stream began".to_owned();
+            self.fail(cx, AttemptResult::Unknown, cause);
+            return Poll::Pending;
+        }
         loop {
             let broken = match &mut self.source {
                 Source::Ended => return Poll::Ready(None),
@@ -355,6 +384,7 @@
                         let Ok(bytes) = frame.into_data() else { continue };
                         match self.receive(bytes) {
                             Ok(Some(bytes)) => return Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                            Ok(None) if self.unconfirmed.is_some() => return self.poll_frame(cx),
                             Ok(None) => continue,
                             Err(error @ EventError::TooLarge) => {
                                 self.fail(cx, AttemptResult::Unknown, error.to_string());
--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -15,7 +15,9 @@
     config::RouteKind,
     node::Node,
     origin_exchange::OriginFinding,
-    stream_origin::{OriginVerdict, RecordSearch, RequestKey, RouteScope, StreamOrigin},
+    stream_origin::{
+        AttemptOrigin, OriginVerdict, RecordSearch, RequestKey, RouteScope, StreamOrigin,
+    },
 };
 
 /// A stream that a request takes up.
@@ -49,7 +51,7 @@
     stream: TakenUpStream,
     checked: &CheckedRequest,
     record: &RequestRecord,
-) -> Result<StreamOrigin, ErrorReply> {
+) -> Result<AttemptOrigin, ErrorReply> {
     let started_ms = node.now_ms();
     let services = checked.route.services().cloned().collect();
     let scope = RouteScope { route: checked.route.id(), services };
@@ -57,15 +59,17 @@
     let request = stream.request.unwrap_or_else(|| RequestKey::new(checked.id.as_bytes()));
     let finding = node.find_stream_origin(request, &scope).await;
     let OriginFinding { verdict, candidates, knows_history, search } = &finding;
-    let (origin, source) = match verdict {
-        OriginVerdict::Found(origin, source) => (Some(origin), Some(<&'static str>::from(source))),
+    let (start, source) = match verdict {
+        OriginVerdict::Found(start, source) => (Some(start), Some(<&'static str>::from(source))),
         OriginVerdict::Unknown | OriginVerdict::Contradictory => (None, None),
     };
+    let origin = start.map(|start| &start.origin);
     info!(
         request = record.id,
         takes_up = record.takes_up,
         service = origin.map(|origin| origin.service.as_str()),
         software_version = origin.map(|origin| origin.software_version.as_str()),
+        attempt = start.map(|start| start.attempt),
         source,
         candidates = list_versions(candidates),
         knows_history,
@@ -76,16 +80,16 @@
         "stream is taken up"
     );
     let refuse = |message| Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
-    match origin {
+    match start {
         None if matches!(search, RecordSearch::Failed | RecordSearch::Pending) => refuse(
             "the store cannot be asked at the moment where the stream began; the request did not \
              run",
         ),
         None => refuse("it is not known where the stream began; the request did not run"),
-        Some(origin) if !scope.services.contains(&origin.service) => {
+        Some(start) if !scope.services.contains(&start.origin.service) => {
             refuse("the route no longer leads to the stream's service; the request did not run")
         }
-        Some(origin) => Ok(origin.clone()),
+        Some(start) => Ok(start.clone()),
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod log;
 pub mod metrics;
 pub mod node;
+pub mod origin_confirmation;
 mod origin_exchange;
 pub mod origin_log;
 mod outbox;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -86,6 +86,9 @@
     QueueMs,
     /// Time from sending a request to an upstream to the start of its answer.
     UpstreamFirstByteMs,
+    /// Time for which the first event of a stream waited until it was known to others where
+    /// the stream began.
+    OriginConfirmationMs,
 }
 
 /// Largest value of a histogram, in milliseconds; larger ones count as this.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -20,7 +20,7 @@
     directory,
     load_summary::{self, LoadSummary, ServiceLoad, ServiceLoads},
     metrics::Counter,
-    origin_exchange::Inquiries,
+    origin_exchange::{Confirmations, Inquiries},
     outbox::Outbox,
     overload::OverloadDetector,
     placement::{ChosenUpstream, PlacementRequest, PromptPrefix},
@@ -59,6 +59,8 @@
     pub(crate) outbox: Outbox,
     /// Inquiries for streams that wait for the answers of other routers.
     pub(crate) inquiries: Inquiries,
+    /// Requests for streams that are about to begin, and what others know of them.
+    pub(crate) confirmations: Confirmations,
     /// Demand for what the store holds about streams.
     pub(crate) record_reads: RecordReads,
     /// Wakes the writer of records about streams after a change of the upstreams or of the
@@ -97,6 +99,7 @@
             summary_trigger: Notify::new(),
             outbox: Outbox::default(),
             inquiries: Inquiries::default(),
+            confirmations: Confirmations::default(),
             record_reads: RecordReads::default(),
             records_changed: Notify::new(),
             state: RefCell::new(State::new(own_router, seed, is_first_start)),
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -10,18 +10,26 @@
 
 use futures::{StreamExt, channel::mpsc};
 use span_types::InstanceName;
-use tokio::{task::spawn_local, time::sleep_until};
+use tokio::{
+    sync::Notify,
+    task::spawn_local,
+    time::{sleep_until, timeout_at},
+};
 use tracing::warn;
 
 use crate::{
-    metrics::Counter,
+    forward::RequestData,
+    metrics::{Counter, Timing},
     node::Node,
+    origin_confirmation::{MAX_CONFIRMATION_WAIT_MS, OriginConfirmation},
+    origin_log::RecordReceipt,
     peers::Packet,
     record_sync::RECORDS_FRESH_MS,
     role::Role,
     stream_origin::{
-        ASK_AGAIN_MS, OriginAnswer, OriginInquiry, OriginNotice, OriginSource, OriginVerdict,
-        RecordSearch, RequestKey, RouteScope, StreamOrigin, TOLD_ROUTERS,
+        ASK_AGAIN_MS, AttemptOrigin, OriginAnswer, OriginInquiry, OriginNotice, OriginSource,
+        OriginVerdict, RecordSearch, RequestKey, RouteScope, StreamAttempt, StreamOrigin,
+        TOLD_ROUTERS,
     },
     stream_records::RecordedOrigin,
 };
@@ -72,6 +80,66 @@
     }
 }
 
+/// Requests for streams that are about to begin, and what others know of them.
+#[derive(Debug, Default)]
+pub(crate) struct Confirmations {
+    pending: Rc<RefCell<HashMap<RequestKey, Rc<PendingConfirmation>>>>,
+}
+
+#[derive(Debug)]
+struct PendingConfirmation {
+    confirmation: RefCell<OriginConfirmation>,
+    changed: Notify,
+}
+
+/// What others know of a stream that is about to begin. They tell nothing more once this is
+/// dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConfirmation {
+    request: RequestKey,
+    pending: Rc<PendingConfirmation>,
+    all: Rc<RefCell<HashMap<RequestKey, Rc<PendingConfirmation>>>>,
+}
+
+impl Confirmations {
+    fn open(&self, request: RequestKey, start: AttemptOrigin) -> OpenConfirmation {
+        let confirmation = RefCell::new(OriginConfirmation::new(start));
+        let pending = Rc::new(PendingConfirmation { confirmation, changed: Notify::new() });
+        self.pending.borrow_mut().insert(request, pending.clone());
+        OpenConfirmation { request, pending, all: self.pending.clone() }
+    }
+
+    fn update(&self, request: RequestKey, update: impl FnOnce(&mut OriginConfirmation)) {
+        if let Some(pending) = self.pending.borrow().get(&request) {
+            update(&mut pending.confirmation.borrow_mut());
+            pending.changed.notify_one();
+        }
+    }
+}
+
+impl OpenConfirmation {
+    /// Whether the caller may get the first event.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.pending.confirmation.borrow().is_confirmed()
+    }
+}
+
+impl Drop for OpenConfirmation {
+    fn drop(&mut self) {
+        let mut all = self.all.borrow_mut();
+        // A caller may have used the id again.
+        if all.get(&self.request).is_some_and(|pending| Rc::ptr_eq(pending, &self.pending)) {
+            all.remove(&self.request);
+        }
+    }
+}
+
+fn notice(stream: StreamAttempt, origin: &StreamOrigin, lifetime_ms: u64) -> OriginNotice {
+    let StreamAttempt { request, attempt } = stream;
+    let start = AttemptOrigin { origin: origin.clone(), attempt };
+    OriginNotice { request, start, lifetime_ms }
+}
+
 impl Drop for OpenInquiry<'_> {
     fn drop(&mut self) {
         self.answers.close();
@@ -86,36 +154,86 @@
 }
 
 impl Node {
-    /// Has the origin recorded of a stream that `requests` are about to begin or take up, if
-    /// streams may begin elsewhere. Its first event mostly comes after the next batch, so
-    /// that few streams are lost if all routers die. Returns whether that was needed.
-    pub(crate) fn record_sent_stream(
+    /// Has the origin recorded of a stream that an attempt at a request is about to begin or
+    /// take up, if streams may begin elsewhere, or an earlier attempt is recorded. The first
+    /// event mostly comes after the next batch, so that few streams are lost if all routers
+    /// die. `confirmation` is that of the earlier attempt.
+    pub(crate) fn stream_sent(
         &self,
-        requests: &[RequestKey],
+        data: &RequestData,
+        attempt: u32,
         origin: &StreamOrigin,
-    ) -> bool {
+        confirmation: Option<OpenConfirmation>,
+    ) -> Option<OpenConfirmation> {
         let now_ms = self.now_ms();
         let (is_needed, lifetime_ms) = {
             let state = self.state();
             (state.origins_may_differ(now_ms, &origin.service), state.stream_lifetime_ms)
         };
-        if is_needed {
-            let notice = |request: &RequestKey| OriginNotice {
-                request: *request,
-                origin: origin.clone(),
-                lifetime_ms,
-            };
-            self.record_origins(&requests.iter().map(notice).collect::<Vec<_>>());
+        if !is_needed && confirmation.is_none() {
+            return None;
+        }
+        let start = AttemptOrigin { origin: origin.clone(), attempt };
+        let confirmation = match confirmation {
+            Some(confirmation) => {
+                confirmation.pending.confirmation.borrow_mut().start_attempt(start);
+                confirmation
+            }
+            None => self.confirmations.open(data.own_attempt(attempt).request, start),
+        };
+        let streams = data.stream_attempts(attempt);
+        let notices = streams.iter().map(|stream| notice(*stream, origin, lifetime_ms));
+        self.record_origins(&notices.collect::<Vec<_>>());
+        Some(confirmation)
+    }
+
+    /// Waits until the caller may get the first event of a stream. Returns false if others
+    /// could not be told in time where it began.
+    pub(crate) async fn await_confirmation(self: Rc<Self>, confirmation: OpenConfirmation) -> bool {
+        let started_ms = self.now_ms();
+        let until = self.clock.instant(started_ms + MAX_CONFIRMATION_WAIT_MS);
+        let confirmed = async {
+            while !confirmation.is_confirmed() {
+                confirmation.pending.changed.notified().await;
+            }
+        };
+        let is_confirmed = timeout_at(until, confirmed).await.is_ok();
+        let waited_ms = self.now_ms().saturating_sub(started_ms);
+        self.state().metrics.time(Timing::OriginConfirmationMs, waited_ms);
+        is_confirmed
+    }
+
+    /// Records that the store has the records of streams.
+    pub(crate) fn origins_recorded(&self, streams: &[StreamAttempt]) {
+        for stream in streams {
+            self.confirmations.update(stream.request, |known| known.recorded(*stream));
+        }
+    }
+
+    /// Tells those that had streams recorded that the store has them.
+    pub(crate) fn send_receipts(&self, receipts: &[RecordReceipt]) {
+        let mut by_router: BTreeMap<IpAddr, Vec<StreamAttempt>> = BTreeMap::new();
+        let mut own = Vec::new();
+        for receipt in receipts {
+            match receipt.router {
+                Some(ip) => by_router.entry(ip).or_default().push(receipt.stream),
+                None => own.push(receipt.stream),
+            }
+        }
+        self.origins_recorded(&own);
+        for (ip, streams) in by_router {
+            for part in streams.chunks(MAX_NOTICES_PER_PACKET) {
+                self.outbox.push(vec![ip], Packet::OriginsRecorded(part.to_vec()));
+            }
         }
-        is_needed
     }
 
-    /// Records that a caller gets the first event of a stream that `requests` began or
-    /// took up, and tells others of it if they could not find out. `is_recorded` says whether
-    /// the origin was recorded before.
+    /// Records that a caller gets the first event of a stream that a request began or took up,
+    /// and tells others of it if they could not find out. `is_recorded` says whether the
+    /// origin was recorded before.
     pub(crate) fn stream_began(
         &self,
-        requests: &[RequestKey],
+        streams: &[StreamAttempt],
         origin: &StreamOrigin,
         is_recorded: bool,
     ) {
@@ -125,11 +243,12 @@
             let lifetime_ms = state.stream_lifetime_ms;
             let is_told = state.origins_may_differ(now_ms, &origin.service);
             let origins = &mut state.stream_origins;
-            for request in requests {
-                origins.begin(now_ms, *request, origin, lifetime_ms);
+            for StreamAttempt { request, attempt } in streams {
+                let start = AttemptOrigin { origin: origin.clone(), attempt: *attempt };
+                origins.begin(now_ms, *request, &start, lifetime_ms);
             }
-            let told = requests.iter().filter(|_| is_told);
-            told.filter_map(|request| origins.tell(now_ms, *request)).collect()
+            let told = streams.iter().filter(|_| is_told);
+            told.filter_map(|stream| origins.tell(now_ms, stream.request)).collect()
         };
         self.tell_routers(&notices);
         if !is_recorded {
@@ -138,10 +257,10 @@
     }
 
     /// Forgets a stream whose caller has all of it.
-    pub(crate) fn stream_ended(&self, requests: &[RequestKey]) {
+    pub(crate) fn stream_ended(&self, streams: &[StreamAttempt]) {
         let mut state = self.state();
-        for request in requests {
-            state.stream_origins.end(*request);
+        for stream in streams {
+            state.stream_origins.end(stream.request);
         }
     }
 
@@ -197,7 +316,7 @@
         let now_ms = self.now_ms();
         let keeper = self.state().record_keeper();
         let Some(keeper) = keeper else {
-            self.log_origins(notices);
+            self.log_origins(None, notices);
             return;
         };
         self.state().sent_origins.push(now_ms, notices);
@@ -207,10 +326,11 @@
         }
     }
 
-    /// Adds streams to those that this router writes to the store.
-    pub(crate) fn log_origins(&self, notices: &[OriginNotice]) {
+    /// Adds streams of `router`, none for this one, to those that this router writes to the
+    /// store.
+    pub(crate) fn log_origins(&self, router: Option<IpAddr>, notices: &[OriginNotice]) {
         let now_ms = self.now_ms();
-        if let Err(dropped) = self.state().origin_log.record(now_ms, notices) {
+        if let Err(dropped) = self.state().origin_log.record(now_ms, router, notices) {
             warn!(dropped, "the log of streams is full; some will not be recorded");
         }
     }
@@ -233,7 +353,7 @@
         let mut state = self.state();
         let mut differs_now = false;
         for notice in notices {
-            let service = &notice.origin.service;
+            let service = &notice.start.origin.service;
             let differed = state.origins_may_differ(now_ms, service);
             state.stream_origins.learn(now_ms, notice);
             differs_now |= !differed && state.origins_may_differ(now_ms, service);
@@ -260,7 +380,7 @@
             let needs_search = state.needs_record_search(now_ms, &own);
             (own, is_collector, needs_search)
         };
-        if own.origin.is_some() || !is_collector || !needs_search {
+        if own.start.is_some() || !is_collector || !needs_search {
             self.send_answer(to, request, own);
             return;
         }
@@ -270,8 +390,8 @@
             let answer = {
                 let state = node.state();
                 let mut answer = state.origin_answer(node.now_ms(), request, &scope);
-                if let RecordedOrigin::At(origin) = state.recorded_origins.get(request) {
-                    answer.origin.get_or_insert(origin);
+                if let RecordedOrigin::At(start) = state.recorded_origins.get(request) {
+                    answer.start.get_or_insert(start);
                 }
                 answer
             };
@@ -305,9 +425,9 @@
         let (mut inquiry, addresses) = {
             let state = self.state();
             let own = state.origin_answer(now_ms, request, scope);
-            if let Some(origin) = own.origin {
+            if let Some(start) = own.start {
                 return OriginFinding {
-                    verdict: OriginVerdict::Found(origin, OriginSource::Known),
+                    verdict: OriginVerdict::Found(start, OriginSource::Known),
                     candidates: own.candidates,
                     knows_history: own.knows_history,
                     search: RecordSearch::NotNeeded,
@@ -337,12 +457,12 @@
         loop {
             let now_ms = self.now_ms();
             if let Some(verdict) = inquiry.verdict(now_ms) {
-                if let OriginVerdict::Found(origin, OriginSource::Asked | OriginSource::Recorded) =
+                if let OriginVerdict::Found(start, OriginSource::Asked | OriginSource::Recorded) =
                     &verdict
                 {
                     let mut state = self.state();
                     let lifetime_ms = state.stream_lifetime_ms;
-                    let notice = OriginNotice { request, origin: origin.clone(), lifetime_ms };
+                    let notice = OriginNotice { request, start: start.clone(), lifetime_ms };
                     state.stream_origins.learn(now_ms, &notice);
                 }
                 return OriginFinding {
--- a/crates/edge/src/origin_log.rs
+++ b/crates/edge/src/origin_log.rs
@@ -8,12 +8,16 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     mem,
+    net::IpAddr,
     sync::Arc,
 };
 
 use span_types::Member;
 
-use crate::{stream_origin::OriginNotice, stream_records::OriginSegment};
+use crate::{
+    stream_origin::{OriginNotice, StreamAttempt},
+    stream_records::OriginSegment,
+};
 
 /// Interval between two batches, in milliseconds. Streams whose requests were sent since the
 /// last one are lost with the memory of all routers; most of them have no event by then.
@@ -39,16 +43,35 @@
     len: usize,
     /// Number of its streams that the store has; none before the first write.
     written_len: Option<usize>,
+    /// Receipts that are due once the store has the streams, with the position of each.
+    receipts: VecDeque<(usize, RecordReceipt)>,
     /// Whether the store may have an object of this name.
     may_exist: bool,
 }
 
 impl LogSegment {
     fn new(segment: OriginSegment) -> Self {
-        Self { segment, begun_ms: 0, expires_ms: 0, len: 0, written_len: None, may_exist: false }
+        Self {
+            segment,
+            begun_ms: 0,
+            expires_ms: 0,
+            len: 0,
+            written_len: None,
+            receipts: VecDeque::new(),
+            may_exist: false,
+        }
     }
 }
 
+/// Says that the store has the record of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordReceipt {
+    /// Router that had it recorded; none for this one.
+    pub router: Option<IpAddr>,
+    /// The recorded attempt.
+    pub stream: StreamAttempt,
+}
+
 /// A segment that has to be written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SegmentWrite {
@@ -75,18 +98,25 @@
         Self { prefix, next_number: 0, segments: VecDeque::new() }
     }
 
-    /// Adds streams. They wait for the next batch.
+    /// Adds streams of `router`, none for this one. They wait for the next batch.
     ///
     /// # Errors
     ///
     /// Returns the number of streams for which there is no room.
-    pub fn record(&mut self, now_ms: u64, notices: &[OriginNotice]) -> Result<(), usize> {
+    pub fn record(
+        &mut self,
+        now_ms: u64,
+        router: Option<IpAddr>,
+        notices: &[OriginNotice],
+    ) -> Result<(), usize> {
         let room = MAX_STREAMS.saturating_sub(self.len());
         for notice in notices.iter().take(room) {
             let segment = self.open_segment(now_ms);
             let requests: &mut Vec<_> =
-                segment.segment.streams.entry(notice.origin.clone()).or_default();
+                segment.segment.streams.entry(notice.start.clone()).or_default();
             requests.push(notice.request);
+            let receipt = RecordReceipt { router, stream: notice.stream_attempt() };
+            segment.receipts.push_back((segment.len, receipt));
             segment.len += 1;
             segment.expires_ms = segment.expires_ms.max(now_ms + notice.lifetime_ms);
         }
@@ -130,12 +160,16 @@
         writes.collect()
     }
 
-    /// Records that the store has the first `len` streams of the segment `name`.
-    pub fn written(&mut self, name: &str, len: usize) {
+    /// Records that the store has the first `len` streams of the segment `name`. Returns the
+    /// receipts for those that it did not have before.
+    pub fn written(&mut self, name: &str, len: usize) -> Vec<RecordReceipt> {
         let mut segments = self.segments.iter_mut();
-        if let Some(segment) = segments.find(|segment| *segment.segment.name == *name) {
-            segment.written_len = Some(len);
-        }
+        let Some(segment) = segments.find(|segment| *segment.segment.name == *name) else {
+            return Vec::new();
+        };
+        segment.written_len = Some(len);
+        let due = segment.receipts.partition_point(|(position, _)| *position < len);
+        segment.receipts.drain(..due).map(|(_, receipt)| receipt).collect()
     }
 
     /// Records that the store did not answer the write of the segment `name`. It may execute
@@ -147,12 +181,19 @@
             return;
         };
         let streams = mem::take(&mut segment.segment.streams);
+        let receipts = mem::take(&mut segment.receipts);
         let (begun_ms, expires_ms, len) = (segment.begun_ms, segment.expires_ms, segment.len);
         // Stays to be removed from the store.
         (segment.len, segment.written_len) = (0, Some(0));
         let name = self.next_name();
         let moved = OriginSegment { name, streams };
-        self.segments.push_back(LogSegment { begun_ms, expires_ms, len, ..LogSegment::new(moved) });
+        self.segments.push_back(LogSegment {
+            begun_ms,
+            expires_ms,
+            len,
+            receipts,
+            ..LogSegment::new(moved)
+        });
     }
 
     /// All segments have to be written again: the store may have lost them.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -32,7 +32,7 @@
     role::Role,
     store::Position,
     store_source::{START_HEARTBEAT_INTERVAL_MS, StoreKnowledge},
-    stream_origin::{OriginAnswer, OriginNotice, RequestKey, RouteScope},
+    stream_origin::{OriginAnswer, OriginNotice, RequestKey, RouteScope, StreamAttempt},
     upstream_limit::LimitSummary,
 };
 
@@ -105,6 +105,8 @@
     },
     /// From a router to the collector of its failure domain: streams to record in the store.
     RecordOrigins(Vec<OriginNotice>),
+    /// Answers a [`Packet::RecordOrigins`] once the store has the streams.
+    OriginsRecorded(Vec<StreamAttempt>),
 }
 
 /// Routers that a summary covers.
@@ -558,8 +560,9 @@
                         self.receive_limits(from, scope, limits);
                     }
                     Ok(Packet::RecordOrigins(notices)) => {
-                        self.node.log_origins(&notices);
+                        self.node.log_origins(Some(from.ip()), &notices);
                     }
+                    Ok(Packet::OriginsRecorded(streams)) => self.node.origins_recorded(&streams),
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/record_sync.rs
+++ b/crates/edge/src/record_sync.rs
@@ -236,7 +236,8 @@
             node.state().origin_log.unanswered(&name);
         }
         written?;
-        node.state().origin_log.written(&name, len);
+        let receipts = node.state().origin_log.written(&name, len);
+        node.send_receipts(&receipts);
     }
     for name in over {
         // The sweep removes it if this fails.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -328,7 +328,7 @@
         scope: &RouteScope,
     ) -> OriginAnswer {
         OriginAnswer {
-            origin: self.stream_origins.get(now_ms, request).cloned(),
+            start: self.stream_origins.get(now_ms, request).cloned(),
             candidates: self.origin_candidates(now_ms, &self.recent_services(now_ms, scope)),
             knows_history: self.stream_origins.knows_history(now_ms, self.stream_lifetime_ms),
         }
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -66,13 +66,32 @@
     pub software_version: SoftwareVersion,
 }
 
+/// Where an attempt at a request was sent. The request may have been sent to several upstreams
+/// before one sent the first event; the stream began at the last of them.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AttemptOrigin {
+    /// Where the stream begins if this attempt brings the first event.
+    pub origin: StreamOrigin,
+    /// Number of the attempt, counted from 1.
+    pub attempt: u32,
+}
+
+/// An attempt at a request for a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamAttempt {
+    /// The request.
+    pub request: RequestKey,
+    /// Number of the attempt, counted from 1.
+    pub attempt: u32,
+}
+
 /// What a router tells others of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginNotice {
     /// The request that began the stream.
     pub request: RequestKey,
-    /// Where it began.
-    pub origin: StreamOrigin,
+    /// Where it began, or begins unless another attempt follows.
+    pub start: AttemptOrigin,
     /// Time within which it may be taken up, in milliseconds.
     pub lifetime_ms: u64,
 }
@@ -90,7 +109,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginAnswer {
     /// Where the stream began, if the router knows it.
-    pub origin: Option<StreamOrigin>,
+    pub start: Option<AttemptOrigin>,
     /// Where streams of the route in question may have begun.
     pub candidates: BTreeSet<StreamOrigin>,
     /// Whether the router knows where they may have begun before it started.
@@ -99,12 +118,19 @@
 
 #[derive(Clone, Debug)]
 struct KnownStream {
-    origin: StreamOrigin,
+    start: AttemptOrigin,
     expires_ms: u64,
     /// Whether this router began the stream and has told nobody.
     is_untold: bool,
 }
 
+impl OriginNotice {
+    /// The attempt that this tells of.
+    pub fn stream_attempt(&self) -> StreamAttempt {
+        StreamAttempt { request: self.request, attempt: self.start.attempt }
+    }
+}
+
 /// What a router knows of where streams began.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
@@ -247,35 +273,40 @@
         &mut self,
         now_ms: u64,
         request: RequestKey,
-        origin: &StreamOrigin,
+        start: &AttemptOrigin,
         lifetime_ms: u64,
     ) {
-        self.insert(now_ms, request, origin, lifetime_ms, true);
+        self.insert(now_ms, request, start, lifetime_ms, true);
     }
 
     /// Records what another router tells of a stream. Its version may be one of which this
     /// router knows no upstream yet.
     pub fn learn(&mut self, now_ms: u64, notice: &OriginNotice) {
-        let StreamOrigin { service, software_version } = &notice.origin;
+        let StreamOrigin { service, software_version } = &notice.start.origin;
         self.versions.note(now_ms, service, software_version);
-        self.insert(now_ms, notice.request, &notice.origin, notice.lifetime_ms, false);
+        self.insert(now_ms, notice.request, &notice.start, notice.lifetime_ms, false);
     }
 
     fn insert(
         &mut self,
         now_ms: u64,
         request: RequestKey,
-        origin: &StreamOrigin,
+        start: &AttemptOrigin,
         lifetime_ms: u64,
         is_untold: bool,
     ) {
+        // A notice of an earlier attempt may be late.
+        let known = self.streams.get(&request).filter(|known| known.expires_ms > now_ms);
+        if known.is_some_and(|known| known.start.attempt > start.attempt) {
+            return;
+        }
         if now_ms.saturating_sub(self.swept_ms) >= SWEEP_INTERVAL_MS {
             self.swept_ms = now_ms;
             self.streams.retain(|_, stream| stream.expires_ms > now_ms);
         }
         if self.streams.len() < MAX_KNOWN_STREAMS {
-            let (origin, expires_ms) = (origin.clone(), now_ms.saturating_add(lifetime_ms));
-            self.streams.insert(request, KnownStream { origin, expires_ms, is_untold });
+            let (start, expires_ms) = (start.clone(), now_ms.saturating_add(lifetime_ms));
+            self.streams.insert(request, KnownStream { start, expires_ms, is_untold });
         }
     }
 
@@ -301,7 +332,7 @@
     ) -> Vec<OriginNotice> {
         let streams = self.streams.iter_mut();
         let untold =
-            streams.filter(|(_, stream)| stream.is_untold && is_told(&stream.origin.service));
+            streams.filter(|(_, stream)| stream.is_untold && is_told(&stream.start.origin.service));
         untold.filter_map(|(request, stream)| notice(now_ms, *request, stream)).collect()
     }
 
@@ -313,14 +344,14 @@
         mut is_told: impl FnMut(&ServiceName) -> bool,
     ) -> Vec<OriginNotice> {
         let streams = self.streams.iter_mut();
-        let told = streams.filter(|(_, stream)| is_told(&stream.origin.service));
+        let told = streams.filter(|(_, stream)| is_told(&stream.start.origin.service));
         told.filter_map(|(request, stream)| notice(now_ms, *request, stream)).collect()
     }
 
     /// Where a stream began; none if this router does not know.
-    pub fn get(&self, now_ms: u64, request: RequestKey) -> Option<&StreamOrigin> {
+    pub fn get(&self, now_ms: u64, request: RequestKey) -> Option<&AttemptOrigin> {
         let stream = self.streams.get(&request).filter(|stream| stream.expires_ms > now_ms)?;
-        Some(&stream.origin)
+        Some(&stream.start)
     }
 
     /// Number of streams that are remembered.
@@ -338,7 +369,7 @@
 fn notice(now_ms: u64, request: RequestKey, stream: &mut KnownStream) -> Option<OriginNotice> {
     stream.is_untold = false;
     let lifetime_ms = stream.expires_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)?;
-    Some(OriginNotice { request, origin: stream.origin.clone(), lifetime_ms })
+    Some(OriginNotice { request, start: stream.start.clone(), lifetime_ms })
 }
 
 /// The first `count` of `routers` in an order that depends on the stream and is the same
@@ -373,7 +404,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OriginVerdict {
     /// The stream began there.
-    Found(StreamOrigin, OriginSource),
+    Found(AttemptOrigin, OriginSource),
     /// The stream may have begun at several versions, or no other router can be reached.
     Unknown,
     /// Routers or records contradict each other.
@@ -406,8 +437,8 @@
     is_confirmed: bool,
     /// Whether any router knows which versions there were before it started.
     knows_history: bool,
-    /// The first origin that was found, how, and when.
-    found: Option<(StreamOrigin, OriginSource, u64)>,
+    /// The latest attempt that was found, how, and when.
+    found: Option<(AttemptOrigin, OriginSource, u64)>,
     is_contradictory: bool,
     /// Whether the store has several records of the stream: its request was sent to upstreams
     /// of several versions before one sent an event.
@@ -462,8 +493,8 @@
     /// Records the answer of a router.
     pub fn record(&mut self, now_ms: u64, from: &InstanceName, answer: OriginAnswer) {
         self.awaited.remove(from);
-        if let Some(origin) = answer.origin {
-            self.find(now_ms, origin, OriginSource::Asked);
+        if let Some(start) = answer.start {
+            self.find(now_ms, start, OriginSource::Asked);
         }
         self.is_confirmed |= !answer.candidates.is_empty();
         self.knows_history |= answer.knows_history;
@@ -482,16 +513,22 @@
         self.knows_history |= own.knows_history;
         self.candidates.extend(own.candidates);
         match recorded {
-            Some(RecordedOrigin::At(origin)) => self.find(now_ms, origin, OriginSource::Recorded),
+            Some(RecordedOrigin::At(start)) => self.find(now_ms, start, OriginSource::Recorded),
             Some(RecordedOrigin::Several) => self.has_several_records = true,
             Some(RecordedOrigin::None) | None => {}
         }
     }
 
-    fn find(&mut self, now_ms: u64, origin: StreamOrigin, source: OriginSource) {
+    fn find(&mut self, now_ms: u64, start: AttemptOrigin, source: OriginSource) {
         match &self.found {
-            Some((found, ..)) => self.is_contradictory |= *found != origin,
-            None => self.found = Some((origin, source, now_ms)),
+            Some((found, ..)) if start.attempt < found.attempt => {}
+            Some((found, ..)) if start.attempt == found.attempt => {
+                self.is_contradictory |= *found != start;
+            }
+            Some(_) | None => {
+                self.found = Some((start, source, now_ms));
+                self.is_contradictory = false;
+            }
         }
     }
 
@@ -512,9 +549,9 @@
         }
         let is_searching = self.search == RecordSearch::Pending;
         let has_all_answers = self.awaited.is_empty() && !is_searching;
-        if let Some((origin, source, found_ms)) = &self.found {
+        if let Some((start, source, found_ms)) = &self.found {
             let is_settled = has_all_answers || now_ms >= found_ms + AGREEMENT_WAIT_MS;
-            return is_settled.then(|| OriginVerdict::Found(origin.clone(), *source));
+            return is_settled.then(|| OriginVerdict::Found(start.clone(), *source));
         }
         let elapsed_ms = now_ms.saturating_sub(self.asked_ms);
         let mut candidates = self.candidates.iter();
@@ -532,7 +569,10 @@
             return None;
         }
         Some(match only {
-            Some(origin) => OriginVerdict::Found(origin.clone(), OriginSource::OnlyCandidate),
+            Some(origin) => {
+                let start = AttemptOrigin { origin: origin.clone(), attempt: 1 };
+                OriginVerdict::Found(start, OriginSource::OnlyCandidate)
+            }
             None => OriginVerdict::Unknown,
         })
     }
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -8,15 +8,15 @@
 
 use span_types::{ServiceName, SoftwareVersion};
 
-use crate::stream_origin::{RequestKey, StreamOrigin};
+use crate::stream_origin::{AttemptOrigin, RequestKey};
 
 /// Origins of streams that began within a few seconds, as one object of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OriginSegment {
     /// Name of the object, which no other router uses.
     pub name: Arc<str>,
-    /// The streams that began at each origin.
-    pub streams: BTreeMap<StreamOrigin, Vec<RequestKey>>,
+    /// The requests for streams by where they were sent, at which attempt.
+    pub streams: BTreeMap<AttemptOrigin, Vec<RequestKey>>,
 }
 
 /// A route in records: its host and path prefix.
@@ -57,34 +57,38 @@
     /// Nothing.
     None,
     /// The stream began there.
-    At(StreamOrigin),
-    /// Its request was sent to several places, and it began at one of them.
+    At(AttemptOrigin),
+    /// Records contradict each other.
     Several,
 }
 
 /// Index of the origins that the store held when it was last read.
 #[derive(Debug, Default)]
 pub struct RecordedOrigins {
-    origins: Vec<StreamOrigin>,
-    /// Position of each stream's origin in `origins`; none if there are several.
-    streams: HashMap<RequestKey, Option<usize>>,
+    starts: Vec<AttemptOrigin>,
+    /// Position of each stream's last attempt in `starts`, and whether there is another record
+    /// of the same attempt.
+    streams: HashMap<RequestKey, (usize, bool)>,
 }
 
 impl RecordedOrigins {
     /// Indexes `segments` instead of those before.
     pub fn replace(&mut self, segments: &[OriginSegment]) {
-        self.origins.clear();
+        self.starts.clear();
         self.streams.clear();
-        for (origin, requests) in segments.iter().flat_map(|segment| &segment.streams) {
-            let known = self.origins.iter().position(|known| known == origin);
+        for (start, requests) in segments.iter().flat_map(|segment| &segment.streams) {
+            let known = self.starts.iter().position(|known| known == start);
             let index = known.unwrap_or_else(|| {
-                self.origins.push(origin.clone());
-                self.origins.len() - 1
+                self.starts.push(start.clone());
+                self.starts.len() - 1
             });
             for request in requests {
-                let entry = self.streams.entry(*request).or_insert(Some(index));
-                if *entry != Some(index) {
-                    *entry = None;
+                let entry = self.streams.entry(*request).or_insert((index, false));
+                let known_attempt = self.starts[entry.0].attempt;
+                if start.attempt > known_attempt {
+                    *entry = (index, false);
+                } else if start.attempt == known_attempt && entry.0 != index {
+                    entry.1 = true;
                 }
             }
         }
@@ -94,8 +98,8 @@
     pub fn get(&self, request: RequestKey) -> RecordedOrigin {
         match self.streams.get(&request) {
             None => RecordedOrigin::None,
-            Some(None) => RecordedOrigin::Several,
-            Some(Some(index)) => RecordedOrigin::At(self.origins[*index].clone()),
+            Some((_, true)) => RecordedOrigin::Several,
+            Some((index, false)) => RecordedOrigin::At(self.starts[*index].clone()),
         }
     }
 
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -6,9 +6,9 @@
 
 use span_edge::{
     stream_origin::{
-        AGREEMENT_WAIT_MS, ANSWER_TIMEOUT_MS, ASK_AGAIN_MS, ASKED_ROUTERS, OriginAnswer,
-        OriginInquiry, OriginSource, OriginVerdict, RecordSearch, RequestKey, StreamOrigin,
-        StreamOrigins, TOLD_ROUTERS, routers_for_stream,
+        AGREEMENT_WAIT_MS, ANSWER_TIMEOUT_MS, ASK_AGAIN_MS, ASKED_ROUTERS, AttemptOrigin,
+        OriginAnswer, OriginInquiry, OriginNotice, OriginSource, OriginVerdict, RecordSearch,
+        RequestKey, StreamOrigin, StreamOrigins, TOLD_ROUTERS, routers_for_stream,
     },
     stream_records::{HistoryRecord, RecordedOrigin},
 };
@@ -28,6 +28,10 @@
     StreamOrigin { service: service(), software_version: version.into() }
 }
 
+fn start(version: &str) -> AttemptOrigin {
+    AttemptOrigin { origin: origin(version), attempt: 1 }
+}
+
 fn origins(versions: &[&str]) -> BTreeSet<StreamOrigin> {
     versions.iter().map(|version| origin(version)).collect()
 }
@@ -66,20 +70,20 @@
     let mut known = StreamOrigins::default();
     for id in ["open", "ended", "expired"] {
         let lifetime_ms = if id == "expired" { 10 } else { LIFETIME_MS };
-        known.begin(0, key(id), &origin("v1"), lifetime_ms);
+        known.begin(0, key(id), &start("v1"), lifetime_ms);
     }
     known.end(key("ended"));
     assert!(known.tell_all(100, |_| false).is_empty());
     let told = known.tell_all(100, |_| true);
     assert_eq!(told.len(), 1);
-    assert_eq!((told[0].request, &told[0].origin), (key("open"), &origin("v1")));
+    assert_eq!((told[0].request, &told[0].start), (key("open"), &start("v1")));
     assert_eq!(told[0].lifetime_ms, LIFETIME_MS - 100);
     assert!(known.tell_all(100, |_| true).is_empty());
     assert_eq!(known.tell(100, key("open")), None);
 
     let mut other = StreamOrigins::default();
     other.learn(200, &told[0]);
-    assert_eq!(other.get(200, key("open")), Some(&origin("v1")));
+    assert_eq!(other.get(200, key("open")), Some(&start("v1")));
     assert_eq!(other.get(200 + LIFETIME_MS, key("open")), None);
     assert!(other.tell_all(200, |_| true).is_empty());
     assert_eq!(other.get(200, key("ended")), None);
@@ -90,7 +94,7 @@
 #[test]
 fn notice_makes_its_version_a_candidate() {
     let mut first = StreamOrigins::default();
-    first.begin(0, key("r1"), &origin("v2"), LIFETIME_MS);
+    first.begin(0, key("r1"), &start("v2"), LIFETIME_MS);
     let notice = first.tell(0, key("r1")).unwrap();
     let mut other = StreamOrigins::default();
     other.set_versions(0, &service(), &versions(&["v1"]));
@@ -105,20 +109,20 @@
 #[test]
 fn leaving_router_passes_on_all_that_it_knows() {
     let mut known = StreamOrigins::default();
-    known.begin(0, key("own"), &origin("v1"), LIFETIME_MS);
+    known.begin(0, key("own"), &start("v1"), LIFETIME_MS);
     known.tell(0, key("own")).unwrap();
-    known.begin(0, key("expired"), &origin("v1"), 10);
+    known.begin(0, key("expired"), &start("v1"), 10);
     let mut first = StreamOrigins::default();
-    first.begin(0, key("learned"), &origin("v2"), LIFETIME_MS);
+    first.begin(0, key("learned"), &start("v2"), LIFETIME_MS);
     known.learn(0, &first.tell(0, key("learned")).unwrap());
     let mut passed_on = known.hand_over(1_000, |_| true);
-    passed_on.sort_by_key(|notice| notice.origin.clone());
+    passed_on.sort_by_key(|notice| notice.start.clone());
     let passed_on: Vec<_> = passed_on
         .iter()
-        .map(|notice| (notice.request, &notice.origin, notice.lifetime_ms))
+        .map(|notice| (notice.request, &notice.start, notice.lifetime_ms))
         .collect();
     let left_ms = LIFETIME_MS - 1_000;
-    let (old, new) = (origin("v1"), origin("v2"));
+    let (old, new) = (start("v1"), start("v2"));
     assert_eq!(passed_on, [(key("own"), &old, left_ms), (key("learned"), &new, left_ms)]);
     assert!(known.hand_over(1_000, |_| false).is_empty());
 }
@@ -272,17 +276,17 @@
     const V1: &[&str] = &["v1"];
     const BOTH: &[&str] = &["v1", "v2"];
     let knows = |candidates: &[&str]| OriginAnswer {
-        origin: None,
+        start: None,
         candidates: origins(candidates),
         knows_history: true,
     };
     let just_started =
         |candidates: &[&str]| OriginAnswer { knows_history: false, ..knows(candidates) };
     let began = |version, candidates: &[&str]| OriginAnswer {
-        origin: Some(origin(version)),
+        start: Some(start(version)),
         ..just_started(candidates)
     };
-    let found = |version, source| OriginVerdict::Found(origin(version), source);
+    let found = |version, source| OriginVerdict::Found(start(version), source);
     let only = found("v1", OriginSource::OnlyCandidate);
     let asked = found("v2", OriginSource::Asked);
     let (unknown, contradictory) = (OriginVerdict::Unknown, OriginVerdict::Contradictory);
@@ -372,6 +376,52 @@
     }
 }
 
+/// Guards against a stream that goes on where its request was sent first, although it began at
+/// a later attempt: a router or the store may know of the first one alone.
+#[test]
+fn last_attempt_that_any_source_names_is_the_origin() {
+    struct Case {
+        name: &'static str,
+        /// Version and number of the attempt, in the order in which they are found.
+        found: &'static [(&'static str, u32)],
+        expected: Option<(&'static str, u32)>,
+    }
+    let cases = [
+        Case { name: "later one last", found: &[("v1", 1), ("v2", 2)], expected: Some(("v2", 2)) },
+        Case { name: "later one first", found: &[("v2", 2), ("v1", 1)], expected: Some(("v2", 2)) },
+        Case {
+            name: "contradiction about an earlier one",
+            found: &[("v1", 1), ("v2", 1), ("v2", 2)],
+            expected: Some(("v2", 2)),
+        },
+        Case { name: "contradiction", found: &[("v1", 1), ("v2", 2), ("v1", 2)], expected: None },
+    ];
+    let at = |(version, attempt)| AttemptOrigin { origin: origin(version), attempt };
+    for case in cases {
+        let names = routers(0..case.found.len());
+        let asked = names.iter().cloned().collect();
+        let search = RecordSearch::NotNeeded;
+        let mut inquiry = OriginInquiry::new(0, asked, OriginAnswer::default(), search);
+        for (name, found) in names.iter().zip(case.found) {
+            let answer = OriginAnswer { start: Some(at(*found)), ..OriginAnswer::default() };
+            inquiry.record(0, name, answer);
+        }
+        let expected = case.expected.map_or(OriginVerdict::Contradictory, |found| {
+            OriginVerdict::Found(at(found), OriginSource::Asked)
+        });
+        assert_eq!(inquiry.verdict(0), Some(expected), "{}", case.name);
+
+        let mut known = StreamOrigins::default();
+        for found in case.found {
+            let notice =
+                OriginNotice { request: key("r"), start: at(*found), lifetime_ms: LIFETIME_MS };
+            known.learn(0, &notice);
+        }
+        let last = case.found.iter().map(|(_, attempt)| *attempt).max();
+        assert_eq!(known.get(0, key("r")).map(|known| known.attempt), last, "{}", case.name);
+    }
+}
+
 /// Guards against a verdict before the records of the store have been read, which alone
 /// remember streams after a restart of all routers, and against a wait for a store that does
 /// not answer.
@@ -385,8 +435,8 @@
         after_ms: u64,
         verdict: OriginVerdict,
     }
-    let recorded = OriginVerdict::Found(origin("v1"), OriginSource::Recorded);
-    let only = OriginVerdict::Found(origin("v2"), OriginSource::OnlyCandidate);
+    let recorded = OriginVerdict::Found(start("v1"), OriginSource::Recorded);
+    let only = OriginVerdict::Found(start("v2"), OriginSource::OnlyCandidate);
     let cases = [
         Case {
             name: "the store does not answer in time",
@@ -402,7 +452,7 @@
         },
         Case {
             name: "recorded",
-            searched: Some((Some(RecordedOrigin::At(origin("v1"))), &["v1"])),
+            searched: Some((Some(RecordedOrigin::At(start("v1"))), &["v1"])),
             after_ms: 0,
             verdict: recorded,
         },
@@ -432,14 +482,14 @@
         },
     ];
     for case in cases {
-        let own = OriginAnswer { origin: None, candidates: origins(&["v2"]), knows_history: false };
+        let own = OriginAnswer { start: None, candidates: origins(&["v2"]), knows_history: false };
         let search = RecordSearch::Pending;
         let mut inquiry = OriginInquiry::new(0, BTreeSet::new(), own.clone(), search);
         assert_eq!(inquiry.verdict(0), None, "{}", case.name);
         if let Some((recorded, before)) = case.searched {
             let knows_history = recorded.is_some();
             let candidates = own.candidates.union(&origins(before)).cloned().collect();
-            let own = OriginAnswer { origin: None, candidates, knows_history };
+            let own = OriginAnswer { start: None, candidates, knows_history };
             inquiry.record_search(0, recorded, own);
         } else {
             assert_eq!(inquiry.verdict(case.after_ms - 1), None, "{}", case.name);
--- a/crates/edge/tests/stream_records.rs
+++ b/crates/edge/tests/stream_records.rs
@@ -2,14 +2,17 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::IpAddr, ops::Range, sync::Arc};
 
 use span_edge::{
     origin_log::{
-        MAX_SEGMENT_STREAMS, OriginLog, OrphanSweep, SEGMENT_SPAN_MS, SegmentWrite, SentOrigins,
+        MAX_SEGMENT_STREAMS, OriginLog, OrphanSweep, RecordReceipt, SEGMENT_SPAN_MS, SegmentWrite,
+        SentOrigins,
     },
     stream_history::StreamHistory,
-    stream_origin::{OriginNotice, RequestKey, StreamOrigin, StreamOrigins},
+    stream_origin::{
+        AttemptOrigin, OriginNotice, RequestKey, StreamAttempt, StreamOrigin, StreamOrigins,
+    },
     stream_records::{HistoryRecord, OriginSegment, RecordedOrigin, RecordedOrigins},
 };
 use span_types::{Incarnation, Member};
@@ -22,7 +25,7 @@
 
 fn notices(ids: std::ops::Range<u64>) -> Vec<OriginNotice> {
     let notice =
-        |id| OriginNotice { request: key(id), origin: origin("v1"), lifetime_ms: LIFETIME_MS };
+        |id| OriginNotice { request: key(id), start: start("v1", 1), lifetime_ms: LIFETIME_MS };
     ids.map(notice).collect()
 }
 
@@ -30,12 +33,17 @@
     StreamOrigin { service: "svc".into(), software_version: version.into() }
 }
 
-fn segment(name: &str, streams: &[(&str, u64)]) -> OriginSegment {
-    let mut by_origin: BTreeMap<StreamOrigin, Vec<RequestKey>> = BTreeMap::new();
-    for (version, id) in streams {
-        by_origin.entry(origin(version)).or_default().push(key(*id));
+fn start(version: &str, attempt: u32) -> AttemptOrigin {
+    AttemptOrigin { origin: origin(version), attempt }
+}
+
+/// A segment with the version, the number of the attempt and the id of each stream.
+fn segment(name: &str, streams: &[(&str, u32, u64)]) -> OriginSegment {
+    let mut by_start: BTreeMap<AttemptOrigin, Vec<RequestKey>> = BTreeMap::new();
+    for (version, attempt, id) in streams {
+        by_start.entry(start(version, *attempt)).or_default().push(key(*id));
     }
-    OriginSegment { name: name.into(), streams: by_origin }
+    OriginSegment { name: name.into(), streams: by_start }
 }
 
 /// Writes all that waits and returns the name, the length and whether the segment may exist.
@@ -55,19 +63,19 @@
 fn streams_of_a_few_seconds_share_a_segment() {
     let mut log = OriginLog::new("m-1.7".to_owned());
     assert!(flush(&mut log).is_empty());
-    log.record(0, &notices(0..3)).unwrap();
+    log.record(0, None, &notices(0..3)).unwrap();
     assert_eq!(flush(&mut log), [("m-1.7.0".to_owned(), 3, false)]);
-    log.record(SEGMENT_SPAN_MS - 1, &notices(3..4)).unwrap();
+    log.record(SEGMENT_SPAN_MS - 1, None, &notices(3..4)).unwrap();
     assert_eq!(log.unwritten_len(), 1);
     assert_eq!(flush(&mut log), [("m-1.7.0".to_owned(), 4, true)]);
     // A stream that is recorded during the write waits for the next one.
-    log.record(SEGMENT_SPAN_MS, &notices(4..5)).unwrap();
+    log.record(SEGMENT_SPAN_MS, None, &notices(4..5)).unwrap();
     let write = log.take_batch().remove(0);
-    log.record(SEGMENT_SPAN_MS, &notices(5..6)).unwrap();
+    log.record(SEGMENT_SPAN_MS, None, &notices(5..6)).unwrap();
     log.written(&write.segment.name, write.len);
     assert_eq!(flush(&mut log), [("m-1.7.1".to_owned(), 2, true)]);
     let max_streams = MAX_SEGMENT_STREAMS as u64;
-    log.record(SEGMENT_SPAN_MS, &notices(6..5 + max_streams)).unwrap();
+    log.record(SEGMENT_SPAN_MS, None, &notices(6..5 + max_streams)).unwrap();
     assert_eq!(flush(&mut log).len(), 2);
     assert_eq!(log.unwritten_len(), 0);
 }
@@ -76,15 +84,15 @@
 #[test]
 fn segment_goes_when_its_last_stream_is_over() {
     let mut log = OriginLog::new("m-1.7".to_owned());
-    log.record(0, &notices(0..1)).unwrap();
+    log.record(0, None, &notices(0..1)).unwrap();
     flush(&mut log);
-    log.record(1_000, &notices(1..2)).unwrap();
+    log.record(1_000, None, &notices(1..2)).unwrap();
     flush(&mut log);
     // The store does not answer, but may have taken the first write of this one.
-    log.record(10_000, &notices(2..3)).unwrap();
+    log.record(10_000, None, &notices(2..3)).unwrap();
     assert_eq!(log.take_batch().len(), 1);
     // Never sent to the store.
-    log.record(20_000, &notices(3..4)).unwrap();
+    log.record(20_000, None, &notices(3..4)).unwrap();
     assert!(log.expire(LIFETIME_MS + 999).is_empty());
     assert_eq!(log.expire(LIFETIME_MS + 1_000), [Arc::from("m-1.7.0")]);
     assert_eq!(log.expire(LIFETIME_MS + 10_000), [Arc::from("m-1.7.1")]);
@@ -98,14 +106,14 @@
 #[test]
 fn streams_of_an_unanswered_write_move_to_another_segment() {
     let mut log = OriginLog::new("m-1.7".to_owned());
-    log.record(0, &notices(0..2)).unwrap();
+    log.record(0, None, &notices(0..2)).unwrap();
     flush(&mut log);
-    log.record(1_000, &notices(2..3)).unwrap();
+    log.record(1_000, None, &notices(2..3)).unwrap();
     let write = log.take_batch().remove(0);
     log.unanswered(&write.segment.name);
     assert_eq!(flush(&mut log), [("m-1.7.1".to_owned(), 3, false)]);
     // Further streams of these seconds go there too.
-    log.record(1_500, &notices(3..4)).unwrap();
+    log.record(1_500, None, &notices(3..4)).unwrap();
     assert_eq!(flush(&mut log), [("m-1.7.1".to_owned(), 4, true)]);
     log.rewrite_all();
     assert_eq!(flush(&mut log).len(), 1);
@@ -113,12 +121,36 @@
     assert_eq!(log.expire(LIFETIME_MS + 1_500), [Arc::from("m-1.7.1")]);
 }
 
+/// Guards against a caller that gets an event before the store has the record, and against one
+/// that waits for good because the streams moved to another segment.
+#[test]
+fn receipts_are_due_once_the_store_has_the_streams() {
+    let router = Some(IpAddr::from([127, 0, 0, 9]));
+    let receipts = |router, ids: Range<u64>| -> Vec<RecordReceipt> {
+        let stream = |id| StreamAttempt { request: key(id), attempt: 1 };
+        ids.map(|id| RecordReceipt { router, stream: stream(id) }).collect()
+    };
+    let mut log = OriginLog::new("m-1.7".to_owned());
+    log.record(0, None, &notices(0..2)).unwrap();
+    let write = log.take_batch().remove(0);
+    log.record(0, router, &notices(2..3)).unwrap();
+    assert_eq!(log.written(&write.segment.name, write.len), receipts(None, 0..2));
+    let write = log.take_batch().remove(0);
+    log.unanswered(&write.segment.name);
+    assert!(log.written(&write.segment.name, write.len).is_empty());
+    let write = log.take_batch().remove(0);
+    assert_eq!(log.written(&write.segment.name, write.len), receipts(router, 2..3));
+    log.rewrite_all();
+    let write = log.take_batch().remove(0);
+    assert!(log.written(&write.segment.name, write.len).is_empty());
+}
+
 /// Guards against streams that are lost because the store came back from a copy.
 #[test]
 fn restored_store_gets_all_segments_again() {
     let mut log = OriginLog::new("m-1.7".to_owned());
-    log.record(0, &notices(0..1)).unwrap();
-    log.record(SEGMENT_SPAN_MS, &notices(1..2)).unwrap();
+    log.record(0, None, &notices(0..1)).unwrap();
+    log.record(SEGMENT_SPAN_MS, None, &notices(1..2)).unwrap();
     flush(&mut log);
     log.rewrite_all();
     assert_eq!(flush(&mut log).len(), 2);
@@ -138,20 +170,23 @@
     assert!(sweep.orphans(2 * keep_ms - 2, &both[1..], LIFETIME_MS).is_empty());
 }
 
-/// Guards against a stream that goes on at one of two versions that the records name, since its
-/// request was sent to upstreams of both.
+/// Guards against a stream that goes on where an attempt was sent that brought no event, and
+/// against one that goes on at one of two versions that records of the same attempt name.
 #[test]
-fn several_records_of_a_stream_name_no_origin() {
+fn last_recorded_attempt_names_the_origin_of_a_stream() {
     let mut recorded = RecordedOrigins::default();
     recorded.replace(&[
-        segment("m-1.7.0", &[("v1", 1), ("v1", 2), ("v2", 3)]),
-        segment("m-2.7.0", &[("v1", 1), ("v2", 2)]),
+        segment("m-1.7.0", &[("v1", 1, 1), ("v1", 1, 2), ("v2", 1, 3), ("v2", 2, 5)]),
+        segment("m-2.7.0", &[("v1", 1, 1), ("v2", 1, 2), ("v1", 2, 3), ("v1", 1, 5)]),
+        segment("m-2.7.1", &[("v2", 1, 6), ("v1", 1, 6), ("v1", 2, 6)]),
     ]);
     let cases = [
-        (1, RecordedOrigin::At(origin("v1"))),
+        (1, RecordedOrigin::At(start("v1", 1))),
         (2, RecordedOrigin::Several),
-        (3, RecordedOrigin::At(origin("v2"))),
+        (3, RecordedOrigin::At(start("v1", 2))),
         (4, RecordedOrigin::None),
+        (5, RecordedOrigin::At(start("v2", 2))),
+        (6, RecordedOrigin::At(start("v1", 2))),
     ];
     for (id, expected) in cases {
         assert_eq!(recorded.get(key(id)), expected, "{id}");
