--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -14,10 +14,9 @@
 use crate::{
     config::RouteKind,
     node::Node,
-    origin_exchange::OriginFinding,
-    stream_origin::{
-        AttemptOrigin, OriginVerdict, RecordSearch, RequestKey, RouteScope, StreamOrigin,
-    },
+    origin_inquiry::{OriginVerdict, RecordSearch},
+    origin_search::OriginFinding,
+    stream_origin::{AttemptOrigin, RequestKey, RouteScope, StreamOrigin},
 };
 
 /// A stream that a request takes up.
