Let streams that nobody was told of go on at the only version of their time

Cause: a router tells others of its streams only once it knows of a second version, and where two versions serve, a stream that nobody knows counted as one that may have begun at any.

A router now tells others when it sends the request, and the caller gets the first event once two of the three keepers of the stream, or the store, have said that they know. So a stream that enough keepers would know, and none does, was told to nobody: its router knew of one version only. A router that is cut off no longer takes its own only version for that of all streams; it reads the store first.

--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -168,7 +168,11 @@
                 let streams = resume.data.stream_attempts(self.in_flight.attempt());
                 let confirmation = self.in_flight.take_confirmation();
                 self.node.stream_began(&streams, &origin, confirmation.is_some());
-                if let Some(confirmation) = confirmation.filter(|known| !known.is_confirmed()) {
+                // One that is taken up goes on where it began, whether that is known or not.
+                let confirmation = confirmation.filter(|_| resume.data.last_event.is_none());
+                let is_confirmed =
+                    confirmation.as_ref().is_none_or(|known| known.is_confirmed(now_ms));
+                if let Some(confirmation) = confirmation.filter(|_| !is_confirmed) {
                     self.unconfirmed = Some(UnconfirmedEvents {
                         events,
                         confirmed: Box::pin(self.node.clone().await_confirmation(confirmation)),
--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -56,8 +56,8 @@
     let scope = RouteScope { route: checked.route.id(), services };
     // Nobody knows the request's own id, as they do not know a stream without a name.
     let request = stream.request.unwrap_or_else(|| RequestKey::new(checked.id.as_bytes()));
-    let finding = node.find_stream_origin(request, &scope).await;
-    let OriginFinding { verdict, candidates, knows_history, search } = &finding;
+    let finding = node.find_stream_origin(request, stream.request.is_some(), &scope).await;
+    let OriginFinding { verdict, candidates, untold, knows_history, search, witnesses } = &finding;
     let (start, source) = match verdict {
         OriginVerdict::Found(start, source) => (Some(start), Some(<&'static str>::from(source))),
         OriginVerdict::Unknown | OriginVerdict::Contradictory => (None, None),
@@ -71,6 +71,8 @@
         attempt = start.map(|start| start.attempt),
         source,
         candidates = list_versions(candidates),
+        untold = list_versions(untold),
+        witnesses,
         knows_history,
         records = <&'static str>::from(search),
         contradictory = *verdict == OriginVerdict::Contradictory,
--- a/crates/edge/src/origin_confirmation.rs
+++ b/crates/edge/src/origin_confirmation.rs
@@ -1,20 +1,42 @@
 //! Whether others know where a stream begins, before its caller gets the first event.
 //!
-//! If the router dies afterwards, the stream may go on only where it began. So a record that
-//! names another origin must not outlast the router: the request was sent there first, but the
-//! stream began at a later attempt.
+//! A router that knows of several places where streams begin tells some others, the keepers of
+//! the stream, when it sends the request, and has it recorded in the store. If it dies, the
+//! stream may go on only where it began; and one that none of the keepers knows began while its
+//! router knew of one place only. So the first event waits until enough of them know.
+//!
+//! Nor may a record that names another origin outlast the router: the request may have been sent
+//! elsewhere first, and the stream begun at a later attempt.
+
+use std::collections::BTreeSet;
+
+use span_types::InstanceName;
 
 use crate::stream_origin::{AttemptOrigin, StreamAttempt};
 
 /// Longest time for which the first event of a stream waits, in milliseconds. Callers give up
 /// on a stream that is silent for two seconds or more.
 pub const MAX_CONFIRMATION_WAIT_MS: u64 = 1_000;
+/// Time from which one keeper is enough, in milliseconds. By then the store has not taken the
+/// record for longer than a batch waits, and the other keepers may have died unnoticed.
+pub const ONE_KEEPER_AFTER_MS: u64 = 400;
+
+/// Number of a stream's `keepers` that have to know it before its first event. Any two of three
+/// have one in common with any other two.
+pub fn needed_keepers(keepers: usize) -> usize {
+    keepers.min(2)
+}
 
 /// What is known to others of a request for a stream, whose last attempt was sent to an
 /// upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OriginConfirmation {
     start: AttemptOrigin,
+    started_ms: u64,
+    /// Keepers that have not said that they know the last attempt.
+    silent: BTreeSet<InstanceName>,
+    /// Number of keepers, including those that have died.
+    keepers: usize,
     /// Whether an earlier attempt may be recorded at another origin.
     has_outdated_record: bool,
     /// Whether the store has the record of the last attempt.
@@ -22,16 +44,37 @@
 }
 
 impl OriginConfirmation {
-    /// A request whose attempt `start` is about to be sent and recorded.
-    pub fn new(start: AttemptOrigin) -> Self {
-        Self { start, has_outdated_record: false, is_recorded: false }
+    /// A request whose attempt `start` is about to be sent, told to `keepers` and recorded.
+    pub fn new(now_ms: u64, start: AttemptOrigin, keepers: BTreeSet<InstanceName>) -> Self {
+        Self {
+            start,
+            started_ms: now_ms,
+            keepers: keepers.len(),
+            silent: keepers,
+            has_outdated_record: false,
+            is_recorded: false,
+        }
+    }
+
+    /// Records that a further attempt is about to be sent, told and recorded.
+    pub fn start_attempt(
+        &mut self,
+        now_ms: u64,
+        start: AttemptOrigin,
+        keepers: BTreeSet<InstanceName>,
+    ) {
+        let has_outdated_record = self.has_outdated_record || start.origin != self.start.origin;
+        *self = Self { has_outdated_record, ..Self::new(now_ms, start, keepers) };
     }
 
-    /// Records that a further attempt is about to be sent and recorded.
-    pub fn start_attempt(&mut self, start: AttemptOrigin) {
-        self.has_outdated_record |= start.origin != self.start.origin;
-        self.is_recorded = false;
-        self.start = start;
+    /// The last attempt.
+    pub fn start(&self) -> &AttemptOrigin {
+        &self.start
+    }
+
+    /// Keepers that have not said that they know the last attempt.
+    pub fn silent(&self) -> &BTreeSet<InstanceName> {
+        &self.silent
     }
 
     /// Records that the store has the record of an attempt.
@@ -39,8 +82,26 @@
         self.is_recorded |= stream.attempt == self.start.attempt;
     }
 
+    /// Records that a router knows of an attempt.
+    pub fn acknowledged(&mut self, router: &InstanceName, stream: StreamAttempt) {
+        if stream.attempt == self.start.attempt {
+            self.silent.remove(router);
+        }
+    }
+
     /// Whether the caller may get the first event.
-    pub fn is_confirmed(&self) -> bool {
-        self.is_recorded || !self.has_outdated_record
+    pub fn is_confirmed(&self, now_ms: u64) -> bool {
+        let knowing = self.keepers - self.silent.len();
+        let needed = if now_ms >= self.started_ms + ONE_KEEPER_AFTER_MS {
+            self.keepers.min(1)
+        } else {
+            needed_keepers(self.keepers)
+        };
+        self.is_recorded || (!self.has_outdated_record && knowing >= needed)
+    }
+
+    /// When [`OriginConfirmation::is_confirmed`] may change by itself, in milliseconds.
+    pub fn next_change_ms(&self) -> u64 {
+        self.started_ms + ONE_KEEPER_AFTER_MS
     }
 }
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -5,9 +5,14 @@
     collections::{BTreeMap, HashMap},
     net::IpAddr,
     rc::Rc,
+    time::Duration,
 };
 
-use tokio::{sync::Notify, time::timeout_at};
+use span_types::InstanceName;
+use tokio::{
+    sync::Notify,
+    time::{timeout, timeout_at},
+};
 use tracing::warn;
 
 use crate::{
@@ -15,11 +20,10 @@
     metrics::Timing,
     node::Node,
     origin_confirmation::{MAX_CONFIRMATION_WAIT_MS, OriginConfirmation},
+    origin_inquiry::ASK_AGAIN_MS,
     origin_log::RecordReceipt,
     peers::Packet,
-    stream_origin::{
-        AttemptOrigin, OriginNotice, RequestKey, StreamAttempt, StreamOrigin, TOLD_ROUTERS,
-    },
+    stream_origin::{AttemptOrigin, OriginNotice, RequestKey, StreamAttempt, StreamOrigin},
 };
 
 /// Largest number of notices in a datagram; they fit into it with long names.
@@ -47,8 +51,8 @@
 }
 
 impl Confirmations {
-    fn open(&self, request: RequestKey, start: AttemptOrigin) -> OpenConfirmation {
-        let confirmation = RefCell::new(OriginConfirmation::new(start));
+    fn open(&self, request: RequestKey, confirmation: OriginConfirmation) -> OpenConfirmation {
+        let confirmation = RefCell::new(confirmation);
         let pending = Rc::new(PendingConfirmation { confirmation, changed: Notify::new() });
         self.pending.borrow_mut().insert(request, pending.clone());
         OpenConfirmation { request, pending, all: self.pending.clone() }
@@ -64,8 +68,8 @@
 
 impl OpenConfirmation {
     /// Whether the caller may get the first event.
-    pub(crate) fn is_confirmed(&self) -> bool {
-        self.pending.confirmation.borrow().is_confirmed()
+    pub(crate) fn is_confirmed(&self, now_ms: u64) -> bool {
+        self.pending.confirmation.borrow().is_confirmed(now_ms)
     }
 }
 
@@ -86,10 +90,10 @@
 }
 
 impl Node {
-    /// Has the origin recorded of a stream that an attempt at a request is about to begin or
-    /// take up, if streams may begin elsewhere, or an earlier attempt is recorded. The first
-    /// event mostly comes after the next batch, so that few streams are lost if all routers
-    /// die. `confirmation` is that of the earlier attempt.
+    /// Tells others of a stream that an attempt at a request is about to begin or take up, and
+    /// has it recorded, if streams may begin elsewhere, or others know of an earlier attempt.
+    /// The first event mostly comes after they have answered, and after the next batch.
+    /// `confirmation` is that of the earlier attempt.
     pub(crate) fn stream_sent(
         &self,
         data: &RequestData,
@@ -106,16 +110,22 @@
             return None;
         }
         let start = AttemptOrigin { origin: origin.clone(), attempt };
+        let request = data.own_attempt(attempt).request;
+        let keepers = self.state().keepers(request);
         let confirmation = match confirmation {
             Some(confirmation) => {
-                confirmation.pending.confirmation.borrow_mut().start_attempt(start);
+                let mut known = confirmation.pending.confirmation.borrow_mut();
+                known.start_attempt(now_ms, start, keepers);
+                drop(known);
                 confirmation
             }
-            None => self.confirmations.open(data.own_attempt(attempt).request, start),
+            None => {
+                self.confirmations.open(request, OriginConfirmation::new(now_ms, start, keepers))
+            }
         };
         let streams = data.stream_attempts(attempt);
         let notices = streams.iter().map(|stream| notice(*stream, origin, lifetime_ms));
-        self.record_origins(&notices.collect::<Vec<_>>());
+        self.send_notices(notices.collect());
         Some(confirmation)
     }
 
@@ -125,8 +135,10 @@
         let started_ms = self.now_ms();
         let until = self.clock.instant(started_ms + MAX_CONFIRMATION_WAIT_MS);
         let confirmed = async {
-            while !confirmation.is_confirmed() {
-                confirmation.pending.changed.notified().await;
+            while !confirmation.is_confirmed(self.now_ms()) {
+                self.tell_silent_keepers(&confirmation);
+                let again = Duration::from_millis(ASK_AGAIN_MS);
+                let _ = timeout(again, confirmation.pending.changed.notified()).await;
             }
         };
         let is_confirmed = timeout_at(until, confirmed).await.is_ok();
@@ -135,6 +147,28 @@
         is_confirmed
     }
 
+    /// Tells the keepers of a stream again that have not answered: a datagram may be lost.
+    fn tell_silent_keepers(&self, confirmation: &OpenConfirmation) {
+        let known = confirmation.pending.confirmation.borrow();
+        let lifetime_ms = self.state().stream_lifetime_ms;
+        let start = known.start();
+        let stream = StreamAttempt { request: confirmation.request, attempt: start.attempt };
+        let packet = Packet::StreamOrigins(vec![notice(stream, &start.origin, lifetime_ms)]);
+        let silent = known.silent().iter();
+        let ips: Vec<IpAddr> = {
+            let state = self.state();
+            silent.filter_map(|name| Some(state.view.router(name)?.peer_address.ip())).collect()
+        };
+        self.outbox.push(ips, packet);
+    }
+
+    /// Records that another router knows of streams.
+    pub(crate) fn origins_learned(&self, from: &InstanceName, streams: &[StreamAttempt]) {
+        for stream in streams {
+            self.confirmations.update(stream.request, |known| known.acknowledged(from, *stream));
+        }
+    }
+
     /// Records that the store has the records of streams.
     pub(crate) fn origins_recorded(&self, streams: &[StreamAttempt]) {
         for stream in streams {
@@ -161,31 +195,32 @@
     }
 
     /// Records that a caller gets the first event of a stream that a request began or took up,
-    /// and tells others of it if they could not find out. `is_recorded` says whether the
-    /// origin was recorded before.
+    /// and tells others of it if they could not find out. `is_told` says whether they were told
+    /// when the request was sent.
     pub(crate) fn stream_began(
         &self,
         streams: &[StreamAttempt],
         origin: &StreamOrigin,
-        is_recorded: bool,
+        is_told: bool,
     ) {
         let now_ms = self.now_ms();
         let notices: Vec<OriginNotice> = {
             let mut state = self.state();
             let lifetime_ms = state.stream_lifetime_ms;
-            let is_told = state.origins_may_differ(now_ms, &origin.service);
+            let may_differ = state.origins_may_differ(now_ms, &origin.service);
             let origins = &mut state.stream_origins;
             for StreamAttempt { request, attempt } in streams {
                 let start = AttemptOrigin { origin: origin.clone(), attempt: *attempt };
-                origins.begin(now_ms, *request, &start, lifetime_ms);
+                if is_told {
+                    origins.begin_told(now_ms, *request, &start, lifetime_ms);
+                } else {
+                    origins.begin(now_ms, *request, &start, lifetime_ms);
+                }
             }
-            let told = streams.iter().filter(|_| is_told);
-            told.filter_map(|stream| origins.tell(now_ms, stream.request)).collect()
+            let untold = streams.iter().filter(|_| may_differ);
+            untold.filter_map(|stream| origins.tell(now_ms, stream.request)).collect()
         };
-        self.tell_routers(&notices);
-        if !is_recorded {
-            self.record_origins(&notices);
-        }
+        self.send_notices(notices);
     }
 
     /// Forgets a stream whose caller has all of it.
@@ -228,8 +263,7 @@
     fn tell_routers(&self, notices: &[OriginNotice]) {
         let mut by_router: BTreeMap<IpAddr, Vec<OriginNotice>> = BTreeMap::new();
         for notice in notices {
-            let routers = self.state().routers_for_stream(notice.request, TOLD_ROUTERS);
-            for (_, ip) in routers {
+            for ip in self.state().routers_to_tell(notice.request) {
                 by_router.entry(ip).or_default().push(notice.clone());
             }
         }
@@ -278,9 +312,10 @@
         self.record_origins(&notices);
     }
 
-    /// Takes over what another router tells of streams. They may have begun at a version of
-    /// which this router knows no upstream yet; others have to be told of its own then.
-    pub(crate) fn learn_stream_origins(&self, notices: &[OriginNotice]) {
+    /// Takes over what the router at `from` tells of streams, and tells it so. They may have
+    /// begun at a version of which this router knows no upstream yet; others have to be told of
+    /// its own then.
+    pub(crate) fn learn_stream_origins(&self, from: IpAddr, notices: &[OriginNotice]) {
         let now_ms = self.now_ms();
         let mut state = self.state();
         let mut differs_now = false;
@@ -290,7 +325,10 @@
             state.stream_origins.learn(now_ms, notice);
             differs_now |= !differed && state.origins_may_differ(now_ms, service);
         }
+        let own_name = state.view.own_update().router.member.instance.clone();
         drop(state);
+        let streams = notices.iter().map(OriginNotice::stream_attempt).collect();
+        self.outbox.push(vec![from], Packet::OriginsLearned { from: own_name, streams });
         if differs_now {
             self.tell_stream_origins(false);
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -81,6 +81,8 @@
         request: RequestKey,
         /// Where it may have begun.
         scope: RouteScope,
+        /// Whether the receiver is to search the records of the store for it.
+        wants_search: bool,
     },
     /// Answers an [`Packet::OriginQuestion`].
     OriginAnswer {
@@ -107,6 +109,13 @@
     RecordOrigins(Vec<OriginNotice>),
     /// Answers a [`Packet::RecordOrigins`] once the store has the streams.
     OriginsRecorded(Vec<StreamAttempt>),
+    /// Answers a [`Packet::StreamOrigins`].
+    OriginsLearned {
+        /// Name of the sender.
+        from: InstanceName,
+        /// The attempts that it knows of now.
+        streams: Vec<StreamAttempt>,
+    },
 }
 
 /// Routers that a summary covers.
@@ -547,10 +556,10 @@
                     }
                     Ok(Packet::FleetSummary(message)) => self.receive_fleet_summary(message),
                     Ok(Packet::StreamOrigins(notices)) => {
-                        self.node.learn_stream_origins(&notices);
+                        self.node.learn_stream_origins(from.ip(), &notices);
                     }
-                    Ok(Packet::OriginQuestion { request, scope }) => {
-                        self.node.answer_inquiry(from.ip(), request, scope);
+                    Ok(Packet::OriginQuestion { request, scope, wants_search }) => {
+                        self.node.answer_inquiry(from.ip(), request, scope, wants_search);
                     }
                     Ok(Packet::OriginAnswer { from, request, answer }) => {
                         self.node.inquiry_answered(&from, request, &answer);
@@ -563,6 +572,9 @@
                         self.node.log_origins(Some(from.ip()), &notices);
                     }
                     Ok(Packet::OriginsRecorded(streams)) => self.node.origins_recorded(&streams),
+                    Ok(Packet::OriginsLearned { from, streams }) => {
+                        self.node.origins_learned(&from, &streams);
+                    }
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/recent_values.rs
+++ b/crates/edge/src/recent_values.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Keys that have or had values.
+    pub fn keys(&self) -> impl Iterator<Item = &K> {
+        self.values.keys()
+    }
+
     /// Values that `key` has, or had within `lifetime_ms`.
     pub fn recent(&self, now_ms: u64, key: &K, lifetime_ms: u64) -> impl Iterator<Item = &V> {
         self.recent_by(now_ms, key, move |_| lifetime_ms)
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -33,7 +33,7 @@
     stream_history::StreamHistory,
     stream_origin::{
         ASKED_ROUTERS, OriginAnswer, RequestKey, RouteScope, StreamOrigin, StreamOrigins,
-        routers_for_stream,
+        TOLD_ROUTERS, routers_for_stream,
     },
     stream_records::{HistoryRecord, RecordedOrigins},
     upstream_limit::LimitSummary,
@@ -327,10 +327,20 @@
         request: RequestKey,
         scope: &RouteScope,
     ) -> OriginAnswer {
+        let (origins, lifetime_ms) = (&self.stream_origins, self.stream_lifetime_ms);
+        let services = self.recent_services(now_ms, scope);
+        // A dead router that may have been told of the stream must be remembered for as long.
+        let remembers_the_dead = lifetime_ms <= MEMBERSHIP_TIMING.forget_after_ms;
         OriginAnswer {
-            start: self.stream_origins.get(now_ms, request).cloned(),
-            candidates: self.origin_candidates(now_ms, &self.recent_services(now_ms, scope)),
-            knows_history: self.stream_origins.knows_history(now_ms, self.stream_lifetime_ms),
+            start: origins.get(now_ms, request).cloned(),
+            candidates: self.origin_candidates(now_ms, &services),
+            untold: services
+                .iter()
+                .flat_map(|service| origins.untold(now_ms, service, lifetime_ms))
+                .collect(),
+            knows_history: origins.knows_history(now_ms, lifetime_ms),
+            is_witness: remembers_the_dead && origins.is_witness(now_ms, &services, lifetime_ms),
+            has_searched: false,
         }
     }
 
@@ -374,7 +384,11 @@
     /// Whether a stream of `service` that another router takes up may have begun
     /// elsewhere than at the only version that the service has.
     pub(crate) fn origins_may_differ(&self, now_ms: u64, service: &ServiceName) -> bool {
-        self.stream_origins.may_differ(now_ms, service, self.stream_lifetime_ms)
+        let (origins, lifetime_ms) = (&self.stream_origins, self.stream_lifetime_ms);
+        // Members of a large fleet do not read the history.
+        let may_lack_history = self.record_keeper().is_none();
+        origins.may_differ(now_ms, service, lifetime_ms)
+            || (may_lack_history && !origins.knows_history(now_ms, lifetime_ms))
     }
 
     /// Services of whose streams others have to be told: all of them, or those whose
@@ -402,6 +416,31 @@
         chosen.filter_map(|name| Some((name.clone(), *others.get(name)?))).collect()
     }
 
+    /// All known routers in the order of a stream, including this one and dead ones.
+    pub(crate) fn ranked_routers(&self, request: RequestKey) -> Vec<InstanceName> {
+        let own_name = self.view.own_update().router.member.instance.clone();
+        let others = self.view.member_statuses().into_iter();
+        let mut names: Vec<InstanceName> =
+            others.map(|status| status.update.router.member.instance).collect();
+        names.push(own_name);
+        routers_for_stream(&names, request, names.len()).into_iter().cloned().collect()
+    }
+
+    /// Addresses of the other routers that are told of a stream: its keepers that live, and
+    /// further ones in the place of the others.
+    pub(crate) fn routers_to_tell(&self, request: RequestKey) -> BTreeSet<IpAddr> {
+        let routers = self.routers_for_stream(request, TOLD_ROUTERS);
+        routers.into_iter().map(|(_, ip)| ip).collect()
+    }
+
+    /// The other routers that keep where a stream began: the first ones in its order, also
+    /// those that have died.
+    pub(crate) fn keepers(&self, request: RequestKey) -> BTreeSet<InstanceName> {
+        let own_name = &self.view.own_update().router.member.instance;
+        let ranked = self.ranked_routers(request).into_iter();
+        ranked.filter(|name| name != own_name).take(TOLD_ROUTERS).collect()
+    }
+
     /// Other routers that are asked where a stream began, with their addresses: those that
     /// may have been told, and the one that keeps the records for this one.
     pub(crate) fn routers_to_ask(&self, request: RequestKey) -> Vec<(InstanceName, IpAddr)> {
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -97,15 +97,22 @@
     pub services: BTreeSet<ServiceName>,
 }
 
-/// Answer of a router that was asked for a stream.
+/// Answer of a router that was asked for a stream, about one route.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginAnswer {
     /// Where the stream began, if the router knows it.
     pub start: Option<AttemptOrigin>,
     /// Where streams of the route in question may have begun.
     pub candidates: BTreeSet<StreamOrigin>,
+    /// Where streams of the route may have begun of which no other router was told.
+    pub untold: BTreeSet<StreamOrigin>,
     /// Whether the router knows where they may have begun before it started.
     pub knows_history: bool,
+    /// Whether the router would know the stream if it had been told of it: it has run for as
+    /// long as streams last, or nobody was told of any before it started.
+    pub is_witness: bool,
+    /// Whether the router has searched the records of the store for the stream.
+    pub has_searched: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -114,6 +121,9 @@
     expires_ms: u64,
     /// Whether this router began the stream and has told nobody.
     is_untold: bool,
+    /// Whether a further attempt may have been sent elsewhere: this router was told when the
+    /// request was sent.
+    may_have_moved: bool,
 }
 
 impl OriginNotice {
@@ -123,6 +133,22 @@
     }
 }
 
+impl KnownStream {
+    fn new(now_ms: u64, start: &AttemptOrigin, lifetime_ms: u64, is_untold: bool) -> Self {
+        let (start, expires_ms) = (start.clone(), now_ms.saturating_add(lifetime_ms));
+        Self { start, expires_ms, is_untold, may_have_moved: false }
+    }
+
+    /// Whether this is at least as new as `known`. Notices may be late, or sent again.
+    fn replaces(&self, known: &Self) -> bool {
+        (self.start.attempt, !self.may_have_moved) >= (known.start.attempt, !known.may_have_moved)
+    }
+}
+
+fn origin(service: &ServiceName, version: &SoftwareVersion) -> StreamOrigin {
+    StreamOrigin { service: service.clone(), software_version: version.clone() }
+}
+
 /// What a router knows of where streams began.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
@@ -139,6 +165,12 @@
     is_first_start: bool,
     /// Whether the store said where streams may have begun before this process.
     has_record: bool,
+    /// Versions that services had before this process, as the first complete record says; none
+    /// if this process has read none.
+    versions_before_start: Option<BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>>,
+    /// The only version of each service while streams may have begun there of which no other
+    /// router was told.
+    sole_versions: RecentValues<ServiceName, SoftwareVersion>,
     swept_ms: u64,
 }
 
@@ -172,21 +204,88 @@
         if !present.is_empty() {
             self.versions_since_ms.get_or_insert(now_ms);
         }
+        self.note_sole_version(now_ms, service);
         self.versions.set(now_ms, service, present);
     }
 
     /// Records the services that routes lead to from now on.
     pub fn set_routes(&mut self, now_ms: u64, routes: &BTreeMap<RouteId, BTreeSet<ServiceName>>) {
+        let services: Vec<ServiceName> = self.versions.keys().cloned().collect();
+        for service in &services {
+            self.note_sole_version(now_ms, service);
+        }
         self.routes.set_all(now_ms, routes);
     }
 
+    /// Records that streams of `service` may have begun at its only version until now, if it
+    /// has but one.
+    fn note_sole_version(&mut self, now_ms: u64, service: &ServiceName) {
+        if let Some(version) = self.sole_version(now_ms, service).cloned() {
+            self.sole_versions.note(now_ms, service, &version);
+        }
+    }
+
+    /// The version at which streams of `service` begin without any router being told; none if
+    /// there may be several places.
+    fn sole_version(&self, now_ms: u64, service: &ServiceName) -> Option<&SoftwareVersion> {
+        let lifetime_ms = self.lifetime_ms(now_ms);
+        let may_differ = self.may_differ(now_ms, service, lifetime_ms);
+        if lifetime_ms == 0 || may_differ || !self.knows_history(now_ms, lifetime_ms) {
+            return None;
+        }
+        self.versions.recent(now_ms, service, lifetime_ms).next()
+    }
+
+    /// Where streams of `service` that last for `lifetime_ms` at most may have begun of which no
+    /// other router was told, as far as this router knows.
+    pub fn untold(
+        &self,
+        now_ms: u64,
+        service: &ServiceName,
+        lifetime_ms: u64,
+    ) -> BTreeSet<StreamOrigin> {
+        let lately = self.sole_versions.recent(now_ms, service, lifetime_ms);
+        let versions = lately.chain(self.sole_version(now_ms, service));
+        versions.map(|version| origin(service, version)).collect()
+    }
+
+    /// Whether this router, which has run for `now_ms`, would know each stream of `services`
+    /// that lasts for `lifetime_ms` at most and of which it was told.
+    pub fn is_witness(
+        &self,
+        now_ms: u64,
+        services: &BTreeSet<ServiceName>,
+        lifetime_ms: u64,
+    ) -> bool {
+        let had_one_version = |service: &ServiceName| {
+            let before = self.versions_before_start.as_ref();
+            before.is_some_and(|before| before.get(service).is_none_or(|all| all.len() <= 1))
+        };
+        let nobody_was_told = services.len() == 1 && services.iter().all(had_one_version);
+        lifetime_ms > 0 && (now_ms >= lifetime_ms || nobody_was_told)
+    }
+
     /// Takes over where streams may have begun before this process, or at other routers; none
     /// if the store has no record. `is_complete` says whether the record has it all.
     pub fn add_history(&mut self, now_ms: u64, record: Option<&HistoryRecord>, is_complete: bool) {
         let Some(record) = record else {
-            self.has_record |= self.is_first_start;
+            if self.is_first_start {
+                self.has_record = true;
+                self.versions_before_start.get_or_insert_default();
+            }
             return;
         };
+        for service in record.versions.keys() {
+            self.note_sole_version(now_ms, service);
+        }
+        if is_complete && self.versions_before_start.is_none() {
+            for (service, versions) in &record.versions {
+                if let (Some(version), 1) = (versions.first(), versions.len()) {
+                    self.sole_versions.note(now_ms, service, version);
+                }
+            }
+            self.versions_before_start = Some(record.versions.clone());
+        }
         self.has_record |= is_complete;
         for lifetime_ms in &record.lifetimes_ms {
             self.lifetimes_ms.note(now_ms, &(), lifetime_ms);
@@ -200,6 +299,7 @@
     pub fn expire_history(&mut self, now_ms: u64, lifetime_ms: u64) {
         self.versions.expire(now_ms, lifetime_ms);
         self.routes.expire(now_ms, lifetime_ms);
+        self.sole_versions.expire(now_ms, lifetime_ms);
         self.lifetimes_ms.expire(now_ms, lifetime_ms);
     }
 
@@ -235,11 +335,7 @@
         lifetime_ms: u64,
     ) -> BTreeSet<StreamOrigin> {
         let versions = self.versions.recent(now_ms, service, lifetime_ms);
-        let origins = versions.map(|version| StreamOrigin {
-            service: service.clone(),
-            software_version: version.clone(),
-        });
-        origins.collect()
+        versions.map(|version| origin(service, version)).collect()
     }
 
     /// Services at which streams of a route may have begun that last for `lifetime_ms` at
@@ -260,7 +356,8 @@
             || self.routes.is_ambiguous(now_ms, service, lifetime_ms)
     }
 
-    /// Records a stream that this router began, or goes on with.
+    /// Records a stream that this router began, or goes on with, and of which it has told
+    /// nobody.
     pub fn begin(
         &mut self,
         now_ms: u64,
@@ -268,28 +365,37 @@
         start: &AttemptOrigin,
         lifetime_ms: u64,
     ) {
-        self.insert(now_ms, request, start, lifetime_ms, true);
+        self.insert(now_ms, request, KnownStream::new(now_ms, start, lifetime_ms, true));
+    }
+
+    /// As [`StreamOrigins::begin`], for a stream of which others were told when its request was
+    /// sent, or which was found at others.
+    pub fn begin_told(
+        &mut self,
+        now_ms: u64,
+        request: RequestKey,
+        start: &AttemptOrigin,
+        lifetime_ms: u64,
+    ) {
+        self.insert(now_ms, request, KnownStream::new(now_ms, start, lifetime_ms, false));
     }
 
     /// Records what another router tells of a stream. Its version may be one of which this
     /// router knows no upstream yet.
     pub fn learn(&mut self, now_ms: u64, notice: &OriginNotice) {
         let StreamOrigin { service, software_version } = &notice.start.origin;
+        self.note_sole_version(now_ms, service);
         self.versions.note(now_ms, service, software_version);
-        self.insert(now_ms, notice.request, &notice.start, notice.lifetime_ms, false);
+        let stream = KnownStream {
+            may_have_moved: true,
+            ..KnownStream::new(now_ms, &notice.start, notice.lifetime_ms, false)
+        };
+        self.insert(now_ms, notice.request, stream);
     }
 
-    fn insert(
-        &mut self,
-        now_ms: u64,
-        request: RequestKey,
-        start: &AttemptOrigin,
-        lifetime_ms: u64,
-        is_untold: bool,
-    ) {
-        // A notice of an earlier attempt may be late.
+    fn insert(&mut self, now_ms: u64, request: RequestKey, stream: KnownStream) {
         let known = self.streams.get(&request).filter(|known| known.expires_ms > now_ms);
-        if known.is_some_and(|known| known.start.attempt > start.attempt) {
+        if known.is_some_and(|known| !stream.replaces(known)) {
             return;
         }
         if now_ms.saturating_sub(self.swept_ms) >= SWEEP_INTERVAL_MS {
@@ -297,8 +403,7 @@
             self.streams.retain(|_, stream| stream.expires_ms > now_ms);
         }
         if self.streams.len() < MAX_KNOWN_STREAMS {
-            let (start, expires_ms) = (start.clone(), now_ms.saturating_add(lifetime_ms));
-            self.streams.insert(request, KnownStream { start, expires_ms, is_untold });
+            self.streams.insert(request, stream);
         }
     }
 
@@ -346,6 +451,12 @@
         Some(&stream.start)
     }
 
+    /// As [`StreamOrigins::get`], unless a further attempt may have been sent elsewhere.
+    pub fn get_settled(&self, now_ms: u64, request: RequestKey) -> Option<&AttemptOrigin> {
+        let is_settled = !self.streams.get(&request)?.may_have_moved;
+        self.get(now_ms, request).filter(|_| is_settled)
+    }
+
     /// Number of streams that are remembered.
     pub fn len(&self) -> usize {
         self.streams.len()
--- a/crates/edge/tests/origin_confirmation.rs
+++ b/crates/edge/tests/origin_confirmation.rs
@@ -1,7 +1,9 @@
 //! Tests of when a caller may get the first event of a stream.
 
+use std::collections::BTreeSet;
+
 use span_edge::{
-    origin_confirmation::OriginConfirmation,
+    origin_confirmation::{ONE_KEEPER_AFTER_MS, OriginConfirmation},
     stream_origin::{AttemptOrigin, RequestKey, StreamAttempt, StreamOrigin},
 };
 
@@ -42,14 +44,96 @@
         let mut confirmation = None;
         for start in starts {
             match &mut confirmation {
-                None => confirmation = Some(OriginConfirmation::new(start)),
-                Some(confirmation) => confirmation.start_attempt(start),
+                None => confirmation = Some(OriginConfirmation::new(0, start, BTreeSet::new())),
+                Some(confirmation) => confirmation.start_attempt(0, start, BTreeSet::new()),
             }
         }
         let mut confirmation = confirmation.expect("each case has an attempt");
         for attempt in case.recorded {
             confirmation.recorded(StreamAttempt { request, attempt: *attempt });
         }
-        assert_eq!(confirmation.is_confirmed(), case.is_confirmed, "{}", case.name);
+        assert_eq!(confirmation.is_confirmed(0), case.is_confirmed, "{}", case.name);
+    }
+}
+
+/// Guards against a stream that nobody knows whose router dies after its first event, and against
+/// a first event that waits for a keeper that has died.
+#[test]
+fn first_event_waits_until_enough_keepers_know() {
+    struct Case {
+        name: &'static str,
+        keepers: &'static [&'static str],
+        /// Routers that say that they know an attempt, and which.
+        knowing: &'static [(&'static str, u32)],
+        is_recorded: bool,
+        /// Time after which the event may pass; none if it may not.
+        after_ms: Option<u64>,
+    }
+    const THREE: &[&str] = &["a", "b", "c"];
+    let late_ms = Some(ONE_KEEPER_AFTER_MS);
+    let cases = [
+        Case { name: "alone", keepers: &[], knowing: &[], is_recorded: false, after_ms: Some(0) },
+        Case { name: "cut off", keepers: THREE, knowing: &[], is_recorded: false, after_ms: None },
+        Case {
+            name: "cut off but for the store",
+            keepers: THREE,
+            knowing: &[],
+            is_recorded: true,
+            after_ms: Some(0),
+        },
+        Case {
+            name: "two of three",
+            keepers: THREE,
+            knowing: &[("a", 1), ("c", 1)],
+            is_recorded: false,
+            after_ms: Some(0),
+        },
+        Case {
+            name: "one, twice",
+            keepers: THREE,
+            knowing: &[("a", 1), ("a", 1)],
+            is_recorded: false,
+            after_ms: late_ms,
+        },
+        Case {
+            name: "one that is no keeper",
+            keepers: THREE,
+            knowing: &[("a", 1), ("d", 1)],
+            is_recorded: false,
+            after_ms: late_ms,
+        },
+        Case {
+            name: "of another attempt",
+            keepers: &["a"],
+            knowing: &[("a", 2)],
+            is_recorded: false,
+            after_ms: None,
+        },
+        Case {
+            name: "the only other",
+            keepers: &["a"],
+            knowing: &[("a", 1)],
+            is_recorded: false,
+            after_ms: Some(0),
+        },
+    ];
+    let request = RequestKey::new(b"r");
+    for case in cases {
+        let origin = StreamOrigin { service: "svc".into(), software_version: "v1".into() };
+        let start = AttemptOrigin { origin, attempt: 1 };
+        let keepers = case.keepers.iter().map(|name| (*name).into()).collect();
+        let mut confirmation = OriginConfirmation::new(1_000, start, keepers);
+        for (name, attempt) in case.knowing {
+            let stream = StreamAttempt { request, attempt: *attempt };
+            confirmation.acknowledged(&(*name).into(), stream);
+        }
+        if case.is_recorded {
+            confirmation.recorded(StreamAttempt { request, attempt: 1 });
+        }
+        let times_ms = [0, ONE_KEEPER_AFTER_MS - 1, ONE_KEEPER_AFTER_MS];
+        for after_ms in times_ms {
+            let expected = case.after_ms.is_some_and(|from_ms| after_ms >= from_ms);
+            assert_eq!(confirmation.is_confirmed(1_000 + after_ms), expected, "{}", case.name);
+        }
     }
 }
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -6,8 +6,8 @@
 
 use span_edge::{
     stream_origin::{
-        ASKED_ROUTERS, AttemptOrigin, RequestKey, StreamOrigin, StreamOrigins, TOLD_ROUTERS,
-        routers_for_stream,
+        ASKED_ROUTERS, AttemptOrigin, OriginNotice, RequestKey, StreamOrigin, StreamOrigins,
+        TOLD_ROUTERS, routers_for_stream,
     },
     stream_records::HistoryRecord,
 };
@@ -258,3 +258,85 @@
         assert_eq!(known.knows_history(now_ms, LIFETIME_MS), expected, "{now_ms}");
     }
 }
+
+/// Guards against a stream that nobody was told of and that goes on at another version than the
+/// only one of its time, and against one that is refused although it can only have begun there.
+#[test]
+fn untold_streams_began_at_the_only_version_of_their_time() {
+    let untold = |known: &StreamOrigins, now_ms| known.untold(now_ms, &service(), LIFETIME_MS);
+    let mut known = StreamOrigins::new(true);
+    known.set_lifetime(0, LIFETIME_MS);
+    known.set_versions(0, &service(), &versions(&["v1"]));
+    assert!(untold(&known, 0).is_empty(), "it is not known what was before");
+    known.add_history(0, None, false);
+    known.set_versions(1_000, &service(), &versions(&["v1", "v2"]));
+    known.set_versions(2_000, &service(), &versions(&["v2"]));
+    let both_until_ms = 2_000 + LIFETIME_MS;
+    let cases: [(u64, &[&str]); 4] = [
+        (1_000, &["v1"]),
+        (1_000 + LIFETIME_MS - 1, &["v1"]),
+        (1_000 + LIFETIME_MS, &[]),
+        (both_until_ms, &["v2"]),
+    ];
+    for (now_ms, expected) in cases {
+        assert_eq!(untold(&known, now_ms), origins(expected), "{now_ms}");
+    }
+    // A router of which it hears that streams begin elsewhere knew of both.
+    let mut first = StreamOrigins::default();
+    first.begin(0, key("r"), &start("v3"), LIFETIME_MS);
+    known.learn(both_until_ms, &first.tell(0, key("r")).unwrap());
+    assert_eq!(untold(&known, both_until_ms + 1), origins(&["v2"]));
+}
+
+/// Guards against a router that counts as one that would know a stream although it was told of
+/// it before its restart, and against streams of one version that are refused because all
+/// routers restarted as a second version came.
+#[test]
+fn restarted_router_would_know_streams_if_nobody_was_told_before() {
+    struct Case {
+        name: &'static str,
+        recorded: Option<&'static [&'static str]>,
+        untold: &'static [&'static str],
+        is_witness: bool,
+    }
+    let cases = [
+        Case { name: "one version", recorded: Some(&["v1"]), untold: &["v1"], is_witness: true },
+        Case { name: "two", recorded: Some(&["v1", "v2"]), untold: &[], is_witness: false },
+        Case { name: "no record", recorded: None, untold: &[], is_witness: false },
+    ];
+    let services = BTreeSet::from([service()]);
+    for case in cases {
+        let mut known = StreamOrigins::default();
+        known.set_lifetime(0, LIFETIME_MS);
+        known.set_versions(0, &service(), &versions(&["v1", "v2"]));
+        let record = case.recorded.map(|recorded| HistoryRecord {
+            versions: BTreeMap::from([(service(), versions(recorded))]),
+            ..HistoryRecord::default()
+        });
+        known.add_history(10, record.as_ref(), record.is_some());
+        let now_ms = 1_000;
+        assert_eq!(known.untold(now_ms, &service(), LIFETIME_MS), origins(case.untold));
+        let is_witness = |now_ms| known.is_witness(now_ms, &services, LIFETIME_MS);
+        assert_eq!(is_witness(now_ms), case.is_witness, "{}", case.name);
+        assert!(is_witness(LIFETIME_MS), "{}", case.name);
+    }
+}
+
+/// Guards against a late notice of an earlier attempt that replaces what the router knows of
+/// the last one, and against a router that takes what it was told for the last attempt.
+#[test]
+fn notice_replaces_only_what_is_older() {
+    let at = |attempt| AttemptOrigin { origin: origin(&format!("v{attempt}")), attempt };
+    let notice =
+        |attempt| OriginNotice { request: key("r"), start: at(attempt), lifetime_ms: LIFETIME_MS };
+    let mut known = StreamOrigins::default();
+    known.learn(0, &notice(2));
+    known.learn(0, &notice(1));
+    assert_eq!(known.get(0, key("r")), Some(&at(2)));
+    assert_eq!(known.get_settled(0, key("r")), None);
+    known.begin_told(0, key("r"), &at(2), LIFETIME_MS);
+    known.learn(0, &notice(2));
+    assert_eq!(known.get_settled(0, key("r")), Some(&at(2)));
+    known.learn(0, &notice(3));
+    assert_eq!(known.get_settled(0, key("r")), None);
+}
