Hold the first event of a stream until the history has its version

Streams that began at a new one in the milliseconds before the store had taken it into the history went on at the old one after a restart of all routers.

The first event now waits for the history as it does for the keepers, for 0.4 s at most; the write takes some milliseconds.

--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -170,9 +170,9 @@
                 self.node.stream_began(&streams, &origin, confirmation.is_some());
                 // One that is taken up goes on where it began, whether that is known or not.
                 let confirmation = confirmation.filter(|_| resume.data.last_event.is_none());
-                let is_confirmed =
-                    confirmation.as_ref().is_none_or(|known| known.is_confirmed(now_ms));
-                if let Some(confirmation) = confirmation.filter(|_| !is_confirmed) {
+                if let Some(confirmation) = confirmation
+                    && !self.node.is_confirmed(&confirmation)
+                {
                     self.unconfirmed = Some(UnconfirmedEvents {
                         events,
                         confirmed: Box::pin(self.node.clone().await_confirmation(confirmation)),
--- a/crates/edge/src/origin_confirmation.rs
+++ b/crates/edge/src/origin_confirmation.rs
@@ -5,6 +5,9 @@
 //! stream may go on only where it began; and one that none of the keepers knows began while its
 //! router knew of one place only. So the first event waits until enough of them know.
 //!
+//! Routers that start later learn from the history in the store which versions there were, so the
+//! version at which a stream begins has to be there too.
+//!
 //! Nor may a record that names another origin outlast the router: the request may have been sent
 //! elsewhere first, and the stream begun at a later attempt.
 
@@ -17,8 +20,9 @@
 /// Longest time for which the first event of a stream waits, in milliseconds. Callers give up
 /// on a stream that is silent for two seconds or more.
 pub const MAX_CONFIRMATION_WAIT_MS: u64 = 1_000;
-/// Time from which one keeper is enough, in milliseconds. By then the store has not taken the
-/// record for longer than a batch waits, and the other keepers may have died unnoticed.
+/// Time from which one keeper is enough, without the history, in milliseconds. By then the
+/// store has taken neither the record nor the history for longer than a batch waits, and the
+/// other keepers may have died unnoticed.
 pub const ONE_KEEPER_AFTER_MS: u64 = 400;
 
 /// Number of a stream's `keepers` that have to know it before its first event. Any two of three
@@ -89,15 +93,14 @@
         }
     }
 
-    /// Whether the caller may get the first event.
-    pub fn is_confirmed(&self, now_ms: u64) -> bool {
-        let knowing = self.keepers - self.silent.len();
-        let needed = if now_ms >= self.started_ms + ONE_KEEPER_AFTER_MS {
-            self.keepers.min(1)
-        } else {
-            needed_keepers(self.keepers)
-        };
-        self.is_recorded || (!self.has_outdated_record && knowing >= needed)
+    /// Whether the caller may get the first event. `is_in_history` says whether the history in
+    /// the store has the version at which the stream begins.
+    pub fn is_confirmed(&self, now_ms: u64, is_in_history: bool) -> bool {
+        let is_late = now_ms >= self.started_ms + ONE_KEEPER_AFTER_MS;
+        let needed = if is_late { self.keepers.min(1) } else { needed_keepers(self.keepers) };
+        let is_kept = self.keepers - self.silent.len() >= needed;
+        let is_known = self.is_recorded || (!self.has_outdated_record && is_kept);
+        is_known && (is_in_history || is_late)
     }
 
     /// When [`OriginConfirmation::is_confirmed`] may change by itself, in milliseconds.
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -64,12 +64,11 @@
             pending.changed.notify_one();
         }
     }
-}
 
-impl OpenConfirmation {
-    /// Whether the caller may get the first event.
-    pub(crate) fn is_confirmed(&self, now_ms: u64) -> bool {
-        self.pending.confirmation.borrow().is_confirmed(now_ms)
+    fn notify_all(&self) {
+        for pending in self.pending.borrow().values() {
+            pending.changed.notify_one();
+        }
     }
 }
 
@@ -129,13 +128,29 @@
         Some(confirmation)
     }
 
+    /// Whether the caller may get the first event of a stream.
+    pub(crate) fn is_confirmed(&self, confirmation: &OpenConfirmation) -> bool {
+        let now_ms = self.now_ms();
+        let known = confirmation.pending.confirmation.borrow();
+        let state = self.state();
+        // Members of a large fleet leave the history to their collector.
+        let is_in_history =
+            state.record_keeper().is_some() || state.stream_history.tells_of(&known.start().origin);
+        known.is_confirmed(now_ms, is_in_history)
+    }
+
+    /// Lets streams begin that waited for the history in the store.
+    pub(crate) fn history_written(&self) {
+        self.confirmations.notify_all();
+    }
+
     /// Waits until the caller may get the first event of a stream. Returns false if others
     /// could not be told in time where it began.
     pub(crate) async fn await_confirmation(self: Rc<Self>, confirmation: OpenConfirmation) -> bool {
         let started_ms = self.now_ms();
         let until = self.clock.instant(started_ms + MAX_CONFIRMATION_WAIT_MS);
         let confirmed = async {
-            while !confirmation.is_confirmed(self.now_ms()) {
+            while !self.is_confirmed(&confirmation) {
                 self.tell_silent_keepers(&confirmation);
                 let again = Duration::from_millis(ASK_AGAIN_MS);
                 let _ = timeout(again, confirmation.pending.changed.notified()).await;
--- a/crates/edge/src/record_sync.rs
+++ b/crates/edge/src/record_sync.rs
@@ -71,6 +71,7 @@
         state.stream_history.replace(records.era, records.history.clone());
         state.recorded_origins.replace(&records.segments);
         drop(state);
+        self.history_written();
         // The history may name further places where streams may have begun.
         self.tell_stream_origins(false);
     }
@@ -201,6 +202,7 @@
             );
             let record = HistoryRecord { revision: Some(revision), ..record };
             node.state().stream_history.written(record);
+            node.history_written();
             Ok(())
         }
         // The store has done nothing.
--- a/crates/edge/src/stream_history.rs
+++ b/crates/edge/src/stream_history.rs
@@ -4,7 +4,7 @@
 //! led to, before it started. So these have to be recorded before streams can outlive the
 //! memory of all routers, and stay in the record until all such streams are over.
 
-use crate::stream_records::HistoryRecord;
+use crate::{stream_origin::StreamOrigin, stream_records::HistoryRecord};
 
 /// The record, as this router knows it.
 #[derive(Debug, Default)]
@@ -26,6 +26,16 @@
         self.is_read
     }
 
+    /// Whether a router that starts now would learn from the record that streams may begin at
+    /// `origin`, or that the record does not say where they may have begun.
+    pub fn tells_of(&self, origin: &StreamOrigin) -> bool {
+        let complete = self.record.as_ref().filter(|known| known.complete_era == Some(self.era));
+        let versions = complete.map(|record| record.versions.get(&origin.service));
+        versions.is_none_or(|versions| {
+            versions.is_some_and(|versions| versions.contains(&origin.software_version))
+        })
+    }
+
     /// The record may have changed, and has to be read again.
     pub fn invalidate(&mut self) {
         self.is_read = false;
--- a/crates/edge/tests/origin_confirmation.rs
+++ b/crates/edge/tests/origin_confirmation.rs
@@ -52,7 +52,7 @@
         for attempt in case.recorded {
             confirmation.recorded(StreamAttempt { request, attempt: *attempt });
         }
-        assert_eq!(confirmation.is_confirmed(0), case.is_confirmed, "{}", case.name);
+        assert_eq!(confirmation.is_confirmed(0, true), case.is_confirmed, "{}", case.name);
     }
 }
 
@@ -133,7 +133,20 @@
         let times_ms = [0, ONE_KEEPER_AFTER_MS - 1, ONE_KEEPER_AFTER_MS];
         for after_ms in times_ms {
             let expected = case.after_ms.is_some_and(|from_ms| after_ms >= from_ms);
-            assert_eq!(confirmation.is_confirmed(1_000 + after_ms), expected, "{}", case.name);
+            assert_eq!(
+                confirmation.is_confirmed(1_000 + after_ms, true),
+                expected,
+                "{}",
+                case.name
+            );
+            // A version that is not in the history yet.
+            let expected = expected && after_ms >= ONE_KEEPER_AFTER_MS;
+            assert_eq!(
+                confirmation.is_confirmed(1_000 + after_ms, false),
+                expected,
+                "{}",
+                case.name
+            );
         }
     }
 }
