Do not let a router that learns nothing infer where streams began

Cause: a router that had given the others up counted as alone in the fleet, and the age of what it knew did not count. What was left: a router that knows no other one, and so has nobody to tell, began streams without a record.

--- a/crates/edge/src/origin_confirmation.rs
+++ b/crates/edge/src/origin_confirmation.rs
@@ -98,7 +98,9 @@
     pub fn is_confirmed(&self, now_ms: u64, is_in_history: bool) -> bool {
         let is_late = now_ms >= self.started_ms + ONE_KEEPER_AFTER_MS;
         let needed = if is_late { self.keepers.min(1) } else { needed_keepers(self.keepers) };
-        let is_kept = self.keepers - self.silent.len() >= needed;
+        // A router that knows no other one may have been cut off for long.
+        let may_be_cut_off = self.keepers == 0 && !is_late;
+        let is_kept = !may_be_cut_off && self.keepers - self.silent.len() >= needed;
         let is_known = self.is_recorded || (!self.has_outdated_record && is_kept);
         is_known && (is_in_history || is_late)
     }
