Read each object of the store by itself

Cause: all objects of an answer were decoded at once. Each is read by itself now, and one that cannot be read counts as empty.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -8,6 +8,7 @@
     header::{ETAG, IF_MATCH, IF_NONE_MATCH},
 };
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use span_http::{Body, Client, empty_body, full_body};
 
 use crate::{
@@ -181,8 +182,11 @@
     ///
     /// [`Error::Unavailable`] or [`Error::Rejected`].
     pub async fn instances(&self) -> Result<Vec<Instance>, Error> {
-        let rows: Vec<serde_json::Value> = self.read_json("/instances").await?;
-        Ok(rows.into_iter().filter_map(|row| serde_json::from_value(row).ok()).collect())
+        let body = self.read_body("/instances").await?;
+        // Bytes that are no text spoil only their row, and so does what JSON cannot express.
+        let text = String::from_utf8_lossy(&body);
+        let rows: Vec<&RawValue> = serde_json::from_str(&text).map_err(invalid_answer)?;
+        Ok(rows.into_iter().filter_map(|row| serde_json::from_str(row.get()).ok()).collect())
     }
 
     /// Adds or replaces an instance in the list. Idempotent.
@@ -255,13 +259,17 @@
     }
 
     async fn read_json<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let body = self.read_body(path).await?;
+        serde_json::from_slice(&body).map_err(invalid_answer)
+    }
+
+    async fn read_body(&self, path: &str) -> Result<Bytes, Error> {
         let response = self.read(path, self.call_timeout()).await?;
-        if !response.status.is_success() {
-            return Err(status_error(&response, false));
+        if response.status.is_success() {
+            Ok(response.body)
+        } else {
+            Err(status_error(&response, false))
         }
-        serde_json::from_slice(&response.body).map_err(|error| Error::Unavailable {
-            reason: format!("the answer is not valid: {error}"),
-        })
     }
 
     async fn remove(&self, path: &str) -> Result<bool, Error> {
@@ -279,6 +287,10 @@
     Error::from_status(response.status, response.error_message(), is_write)
 }
 
+fn invalid_answer(error: serde_json::Error) -> Error {
+    Error::Unavailable { reason: format!("the answer is not valid: {error}") }
+}
+
 fn object_version(response: &CompleteResponse) -> Option<u64> {
     response.headers.get(ETAG)?.to_str().ok()?.parse().ok()
 }
--- a/crates/platform/tests/calls.rs
+++ b/crates/platform/tests/calls.rs
@@ -3,6 +3,10 @@
 
 use span_platform::{Condition, Error, Instance, PlatformClient, Settings, WriteConfirmation};
 use span_standin::objects::{self, Faults, Platform as Standin, Precondition};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 async fn start() -> (Standin, PlatformClient) {
     let standin = objects::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
@@ -197,6 +201,44 @@
     assert_eq!(platform.instances().await.unwrap(), []);
 }
 
+/// Guards against an instance list that cannot be read any more because of a single row.
+#[tokio::test]
+async fn row_that_cannot_be_read_hides_no_instance() {
+    let row = Instance {
+        name: "atl-1".into(),
+        http_address: "127.0.0.1:1".parse().unwrap(),
+        peer_address: "127.0.0.1:2".parse().unwrap(),
+        failure_domain: "hall-atl".into(),
+        leaving: false,
+    };
+    let text = serde_json::to_string(&row).unwrap();
+    let nested = format!("{}{}", "[".repeat(300), "]".repeat(300));
+    let cases: [(&str, &[u8]); 6] = [
+        ("another type", b"7"),
+        ("nested", nested.as_bytes()),
+        ("number out of range", br#"{"name":1e999}"#),
+        ("half of a character", br#"{"name":"\ud83d"}"#),
+        ("not UTF-8", b"{\"name\":\"\xff\"}"),
+        ("port out of range", br#"{"name":"a","httpAddress":"127.0.0.1:70000"}"#),
+    ];
+    for (name, odd) in cases {
+        let body = [b"[", odd, b",", text.as_bytes(), b"]"].concat();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = Settings::new(listener.local_addr().unwrap());
+        let answering = tokio::spawn(async move {
+            let (mut connection, _) = listener.accept().await.unwrap();
+            let mut request = [0; 4096];
+            assert!(connection.read(&mut request).await.unwrap() > 0);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            connection.write_all(&[head.as_bytes(), &body].concat()).await.unwrap();
+            connection
+        });
+        let listed = PlatformClient::new(settings).instances().await;
+        assert_eq!(listed.unwrap(), std::slice::from_ref(&row), "{name}");
+        answering.await.unwrap();
+    }
+}
+
 /// Guards against a list with keys that lack the prefix.
 #[tokio::test]
 async fn keys_are_listed_and_removed() {
