Test answers that end inside their heads

A report of other operators: an upstream stopped inside the head of its answer, and callers got a 200 with an empty body. The HTTP library takes a head that ends early for a lost answer.

--- a/crates/router/tests/faulty_upstreams.rs
+++ b/crates/router/tests/faulty_upstreams.rs
@@ -150,6 +150,77 @@
     }
 }
 
+/// Guards against an answer that looks whole to its caller although the upstream stopped inside
+/// its head and closed: what is left of the head names neither a length nor chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_ends_inside_its_head_is_never_passed_on_as_whole() {
+    const CUT_INTERVAL_BYTES: usize = 11;
+    /// A router tries until the deadline to get the rest of an answer.
+    const DEADLINE_MS: u64 = 500;
+    struct Case {
+        name: &'static str,
+        answer: fn(&Received) -> String,
+        call: Call,
+    }
+    enum Call {
+        Chat { stream: bool },
+        Plain,
+    }
+    let cases = [
+        Case {
+            name: "completion",
+            answer: |request| resumed(&request.id, request.offset.unwrap_or(0), false),
+            call: Call::Chat { stream: false },
+        },
+        Case {
+            name: "stream",
+            answer: |request| resumed(&request.id, request.offset.unwrap_or(0), true),
+            call: Call::Chat { stream: true },
+        },
+        Case {
+            name: "stream that ends with its connection",
+            answer: |request| {
+                let offset = request.offset.unwrap_or(0);
+                events(&offset_header(offset), &scripted::chunks_to_end(&request.id, offset))
+            },
+            call: Call::Chat { stream: true },
+        },
+        Case { name: "plain", answer: |_| answer("200 OK", JSON, "", "{}"), call: Call::Plain },
+    ];
+    let run = |case: Case| async move {
+        let cut = Arc::new(AtomicU32::new(0));
+        let (cut_at, format) = (cut.clone(), case.answer);
+        let engine = scripted::bind(move |request| {
+            let whole = format(request);
+            let head_len = whole.find("\r\n\r\n").expect("the answer has a head");
+            let len = (cut_at.load(Ordering::SeqCst) as usize).min(head_len + 3);
+            Script::close(&whole[..len])
+        });
+        let engine = engine.await;
+        let service = match case.call {
+            Call::Chat { .. } => "stitch-assist",
+            Call::Plain => "booking-desk",
+        };
+        let setup = TestSetup { deadline_ms: DEADLINE_MS, ..TestSetup::new() };
+        let setup = setup.upstream(service, engine.address).start().await;
+        // The heads have less than 130 bytes, so the last cuts are just before their end.
+        for len in (0..130).step_by(CUT_INTERVAL_BYTES) {
+            cut.store(u32::try_from(len).expect("small"), Ordering::SeqCst);
+            let answer = match case.call {
+                Call::Chat { stream } => setup.chat("cut", TOKENS, stream).await,
+                Call::Plain => setup.call(Method::POST, "/svc/booking-desk/x", &[], "b").await,
+            };
+            let is_whole = answer.outcome().as_deref() == Some("completed");
+            assert!(!is_whole, "{} cut at {len}: {answer:?}", case.name);
+            let is_success = answer.status.is_success() && answer.body.is_some();
+            let says_unknown = answer.outcome().as_deref() == Some("unknown");
+            assert!(!is_success || says_unknown, "{} cut at {len}: {answer:?}", case.name);
+        }
+        assert!(!engine.received().is_empty(), "{}", case.name);
+    };
+    futures::future::join_all(cases.into_iter().map(run)).await;
+}
+
 /// Guards against streams that broke off and go on with anything but the next event of the
 /// same answer, such as the text of an error, its head, events that the caller has, or an
 /// early end.
