Have all keepers of a stream know it before its first event

Two of three keepers had to know a stream, so two of three had to answer for one that nobody was told of.

--- a/crates/edge/src/origin_confirmation.rs
+++ b/crates/edge/src/origin_confirmation.rs
@@ -3,7 +3,8 @@
 //! A router that knows of several places where streams begin tells some others, the keepers of
 //! the stream, when it sends the request, and has it recorded in the store. If it dies, the
 //! stream may go on only where it began; and one that none of the keepers knows began while its
-//! router knew of one place only. So the first event waits until enough of them know.
+//! router knew of one place only. So the first event waits until all of them know, or the store
+//! has the record.
 //!
 //! Routers that start later learn from the history in the store which versions there were, so the
 //! version at which a stream begins has to be there too.
@@ -25,12 +26,6 @@
 /// other keepers may have died unnoticed.
 pub const ONE_KEEPER_AFTER_MS: u64 = 400;
 
-/// Number of a stream's `keepers` that have to know it before its first event. Any two of three
-/// have one in common with any other two.
-pub fn needed_keepers(keepers: usize) -> usize {
-    keepers.min(2)
-}
-
 /// What is known to others of a request for a stream, whose last attempt was sent to an
 /// upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -97,10 +92,12 @@
     /// the store has the version at which the stream begins.
     pub fn is_confirmed(&self, now_ms: u64, is_in_history: bool) -> bool {
         let is_late = now_ms >= self.started_ms + ONE_KEEPER_AFTER_MS;
-        let needed = if is_late { self.keepers.min(1) } else { needed_keepers(self.keepers) };
         // A router that knows no other one may have been cut off for long.
-        let may_be_cut_off = self.keepers == 0 && !is_late;
-        let is_kept = !may_be_cut_off && self.keepers - self.silent.len() >= needed;
+        let is_kept = if is_late {
+            self.keepers == 0 || self.silent.len() < self.keepers
+        } else {
+            self.keepers > 0 && self.silent.is_empty()
+        };
         let is_known = self.is_recorded || (!self.has_outdated_record && is_kept);
         is_known && (is_in_history || is_late)
     }
--- a/crates/edge/src/origin_inquiry.rs
+++ b/crates/edge/src/origin_inquiry.rs
@@ -5,7 +5,6 @@
 use span_types::InstanceName;
 
 use crate::{
-    origin_confirmation::needed_keepers,
     stream_origin::{AttemptOrigin, OriginAnswer, StreamOrigin, TOLD_ROUTERS},
     stream_records::RecordedOrigin,
 };
@@ -303,9 +302,7 @@
         let ranked = &self.routers.ranked;
         let is_known_if_begun_by = |beginner: Option<&InstanceName>| {
             let others = ranked.iter().filter(|name| Some(*name) != beginner);
-            let keepers: Vec<&InstanceName> = others.take(TOLD_ROUTERS).collect();
-            let unheard = keepers.iter().filter(|name| !is_witness(name)).count();
-            unheard < needed_keepers(keepers.len())
+            others.take(TOLD_ROUTERS).any(|name| is_witness(&name))
         };
         // One that would know of its own streams did not begin this one.
         let mut beginners = ranked.iter().filter(|name| !is_witness(name)).peekable();
