--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -386,9 +386,8 @@
     pub(crate) fn origins_may_differ(&self, now_ms: u64, service: &ServiceName) -> bool {
         let (origins, lifetime_ms) = (&self.stream_origins, self.stream_lifetime_ms);
         // Members of a large fleet do not read the history.
-        let may_lack_history = self.record_keeper().is_none();
         origins.may_differ(now_ms, service, lifetime_ms)
-            || (may_lack_history && !origins.knows_history(now_ms, lifetime_ms))
+            || (!origins.knows_history(now_ms, lifetime_ms) && self.record_keeper().is_none())
     }
 
     /// Services of whose streams others have to be told: all of them, or those whose
