--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -199,9 +199,9 @@
         Some(StreamOrigin { service: self.service.clone(), software_version })
     }
 
-    /// Has the origin recorded of the stream that a further attempt at a request is about to
-    /// begin at the current upstream, if that is needed.
-    pub(crate) fn record_origin(&mut self, data: &RequestData) {
+    /// Tells others of the stream that a further attempt at a request is about to begin at the
+    /// current upstream, and has it recorded, if that is needed.
+    pub(crate) fn tell_origin(&mut self, data: &RequestData) {
         self.attempt += 1;
         if let Some(origin) = self.origin() {
             let confirmation = self.confirmation.take();
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -490,7 +490,7 @@
         sent_attempts += 1;
         in_flight.prompt_sent(&data.shared_segments);
         if kind == RouteKind::ResumableStream {
-            in_flight.record_origin(&data);
+            in_flight.tell_origin(&data);
         }
         let until_ms = attempt_until_ms(node.now_ms(), checked, sent_attempts);
         let destination = Destination {
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -290,7 +290,7 @@
         resume.remaining_attempts -= 1;
         splitter.start_next_answer();
         if !resume.has_begun {
-            self.in_flight.record_origin(&resume.data);
+            self.in_flight.tell_origin(&resume.data);
         }
         let to_version = self.node.software_version(&upstream);
         info!(
--- a/crates/edge/src/origin_inquiry.rs
+++ b/crates/edge/src/origin_inquiry.rs
@@ -53,7 +53,7 @@
 #[strum(serialize_all = "snake_case")]
 pub enum RecordSearch {
     /// Nobody has searched.
-    NotNeeded,
+    NotStarted,
     /// The records are being read.
     Pending,
     /// The records were read.
@@ -185,7 +185,7 @@
     /// Whether the records have to be searched, since the answers do not suffice.
     pub fn wants_search(&self, now_ms: u64) -> bool {
         let is_due = self.awaited.is_empty() || now_ms >= self.asked_ms + SEARCH_AFTER_MS;
-        self.search == RecordSearch::NotNeeded && is_due && self.verdict(now_ms).is_none()
+        self.search == RecordSearch::NotStarted && is_due && self.verdict(now_ms).is_none()
     }
 
     /// Records that the records of the store are being searched.
@@ -229,7 +229,9 @@
     pub fn next_change_ms(&self) -> Option<u64> {
         match &self.found {
             Some((.., found_ms)) => Some(found_ms + AGREEMENT_WAIT_MS),
-            None if self.search == RecordSearch::NotNeeded => Some(self.asked_ms + SEARCH_AFTER_MS),
+            None if self.search == RecordSearch::NotStarted => {
+                Some(self.asked_ms + SEARCH_AFTER_MS)
+            }
             None => None,
         }
     }
@@ -253,7 +255,7 @@
                 return Some(OriginVerdict::Found(start, source));
             }
         }
-        let is_final = has_all_answers && self.search != RecordSearch::NotNeeded;
+        let is_final = has_all_answers && self.search != RecordSearch::NotStarted;
         (is_final || elapsed_ms >= ANSWER_TIMEOUT_MS).then_some(OriginVerdict::Unknown)
     }
 
@@ -269,7 +271,7 @@
         let is_told_by_others = self.witnesses.iter().any(|name| *name != self.routers.own);
         if let Some(only) = single(&self.candidates) {
             let is_certain = match self.search {
-                RecordSearch::NotNeeded | RecordSearch::Pending => {
+                RecordSearch::NotStarted | RecordSearch::Pending => {
                     is_told_by_others && self.routers.is_named && self.all_keepers_are_witnesses()
                 }
                 // The history in the store has each version at which streams have begun.
--- a/crates/edge/src/origin_search.rs
+++ b/crates/edge/src/origin_search.rs
@@ -223,7 +223,7 @@
                 candidates: own.candidates,
                 untold: own.untold,
                 knows_history: own.knows_history,
-                search: RecordSearch::NotNeeded,
+                search: RecordSearch::NotStarted,
                 witnesses: 0,
             });
         }
@@ -231,7 +231,7 @@
         let keeper = state.record_keeper().map(|keeper| keeper.member.instance);
         let needs_search =
             own.start.is_none() && keeper.is_none() && state.needs_record_search(now_ms, &own);
-        let search = if needs_search { RecordSearch::Pending } else { RecordSearch::NotNeeded };
+        let search = if needs_search { RecordSearch::Pending } else { RecordSearch::NotStarted };
         let inquiry_routers = InquiryRouters {
             own: state.view.own_update().router.member.instance.clone(),
             ranked: state.ranked_routers(request),
--- a/crates/edge/tests/origin_inquiry.rs
+++ b/crates/edge/tests/origin_inquiry.rs
@@ -67,7 +67,7 @@
         after_ms: u64,
         verdict: OriginVerdict,
     }
-    use RecordSearch::{Done, Failed, NotNeeded};
+    use RecordSearch::{Done, Failed, NotStarted};
     const V1: &[&str] = &["v1"];
     const BOTH: &[&str] = &["v1", "v2"];
     let knows = |candidates: &[&str], untold: &[&str]| OriginAnswer {
@@ -110,13 +110,13 @@
     let both_restarted = restarted(BOTH);
     let (new, old) = (began("v2"), began("v1"));
     let cases = [
-        case("alone, may be cut off", &one, (0, &[]), NotNeeded, late_ms, &unknown),
+        case("alone, may be cut off", &one, (0, &[]), NotStarted, late_ms, &unknown),
         case("alone, store read", &one, (0, &[]), Done, 0, &only),
         case("alone, just started", &restarted(V1), (0, &[]), Done, 0, &unknown),
-        case("another one knows", &second, (3, &[&new]), NotNeeded, AGREEMENT_WAIT_MS, &asked),
+        case("another one knows", &second, (3, &[&new]), NotStarted, AGREEMENT_WAIT_MS, &asked),
         case("all answer, one knows", &second, (2, &[&second, &new]), Done, 0, &asked),
-        case("contradiction", &second, (3, &[&new, &old]), NotNeeded, 0, &contradictory),
-        case("one version", &one, (2, &[&one, &one]), NotNeeded, 0, &only),
+        case("contradiction", &second, (3, &[&new, &old]), NotStarted, 0, &contradictory),
+        case("one version", &one, (2, &[&one, &one]), NotStarted, 0, &only),
         case(
             "the whole fleet has just started without a history",
             &restarted(V1),
@@ -126,7 +126,7 @@
             &unknown,
         ),
         case("one restarted, store read", &one, (2, &[&restarted(V1), &one]), Done, 0, &only),
-        case("one dead", &one, (2, &[&one]), NotNeeded, late_ms, &unknown),
+        case("one dead", &one, (2, &[&one]), NotStarted, late_ms, &unknown),
         case("one dead, store read", &one, (2, &[&one]), Done, 0, &only),
         case("one dead, store away", &one, (2, &[&one]), Failed, 0, &only),
         case("two dead, store away", &one, (3, &[&one]), Failed, late_ms, &unknown),
@@ -142,7 +142,7 @@
         case("most dead, store read", &one, (5, &[&one]), Done, ASK_AGAIN_MS, &only),
         case("a second version comes", &second, (2, &[&second]), Done, 0, &untold),
         case("only another one knows of it", &one, (2, &[&second]), Done, 0, &untold),
-        case("records not searched", &second, (2, &[&second]), NotNeeded, late_ms, &unknown),
+        case("records not searched", &second, (2, &[&second]), NotStarted, late_ms, &unknown),
         case("records cannot be searched", &second, (2, &[&second]), Failed, late_ms, &unknown),
         case("both for long", &long_since_both, (2, &[&long_since_both]), Done, late_ms, &unknown),
         case("two may be untold", &knows(BOTH, BOTH), (1, &[&second]), Done, 0, &unknown),
@@ -154,12 +154,12 @@
         case("four of five dead", &second, (5, &[&second; 1]), Done, late_ms, &unknown),
     ];
     for case in cases {
-        let mut inquiry = inquire(case.others, case.own.clone(), RecordSearch::NotNeeded);
+        let mut inquiry = inquire(case.others, case.own.clone(), RecordSearch::NotStarted);
         let silent = case.others - case.answers.len();
         for (name, answer) in routers(silent..case.others).iter().zip(case.answers) {
             inquiry.record(1_000, name, answer);
         }
-        if case.search != NotNeeded {
+        if case.search != NotStarted {
             inquiry.search_started();
             let recorded = (case.search == Done).then_some(RecordedOrigin::None);
             inquiry.record_search(1_000, recorded, case.own);
@@ -183,17 +183,17 @@
         ..OriginAnswer::default()
     };
     for silent in [0, 1] {
-        let mut inquiry = inquire(2, witness.clone(), RecordSearch::NotNeeded);
+        let mut inquiry = inquire(2, witness.clone(), RecordSearch::NotStarted);
         for name in &routers(0..2 - silent) {
             inquiry.record(1_000, name, witness.clone());
         }
         assert!(!inquiry.wants_search(1_000 + SEARCH_AFTER_MS - 1));
         assert_eq!(inquiry.wants_search(1_000 + SEARCH_AFTER_MS), silent > 0);
     }
-    let alone = inquire(0, witness.clone(), RecordSearch::NotNeeded);
+    let alone = inquire(0, witness.clone(), RecordSearch::NotStarted);
     assert!(alone.wants_search(1_000));
     // The one that keeps the records for this router has searched them.
-    let mut searched = inquire(2, witness.clone(), RecordSearch::NotNeeded);
+    let mut searched = inquire(2, witness.clone(), RecordSearch::NotStarted);
     let answer = OriginAnswer { has_searched: true, ..witness };
     searched.record(1_000, &routers(0..1)[0], answer);
     assert!(!searched.wants_search(1_000 + SEARCH_AFTER_MS));
@@ -220,7 +220,7 @@
             ranked: ["r0", "own"].map(InstanceName::from).to_vec(),
             is_named: false,
         };
-        let mut inquiry = OriginInquiry::new(0, routers, own.clone(), RecordSearch::NotNeeded);
+        let mut inquiry = OriginInquiry::new(0, routers, own.clone(), RecordSearch::NotStarted);
         inquiry.record(0, &"r0".into(), own.clone());
         assert_eq!(inquiry.verdict(0), None);
         inquiry.record_search(0, Some(RecordedOrigin::None), own);
@@ -268,7 +268,7 @@
                         is_named: true,
                     };
                     let says = |router| answer(knows(router).then(|| start("v2")));
-                    let search = RecordSearch::NotNeeded;
+                    let search = RecordSearch::NotStarted;
                     let mut inquiry = OriginInquiry::new(0, inquiry_routers, says(asker), search);
                     for router in others.filter(|router| !is_in(dead, *router)) {
                         inquiry.record(0, &ranked[router], says(router));
