--- a/crates/edge/src/origin_confirmation.rs
+++ b/crates/edge/src/origin_confirmation.rs
@@ -1,8 +1,8 @@
 //! Whether others know where a stream begins, before its caller gets the first event.
 //!
-//! A router that knows of several places where streams begin tells some others, the keepers of
+//! A router that knows of several places where streams begin tells some others, the holders of
 //! the stream, when it sends the request, and has it recorded in the store. If it dies, the
-//! stream may go on only where it began; and one that none of the keepers knows began while its
+//! stream may go on only where it began; and one that none of the holders knows began while its
 //! router knew of one place only. So the first event waits until all of them know, or the store
 //! has the record.
 //!
@@ -21,10 +21,10 @@
 /// Longest time for which the first event of a stream waits, in milliseconds. Callers give up
 /// on a stream that is silent for two seconds or more.
 pub const MAX_CONFIRMATION_WAIT_MS: u64 = 1_000;
-/// Time from which one keeper is enough, without the history, in milliseconds. By then the
+/// Time from which one holder is enough, without the history, in milliseconds. By then the
 /// store has taken neither the record nor the history for longer than a batch waits, and the
-/// other keepers may have died unnoticed.
-pub const ONE_KEEPER_AFTER_MS: u64 = 400;
+/// other holders may have died unnoticed.
+pub const ONE_HOLDER_AFTER_MS: u64 = 400;
 
 /// What is known to others of a request for a stream, whose last attempt was sent to an
 /// upstream.
@@ -32,10 +32,10 @@
 pub struct OriginConfirmation {
     start: AttemptOrigin,
     started_ms: u64,
-    /// Keepers that have not said that they know the last attempt.
+    /// Holders that have not said that they know the last attempt.
     silent: BTreeSet<InstanceName>,
-    /// Number of keepers, including those that have died.
-    keepers: usize,
+    /// Number of holders, including those that have died.
+    holders: usize,
     /// Whether an earlier attempt may be recorded at another origin.
     has_outdated_record: bool,
     /// Whether the store has the record of the last attempt.
@@ -43,13 +43,13 @@
 }
 
 impl OriginConfirmation {
-    /// A request whose attempt `start` is about to be sent, told to `keepers` and recorded.
-    pub fn new(now_ms: u64, start: AttemptOrigin, keepers: BTreeSet<InstanceName>) -> Self {
+    /// A request whose attempt `start` is about to be sent, told to `holders` and recorded.
+    pub fn new(now_ms: u64, start: AttemptOrigin, holders: BTreeSet<InstanceName>) -> Self {
         Self {
             start,
             started_ms: now_ms,
-            keepers: keepers.len(),
-            silent: keepers,
+            holders: holders.len(),
+            silent: holders,
             has_outdated_record: false,
             is_recorded: false,
         }
@@ -60,10 +60,10 @@
         &mut self,
         now_ms: u64,
         start: AttemptOrigin,
-        keepers: BTreeSet<InstanceName>,
+        holders: BTreeSet<InstanceName>,
     ) {
         let has_outdated_record = self.has_outdated_record || start.origin != self.start.origin;
-        *self = Self { has_outdated_record, ..Self::new(now_ms, start, keepers) };
+        *self = Self { has_outdated_record, ..Self::new(now_ms, start, holders) };
     }
 
     /// The last attempt.
@@ -71,7 +71,7 @@
         &self.start
     }
 
-    /// Keepers that have not said that they know the last attempt.
+    /// Holders that have not said that they know the last attempt.
     pub fn silent(&self) -> &BTreeSet<InstanceName> {
         &self.silent
     }
@@ -91,12 +91,12 @@
     /// Whether the caller may get the first event. `is_in_history` says whether the history in
     /// the store has the version at which the stream begins.
     pub fn is_confirmed(&self, now_ms: u64, is_in_history: bool) -> bool {
-        let is_late = now_ms >= self.started_ms + ONE_KEEPER_AFTER_MS;
+        let is_late = now_ms >= self.started_ms + ONE_HOLDER_AFTER_MS;
         // A router that knows no other one may have been cut off for long.
         let is_kept = if is_late {
-            self.keepers == 0 || self.silent.len() < self.keepers
+            self.holders == 0 || self.silent.len() < self.holders
         } else {
-            self.keepers > 0 && self.silent.is_empty()
+            self.holders > 0 && self.silent.is_empty()
         };
         let is_known = self.is_recorded || (!self.has_outdated_record && is_kept);
         is_known && (is_in_history || is_late)
@@ -104,6 +104,6 @@
 
     /// When [`OriginConfirmation::is_confirmed`] may change by itself, in milliseconds.
     pub fn next_change_ms(&self) -> u64 {
-        self.started_ms + ONE_KEEPER_AFTER_MS
+        self.started_ms + ONE_HOLDER_AFTER_MS
     }
 }
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -110,16 +110,16 @@
         }
         let start = AttemptOrigin { origin: origin.clone(), attempt };
         let request = data.own_attempt(attempt).request;
-        let keepers = self.state().keepers(request);
+        let holders = self.state().holders(request);
         let confirmation = match confirmation {
             Some(confirmation) => {
                 let mut known = confirmation.pending.confirmation.borrow_mut();
-                known.start_attempt(now_ms, start, keepers);
+                known.start_attempt(now_ms, start, holders);
                 drop(known);
                 confirmation
             }
             None => {
-                self.confirmations.open(request, OriginConfirmation::new(now_ms, start, keepers))
+                self.confirmations.open(request, OriginConfirmation::new(now_ms, start, holders))
             }
         };
         let streams = data.stream_attempts(attempt);
@@ -151,7 +151,7 @@
         let until = self.clock.instant(started_ms + MAX_CONFIRMATION_WAIT_MS);
         let confirmed = async {
             while !self.is_confirmed(&confirmation) {
-                self.tell_silent_keepers(&confirmation);
+                self.tell_silent_holders(&confirmation);
                 let again = Duration::from_millis(ASK_AGAIN_MS);
                 let _ = timeout(again, confirmation.pending.changed.notified()).await;
             }
@@ -162,8 +162,8 @@
         is_confirmed
     }
 
-    /// Tells the keepers of a stream again that have not answered: a datagram may be lost.
-    fn tell_silent_keepers(&self, confirmation: &OpenConfirmation) {
+    /// Tells the holders of a stream again that have not answered: a datagram may be lost.
+    fn tell_silent_holders(&self, confirmation: &OpenConfirmation) {
         let known = confirmation.pending.confirmation.borrow();
         let lifetime_ms = self.state().stream_lifetime_ms;
         let start = known.start();
--- a/crates/edge/src/origin_inquiry.rs
+++ b/crates/edge/src/origin_inquiry.rs
@@ -272,7 +272,7 @@
         if let Some(only) = single(&self.candidates) {
             let is_certain = match self.search {
                 RecordSearch::NotStarted | RecordSearch::Pending => {
-                    is_told_by_others && self.routers.is_named && self.all_keepers_are_witnesses()
+                    is_told_by_others && self.routers.is_named && self.all_holders_are_witnesses()
                 }
                 // The history in the store has each version at which streams have begun.
                 RecordSearch::Done => true,
@@ -291,10 +291,10 @@
     }
 
     /// Whether all routers that may have been told of the stream would know it.
-    fn all_keepers_are_witnesses(&self) -> bool {
+    fn all_holders_are_witnesses(&self) -> bool {
         // One of them may be the router that began it.
-        let mut keepers = self.routers.ranked.iter().take(TOLD_ROUTERS + 1);
-        keepers.all(|name| self.witnesses.contains(name))
+        let mut holders = self.routers.ranked.iter().take(TOLD_ROUTERS + 1);
+        holders.all(|name| self.witnesses.contains(name))
     }
 
     /// Whether a router would know the stream if others had been told of it, whichever began
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -425,16 +425,16 @@
         routers_for_stream(&names, request, names.len()).into_iter().cloned().collect()
     }
 
-    /// Addresses of the other routers that are told of a stream: its keepers that live, and
+    /// Addresses of the other routers that are told of a stream: its holders that live, and
     /// further ones in the place of the others.
     pub(crate) fn routers_to_tell(&self, request: RequestKey) -> BTreeSet<IpAddr> {
         let routers = self.routers_for_stream(request, TOLD_ROUTERS);
         routers.into_iter().map(|(_, ip)| ip).collect()
     }
 
-    /// The other routers that keep where a stream began: the first ones in its order, also
+    /// The other routers that hold where a stream began: the first ones in its order, also
     /// those that have died.
-    pub(crate) fn keepers(&self, request: RequestKey) -> BTreeSet<InstanceName> {
+    pub(crate) fn holders(&self, request: RequestKey) -> BTreeSet<InstanceName> {
         let own_name = &self.view.own_update().router.member.instance;
         let ranked = self.ranked_routers(request).into_iter();
         ranked.filter(|name| name != own_name).take(TOLD_ROUTERS).collect()
--- a/crates/edge/tests/origin_confirmation.rs
+++ b/crates/edge/tests/origin_confirmation.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use span_edge::{
-    origin_confirmation::{ONE_KEEPER_AFTER_MS, OriginConfirmation},
+    origin_confirmation::{ONE_HOLDER_AFTER_MS, OriginConfirmation},
     stream_origin::{AttemptOrigin, RequestKey, StreamAttempt, StreamOrigin},
 };
 
@@ -41,12 +41,12 @@
             origin: StreamOrigin { service: "svc".into(), software_version: (*version).into() },
             attempt,
         });
-        let keepers = BTreeSet::from(["a".into()]);
+        let holders = BTreeSet::from(["a".into()]);
         let mut confirmation = None;
         for start in starts {
             match &mut confirmation {
-                None => confirmation = Some(OriginConfirmation::new(0, start, keepers.clone())),
-                Some(confirmation) => confirmation.start_attempt(0, start, keepers.clone()),
+                None => confirmation = Some(OriginConfirmation::new(0, start, holders.clone())),
+                Some(confirmation) => confirmation.start_attempt(0, start, holders.clone()),
             }
         }
         let mut confirmation = confirmation.expect("each case has an attempt");
@@ -60,12 +60,12 @@
 }
 
 /// Guards against a stream that nobody knows whose router dies after its first event, and against
-/// a first event that waits for good for a keeper that has died.
+/// a first event that waits for good for a holder that has died.
 #[test]
-fn first_event_waits_until_all_keepers_know() {
+fn first_event_waits_until_all_holders_know() {
     struct Case {
         name: &'static str,
-        keepers: &'static [&'static str],
+        holders: &'static [&'static str],
         /// Routers that say that they know an attempt, and which.
         knowing: &'static [(&'static str, u32)],
         is_recorded: bool,
@@ -73,55 +73,55 @@
         after_ms: Option<u64>,
     }
     const THREE: &[&str] = &["a", "b", "c"];
-    let late_ms = Some(ONE_KEEPER_AFTER_MS);
+    let late_ms = Some(ONE_HOLDER_AFTER_MS);
     let cases = [
-        Case { name: "alone", keepers: &[], knowing: &[], is_recorded: false, after_ms: late_ms },
-        Case { name: "cut off", keepers: THREE, knowing: &[], is_recorded: false, after_ms: None },
+        Case { name: "alone", holders: &[], knowing: &[], is_recorded: false, after_ms: late_ms },
+        Case { name: "cut off", holders: THREE, knowing: &[], is_recorded: false, after_ms: None },
         Case {
             name: "cut off but for the store",
-            keepers: THREE,
+            holders: THREE,
             knowing: &[],
             is_recorded: true,
             after_ms: Some(0),
         },
         Case {
             name: "all",
-            keepers: THREE,
+            holders: THREE,
             knowing: &[("a", 1), ("c", 1), ("b", 1)],
             is_recorded: false,
             after_ms: Some(0),
         },
         Case {
             name: "one has died",
-            keepers: THREE,
+            holders: THREE,
             knowing: &[("a", 1), ("c", 1)],
             is_recorded: false,
             after_ms: late_ms,
         },
         Case {
             name: "one, twice",
-            keepers: THREE,
+            holders: THREE,
             knowing: &[("a", 1), ("a", 1)],
             is_recorded: false,
             after_ms: late_ms,
         },
         Case {
-            name: "one that is no keeper",
-            keepers: THREE,
+            name: "one that is no holder",
+            holders: THREE,
             knowing: &[("a", 1), ("d", 1)],
             is_recorded: false,
             after_ms: late_ms,
         },
         Case {
             name: "of another attempt",
-            keepers: &["a"],
+            holders: &["a"],
             knowing: &[("a", 2)],
             is_recorded: false,
             after_ms: None,
         },
         Case {
             name: "the only other",
-            keepers: &["a"],
+            holders: &["a"],
             knowing: &[("a", 1)],
             is_recorded: false,
             after_ms: Some(0),
@@ -131,8 +131,8 @@
     for case in cases {
         let origin = StreamOrigin { service: "svc".into(), software_version: "v1".into() };
         let start = AttemptOrigin { origin, attempt: 1 };
-        let keepers = case.keepers.iter().map(|name| (*name).into()).collect();
-        let mut confirmation = OriginConfirmation::new(1_000, start, keepers);
+        let holders = case.holders.iter().map(|name| (*name).into()).collect();
+        let mut confirmation = OriginConfirmation::new(1_000, start, holders);
         for (name, attempt) in case.knowing {
             let stream = StreamAttempt { request, attempt: *attempt };
             confirmation.acknowledged(&(*name).into(), stream);
@@ -140,7 +140,7 @@
         if case.is_recorded {
             confirmation.recorded(StreamAttempt { request, attempt: 1 });
         }
-        let times_ms = [0, ONE_KEEPER_AFTER_MS - 1, ONE_KEEPER_AFTER_MS];
+        let times_ms = [0, ONE_HOLDER_AFTER_MS - 1, ONE_HOLDER_AFTER_MS];
         for after_ms in times_ms {
             let expected = case.after_ms.is_some_and(|from_ms| after_ms >= from_ms);
             assert_eq!(
@@ -150,7 +150,7 @@
                 case.name
             );
             // A version that is not in the history yet.
-            let expected = expected && after_ms >= ONE_KEEPER_AFTER_MS;
+            let expected = expected && after_ms >= ONE_HOLDER_AFTER_MS;
             assert_eq!(
                 confirmation.is_confirmed(1_000 + after_ms, false),
                 expected,
--- a/crates/edge/tests/origin_inquiry.rs
+++ b/crates/edge/tests/origin_inquiry.rs
@@ -146,10 +146,10 @@
         case("records cannot be searched", &second, (2, &[&second]), Failed, late_ms, &unknown),
         case("both for long", &long_since_both, (2, &[&long_since_both]), Done, late_ms, &unknown),
         case("two may be untold", &knows(BOTH, BOTH), (1, &[&second]), Done, 0, &unknown),
-        case("keepers restarted", &second, (2, &[&both_restarted; 2]), Done, 0, &untold),
+        case("holders restarted", &second, (2, &[&both_restarted; 2]), Done, 0, &untold),
         case("own restarted, other remembers", &both_restarted, (1, &[&second]), Done, 0, &untold),
         case("all others restarted", &second, (3, &[&both_restarted; 3]), Done, 0, &untold),
-        case("keepers may have restarted", &second, (4, &[&both_restarted; 4]), Done, 0, &unknown),
+        case("holders may have restarted", &second, (4, &[&both_restarted; 4]), Done, 0, &unknown),
         case("three of five dead", &second, (5, &[&second; 2]), Done, 0, &untold),
         case("four of five dead", &second, (5, &[&second; 1]), Done, late_ms, &unknown),
     ];
@@ -231,10 +231,10 @@
 }
 
 /// Guards against a router that takes the absence of an answer for the absence of a stream: for
-/// any routers that have died, and whichever began the stream, all its keepers were told of it if
+/// any routers that have died, and whichever began the stream, all its holders were told of it if
 /// its caller has an event.
 #[test]
-fn stream_that_its_keepers_know_is_never_taken_for_untold() {
+fn stream_that_its_holders_know_is_never_taken_for_untold() {
     let answer = |start| OriginAnswer {
         start,
         candidates: origins(&["v1", "v2"]),
@@ -246,19 +246,19 @@
     for fleet in 2..=6 {
         let ranked = routers(0..fleet);
         for beginner in 0..fleet {
-            let keepers: Vec<usize> =
+            let holders: Vec<usize> =
                 (0..fleet).filter(|router| *router != beginner).take(TOLD_ROUTERS).collect();
             for dead in 0..1_u32 << fleet {
                 for knowing in 0..1_u32 << fleet {
                     let is_in = |set: u32, router: usize| set & (1 << router) != 0;
-                    let told = keepers.iter().filter(|keeper| is_in(knowing, **keeper)).count();
+                    let told = holders.iter().filter(|holder| is_in(knowing, **holder)).count();
                     let asker = (0..fleet).find(|router| !is_in(dead, *router));
                     let Some(asker) =
-                        asker.filter(|_| is_in(dead, beginner) && told == keepers.len())
+                        asker.filter(|_| is_in(dead, beginner) && told == holders.len())
                     else {
                         continue;
                     };
-                    let knows = |router: usize| keepers.contains(&router) && is_in(knowing, router);
+                    let knows = |router: usize| holders.contains(&router) && is_in(knowing, router);
                     let own = ranked[asker].clone();
                     let others = (0..fleet).filter(|router| *router != asker);
                     let inquiry_routers = InquiryRouters {
