Write a further version to the history once open streams are recorded

Cause: the first router that learned of the version wrote it to the history at once, while others learn of it up to half a second later, and each has its open streams recorded with a batch after that. In between, the history named two versions, and the store no stream.

A further version of a service is due in the history 0.75 s after a router learned of it. Until then the history names the one version at which streams that nobody was told of began; first events at the new version wait for it, for 1.5 s at most.

--- a/crates/edge/src/origin_confirmation.rs
+++ b/crates/edge/src/origin_confirmation.rs
@@ -20,11 +20,13 @@
 
 /// Longest time for which the first event of a stream waits, in milliseconds. Callers give up
 /// on a stream that is silent for two seconds or more.
-pub const MAX_CONFIRMATION_WAIT_MS: u64 = 1_000;
-/// Time from which one holder is enough, without the history, in milliseconds. By then the
-/// store has taken neither the record nor the history for longer than a batch waits, and the
-/// other holders may have died unnoticed.
+pub const MAX_CONFIRMATION_WAIT_MS: u64 = 1_600;
+/// Time from which one holder is enough, in milliseconds. By then the store has not taken the
+/// record for longer than a batch waits, and the other holders may have died unnoticed.
 pub const ONE_HOLDER_AFTER_MS: u64 = 400;
+/// Longest time for which the history is awaited, in milliseconds. It is due within
+/// [`NEW_VERSION_DELAY_MS`](crate::stream_history::NEW_VERSION_DELAY_MS) and a batch.
+pub const HISTORY_WAIT_MS: u64 = 1_500;
 
 /// What is known to others of a request for a stream, whose last attempt was sent to an
 /// upstream.
@@ -91,7 +93,8 @@
     /// Whether the caller may get the first event. `is_in_history` says whether the history in
     /// the store has the version at which the stream begins.
     pub fn is_confirmed(&self, now_ms: u64, is_in_history: bool) -> bool {
-        let is_late = now_ms >= self.started_ms + ONE_HOLDER_AFTER_MS;
+        let elapsed_ms = now_ms.saturating_sub(self.started_ms);
+        let is_late = elapsed_ms >= ONE_HOLDER_AFTER_MS;
         // A router that knows no other one may have been cut off for long.
         let is_kept = if is_late {
             self.holders == 0 || self.silent.len() < self.holders
@@ -99,7 +102,7 @@
             self.holders > 0 && self.silent.is_empty()
         };
         let is_known = self.is_recorded || (!self.has_outdated_record && is_kept);
-        is_known && (is_in_history || is_late)
+        is_known && (is_in_history || elapsed_ms >= HISTORY_WAIT_MS)
     }
 
     /// When [`OriginConfirmation::is_confirmed`] may change by itself, in milliseconds.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -346,7 +346,7 @@
 
     /// The record of where streams may have begun that has to be written; none if the one in
     /// the store agrees with what this router knows.
-    pub(crate) fn due_history(&self, now_ms: u64) -> Option<HistoryRecord> {
+    pub(crate) fn due_history(&mut self, now_ms: u64) -> Option<HistoryRecord> {
         // Without a configuration, neither routes nor lifetimes are known.
         self.config.as_ref()?;
         let lifetime_ms = self.stream_lifetime_ms;
@@ -354,7 +354,7 @@
         let streaming: BTreeSet<&ServiceName> = wanted.routes.values().flatten().collect();
         wanted.versions.retain(|service, _| streaming.contains(service));
         let knows_history = self.stream_origins.knows_history(now_ms, lifetime_ms);
-        self.stream_history.due(&wanted, knows_history)
+        self.stream_history.due(now_ms, &wanted, knows_history)
     }
 
     /// The router that keeps the records in the store for this one; none if it does so
