Describe upstreams that take requests by a struct with their failure domain

Placement learns the failure domain of each upstream from the registry. Nothing uses it yet, so that behaviour stays as it is; the tests of placement and of limits pass as before.

--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use span_types::{InstanceName, SoftwareVersion, UpstreamName};
+use span_types::{FailureDomain, InstanceName, SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
@@ -100,6 +100,19 @@
     pub tokens: u64,
 }
 
+/// An upstream that takes requests, as its entry describes it.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadyUpstream<'a> {
+    /// Name of the upstream.
+    pub name: &'a UpstreamName,
+    /// Requests that it can process at the same time.
+    pub slots: u32,
+    /// Version of its software.
+    pub software_version: &'a SoftwareVersion,
+    /// Its failure domain.
+    pub failure_domain: &'a FailureDomain,
+}
+
 /// What a request needs of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -320,19 +333,15 @@
         }
     }
 
-    /// Replaces the upstreams that take requests, given with their slots and the
-    /// version of their software. The state of those that stay is kept.
-    pub fn set_upstreams<'a>(
-        &mut self,
-        ready: impl Iterator<Item = (&'a UpstreamName, u32, &'a SoftwareVersion)>,
-    ) {
+    /// Replaces the upstreams that take requests. The state of those that stay is kept.
+    pub fn set_upstreams<'a>(&mut self, ready: impl Iterator<Item = ReadyUpstream<'a>>) {
         let mut known = std::mem::take(&mut self.upstreams);
-        for (name, slots, software_version) in ready {
-            let state = known.remove(name);
-            let mut state =
-                state.unwrap_or_else(|| UpstreamState::new(name, slots, software_version.clone()));
-            state.slots = slots;
-            state.software_version = software_version.clone();
+        for upstream in ready {
+            let name = upstream.name;
+            let mut state = known.remove(name).unwrap_or_else(|| UpstreamState::new(upstream));
+            state.slots = upstream.slots;
+            state.software_version = upstream.software_version.clone();
+            state.failure_domain = upstream.failure_domain.clone();
             let pause_until_ms = self.pauses_until_ms.get(name).copied().unwrap_or(0);
             state.pause_until_ms = state.pause_until_ms.max(pause_until_ms);
             self.upstreams.insert(name.clone(), state);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -21,7 +21,7 @@
     },
     metrics::Metrics,
     origin_log::{OriginLog, SentOrigins},
-    placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix},
+    placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix, ReadyUpstream},
     prompt_crashes::PromptCrashes,
     registry::Registry,
     retry_budget::{RetryBudget, RetryLimit},
@@ -515,7 +515,12 @@
             let versions = self.registry.software_versions(name);
             self.stream_origins.set_versions(now_ms, name, &versions);
             let ready = self.registry.ready(name);
-            let ready = ready.map(|(name, entry)| (name, entry.slots, &entry.software_version));
+            let ready = ready.map(|(name, entry)| ReadyUpstream {
+                name,
+                slots: entry.slots,
+                software_version: &entry.software_version,
+                failure_domain: &entry.failure_domain,
+            });
             service.placement.set_upstreams(ready);
             service.placement.apply_limits(now_ms);
         }
--- a/crates/edge/src/upstream_load.rs
+++ b/crates/edge/src/upstream_load.rs
@@ -1,9 +1,13 @@
 //! State of one upstream as this router knows it: load, event gaps, failures.
 
-use span_types::{SoftwareVersion, UpstreamName};
+use span_types::{FailureDomain, SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{lane::Lane, placement::PromptPrefix, shares::DecayingRate};
+use crate::{
+    lane::Lane,
+    placement::{PromptPrefix, ReadyUpstream},
+    shares::DecayingRate,
+};
 
 /// Weight of the newest gap between two events in the mean gap.
 const NEWEST_GAP_WEIGHT: f64 = 0.2;
@@ -60,6 +64,7 @@
     /// Hash of the upstream's name.
     pub(crate) name_hash: u64,
     pub(crate) software_version: SoftwareVersion,
+    pub(crate) failure_domain: FailureDomain,
     pub(crate) slots: u32,
     /// Requests of this router in flight at the upstream.
     pub(crate) own_requests: u32,
@@ -99,11 +104,12 @@
 }
 
 impl UpstreamState {
-    pub(crate) fn new(name: &UpstreamName, slots: u32, software_version: SoftwareVersion) -> Self {
+    pub(crate) fn new(upstream: ReadyUpstream<'_>) -> Self {
         Self {
-            name_hash: name_hash(name),
-            software_version,
-            slots,
+            name_hash: name_hash(upstream.name),
+            software_version: upstream.software_version.clone(),
+            failure_domain: upstream.failure_domain.clone(),
+            slots: upstream.slots,
             own_requests: 0,
             sent: DecayingRate::default(),
             reported_own_requests: 0,
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -3,13 +3,25 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::sync::LazyLock;
+
 use span_edge::{
     lane::{Lane, LaneSplit},
-    placement::{Placement, PlacementRequest, PromptPrefix},
+    placement::{Placement, PlacementRequest, PromptPrefix, ReadyUpstream},
     upstream_limit::{LimitStatement, LimitSummary},
     upstream_load::{AttemptResult, LoadReport},
 };
-use span_types::{InstanceName, SoftwareVersion, UpstreamName};
+use span_types::{FailureDomain, InstanceName, SoftwareVersion, UpstreamName};
+
+/// An upstream of one failure domain, which is the same for all.
+fn ready<'a>(
+    name: &'a UpstreamName,
+    slots: u32,
+    software_version: &'a SoftwareVersion,
+) -> ReadyUpstream<'a> {
+    static DOMAIN: LazyLock<FailureDomain> = LazyLock::new(|| "d0".into());
+    ReadyUpstream { name, slots, software_version, failure_domain: &DOMAIN }
+}
 
 fn names(count: usize) -> Vec<UpstreamName> {
     (0..count).map(|index| format!("u{index}").into()).collect()
@@ -19,7 +31,7 @@
     let mut placement = Placement::default();
     let names = names(count);
     let version = "v1".into();
-    placement.set_upstreams(names.iter().map(|name| (name, slots, &version)));
+    placement.set_upstreams(names.iter().map(|name| ready(name, slots, &version)));
     placement.set_gap_target(Some(300));
     placement
 }
@@ -249,7 +261,7 @@
     placement.record_result(0, &name, AttemptResult::Replaced);
     assert!(placement.assign(60_000, REQUEST, 1, true).is_none());
     placement.reset(&name);
-    placement.set_upstreams([(&name, 8, &"v1".into())].into_iter());
+    placement.set_upstreams([ready(&name, 8, &"v1".into())].into_iter());
     assert!(placement.assign(60_000, REQUEST, 1, true).is_some());
 }
 
@@ -438,11 +450,11 @@
     }
     fn entry_lapses(placement: &mut Placement, upstream: &UpstreamName) {
         placement.set_upstreams(std::iter::empty());
-        placement.set_upstreams([(upstream, 8, &"v1".into())].into_iter());
+        placement.set_upstreams([ready(upstream, 8, &"v1".into())].into_iter());
     }
     fn new_process(placement: &mut Placement, upstream: &UpstreamName) {
         placement.reset(upstream);
-        placement.set_upstreams([(upstream, 8, &"v1".into())].into_iter());
+        placement.set_upstreams([ready(upstream, 8, &"v1".into())].into_iter());
     }
     let cases = [
         Case { name: "no pause", steps: &[], end_ms: 0 },
@@ -498,7 +510,7 @@
         let mut placement = Placement::default();
         let version = |index| if index == 0 { &old } else { &new };
         let upstreams = names.iter().enumerate();
-        placement.set_upstreams(upstreams.map(|(index, name)| (name, 8, version(index))));
+        placement.set_upstreams(upstreams.map(|(index, name)| ready(name, 8, version(index))));
         placement.set_gap_target(Some(300));
         // Uses a small fraction of the upstreams.
         placement.set_capacity_fraction(1.0 / case.routers as f64);
@@ -536,8 +548,9 @@
         let names = names(2);
         let versions = case.versions.map(SoftwareVersion::from);
         let mut placement = Placement::default();
-        placement
-            .set_upstreams(names.iter().zip(&versions).map(|(name, version)| (name, 8, version)));
+        placement.set_upstreams(
+            names.iter().zip(&versions).map(|(name, version)| ready(name, 8, version)),
+        );
         placement.set_gap_target(Some(300));
         let PlacementRequest { prompt_prefix, .. } = with_prefix(7);
         placement.record_prefix_read(0, &names[0], prompt_prefix.unwrap());
@@ -579,12 +592,12 @@
     fn nothing(_: &mut Placement, _: &UpstreamName) {}
     fn entry_lapses(placement: &mut Placement, upstream: &UpstreamName) {
         placement.set_upstreams(std::iter::empty());
-        placement.set_upstreams([(upstream, 64, &"v1".into())].into_iter());
+        placement.set_upstreams([ready(upstream, 64, &"v1".into())].into_iter());
         placement.apply_limits(1_100);
     }
     fn new_process(placement: &mut Placement, upstream: &UpstreamName) {
         placement.reset(upstream);
-        placement.set_upstreams([(upstream, 64, &"v1".into())].into_iter());
+        placement.set_upstreams([ready(upstream, 64, &"v1".into())].into_iter());
     }
     fn limit_ends(placement: &mut Placement, upstream: &UpstreamName) {
         let statement = LimitStatement { per_s: None, sent_ms: 1_050, received_ms: 1_100 };
--- a/crates/edge/tests/upstream_limit.rs
+++ b/crates/edge/tests/upstream_limit.rs
@@ -8,7 +8,7 @@
 use span_edge::{
     lane::Lane,
     load_summary::ReceivedSummaries,
-    placement::{Placement, PlacementRequest},
+    placement::{Placement, PlacementRequest, ReadyUpstream},
     upstream_limit::{LimitStatement, LimitSummary, SendSlots},
 };
 use span_types::UpstreamName;
@@ -230,8 +230,13 @@
         let total: f64 = weights.iter().sum();
         let placements = weights.iter().enumerate().map(|(index, weight)| {
             let mut placement = Placement::default();
-            let version = "v1".into();
-            placement.set_upstreams(upstreams.iter().map(|name| (name, SLOTS, &version)));
+            let (version, failure_domain) = ("v1".into(), "d0".into());
+            placement.set_upstreams(upstreams.iter().map(|name| ReadyUpstream {
+                name,
+                slots: SLOTS,
+                software_version: &version,
+                failure_domain: &failure_domain,
+            }));
             placement.set_fleet(&format!("r{index}").into(), routers, f64::INFINITY);
             // A router's estimate of its part is somewhat wrong.
             let error = rng.random_range(0.9..1.1);
