Split placement into parts with one job each

Each is a file of its own now; behaviour is unchanged. The tests of placement (24) and of upstream limits (5) pass as before.

--- a/crates/edge/src/placement/limits.rs
+++ b/crates/edge/src/placement/limits.rs
@@ -3,7 +3,7 @@
 use span_types::{SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{MAX_ROUTERS_PER_UPSTREAM, Placement};
+use super::{Placement, subset::MAX_ROUTERS_PER_UPSTREAM};
 use crate::{
     lane::Lane,
     upstream_limit::{Claim, LimitStatement, LimitSummary, SendSlots},
