Estimate how fast each upstream works

Placement took all upstreams for equal and assumed the prefill rate of one site's engines. An upstream's load report may state how long work takes there; it was not read.

upstream_speed.rs estimates the slowness of each upstream against the median of its lane, from the stated work time (also as other routers pass it on), gaps between events and times of plain answers, and the prefill rate of the service from the times to the first event. Placement, the limit on pending prompts, own requests at plain services and the number of engines for long prompts ask it. The cost of a candidate is a sum of named terms.

--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -162,6 +162,19 @@
         }
     }
 
+    /// Time from sending the prompt to the head of the answer, in milliseconds.
+    fn head_took_ms(&self) -> Option<u64> {
+        let prompt = self.sent_prompt.as_ref()?;
+        Some(prompt.began_ms?.saturating_sub(prompt.sent_ms))
+    }
+
+    /// Records that a plain answer has arrived whole.
+    pub(crate) fn plain_answer_ended(&self) {
+        if let (Some(chosen), Some(took_ms)) = (&self.chosen, self.head_took_ms()) {
+            self.node.record_work(&self.service, &chosen.upstream, None, took_ms);
+        }
+    }
+
     /// Records the end of a successful answer.
     pub(crate) fn answer_succeeded(&mut self, framing: Framing) {
         let now_ms = self.node.now_ms();
@@ -230,6 +243,12 @@
 
     /// Records that the upstream has processed the prompt and caches its prefix.
     pub(crate) fn prompt_read(&mut self, prefix: Option<PromptPrefix>) {
+        let tokens = self.prefill_tokens;
+        if let (Some(chosen), Some(took_ms)) = (&self.chosen, self.head_took_ms())
+            && tokens > 0
+        {
+            self.node.record_work(&self.service, &chosen.upstream, Some(tokens), took_ms);
+        }
         if let (Some(chosen), Some(prefix)) = (&self.chosen, prefix) {
             self.node.prefix_read(&self.service, &chosen.upstream, prefix);
         }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -522,6 +522,7 @@
                 Ok((parts, bytes)) => {
                     let framing = record.framing.unwrap_or(Framing::UntilClose);
                     if parts.status.is_success() {
+                        in_flight.plain_answer_ended();
                         in_flight.answer_succeeded(framing);
                     }
                     in_flight.end_attempt(AttemptResult::Good);
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -182,6 +182,7 @@
             report_age_ms = self.upstream_load.and_then(|(_, age_ms)| age_ms),
             upstream_running = self.reported_load.map(|load| load.running),
             upstream_waiting = self.reported_load.map(|load| load.waiting),
+            upstream_work_time_percent = self.reported_load.and_then(|load| load.work_time_percent),
             upstream_limit_per_s = self.limit_per_s,
             free = self.rejection.map(|rejection| rejection.slots.free),
             taken = self.rejection.map(|rejection| rejection.slots.in_use),
--- a/crates/edge/src/lane.rs
+++ b/crates/edge/src/lane.rs
@@ -1,8 +1,5 @@
 //! Lanes: the groups of requests that go to the same upstreams.
 
-/// Prompt tokens that a model engine processes per millisecond, as stated by the
-/// users for their engines.
-pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 125.0;
 /// Number of tokens from which a prompt is long, per millisecond of the gap between
 /// events that callers accept. Its prefill takes a fifth of the gap, and nearly a
 /// third with the attention over earlier tokens.
@@ -81,16 +78,17 @@
     }
 
     /// Sets how many of `engines` are reserved for long prompts, from the tokens
-    /// of long prompts that the whole fleet receives per second and the fraction of
-    /// the engines' slots in use.
+    /// of long prompts that the whole fleet receives per second, those that an engine
+    /// processes per millisecond, and the fraction of the engines' slots in use.
     pub fn set_long_prompt_rate(
         &mut self,
         now_ms: u64,
         engines: usize,
         tokens_per_s: u64,
+        prefill_tokens_per_ms: f64,
         in_use_fraction: f64,
     ) {
-        let prefill_ms = tokens_per_s as f64 / PREFILL_TOKENS_PER_MS * ATTENTION_FACTOR;
+        let prefill_ms = tokens_per_s as f64 / prefill_tokens_per_ms * ATTENTION_FACTOR;
         let busy = (in_use_fraction / BUSY_IN_USE_FRACTION).clamp(0.0, 1.0);
         let prefill_time_fraction = MIN_PREFILL_TIME_FRACTION
             + (MAX_PREFILL_TIME_FRACTION - MIN_PREFILL_TIME_FRACTION) * busy;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod stream_records;
 pub mod upstream_limit;
 pub mod upstream_load;
+pub mod upstream_speed;
 pub mod wire_format;
 
 pub use run::{ReadSettings, StartError, run};
--- a/crates/edge/src/load_summary.rs
+++ b/crates/edge/src/load_summary.rs
@@ -53,6 +53,9 @@
     pub requests: u32,
     /// Age of the load report, in milliseconds.
     pub age_ms: u32,
+    /// How long work took at the upstream, as a percentage of the usual time; none if it
+    /// does not state that.
+    pub work_time_percent: Option<u16>,
 }
 
 /// Load of one or more routers.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -458,8 +458,9 @@
             let fleet_load = fleet.loads.get(name).unwrap_or(&no_load);
             let own_load = own_loads.get(name).unwrap_or(&no_load);
             let long_tokens_per_s = (fleet_load.long_tokens_per_s as f64 * scale) as u64;
-            service.placement.set_long_prompt_rate(now_ms, long_tokens_per_s);
             service.placement.merge_reported_loads(now_ms, &fleet.upstreams);
+            service.placement.refresh_speeds(now_ms);
+            service.placement.set_long_prompt_rate(now_ms, long_tokens_per_s);
             if let Some(taken_ms) = taken_ms {
                 service.placement.merge_in_flight(taken_ms, &fleet.in_flight);
             }
@@ -571,6 +572,26 @@
         }
     }
 
+    /// Records how long an upstream took to the first event of a stream with `tokens` of
+    /// its prompt to process, or without tokens, to a plain answer.
+    pub(crate) fn record_work(
+        &self,
+        service: &ServiceName,
+        upstream: &UpstreamName,
+        tokens: Option<u64>,
+        took_ms: u64,
+    ) {
+        let now_ms = self.now_ms();
+        if let Some(service) = self.state().services.get_mut(service) {
+            match tokens {
+                Some(tokens) => {
+                    service.placement.record_prefill(now_ms, upstream, tokens, took_ms);
+                }
+                None => service.placement.record_answer(now_ms, upstream, took_ms),
+            }
+        }
+    }
+
     /// Records that an upstream has processed `tokens` of a prompt, or never
     /// will.
     pub(crate) fn prefill_ended(
--- a/crates/edge/src/placement/choice.rs
+++ b/crates/edge/src/placement/choice.rs
@@ -3,12 +3,18 @@
 use span_types::UpstreamName;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{ChosenUpstream, Placement, PlacementRequest, prefixes::MIN_COPIED_PREFIX_TOKENS};
-use crate::lane::PREFILL_TOKENS_PER_MS;
+use super::{
+    ChosenUpstream, Placement, PlacementRequest,
+    prefixes::{HomeHashes, MIN_COPIED_PREFIX_TOKENS},
+};
+use crate::upstream_load::UpstreamState;
 
-/// Time that a full batch costs a request compared to an empty one, in
-/// milliseconds. Weighs the load of an engine against prefill time.
-const FULL_BATCH_COST_MS: f64 = 120.0;
+/// Time that a full batch costs a request compared to an empty one, as a fraction of the gap
+/// between events that callers accept. Weighs the load of an engine against prefill time.
+const FULL_BATCH_GAP_FRACTION: f64 = 0.4;
+/// Time that a request to an upstream that is no engine loses if all slots are in use, as a
+/// multiple of the time of an answer.
+const FULL_LOAD_ANSWERS: f64 = 8.0;
 /// Fraction of the cost away from home that a request has at the second home of its
 /// prefix. Requests for which the home has no slot then meet at one upstream, which
 /// keeps the prefix too. Other upstreams copy it from the home.
@@ -20,6 +26,44 @@
 /// home has to get most requests, or it evicts the prefix and nobody can copy it.
 const MIN_AWAY_FROM_HOME_COST_MS: f64 = 40.0;
 
+/// What it costs a request, and others, to go to an upstream. Each term is a time in
+/// milliseconds; the upstream with the least sum is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CandidateCost {
+    /// Delay by the requests that the upstream has.
+    pub load_ms: f64,
+    /// Work on prompts that this router sent before.
+    pub pending_prefill_ms: f64,
+    /// Mean gap between the events of streams at the moment.
+    pub event_gap_ms: f64,
+    /// Work on the request itself, without its prompt prefix.
+    pub own_work_ms: f64,
+    /// Repeated work on the prompt prefix, which the upstream does not cache.
+    pub away_from_home_ms: f64,
+    /// Random, below a millisecond.
+    pub tie_breaker_ms: f64,
+}
+
+impl CandidateCost {
+    /// Sum of all terms.
+    pub fn total_ms(&self) -> f64 {
+        let Self {
+            load_ms,
+            pending_prefill_ms,
+            event_gap_ms,
+            own_work_ms,
+            away_from_home_ms,
+            tie_breaker_ms,
+        } = *self;
+        load_ms
+            + pending_prefill_ms
+            + event_gap_ms
+            + own_work_ms
+            + away_from_home_ms
+            + tie_breaker_ms
+    }
+}
+
 impl Placement {
     /// Chooses the upstream for a request and counts the request as sent.
     /// `draw` is random and breaks ties. With `allow_full`, an upstream without
@@ -70,32 +114,63 @@
                     || (state.lane == request.lane && self.free_slots(now_ms, state) > 0))
         });
         let costs = usable.map(|(name, state)| {
-            let away_from_home_cost = match (request.prompt_prefix, homes) {
-                (Some(prefix), Some(homes))
-                    if !self.has_prefix(now_ms, name, state, prefix, homes.first) =>
-                {
-                    let repeated_ms = prefix.tokens as f64 / PREFILL_TOKENS_PER_MS;
-                    let cost = repeated_ms * REPEATED_PREFILL_WEIGHT;
-                    let min_cost = if prefix.tokens < MIN_COPIED_PREFIX_TOKENS {
-                        0.0
-                    } else {
-                        MIN_AWAY_FROM_HOME_COST_MS
-                    };
-                    let is_second = state.rendezvous_hash(prefix) >= homes.second;
-                    let fraction = if is_second { SECOND_HOME_COST_FRACTION } else { 1.0 };
-                    cost.max(min_cost) * fraction
-                }
-                _ => 0.0,
-            };
-            let tie_breaker =
-                xxh3_64_with_seed(&draw.to_le_bytes(), state.name_hash) as f64 / u64::MAX as f64;
-            let in_use = state.total_requests(now_ms, self.routers_per_upstream)
-                / f64::from(state.slots.max(1));
-            let prefill_ms = state.pending_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS
-                + state.mean_gap_ms(now_ms);
-            let cost = in_use * FULL_BATCH_COST_MS + prefill_ms + away_from_home_cost + tie_breaker;
-            (cost, name)
+            let cost = self.candidate_cost(now_ms, name, state, request, homes, draw);
+            (cost.total_ms(), name)
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone())
     }
+
+    /// What it costs to send the request to an upstream.
+    fn candidate_cost(
+        &self,
+        now_ms: u64,
+        name: &UpstreamName,
+        state: &UpstreamState,
+        request: PlacementRequest<'_>,
+        homes: Option<HomeHashes>,
+        draw: u64,
+    ) -> CandidateCost {
+        let away_from_home_ms = match (request.prompt_prefix, homes) {
+            (Some(prefix), Some(homes))
+                if !self.has_prefix(now_ms, name, state, prefix, homes.first) =>
+            {
+                let repeated_ms = self.prefill_ms(now_ms, state, prefix.tokens);
+                let cost = repeated_ms * REPEATED_PREFILL_WEIGHT;
+                let min_cost = if prefix.tokens < MIN_COPIED_PREFIX_TOKENS {
+                    0.0
+                } else {
+                    MIN_AWAY_FROM_HOME_COST_MS
+                };
+                let is_second = state.rendezvous_hash(prefix) >= homes.second;
+                let fraction = if is_second { SECOND_HOME_COST_FRACTION } else { 1.0 };
+                cost.max(min_cost) * fraction
+            }
+            _ => 0.0,
+        };
+        let in_use =
+            state.total_requests(now_ms, self.routers_per_upstream) / f64::from(state.slots.max(1));
+        let own_work_ms = if self.is_engine() {
+            self.prefill_ms(now_ms, state, request.prefill_tokens)
+        } else {
+            self.answer_ms(now_ms, state)
+        };
+        CandidateCost {
+            load_ms: in_use * self.full_load_cost_ms() * self.slowness(now_ms, state),
+            pending_prefill_ms: self.prefill_ms(now_ms, state, state.pending_prefill_tokens),
+            event_gap_ms: state.mean_gap_ms(now_ms),
+            own_work_ms,
+            away_from_home_ms,
+            tie_breaker_ms: xxh3_64_with_seed(&draw.to_le_bytes(), state.name_hash) as f64
+                / u64::MAX as f64,
+        }
+    }
+
+    /// Time that all slots in use cost a request at a typical upstream, compared to none, in
+    /// milliseconds.
+    fn full_load_cost_ms(&self) -> f64 {
+        match self.gap_target_ms {
+            Some(gap_ms) => gap_ms as f64 * FULL_BATCH_GAP_FRACTION,
+            None => self.speed.answer_ms() * FULL_LOAD_ANSWERS,
+        }
+    }
 }
--- a/crates/edge/src/placement/loads.rs
+++ b/crates/edge/src/placement/loads.rs
@@ -16,6 +16,9 @@
     pub fn record_report(&mut self, now_ms: u64, name: &UpstreamName, report: LoadReport) {
         if let Some(state) = self.upstreams.get_mut(name) {
             state.report = Some((now_ms, report, state.own_requests));
+            if let Some(percent) = report.work_time_percent {
+                state.speed.record_stated(now_ms, percent);
+            }
         }
     }
 
@@ -27,7 +30,8 @@
         let recent = reports.filter_map(|(state, (at_ms, report, _))| {
             let age_ms = now_ms.saturating_sub(at_ms);
             let requests = report.running + report.waiting;
-            let reported = ReportedLoad { requests, age_ms: age_ms as u32 };
+            let work_time_percent = report.work_time_percent;
+            let reported = ReportedLoad { requests, age_ms: age_ms as u32, work_time_percent };
             (age_ms < MAX_FORWARDED_REPORT_AGE_MS).then_some((state.name_hash as u32, reported))
         });
         recent.collect()
@@ -46,8 +50,12 @@
             };
             let at_ms = now_ms.saturating_sub(u64::from(reported.age_ms));
             if state.report.is_none_or(|(known_ms, _, _)| known_ms < at_ms) {
-                let report =
-                    LoadReport { running: reported.requests, waiting: 0, slots: state.slots };
+                let work_time_percent = reported.work_time_percent;
+                if let Some(percent) = work_time_percent {
+                    state.speed.record_stated(at_ms, percent);
+                }
+                let (running, slots) = (reported.requests, state.slots);
+                let report = LoadReport { running, waiting: 0, slots, work_time_percent };
                 state.report = Some((at_ms, report, state.own_requests));
             }
         }
@@ -74,7 +82,8 @@
                 continue;
             }
             let running = in_flight.get(&(state.name_hash as u32)).copied().unwrap_or(0);
-            let report = LoadReport { running, waiting: 0, slots: state.slots };
+            let slots = state.slots;
+            let report = LoadReport { running, waiting: 0, slots, work_time_percent: None };
             state.report = Some((taken_ms, report, state.reported_own_requests));
         }
     }
--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -7,13 +7,15 @@
 mod loads;
 mod prefixes;
 mod slots;
+mod speed;
 mod subset;
 
 use std::collections::HashMap;
 
 use span_types::{FailureDomain, SoftwareVersion, UpstreamName};
 
-use self::prefixes::PrefixHolder;
+pub use self::choice::CandidateCost;
+use self::{prefixes::PrefixHolder, speed::ServiceSpeed};
 use crate::{
     lane::{Lane, LaneSplit},
     upstream_limit::UpstreamLimits,
@@ -110,7 +112,11 @@
     /// Mean gap between events up to which an engine gets prompts, in
     /// milliseconds; infinite if the upstreams are no engines.
     max_mean_gap_ms: f64,
+    /// Longest gap between events that callers accept, in milliseconds; none for a service
+    /// without streams.
+    gap_target_ms: Option<u64>,
     lane_split: LaneSplit,
+    speed: ServiceSpeed,
 }
 
 impl Default for Placement {
@@ -128,7 +134,9 @@
             max_connections: f64::INFINITY,
             capacity_fraction: 1.0,
             max_mean_gap_ms: f64::INFINITY,
+            gap_target_ms: None,
             lane_split: LaneSplit::default(),
+            speed: ServiceSpeed::default(),
         }
     }
 }
@@ -139,6 +147,7 @@
     pub fn set_gap_target(&mut self, gap_ms: Option<u64>) {
         self.max_mean_gap_ms =
             gap_ms.map_or(f64::INFINITY, |gap_ms| gap_ms as f64 * MAX_MEAN_GAP_FRACTION);
+        self.gap_target_ms = gap_ms;
         self.lane_split.set_gap_target(gap_ms);
     }
 
@@ -165,6 +174,7 @@
             now_ms,
             self.upstreams.len(),
             tokens_per_s,
+            self.speed.prefill.tokens_per_ms(),
             in_use_fraction,
         );
         self.assign_lanes();
@@ -183,13 +193,6 @@
         }
     }
 
-    /// Records the gap between two events of a stream, in milliseconds.
-    pub fn record_event_gap(&mut self, now_ms: u64, name: &UpstreamName, gap_ms: u64) {
-        if let Some(state) = self.upstreams.get_mut(name) {
-            state.record_event_gap(now_ms, gap_ms);
-        }
-    }
-
     /// Records that an upstream has processed `tokens` of a prompt, or never
     /// will.
     pub fn prefill_ended(&mut self, name: &UpstreamName, tokens: u64) {
@@ -225,12 +228,7 @@
         });
     }
 
-    fn record_sent(
-        &mut self,
-        now_ms: u64,
-        name: &UpstreamName,
-        request: PlacementRequest<'_>,
-    ) {
+    fn record_sent(&mut self, now_ms: u64, name: &UpstreamName, request: PlacementRequest<'_>) {
         if let Some(state) = self.upstreams.get_mut(name) {
             state.own_requests += 1;
             state.sent.add(now_ms, 1);
--- a/crates/edge/src/placement/slots.rs
+++ b/crates/edge/src/placement/slots.rs
@@ -6,10 +6,9 @@
 use super::Placement;
 use crate::{admission::SlotCounts, lane::Lane, upstream_load::UpstreamState};
 
-/// Prompt tokens whose prefill all routers together may have pending at an
-/// engine, unless a single prompt is larger; about a third of a second of its
-/// work.
-const MAX_PENDING_PREFILL_TOKENS: u64 = 36_000;
+/// Work on prompts that all routers together may have pending at an engine, unless a single
+/// prompt is larger, in milliseconds.
+const MAX_PENDING_PREFILL_MS: f64 = 288.0;
 /// Requests that a router may have at an engine, as a multiple of its callers'
 /// fraction of the slots.
 const ENGINE_OWN_REQUESTS_FACTOR: f64 = 1.6;
@@ -73,8 +72,8 @@
         let has_long_gaps =
             state.lane == Lane::Short && state.mean_gap_ms(now_ms) > self.max_mean_gap_ms;
         let fraction = self.capacity_fraction / self.upstreams_fraction;
-        let prefill_limit = (MAX_PENDING_PREFILL_TOKENS as f64 * fraction) as u64;
-        state.pending_prefill_tokens > prefill_limit || has_long_gaps
+        let pending_ms = self.prefill_ms(now_ms, state, state.pending_prefill_tokens);
+        pending_ms > MAX_PENDING_PREFILL_MS * fraction || has_long_gaps
     }
 
     /// Requests that this router may send to an upstream now.
@@ -83,7 +82,8 @@
             return 0;
         }
         let sendable = self.send_slots(state).map_or(u32::MAX, |slots| slots.available(now_ms));
-        let own_free = self.own_limit(state).saturating_sub(state.own_requests).min(sendable);
+        let own_free =
+            self.own_limit(now_ms, state).saturating_sub(state.own_requests).min(sendable);
         if !self.is_engine() {
             return own_free;
         }
@@ -96,14 +96,17 @@
     /// Requests that this router may have at an upstream. The requests of other
     /// routers are known only from reports that are out of date, so each router
     /// keeps to somewhat more than its callers' fraction of the slots.
-    fn own_limit(&self, state: &UpstreamState) -> u32 {
+    fn own_limit(&self, now_ms: u64, state: &UpstreamState) -> u32 {
         let factor =
             if self.is_engine() { ENGINE_OWN_REQUESTS_FACTOR } else { NON_ENGINE_REQUESTS_FACTOR };
         // The capacity that the callers are entitled to is spread over the
         // upstreams that this router uses.
         let fraction = (self.capacity_fraction / self.upstreams_fraction * factor).min(1.0);
-        let limit = (f64::from(state.slots) * fraction).ceil() as u32;
-        limit.max(MIN_OWN_REQUESTS).min(self.max_own_requests)
+        // The requests of a slow upstream that is no engine keep their slots for longer.
+        let slowness = if self.is_engine() { 1.0 } else { self.slowness(now_ms, state).max(1.0) };
+        let limit = (f64::from(state.slots) * fraction / slowness).ceil() as u32;
+        let min_requests = (f64::from(MIN_OWN_REQUESTS) / slowness).round().max(1.0) as u32;
+        limit.max(min_requests).min(self.max_own_requests)
     }
 
     /// Estimated fraction of all slots that the whole fleet uses, 0 to 1.
--- a/crates/edge/src/upstream_load.rs
+++ b/crates/edge/src/upstream_load.rs
@@ -7,6 +7,7 @@
     lane::Lane,
     placement::{PromptPrefix, ReadyUpstream},
     shares::DecayingRate,
+    upstream_speed::UpstreamSpeed,
 };
 
 /// Weight of the newest gap between two events in the mean gap.
@@ -40,6 +41,9 @@
     pub waiting: u32,
     /// Requests that the upstream can process at the same time.
     pub slots: u32,
+    /// How long work takes at the moment, as a percentage of the usual time; none if the
+    /// upstream does not state it.
+    pub work_time_percent: Option<u16>,
 }
 
 /// How an attempt at an upstream ended, as far as it says something about the
@@ -96,6 +100,8 @@
     pub(crate) pending_prefill_tokens: u64,
     /// Mean gap between events in milliseconds, and when it was last updated.
     pub(crate) mean_gap: Option<(f64, u64)>,
+    /// What is known of the upstream's speed.
+    pub(crate) speed: UpstreamSpeed,
 }
 
 /// Hash by which routers name an upstream to each other.
@@ -126,6 +132,7 @@
             is_assigned: true,
             pending_prefill_tokens: 0,
             mean_gap: None,
+            speed: UpstreamSpeed::default(),
         }
     }
 
@@ -216,7 +223,12 @@
                 avoid
             }
             AttemptResult::Full => {
-                let report = LoadReport { running: self.slots, waiting: 1, slots: self.slots };
+                let report = LoadReport {
+                    running: self.slots,
+                    waiting: 1,
+                    slots: self.slots,
+                    work_time_percent: None,
+                };
                 self.report = Some((now_ms, report, self.own_requests));
                 self.full_until_ms = now_ms + FULL_BACKOFF_MS;
                 false
--- a/crates/edge/tests/load_summary.rs
+++ b/crates/edge/tests/load_summary.rs
@@ -57,13 +57,19 @@
 #[test]
 fn newest_report_of_an_upstream_counts() {
     let reported = |requests, age_ms| LoadSummary {
-        upstreams: [(7, ReportedLoad { requests, age_ms })].into(),
+        upstreams: [(7, ReportedLoad { requests, age_ms, work_time_percent: None })].into(),
         ..LoadSummary::default()
     };
     let mut collected = ReceivedSummaries::default();
     collected.set_router(100, "r2".into(), reported(5, 10));
     let sum = collected.fleet_sum(200, &reported(9, 400));
-    assert_eq!(sum.upstreams[&7], ReportedLoad { requests: 5, age_ms: 110 });
+    assert_eq!(
+        sum.upstreams[&7],
+        ReportedLoad { requests: 5, age_ms: 110, work_time_percent: None }
+    );
     let sum = collected.fleet_sum(800, &reported(9, 400));
-    assert_eq!(sum.upstreams[&7], ReportedLoad { requests: 9, age_ms: 400 });
+    assert_eq!(
+        sum.upstreams[&7],
+        ReportedLoad { requests: 9, age_ms: 400, work_time_percent: None }
+    );
 }
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -108,7 +108,7 @@
 #[test]
 fn reported_load_counts_until_it_is_old() {
     let mut placement = placement(2, 4);
-    let full = LoadReport { running: 4, waiting: 2, slots: 4 };
+    let full = LoadReport { running: 4, waiting: 2, slots: 4, work_time_percent: None };
     placement.record_report(0, &"u0".into(), full);
     for draw in 0..4 {
         let chosen = placement.assign(100, REQUEST, draw, false).unwrap();
@@ -164,7 +164,7 @@
     for case in cases {
         let mut split = LaneSplit::default();
         split.set_gap_target(Some(300));
-        split.set_long_prompt_rate(0, 99, 1_000_000, case.in_use_fraction);
+        split.set_long_prompt_rate(0, 99, 1_000_000, 125.0, case.in_use_fraction);
         assert_eq!(split.long_engines(), case.engines, "{}", case.name);
     }
 }
@@ -347,7 +347,7 @@
     let mut placement = placement(1, 12);
     placement.set_fleet(&"r0".into(), 200, 1_000.0);
     let name: UpstreamName = "u0".into();
-    let full = LoadReport { running: 12, waiting: 3, slots: 12 };
+    let full = LoadReport { running: 12, waiting: 3, slots: 12, work_time_percent: None };
     placement.record_report(1_000, &name, full);
     assert_eq!(placement.slot_counts(1_400, Lane::Short).in_use, 15);
     let chosen = placement.assign(1_400, REQUEST, 1, true).unwrap();
@@ -413,7 +413,11 @@
 fn slow_streams_count_as_slots_in_use() {
     let mut placement = placement(1, 64);
     let name: UpstreamName = "u0".into();
-    placement.record_report(0, &name, LoadReport { running: 8, waiting: 0, slots: 64 });
+    placement.record_report(
+        0,
+        &name,
+        LoadReport { running: 8, waiting: 0, slots: 64, work_time_percent: None },
+    );
     assert_eq!(placement.slot_counts(10, Lane::Short).in_use, 8);
     // Callers accept gaps of 300 ms; an engine gets prompts up to a mean of 165 ms.
     placement.record_event_gap(20, &name, 82);
