Serve requests that can still meet their latency target before late ones

Cause: callers that were rejected come back when their latency target has passed.

The time that a caller states to have left tells a repeat from a first attempt: first attempts state time limits that lie in a range, which shows in quiet times and which routers tell each other. While a workspace is held to its share, late requests get what punctual ones leave of it; while room is short, they wait behind all punctual ones.

Ruled out: processor time (the same fall without), long waits (90 in 100 requests waited 0 ms).

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -59,6 +59,9 @@
     /// Longest wait with which the latency target can be met, in milliseconds.
     /// In an overload, it applies if it is shorter than `max_wait_ms`.
     pub target_wait_ms: u64,
+    /// Whether the latency target passed before the request arrived, as the caller was
+    /// rejected earlier. While room is short, requests that can meet theirs go first.
+    pub is_late: bool,
 }
 
 /// Slots of the upstreams of a lane.
@@ -150,6 +153,7 @@
 struct QueuedRequest {
     ticket: Ticket,
     cost: u64,
+    is_late: bool,
 }
 
 /// The waiting requests of one workspace, and its token buckets.
@@ -165,6 +169,12 @@
     /// Cost units that the workspace may still use while slots are spare.
     spare_budget: f64,
     refilled_ms: u64,
+    /// Rate of the cost of arriving requests that can meet their latency target.
+    punctual: DecayingRate,
+    /// Cost units that the workspace may still use for late requests: what its punctual
+    /// ones leave of its limit.
+    late_budget: f64,
+    late_refilled_ms: u64,
 }
 
 impl WorkspaceQueue {
@@ -200,6 +210,34 @@
         self.limit_per_s.is_some() && self.budget <= 0.0
     }
 
+    /// Adds to the budget for late requests what punctual ones leave of the limit.
+    fn refill_late(&mut self, now_ms: u64, utilization: Utilization) {
+        let elapsed_ms = now_ms.saturating_sub(self.late_refilled_ms) as f64;
+        self.late_refilled_ms = now_ms;
+        let Some(limit) = self.limit_per_s else {
+            return;
+        };
+        let allowed = match utilization {
+            Utilization::Low => f64::INFINITY,
+            Utilization::Medium => limit * SPARE_LIMIT_FACTOR,
+            Utilization::High => limit,
+        };
+        let left = (allowed - self.punctual.per_s(now_ms)).clamp(0.0, limit);
+        let max_budget = limit * MAX_BURST_MS / 1_000.0;
+        self.late_budget = (self.late_budget + left * elapsed_ms / 1_000.0).min(max_budget);
+    }
+
+    /// Whether a limit leaves no room for late requests of the workspace.
+    fn rejects_late(&self, utilization: Utilization) -> bool {
+        self.limit_per_s.is_some() && utilization != Utilization::Low && self.late_budget <= 0.0
+    }
+
+    fn push(&mut self, request: QueuedRequest) {
+        let punctual = self.requests.iter().take_while(|queued| !queued.is_late).count();
+        let index = if request.is_late { self.requests.len() } else { punctual };
+        self.requests.insert(index, request);
+    }
+
     /// Checks that a request of the workspace may be dispatched while `slots` are as they
     /// are, or that its debt is below `max_debt`, in cost units.
     fn check_share(
@@ -211,13 +249,17 @@
         if self.may_dispatch(slots.utilization()) || self.budget > -max_debt {
             return Ok(());
         }
-        Err(Rejection {
+        Err(self.over_share(slots, expected_wait_ms, max_debt))
+    }
+
+    fn over_share(&self, slots: SlotCounts, expected_wait_ms: u64, max_debt: f64) -> Rejection {
+        Rejection {
             reason: RejectReason::OverShare,
             retry_after_ms: self.recovery_ms(max_debt),
             slots,
             expected_wait_ms,
             limit_per_s: self.limit_per_s.map(|limit| limit as u64),
-        })
+        }
     }
 
     /// Whether a request of the workspace may be dispatched.
@@ -255,8 +297,9 @@
 /// The requests of one lane of a service that wait at this router for a slot, in
 /// fair order over the workspaces.
 ///
-/// Workspaces within their share go first; among them, the one with the least
-/// recent usage. The upstream is chosen when the request is dispatched.
+/// Requests that can meet their latency target go before late ones. Workspaces within their
+/// share go first; among them, the one with the least recent usage. The upstream is chosen
+/// when the request is dispatched.
 #[derive(Debug, Default)]
 pub struct Admission {
     queues: BTreeMap<WorkspaceName, WorkspaceQueue>,
@@ -311,15 +354,23 @@
             self.backlog_since_ms = None;
         }
         let is_overload = |since_ms| now_ms.saturating_sub(since_ms) >= OVERLOAD_AFTER_MS;
-        let wait_limit_ms = if self.backlog_since_ms.is_some_and(is_overload) {
-            request.target_wait_ms.min(request.max_wait_ms)
-        } else {
-            request.max_wait_ms
+        let is_overloaded = self.backlog_since_ms.is_some_and(is_overload);
+        let wait_limit_ms = match (is_overloaded, request.is_late) {
+            // Others that can still meet their target would have to wait for it.
+            (true, true) => 0,
+            (true, false) => request.target_wait_ms.min(request.max_wait_ms),
+            (false, _) => request.max_wait_ms,
         };
         let own_queued = self.queues.get(&request.workspace).map_or(0, |own| own.requests.len());
         let expected_wait_ms = self.expected_wait_ms(now_ms, own_queued, slots);
         let queue = self.queues.entry(request.workspace.clone()).or_default();
         queue.refill(now_ms);
+        queue.refill_late(now_ms, slots.utilization());
+        if !request.is_late {
+            queue.punctual.add(now_ms, request.cost);
+        } else if queue.rejects_late(slots.utilization()) {
+            return Err(queue.over_share(slots, expected_wait_ms, 0.0));
+        }
         queue.check_share(slots, expected_wait_ms, 0.0)?;
         if expected_wait_ms > wait_limit_ms || own_queued >= MAX_QUEUED_PER_WORKSPACE {
             return Err(Rejection {
@@ -333,7 +384,8 @@
         self.backlog_since_ms.get_or_insert(now_ms);
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        queue.requests.push_back(QueuedRequest { ticket, cost: request.cost });
+        let AdmissionRequest { cost, is_late, .. } = *request;
+        queue.push(QueuedRequest { ticket, cost, is_late });
         self.workspace_by_ticket.insert(ticket, request.workspace.clone());
         Ok(ticket)
     }
@@ -411,21 +463,25 @@
         }
         let utilization = slots.utilization();
         let backlogged = self.queues.iter_mut().filter(|(_, queue)| !queue.requests.is_empty());
-        let mut best: Option<((bool, f64), &WorkspaceName, &mut WorkspaceQueue)> = None;
+        let mut best: Option<((bool, bool, f64), &WorkspaceName, &mut WorkspaceQueue)> = None;
         for (name, queue) in backlogged {
             queue.refill(now_ms);
             let is_over_share = queue.is_over_share();
             if !queue.may_dispatch(utilization) {
                 continue;
             }
-            let key = (is_over_share, queue.dispatched.per_s(now_ms));
+            let is_late = queue.requests.front().is_some_and(|request| request.is_late);
+            let key = (is_late, is_over_share, queue.dispatched.per_s(now_ms));
             if best.as_ref().is_none_or(|(other, ..)| key < *other) {
                 best = Some((key, name, queue));
             }
         }
         let (_, name, queue) = best?;
         let workspace = name.clone();
-        let QueuedRequest { ticket, cost } = queue.requests.pop_front()?;
+        let QueuedRequest { ticket, cost, is_late } = queue.requests.pop_front()?;
+        if is_late {
+            queue.late_budget -= cost as f64;
+        }
         queue.dispatched.add(now_ms, cost);
         queue.charge(cost, 0.0);
         self.workspace_by_ticket.remove(&ticket);
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -192,6 +192,11 @@
         streams.map(|route| route.timeout_ms).max().unwrap_or(0)
     }
 
+    /// Ids of all routes.
+    pub fn route_ids(&self) -> BTreeSet<RouteId> {
+        self.routes.values().flatten().map(|route| route.id()).collect()
+    }
+
     /// Services of each route whose streams may be taken up.
     pub fn resumable_routes(&self) -> BTreeMap<RouteId, BTreeSet<ServiceName>> {
         let routes = self.routes.values().flatten();
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -77,6 +77,8 @@
     continued_version: Option<SoftwareVersion>,
     id: HeaderValue,
     deadline_ms: u64,
+    /// Time for which the caller probably waited before this attempt, in milliseconds.
+    spent_ms: u64,
 }
 
 /// An answer with an error that this process makes itself.
@@ -196,13 +198,15 @@
         ErrorReply::denied(StatusCode::BAD_REQUEST, "the request has no request id")
     })?;
     let remaining_ms = head::single(&parts.headers, &names.remaining_time)
-        .and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok())
-        .unwrap_or(u64::MAX);
-    let deadline_ms = arrived_ms.saturating_add(remaining_ms.min(route.timeout_ms));
+        .and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok());
+    let until_timeout_ms = remaining_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let deadline_ms = arrived_ms.saturating_add(until_timeout_ms);
     let draw = node.random_fraction();
     let service = choose_target(&route.targets, draw)
         .cloned()
         .ok_or_else(|| ErrorReply::not_run("the route has no service", DEFAULT_RETRY_AFTER_MS))?;
+    let spent_ms = node.time_spent_before(&service, &route, workspace.as_ref(), remaining_ms);
+    record.spent_ms = spent_ms;
     let too_large = parts
         .headers
         .get(header::CONTENT_LENGTH)
@@ -212,7 +216,16 @@
         return Err(ErrorReply::denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
     }
     let continued_version = None;
-    Ok(CheckedRequest { config, route, workspace, service, continued_version, id, deadline_ms })
+    Ok(CheckedRequest {
+        config,
+        route,
+        workspace,
+        service,
+        continued_version,
+        id,
+        deadline_ms,
+        spent_ms,
+    })
 }
 
 type ForwardResult = Result<Response<EdgeBody>, (ErrorReply, RequestRecord)>;
@@ -383,6 +396,7 @@
         cost: if work.prompt_tokens == 0 { PLAIN_CALL_COST_UNITS } else { expected_cost(work) },
         max_wait_ms: until_ms.saturating_sub(now_ms),
         target_wait_ms: (arrived_ms + target_wait_ms).saturating_sub(now_ms),
+        is_late: checked.spent_ms >= route.target_latency_ms.max(1),
     };
     record.cost = Some(request.cost);
     let reject = |retry_after_ms, reason: &'static str| {
--- a/crates/edge/src/forward/record.rs
+++ b/crates/edge/src/forward/record.rs
@@ -53,6 +53,8 @@
     /// Segment of the prompt because of which the request was rejected.
     pub(crate) blocked_segment: Option<SegmentId>,
     pub(crate) attempts: u32,
+    /// Time for which the caller probably waited before this attempt, in milliseconds.
+    pub(crate) spent_ms: u64,
     /// Expected cost, in cost units.
     pub(crate) cost: Option<u64>,
     /// Estimated requests at the upstream when it was chosen, and the age of its
@@ -97,6 +99,7 @@
             shared_segments: Rc::default(),
             blocked_segment: None,
             attempts: 0,
+            spent_ms: 0,
             cost: None,
             upstream_load: None,
             reported_load: None,
@@ -177,6 +180,7 @@
             segments,
             blocked_segment = self.blocked_segment.map(|segment| segment.to_string()),
             attempts = self.attempts,
+            spent_ms = (self.spent_ms > 0).then_some(self.spent_ms),
             cost = self.cost,
             upstream_requests = self.upstream_load.map(|(requests, _)| requests),
             report_age_ms = self.upstream_load.and_then(|(_, age_ms)| age_ms),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,13 +2,14 @@
 //! callers' requests, membership and configuration.
 //!
 //! All persistent data is in the platform's store. The modules [`admission`],
-//! [`config`], [`directory`], [`lane`], [`load_summary`], [`overload`], [`placement`],
+//! [`caller_time`], [`config`], [`directory`], [`lane`], [`load_summary`], [`overload`], [`placement`],
 //! [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`service_admission`],
 //! [`shares`], [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`] and
 //! [`upstream_load`] make decisions without I/O, with the current time as an argument.
 //! The other modules connect them to the network.
 
 pub mod admission;
+pub mod caller_time;
 pub mod clock;
 pub mod config;
 mod crash_exchange;
--- a/crates/edge/src/load_summary.rs
+++ b/crates/edge/src/load_summary.rs
@@ -12,7 +12,10 @@
 use serde::{Deserialize, Serialize};
 use span_types::{FailureDomain, InstanceName, ServiceName};
 
-use crate::shares::Demand;
+use crate::{
+    caller_time::{self, ShortestLimits},
+    shares::Demand,
+};
 
 /// Age from which a load summary is ignored, in milliseconds; three intervals of a
 /// router without callers.
@@ -32,6 +35,8 @@
     pub demand: Demand,
     /// Tokens of long prompts per second.
     pub long_tokens_per_s: u64,
+    /// Time limits of callers.
+    pub shortest_limits: ShortestLimits,
 }
 
 /// What routers report and collectors sum up.
@@ -80,6 +85,7 @@
         for (service, load) in &other.loads {
             let sum = self.loads.entry(service.clone()).or_default();
             sum.long_tokens_per_s += load.long_tokens_per_s;
+            caller_time::merge_limits(&mut sum.shortest_limits, &load.shortest_limits);
             for (workspace, rate) in &load.demand {
                 *sum.demand.entry(workspace.clone()).or_default() += rate;
             }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -9,14 +9,14 @@
 use futures::channel::oneshot;
 use rand::{Rng, RngExt};
 use span_member::Router;
-use span_types::{FailureDomain, ServiceName, SoftwareVersion, UpstreamName};
+use span_types::{FailureDomain, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName};
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
 use crate::{
     admission::{AdmissionRequest, Rejection},
     clock::Clock,
-    config::Config,
+    config::{Config, Route},
     directory,
     load_summary::{self, LoadSummary, ServiceLoad, ServiceLoads},
     metrics::Counter,
@@ -408,6 +408,26 @@
         Ok((ticket, receiver))
     }
 
+    /// Time for which a caller that states to have `remaining_ms` left has probably waited
+    /// before this attempt, in milliseconds; 0 for what may be a first attempt.
+    pub(crate) fn time_spent_before(
+        &self,
+        service: &ServiceName,
+        route: &Route,
+        workspace: Option<&WorkspaceName>,
+        remaining_ms: Option<u64>,
+    ) -> u64 {
+        let (Some(workspace), Some(remaining_ms)) = (workspace, remaining_ms) else {
+            return 0;
+        };
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let Some(service) = state.services.get_mut(service) else {
+            return 0;
+        };
+        service.load_meter.caller_times.record(now_ms, &route.id(), workspace, remaining_ms)
+    }
+
     /// Removes a waiting request. Returns false if it has been dispatched.
     pub(crate) fn cancel(&self, service: &ServiceName, ticket: LaneTicket) -> bool {
         let mut state = self.state();
@@ -459,6 +479,7 @@
             let own_load = own_loads.get(name).unwrap_or(&no_load);
             let long_tokens_per_s = (fleet_load.long_tokens_per_s as f64 * scale) as u64;
             service.placement.set_long_prompt_rate(now_ms, long_tokens_per_s);
+            service.load_meter.caller_times.set_fleet_limits(&fleet_load.shortest_limits);
             service.placement.merge_reported_loads(now_ms, &fleet.upstreams);
             if let Some(taken_ms) = taken_ms {
                 service.placement.merge_in_flight(taken_ms, &fleet.in_flight);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -13,6 +13,7 @@
 use strum::IntoEnumIterator;
 
 use crate::{
+    caller_time::CallerTimes,
     config::Config,
     directory::ConfigReports,
     lane::Lane,
@@ -75,6 +76,8 @@
     pub(crate) demand: DemandMeter,
     /// Rate of prompt tokens in long prompts.
     pub(crate) long_prompt_tokens: DecayingRate,
+    /// Time limits of callers.
+    pub(crate) caller_times: CallerTimes,
 }
 
 impl LoadMeter {
@@ -82,6 +85,7 @@
         ServiceLoad {
             demand: self.demand.demand(now_ms),
             long_tokens_per_s: self.long_prompt_tokens.per_s(now_ms) as u64,
+            shortest_limits: self.caller_times.shortest_limits(),
         }
     }
 }
@@ -490,6 +494,7 @@
         };
         self.refresh_stream_lifetime(now_ms);
         self.stream_origins.set_routes(now_ms, &config.resumable_routes());
+        let route_ids = config.route_ids();
         let limit = retry_limit(settings);
         for name in config.services.keys() {
             self.services.entry(name.clone()).or_insert_with(|| ServiceState {
@@ -501,6 +506,7 @@
             });
         }
         for service in self.services.values_mut() {
+            service.load_meter.caller_times.retain_routes(|route| route_ids.contains(route));
             for ticket in service.admission.retain_workspaces(&config.workspaces) {
                 // Dropping the sender rejects the request.
                 service.waiting.remove(&ticket);
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -21,6 +21,7 @@
         cost,
         max_wait_ms: 1_000_000,
         target_wait_ms: 1_000_000,
+        is_late: false,
     }
 }
 
@@ -496,3 +497,56 @@
         assert!(got > 0.9 * allowed, "{}: {got} of {allowed}", case.name);
     }
 }
+
+/// While callers ask for several times the room, those that were rejected come back. If they
+/// were served before newcomers, nearly all answers would be late.
+#[test]
+fn late_requests_wait_behind_those_that_can_meet_their_target() {
+    let mut admission = Admission::default();
+    let late = AdmissionRequest { is_late: true, ..request("small", 100) };
+    let late = admission.enqueue(0, FULL, &late).unwrap();
+    let punctual: Vec<Ticket> =
+        (0..3).map(|_| admission.enqueue(1, FULL, &request("large", 100)).unwrap()).collect();
+    let own = admission.enqueue(2, FULL, &request("small", 100)).unwrap();
+    let order: Vec<Ticket> =
+        (0..5).filter_map(|_| dispatch(&mut admission, 3, with_free(1))).collect();
+    assert_eq!(order.last(), Some(&late));
+    assert!(order.contains(&own) && punctual.iter().all(|ticket| order.contains(ticket)));
+}
+
+/// A workspace that pulses at ten times its share gets its share in time, not for requests
+/// that are late already. What its punctual requests leave is for the late ones.
+#[test]
+fn share_of_a_pulsing_workspace_goes_to_punctual_requests_first() {
+    struct Case {
+        name: &'static str,
+        punctual_per_s: u64,
+        late: std::ops::RangeInclusive<u64>,
+    }
+    let cases = [
+        Case { name: "newcomers ask for five times the share", punctual_per_s: 50, late: 0..=8 },
+        Case { name: "newcomers ask for half of the share", punctual_per_s: 5, late: 15..=70 },
+    ];
+    for case in cases {
+        let mut admission = Admission::default();
+        let late = AdmissionRequest { is_late: true, ..request("a", 100) };
+        admission.enqueue(0, FULL, &request("a", 100)).unwrap();
+        dispatch(&mut admission, 0, with_free(1)).unwrap();
+        let (mut punctual_served, mut late_served) = (0, 0);
+        for step in 1..=1_000 {
+            let now_ms = step * 10;
+            admission.set_limits(now_ms, &BTreeMap::from([("a".into(), 1_000.0)]));
+            if step % (100 / case.punctual_per_s) == 0 {
+                punctual_served +=
+                    u64::from(admission.enqueue(now_ms, FULL, &request("a", 100)).is_ok());
+            }
+            if step % 2 == 0 {
+                late_served += u64::from(admission.enqueue(now_ms, FULL, &late).is_ok());
+            }
+            while dispatch(&mut admission, now_ms, with_free(1)).is_some() {}
+        }
+        let expected = case.punctual_per_s.min(10) * 10;
+        assert!(punctual_served + 10 >= expected, "{}: {punctual_served}", case.name);
+        assert!(case.late.contains(&late_served), "{}: {late_served}", case.name);
+    }
+}
--- a/crates/edge/tests/load_summary.rs
+++ b/crates/edge/tests/load_summary.rs
@@ -7,8 +7,11 @@
 };
 
 fn summary(workspace: &str, rate: u64) -> LoadSummary {
-    let load =
-        ServiceLoad { demand: [(workspace.into(), rate)].into(), long_tokens_per_s: rate / 10 };
+    let load = ServiceLoad {
+        demand: [(workspace.into(), rate)].into(),
+        long_tokens_per_s: rate / 10,
+        ..ServiceLoad::default()
+    };
     LoadSummary { routers: 1, loads: [("svc".into(), load)].into(), ..LoadSummary::default() }
 }
 
