--- a/crates/edge/src/caller_time.rs
+++ b/crates/edge/src/caller_time.rs
@@ -20,8 +20,9 @@
 /// Time for which a lower end counts that no later sample confirms, in milliseconds. During an
 /// overload, samples hold many repeats.
 const LIMIT_LIFETIME_MS: u64 = 120_000;
-/// Fraction of the known lower end from which a sample confirms it.
-const CONFIRMING_FRACTION: f64 = 0.97;
+/// Fraction of the known lower end from which a sample confirms it, and from which an attempt
+/// may be a first one. A few first attempts state less than the estimated end.
+const LIMIT_TOLERANCE_FRACTION: f64 = 0.97;
 /// Part of a workspace's attempts on a route that can be repeats. If more state little time,
 /// its callers have shorter limits than others.
 const MAX_REPEATED_FRACTION: f64 = 2.0 / 3.0;
@@ -69,7 +70,7 @@
         self.samples_ms.clear();
         self.shortest_limit = match self.shortest_limit {
             Some((known_ms, at_ms)) if now_ms.saturating_sub(at_ms) < LIMIT_LIFETIME_MS => {
-                let confirms = sampled_ms as f64 >= known_ms as f64 * CONFIRMING_FRACTION;
+                let confirms = sampled_ms as f64 >= known_ms as f64 * LIMIT_TOLERANCE_FRACTION;
                 Some((known_ms.max(sampled_ms), if confirms { now_ms } else { at_ms }))
             }
             _ => {
@@ -112,7 +113,8 @@
         let shortest_ms = own_ms.max(u64::from(fleet_ms));
         times.record(now_ms, remaining_ms);
         let mean_limit_ms = (shortest_ms + times.longest_ms.max(shortest_ms)) / 2;
-        let spent_ms = if remaining_ms < shortest_ms { mean_limit_ms - remaining_ms } else { 0 };
+        let is_repeat = (remaining_ms as f64) < shortest_ms as f64 * LIMIT_TOLERANCE_FRACTION;
+        let spent_ms = if is_repeat { mean_limit_ms - remaining_ms } else { 0 };
         let key = (route.clone(), workspace.clone());
         if !self.attempts.contains_key(&key) && self.attempts.len() >= MAX_TRACKED {
             self.attempts.retain(|_, attempts| attempts.all.per_s(now_ms) >= 0.1);
