Send no requests to upstreams of evacuated failure domains

Cause: nothing in the router reads the operator's evacuations, so their upstreams get requests until they leave by themselves.

The routers that read the store watch the evacuations, and tell the others in a datagram of its own. What a router knows is the set of all evacuations at one position of the store; a later position replaces it. Placement, capacity, lanes and homes of prompt prefixes see only upstreams outside. A service that is evacuated as a whole rejects its requests at once.

New setting `bounds.evacuationMs`; without it, or where `contracts` does not name `places`, no call to the store is made and nothing changes.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -117,6 +117,7 @@
     destination: &Destination<'_>,
 ) -> Result<Answer, Failure> {
     let upstream = destination.upstream;
+    check_not_evacuated(node, upstream)?;
     let key = RequestKey::new(data.id.as_bytes());
     let mut connection = match node.pool.take(node.now_ms(), upstream, key) {
         Some(connection) => connection,
@@ -171,12 +172,24 @@
     let address = node.state().registry.get(upstream).map(|entry| entry.address);
     let address = address.ok_or_else(|| Failure::NotSent("the upstream was removed".to_owned()))?;
     node.count(Counter::UpstreamConnects);
-    pool::connect(address, pool::BUFFER_BYTES).await.map_err(|error| {
+    let connection = pool::connect(address, pool::BUFFER_BYTES).await.map_err(|error| {
         if matches!(error, SendError::Refused(_)) {
             node.upstream_process_ended(upstream);
         }
         failure(error)
-    })
+    })?;
+    check_not_evacuated(node, upstream)?;
+    Ok(connection)
+}
+
+/// Checks that the failure domain of an upstream was not evacuated after the upstream was
+/// chosen.
+fn check_not_evacuated(node: &Node, upstream: &UpstreamName) -> Result<(), Failure> {
+    if !node.is_evacuated(upstream) {
+        return Ok(());
+    }
+    node.count(Counter::EvacuatedAttempts);
+    Err(Failure::NotSent("the failure domain of the upstream is evacuated".to_owned()))
 }
 
 fn failure(error: SendError) -> Failure {
@@ -195,7 +208,8 @@
     let names = &node.wire_format.headers;
     let mut parts = data.parts.clone();
     let remaining_ms = data.deadline_ms.saturating_sub(now_ms).max(1);
-    let copy_from = destination.copy_source.and_then(|source| {
+    let copy_source = destination.copy_source.filter(|source| !node.is_evacuated(source));
+    let copy_from = copy_source.and_then(|source| {
         let state = node.state();
         state.registry.get(source).map(|entry| entry.address)
     });
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -53,6 +53,9 @@
 const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
 /// Retry advice if it is not known when the cause ends, in milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 500;
+/// The same if all upstreams are in evacuated failure domains, in milliseconds: an
+/// evacuation takes seconds at least.
+const EVACUATED_RETRY_AFTER_MS: u64 = 3_000;
 /// Largest number of attempts for one request at which nothing could be sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 /// Request bodies may take the process's memory divided by this.
@@ -397,7 +400,7 @@
             } else {
                 "no upstream takes requests; the request did not run"
             };
-            return Err(ErrorReply::not_run(message, no_upstream_advice_ms(node, checked)));
+            return Err(no_upstream_reply(node, checked, message));
         }
         Err(NoSlot::Rejected(rejection)) => {
             record.rejection = Some(rejection);
@@ -420,9 +423,10 @@
         let now_ms = node.now_ms();
         let available_in_ms = node.available_in_ms(&checked.service).unwrap_or(0);
         // All upstreams asked for a pause meanwhile.
-        if now_ms < until_ms && now_ms + available_in_ms > until_ms {
+        let all_pause = now_ms < until_ms && now_ms + available_in_ms > until_ms;
+        if all_pause || node.is_service_evacuated(&checked.service) {
             let message = "no upstream takes requests; the request did not run";
-            return ErrorReply::not_run(message, no_upstream_advice_ms(node, checked));
+            return no_upstream_reply(node, checked, message);
         }
         reject(max_wait_ms, "no place became free in time; the request did not run")
     })
@@ -441,6 +445,17 @@
     jittered_retry_after_ms(retry_after_ms, remaining_ms, node.random_fraction())
 }
 
+/// The answer to a request that did not run as no upstream takes requests. `message` says
+/// so if that is not due to an evacuation.
+fn no_upstream_reply(node: &Node, checked: &CheckedRequest, message: &'static str) -> ErrorReply {
+    if !node.is_service_evacuated(&checked.service) {
+        return ErrorReply::not_run(message, no_upstream_advice_ms(node, checked));
+    }
+    node.count(Counter::EvacuatedRefusals);
+    let message = "all upstreams are in evacuated failure domains; the request did not run";
+    ErrorReply::not_run(message, retry_advice_ms(node, checked, EVACUATED_RETRY_AFTER_MS))
+}
+
 /// Retry advice if no upstream takes requests, in milliseconds. If all of them have
 /// asked for a pause, it is not before the end of the first one, even if the caller
 /// does not wait as long.
@@ -478,8 +493,7 @@
     loop {
         let Some(upstream) = in_flight.upstream().cloned() else {
             let message = "no other upstream takes requests; the request did not run";
-            let advice_ms = no_upstream_advice_ms(node, checked);
-            return Err((ErrorReply::not_run(message, advice_ms), record));
+            return Err((no_upstream_reply(node, checked, message), record));
         };
         // The segment may have been blocked while the request waited.
         let blocked = if may_have_run { None } else { blocked_reply(node, &mut record) };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,7 +2,7 @@
 //! callers' requests, membership and configuration.
 //!
 //! All persistent data is in the platform's store. The modules [`admission`],
-//! [`config`], [`directory`], [`lane`], [`load_summary`], [`overload`], [`placement`],
+//! [`config`], [`directory`], [`evacuation`], [`lane`], [`load_summary`], [`overload`], [`placement`],
 //! [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`service_admission`],
 //! [`shares`], [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`] and
 //! [`upstream_load`] make decisions without I/O, with the current time as an argument.
@@ -13,6 +13,8 @@
 pub mod config;
 mod crash_exchange;
 pub mod directory;
+pub mod evacuation;
+mod evacuation_sync;
 mod forward;
 pub mod http_client;
 pub mod lane;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -230,6 +230,7 @@
         ("request_body_bytes", node.request_body_bytes.get()),
         ("routers", state.live_router_count() as u64),
         ("upstreams", state.registry.len() as u64),
+        ("evacuated_domains", state.evacuations.len() as u64),
         ("limited_upstreams", state.limited_upstream_count() as u64),
         ("blocked_segments", state.prompt_crashes.blocked_count() as u64),
         ("store_era", state.registry.era()),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -19,6 +19,8 @@
     Refused,
     /// Of these, requests with a prompt segment on which upstreams crash.
     BlockedPrompts,
+    /// Of the refused requests, those of a service whose upstreams are all evacuated.
+    EvacuatedRefusals,
     /// Requests that may have run and whose answer is lost or late.
     Failed,
     /// Requests that the configuration does not allow.
@@ -37,6 +39,11 @@
     TakenUp,
     /// Questions to other routers for streams that callers took up.
     OriginQuestions,
+    /// Attempts that were given up before the request was sent, as the failure domain of
+    /// the upstream was evacuated meanwhile.
+    EvacuatedAttempts,
+    /// Changes of evacuations that this router learned of.
+    EvacuationChanges,
     /// Attempts that an upstream rejected without running the request.
     UpstreamRefusals,
     /// Attempts at an upstream that failed.
@@ -59,6 +66,8 @@
     StoreConfigCalls,
     /// Of these, reads and watches of the upstream entries.
     StoreUpstreamsCalls,
+    /// Of these, reads and watches of the evacuations.
+    StoreEvacuationsCalls,
     /// Of these, reads and writes of router registrations.
     StoreRoutersCalls,
     /// Of these, reads and writes of records about streams.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -87,6 +87,8 @@
         seed: u64,
     ) -> Rc<Self> {
         let is_first_start = settings.is_first_start;
+        let mut state = State::new(own_router, seed, is_first_start);
+        state.evacuations.set_enabled(settings.fleet_limits.evacuation_ms.is_some());
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             wire_format,
@@ -103,7 +105,7 @@
             confirmations: Confirmations::default(),
             record_reads: RecordReads::default(),
             records_changed: Notify::new(),
-            state: RefCell::new(State::new(own_router, seed, is_first_start)),
+            state: RefCell::new(state),
         })
     }
 
@@ -127,10 +129,17 @@
         let instance = old.instance.clone();
         let settings = Settings { addresses, instance, ..settings };
         let limit = retry_limit(&settings);
+        let has_evacuations = settings.fleet_limits.evacuation_ms.is_some();
         *self.settings.borrow_mut() = Rc::new(settings);
-        for service in self.state().services.values_mut() {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        for service in state.services.values_mut() {
             service.retry_budget.set_limit(limit);
         }
+        if has_evacuations != state.evacuations.is_enabled() {
+            state.evacuations.set_enabled(has_evacuations);
+            state.sync_upstreams(now_ms);
+        }
         needs_restart
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -23,6 +23,7 @@
 use tracing::{info, warn};
 
 use crate::{
+    evacuation::EvacuationNews,
     http_client::HttpClient,
     load_summary::{self, LoadSummary, ServiceLoads},
     metrics::Counter,
@@ -116,6 +117,9 @@
         /// The attempts that it knows of now.
         streams: Vec<StreamAttempt>,
     },
+    /// Tells of the failure domains that the operator has evacuated. Routers of earlier
+    /// software ignore it.
+    Evacuations(EvacuationNews),
 }
 
 /// Routers that a summary covers.
@@ -242,6 +246,7 @@
             let compares = view_hash.filter(|(_, compared)| index < *compared);
             self.send_heartbeat(ip, name.as_ref(), compares.map(|(hash, _)| hash), true);
         }
+        self.node.share_evacuations();
     }
 
     /// Exchanges load summaries until the process ends. Does nothing in a fleet
@@ -575,6 +580,9 @@
                     Ok(Packet::OriginsLearned { from, streams }) => {
                         self.node.origins_learned(&from, &streams);
                     }
+                    Ok(Packet::Evacuations(news)) => {
+                        self.node.learn_evacuations(from.ip(), news);
+                    }
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -395,6 +395,12 @@
         hashes.fold(0, u64::wrapping_add)
     }
 
+    /// Number of upstreams in a failure domain, including leaving ones.
+    pub fn count_in(&self, failure_domain: &FailureDomain) -> usize {
+        let entries = self.upstreams.values().map(|known| &known.entry);
+        entries.filter(|entry| entry.failure_domain == *failure_domain).count()
+    }
+
     /// Number of upstreams, including leaving ones.
     pub fn len(&self) -> usize {
         self.upstreams.len()
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,8 +13,9 @@
 use tracing::{info, warn};
 
 use crate::{
-    clock, listen, log::Log, metrics::Counter, node::Node, overload, peers::Peers, prompt_crashes,
-    record_sync, settings::Settings, socket, store::Store, store_sync, wire_format::WireFormat,
+    clock, evacuation_sync, listen, log::Log, metrics::Counter, node::Node, overload, peers::Peers,
+    prompt_crashes, record_sync, settings::Settings, socket, store::Store, store_sync,
+    wire_format::WireFormat,
 };
 
 /// Interval of the periodic tasks, in milliseconds. Waiting requests are
@@ -122,6 +123,7 @@
     spawn_local(peers.clone().send_outbox());
     spawn_local(store_sync::watch_config(node.clone(), store.clone()));
     spawn_local(store_sync::watch_upstreams(node.clone(), store.clone()));
+    spawn_local(evacuation_sync::watch_evacuations(node.clone(), store.clone()));
     spawn_local(store_sync::sync_routers(node.clone(), store.clone()));
     spawn_local(record_sync::read_on_demand(node.clone(), store.clone()));
     spawn_local(record_sync::write_records(node.clone(), store));
@@ -163,6 +165,7 @@
     // The difference of the clocks grows only while the instance is suspended.
     let mut last_clock_offset_ms = clock::boot_ms().saturating_sub(node.now_ms());
     let (mut prompt_tick_ms, mut prompt_ticks) = (node.now_ms(), 0);
+    let mut awaits_evacuations = node.settings().fleet_limits.evacuation_ms.is_some();
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
         let now_ms = node.now_ms();
@@ -183,6 +186,7 @@
         node.pool.expire(now_ms);
         let changes = node.state().registry.expire(now_ms);
         node.apply_upstream_changes(&changes);
+        awaits_evacuations = node.tick_evacuations(awaits_evacuations);
         node.state().metrics.set(Counter::LogLinesDropped, log.dropped());
         if now_ms < WARM_UP_MS {
             node.divide_capacity();
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -46,6 +46,9 @@
     pub retry_slack: u64,
     /// Longest lifetime of an answer of the directory, in milliseconds.
     pub directory_lifetime_ms: u64,
+    /// Time within which an evacuation of a failure domain has to be in force, in
+    /// milliseconds; none for a deployment without evacuations.
+    pub evacuation_ms: Option<u64>,
 }
 
 /// Settings of one process.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -15,13 +15,14 @@
 use crate::{
     config::Config,
     directory::ConfigReports,
+    evacuation::Evacuations,
     lane::Lane,
     load_summary::{
         FleetSummary, LoadSummary, ReceivedSummaries, ServiceLoad, ServiceLoads, Summary,
     },
     metrics::Metrics,
     origin_log::{OriginLog, SentOrigins},
-    placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix, ReadyUpstream},
+    placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix},
     prompt_crashes::PromptCrashes,
     registry::Registry,
     retry_budget::{RetryBudget, RetryLimit},
@@ -91,6 +92,8 @@
     /// Configuration in force; none until the first one is known.
     pub(crate) config: Option<Rc<Config>>,
     pub(crate) registry: Registry,
+    /// Failure domains whose upstreams get no requests.
+    pub(crate) evacuations: Evacuations,
     pub(crate) services: HashMap<ServiceName, ServiceState>,
     /// Membership as this router sees it.
     pub(crate) view: MembershipView,
@@ -162,6 +165,14 @@
         });
     }
 
+    /// Rejects all waiting requests.
+    fn reject_waiting(&mut self) {
+        // Dropping the senders rejects the requests.
+        for (ticket, _) in self.waiting.drain() {
+            self.admission.cancel(ticket);
+        }
+    }
+
     fn dispatch_lane(&mut self, now_ms: u64, lane: Lane, rng: &mut SmallRng) {
         let Self { placement, admission, waiting, .. } = self;
         while admission.lane(lane).queue_len() > 0 {
@@ -201,6 +212,7 @@
         Self {
             config: None,
             registry: Registry::default(),
+            evacuations: Evacuations::default(),
             services: HashMap::new(),
             view: MembershipView::new(own_router, MEMBERSHIP_TIMING),
             config_reports: ConfigReports::default(),
@@ -514,15 +526,12 @@
         for (name, service) in &mut self.services {
             let versions = self.registry.software_versions(name);
             self.stream_origins.set_versions(now_ms, name, &versions);
-            let ready = self.registry.ready(name);
-            let ready = ready.map(|(name, entry)| ReadyUpstream {
-                name,
-                slots: entry.slots,
-                software_version: &entry.software_version,
-                failure_domain: &entry.failure_domain,
-            });
-            service.placement.set_upstreams(ready);
+            let open = self.evacuations.open_upstreams(now_ms, &self.registry, name);
+            service.placement.set_upstreams(open);
             service.placement.apply_limits(now_ms);
+            if self.evacuations.covers_service(&self.registry, name) {
+                service.reject_waiting();
+            }
         }
         self.sync_fleet();
     }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -5,10 +5,11 @@
 use futures::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 use span_member::Router;
-use span_types::UpstreamName;
+use span_types::{FailureDomain, UpstreamName};
 
 use crate::{
     config::Config,
+    evacuation::EvacuationEvent,
     registry::UpstreamEntry,
     stream_records::{HistoryRecord, OriginSegment, StreamRecords},
 };
@@ -90,6 +91,10 @@
     pub read_upstreams: Read<Listing<UpstreamEvent>>,
     /// Waits for changes of upstream entries.
     pub watch_upstreams: Watch<Changes<UpstreamEvent>>,
+    /// Reads the failure domains that the operator has evacuated.
+    pub read_evacuations: Read<Listing<FailureDomain>>,
+    /// Waits for changes of the evacuations.
+    pub watch_evacuations: Watch<Changes<EvacuationEvent>>,
     /// Reads the registered routers. The answer may be out of date.
     pub read_routers: Read<Vec<Router>>,
     /// Registers this router.
--- a/crates/edge/src/store_source.rs
+++ b/crates/edge/src/store_source.rs
@@ -195,7 +195,8 @@
         !is_answered || !self.reads_upstreams(now_ms, order)
     }
 
-    fn reads_store(&mut self, now_ms: u64, order: ReadOrder) -> bool {
+    /// Whether this router reads from the store what every router needs.
+    pub fn reads_store(&mut self, now_ms: u64, order: ReadOrder) -> bool {
         if order == ReadOrder::Always || now_ms < self.takeover_until_ms {
             return true;
         }
--- a/crates/edge/src/store_sync.rs
+++ b/crates/edge/src/store_sync.rs
@@ -56,9 +56,10 @@
 /// What a call to the store is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-enum Purpose {
+pub(crate) enum Purpose {
     Config,
     Upstreams,
+    Evacuations,
     Register,
     Routers,
 }
@@ -68,6 +69,7 @@
         match self {
             Self::Config => Counter::StoreConfigCalls,
             Self::Upstreams => Counter::StoreUpstreamsCalls,
+            Self::Evacuations => Counter::StoreEvacuationsCalls,
             Self::Register | Self::Routers => Counter::StoreRoutersCalls,
         }
     }
@@ -75,7 +77,12 @@
 
 /// Records the result of a call to the store, and logs the first failure and the
 /// recovery.
-fn record_result<T>(node: &Node, purpose: Purpose, result: &Result<T, StoreError>, failures: u32) {
+pub(crate) fn record_result<T>(
+    node: &Node,
+    purpose: Purpose,
+    result: &Result<T, StoreError>,
+    failures: u32,
+) {
     let what: &'static str = purpose.into();
     node.count(Counter::StoreCalls);
     node.count(purpose.counter());
@@ -102,7 +109,7 @@
 }
 
 /// Waits while other routers provide what this router would read from the store.
-async fn wait_until_reading(node: &Node, reads: impl Fn(&Node) -> bool) {
+pub(crate) async fn wait_until_reading(node: &Node, reads: impl Fn(&Node) -> bool) {
     while !reads(node) {
         sleep(Duration::from_millis(SOURCE_CHECK_INTERVAL_MS)).await;
     }
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -26,6 +26,7 @@
             retry_ratio: 0.2,
             retry_window_ms: 10_000,
             retry_slack: 52,
+            evacuation_ms: None,
             directory_lifetime_ms: 5_000,
         },
         is_first_start: false,
