Monitor the members behind suspect ones on the heartbeat rings

Cause: a router monitors the next members on a ring only once the ones before are dead, after 2.6 s.

While a member is suspect, the ones that follow if it is dead are monitored too, half as long after the kill. Without suspects, nothing changes.

Failing before: killed_routers_leave_all_directories_of_large_fleets_in_time ("85 routers, four fifths: still listed: [router-4]"). The simulated fleet of the test takes the plan from the view, may lose heartbeats and bears missing routers; its earlier test is unchanged.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -17,7 +17,7 @@
 use http::Request;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use span_member::{MemberChange, MemberUpdate, Router, heartbeat_peers, heartbeat_targets};
+use span_member::{MemberChange, MemberUpdate, Router};
 use span_types::{FailureDomain, InstanceName};
 use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
 use tracing::{info, warn};
@@ -203,12 +203,10 @@
         let now_ms = self.node.now_ms();
         let (targets, view_hash, changes) = {
             let mut state = self.node.state();
-            let own_name = state.view.own_update().router.member.instance.clone();
             let nearly_suspect = state.view.nearly_suspect(now_ms);
             let live = state.view.live_routers();
-            let monitored: Vec<InstanceName> =
-                heartbeat_peers(&own_name, &live).into_iter().collect();
-            let mut names = heartbeat_targets(&own_name, &live);
+            let plan = state.view.heartbeat_plan();
+            let (mut names, monitored) = (plan.targets, plan.expected);
             names.extend(
                 nearly_suspect.into_iter().filter(|name| !names.contains(name)).collect::<Vec<_>>(),
             );
--- a/crates/edge/tests/directory.rs
+++ b/crates/edge/tests/directory.rs
@@ -7,7 +7,7 @@
     directory::{ConfigReports, choose_routers},
     peers::{MAX_UPDATES_PER_HEARTBEAT, VIEW_COMPARISON_ROUNDS},
 };
-use span_member::{MembershipTiming, MembershipView, Router, heartbeat_peers, heartbeat_targets};
+use span_member::{MembershipTiming, MembershipView, Router};
 use span_types::{FailureDomain, Incarnation, InstanceName, Member};
 
 fn routers(groups: &[(usize, u32)]) -> Vec<Router> {
@@ -144,6 +144,8 @@
     routers: BTreeMap<InstanceName, SimulatedRouter>,
     seeds: Vec<InstanceName>,
     rng: SmallRng,
+    /// Fraction of the heartbeats that are lost.
+    loss: f64,
 }
 
 impl Fleet {
@@ -172,11 +174,14 @@
             )
         });
         let routers = started.collect();
-        Self { routers, seeds, rng }
+        Self { routers, seeds, rng, loss: 0.0 }
     }
 
-    /// Delivers a heartbeat with updates in circulation, or with all.
+    /// Delivers a heartbeat with updates in circulation, or with all, unless it is lost.
     fn deliver(&mut self, now_ms: u64, from: &InstanceName, to: &InstanceName, all: bool) {
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
         let Some(sender) = self.routers.get_mut(from) else { return };
         let own_update = sender.view.own_update().clone();
         let updates = if all {
@@ -197,8 +202,8 @@
         let Some(own) = self.routers.get_mut(me) else { return };
         let live = own.view.live_routers();
         let is_alone = live.len() == 1;
-        let monitored: Vec<InstanceName> = heartbeat_peers(me, &live).into_iter().collect();
-        let mut to: Vec<InstanceName> = heartbeat_targets(me, &live);
+        let plan = own.view.heartbeat_plan();
+        let (mut to, monitored) = (plan.targets, plan.expected);
         if is_alone {
             to.extend(self.seeds.iter().filter(|seed| *seed != me).cloned());
         }
@@ -211,14 +216,19 @@
         for (index, other) in to.into_iter().enumerate() {
             self.deliver(now_ms, me, &other, false);
             let compares = is_alone || (compares && index == compared);
-            let views_differ = compares
-                && self.routers[me].view.view_hash() != self.routers[&other].view.view_hash();
+            let Some(answering) = self.routers.get(&other) else { continue };
+            let views_differ =
+                compares && self.routers[me].view.view_hash() != answering.view.view_hash();
             self.deliver(now_ms, &other, me, views_differ);
         }
     }
 
     fn run(&mut self, until_ms: u64) {
-        for now_ms in (0..until_ms).step_by(20) {
+        self.run_from(0, until_ms);
+    }
+
+    fn run_from(&mut self, from_ms: u64, until_ms: u64) {
+        for now_ms in (from_ms..until_ms).step_by(20) {
             let due = self.routers.iter().filter(|(_, router)| router.next_heartbeat_ms <= now_ms);
             let due: Vec<InstanceName> = due.map(|(name, _)| name.clone()).collect();
             for name in due {
@@ -269,3 +279,58 @@
         }
     }
 }
+
+/// Load: fleets of 59 to 85 routers of three failure domains, of which some are killed at
+/// the same moment, the seeds and collectors among them, while some heartbeats are lost.
+/// Guards against a directory that still names one of them 7 s later, when callers must not
+/// be sent there any more, and against one that names too few of the others.
+#[test]
+fn killed_routers_leave_all_directories_of_large_fleets_in_time() {
+    struct Case {
+        name: &'static str,
+        loss: f64,
+        /// Whether the router of this number, of so many, is killed.
+        is_killed: fn(usize, &mut SmallRng) -> bool,
+    }
+    /// When the routers are killed, in milliseconds.
+    const KILLED_MS: u64 = 10_000;
+    /// Time after which the directory must not name them, in milliseconds: the 4 s of
+    /// contact that the users' rules ask for, and 3 s.
+    const MAX_LISTED_MS: u64 = 7_000;
+    let cases = [
+        Case { name: "one", loss: 0.0, is_killed: |index, _| index == 40 },
+        Case { name: "one with losses", loss: 0.05, is_killed: |index, _| index == 40 },
+        Case { name: "the strong ones", loss: 0.0, is_killed: |index, _| index < 6 },
+        Case { name: "a failure domain", loss: 0.025, is_killed: |index, _| index % 3 == 0 },
+        Case { name: "over half", loss: 0.025, is_killed: |_, rng| rng.random_bool(0.55) },
+        Case { name: "four fifths", loss: 0.0, is_killed: |_, rng| rng.random_bool(0.8) },
+    ];
+    for (count, seed, cases) in [(59, 1, &cases[..2]), (72, 2, &cases[2..4]), (85, 4, &cases[4..])]
+    {
+        for Case { name, loss, is_killed } in cases {
+            let mut fleet = Fleet::start(count, seed);
+            for (index, router) in fleet.routers.values_mut().enumerate() {
+                let mut own = router.view.own_update().router.clone();
+                own.failure_domain = format!("domain-{}", index % 3).into();
+                router.view = MembershipView::new(own, TIMING);
+            }
+            fleet.loss = *loss;
+            fleet.run(KILLED_MS);
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let killed: Vec<InstanceName> = (0..count)
+                .filter(|index| is_killed(*index, &mut rng))
+                .map(|index| format!("router-{index}").into())
+                .collect();
+            for router in &killed {
+                fleet.routers.remove(router);
+            }
+            fleet.run_from(KILLED_MS, KILLED_MS + MAX_LISTED_MS);
+            for list in fleet.lists(KILLED_MS + MAX_LISTED_MS) {
+                let named: Vec<_> = killed.iter().filter(|router| list.contains(router)).collect();
+                assert!(named.is_empty(), "{count} routers, {name}: still listed: {named:?}");
+                let least = fleet.routers.len().min(4);
+                assert!(list.len() >= least, "{count} routers, {name}: only {}", list.len());
+            }
+        }
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -14,4 +14,6 @@
 pub use ring::{MAX_FULL_MESH_PEERS, RING_PEERS, heartbeat_peers, heartbeat_targets};
 pub use steering::{ADDRESS_LIFETIME_MS, MAX_ADDRESSES, select_routers};
 pub use update::{MemberUpdate, Router};
-pub use view::{ListedInstance, MemberChange, MemberStatus, MembershipTiming, MembershipView};
+pub use view::{
+    HeartbeatPlan, ListedInstance, MemberChange, MemberStatus, MembershipTiming, MembershipView,
+};
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -8,6 +8,7 @@
 use crate::{
     MemberUpdate, Router,
     hash::{HashPurpose, hash},
+    ring::{heartbeat_peers, heartbeat_targets},
 };
 
 /// Time-outs of the membership view.
@@ -51,6 +52,15 @@
     pub to: MemberState,
 }
 
+/// Which members a router exchanges heartbeats with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeartbeatPlan {
+    /// Members to send heartbeats to.
+    pub targets: Vec<InstanceName>,
+    /// Members from which heartbeats are expected.
+    pub expected: Vec<InstanceName>,
+}
+
 /// What a router knows about another member, for the status page.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberStatus {
@@ -283,6 +293,27 @@
         live
     }
 
+    /// Members that this router sends heartbeats to, and those that it expects heartbeats
+    /// from. While some are suspect, also those that take their places if they are dead:
+    /// when many neighbours on the rings die together, the next ones are monitored without
+    /// a wait for the end of each time-out.
+    pub fn heartbeat_plan(&self) -> HeartbeatPlan {
+        let own_name = &self.own_update.router.member.instance;
+        let live = self.live_routers();
+        let mut targets = heartbeat_targets(own_name, &live);
+        let mut expected = heartbeat_peers(own_name, &live);
+        let is_suspect =
+            |router: &&Router| self.state(&router.member.instance) == Some(MemberState::Suspect);
+        if live.iter().any(is_suspect) {
+            let trusted: Vec<&Router> =
+                live.into_iter().filter(|router| !is_suspect(router)).collect();
+            let further = heartbeat_targets(own_name, &trusted).into_iter();
+            targets.extend(further.filter(|name| !targets.contains(name)).collect::<Vec<_>>());
+            expected.extend(heartbeat_peers(own_name, &trusted));
+        }
+        HeartbeatPlan { targets, expected: expected.into_iter().collect() }
+    }
+
     /// Live routers that may own shards. Leaving routers are excluded, so that
     /// their shards move before they stop, unless all live routers are leaving.
     pub fn eligible_owners(&self) -> Vec<&Router> {
