--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -17,12 +17,13 @@
 use http::Request;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use span_member::{MemberChange, MemberUpdate, Router, heartbeat_peers, heartbeat_targets};
+use span_member::{MemberChange, MemberUpdate, Router};
 use span_types::{FailureDomain, InstanceName};
 use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
 use tracing::{info, warn};
 
 use crate::{
+    evacuation::EvacuationNews,
     http_client::HttpClient,
     load_summary::{self, LoadSummary, ServiceLoads},
     metrics::Counter,
@@ -116,6 +117,9 @@
         /// The attempts that it knows of now.
         streams: Vec<StreamAttempt>,
     },
+    /// Tells of the failure domains that the operator has evacuated. Routers of earlier
+    /// software ignore it.
+    Evacuations(EvacuationNews),
 }
 
 /// Routers that a summary covers.
@@ -199,12 +203,10 @@
         let now_ms = self.node.now_ms();
         let (targets, view_hash, changes) = {
             let mut state = self.node.state();
-            let own_name = state.view.own_update().router.member.instance.clone();
             let nearly_suspect = state.view.nearly_suspect(now_ms);
             let live = state.view.live_routers();
-            let monitored: Vec<InstanceName> =
-                heartbeat_peers(&own_name, &live).into_iter().collect();
-            let mut names = heartbeat_targets(&own_name, &live);
+            let plan = state.view.heartbeat_plan();
+            let (mut names, monitored) = (plan.targets, plan.expected);
             names.extend(
                 nearly_suspect.into_iter().filter(|name| !names.contains(name)).collect::<Vec<_>>(),
             );
@@ -242,6 +244,7 @@
             let compares = view_hash.filter(|(_, compared)| index < *compared);
             self.send_heartbeat(ip, name.as_ref(), compares.map(|(hash, _)| hash), true);
         }
+        self.node.share_evacuations();
     }
 
     /// Exchanges load summaries until the process ends. Does nothing in a fleet
@@ -575,6 +578,9 @@
                     Ok(Packet::OriginsLearned { from, streams }) => {
                         self.node.origins_learned(&from, &streams);
                     }
+                    Ok(Packet::Evacuations(news)) => {
+                        self.node.learn_evacuations(from.ip(), news);
+                    }
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
