Limit the requests of all routers to cold upstreams

Cause: nothing in the entry process knew that an upstream is cold. A replica that has just started is empty, so that all routers send there at once.

A cold upstream now counts as one that names a limit: its rate is divided by claims, with evenly spaced send slots. Coldness is known from entries, from other routers' reports and from refused connections; the newest statement counts. Cold upstreams are no homes of prompt prefixes and cost more than others.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -86,7 +86,7 @@
 }
 
 /// A service that requests are forwarded to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: ServiceName,
@@ -94,6 +94,11 @@
     pub max_connections: u32,
     /// Whether the upstreams are model engines.
     pub is_engine: bool,
+    /// Time for which an upstream is cold after its start, in milliseconds.
+    pub cold_start_ms: u64,
+    /// Requests per second that a cold upstream takes from the whole fleet; 0 if it takes
+    /// as many as a warm one.
+    pub cold_per_s: f64,
 }
 
 /// Limits on what callers may send.
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -174,6 +174,7 @@
     pool::connect(address, pool::BUFFER_BYTES).await.map_err(|error| {
         if matches!(error, SendError::Refused(_)) {
             node.upstream_process_ended(upstream);
+            node.upstream_refused(upstream);
         }
         failure(error)
     })
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,7 +1,7 @@
 //! The router process for small instances without a disk: one thread handles
 //! callers' requests, membership and configuration.
 //!
-//! All persistent data is in the platform's store. The modules [`admission`],
+//! All persistent data is in the platform's store. The modules [`admission`], [`cold`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`], [`overload`], [`placement`],
 //! [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`service_admission`],
 //! [`shares`], [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`] and
@@ -10,6 +10,8 @@
 
 pub mod admission;
 pub mod clock;
+pub mod cold;
+mod cold_exchange;
 pub mod config;
 mod crash_exchange;
 pub mod directory;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -192,7 +192,7 @@
         "/upstream-entries" => {
             let answer: UpstreamsAnswer = {
                 let state = node.state();
-                (state.registry.position(), state.registry.shared_entries(node.now_ms()))
+                (state.registry.position(), state.shared_entries(node.now_ms()))
             };
             match postcard::to_stdvec(&answer) {
                 Ok(bytes) => Response::new(EdgeBody::complete(bytes.into())),
@@ -231,6 +231,7 @@
         ("routers", state.live_router_count() as u64),
         ("upstreams", state.registry.len() as u64),
         ("limited_upstreams", state.limited_upstream_count() as u64),
+        ("cold_upstreams", state.cold_upstream_count(node.now_ms()) as u64),
         ("blocked_segments", state.prompt_crashes.blocked_count() as u64),
         ("store_era", state.registry.era()),
         ("unrecorded_streams", state.origin_log.unwritten_len() as u64),
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -16,6 +16,7 @@
 use crate::{
     admission::{AdmissionRequest, Rejection},
     clock::Clock,
+    cold::ColdSource,
     config::Config,
     directory,
     load_summary::{self, LoadSummary, ServiceLoad, ServiceLoads},
@@ -128,9 +129,11 @@
         let settings = Settings { addresses, instance, ..settings };
         let limit = retry_limit(&settings);
         *self.settings.borrow_mut() = Rc::new(settings);
-        for service in self.state().services.values_mut() {
+        let mut state = self.state();
+        for service in state.services.values_mut() {
             service.retry_budget.set_limit(limit);
         }
+        state.sync_cold_terms(self.now_ms(), &self.settings());
         needs_restart
     }
 
@@ -230,18 +233,23 @@
     }
 
     /// Replaces the upstream entries by a list that `replace` takes over, which
-    /// corresponds to `position`.
+    /// corresponds to `position`. `cold_source` says where the list comes from.
     pub(crate) fn replace_entries(
         &self,
         position: Position,
-        source: &'static str,
+        cold_source: ColdSource,
         replace: impl FnOnce(&mut Registry, u64) -> Vec<UpstreamChange>,
     ) {
         let now_ms = self.now_ms();
+        let source = if cold_source == ColdSource::Entry { "store" } else { "peer" };
         let mut state = self.state();
         let (era, known) = (state.registry.era(), state.registry.len());
+        let old_position = state.registry.position();
         let changes = replace(&mut state.registry, now_ms);
         let new_era = state.registry.era();
+        if state.registry.position() != old_position {
+            state.record_listed_cold(now_ms, cold_source);
+        }
         drop(state);
         if new_era > era && known > 0 {
             let revision = position.revision;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -23,6 +23,7 @@
 use tracing::{info, warn};
 
 use crate::{
+    cold::ColdSource,
     http_client::HttpClient,
     load_summary::{self, LoadSummary, ServiceLoads},
     metrics::Counter,
@@ -422,7 +423,7 @@
         let (position, entries): UpstreamsAnswer = postcard::from_bytes(answer.body())
             .map_err(|error| format!("cannot decode: {error}"))?;
         let interval_ms = self.node.settings().entry_renewal_interval_ms;
-        self.node.replace_entries(position, "peer", |registry, now_ms| {
+        self.node.replace_entries(position, ColdSource::Router, |registry, now_ms| {
             registry.replace_if_newer(now_ms, position, entries, interval_ms)
         });
         Ok(())
--- a/crates/edge/src/placement/limits.rs
+++ b/crates/edge/src/placement/limits.rs
@@ -15,6 +15,12 @@
 /// Fraction of the slots from which limits of their upstreams leave no capacity to spare.
 /// Below, the other upstreams can take what workspaces send beyond their share.
 const MIN_LIMITED_SLOTS_FRACTION: f64 = 0.25;
+/// Time after the start of a router in which it may not know the fleet yet, in
+/// milliseconds; covers lost datagrams and a first address that is out of date.
+const JOIN_MS: u64 = 5_000;
+/// Routers that may start at the same moment, after many were killed, and that do not know
+/// each other yet.
+const JOINING_ROUTERS: usize = 40;
 
 impl Placement {
     /// Records what an upstream said about its limit on requests per second. Returns
@@ -47,7 +53,7 @@
         let mut notable = Vec::new();
         for (name, state) in &self.upstreams {
             if self.limits.merge(now_ms, state.name_hash, fleet) {
-                notable.push((name.clone(), self.limits.per_s(state.name_hash)));
+                notable.push((name.clone(), self.limits.named_per_s(state.name_hash)));
             }
         }
         self.apply_limits(now_ms);
@@ -72,21 +78,28 @@
         }
     }
 
-    fn claim(&self, now_ms: u64, state: &UpstreamState) -> Claim {
+    pub(super) fn claim(&self, now_ms: u64, state: &UpstreamState) -> Claim {
         let own =
             if state.is_assigned { self.capacity_fraction / self.upstreams_fraction } else { 0.0 };
         // In a small fleet all routers use each upstream, and their claims add up to one.
         let is_small = self.fleet_routers <= MAX_ROUTERS_PER_UPSTREAM;
+        let joined_fraction = if now_ms < JOIN_MS {
+            (self.fleet_routers as f64 / JOINING_ROUTERS as f64).min(1.0)
+        } else {
+            1.0
+        };
         let hash = xxh3_64_with_seed(&state.name_hash.to_le_bytes(), self.own_hash);
         Claim {
             own,
             min_fleet: if is_small { 1.0 } else { 0.0 },
+            reach: self.reach * joined_fraction,
             phase: hash as f64 / u64::MAX as f64,
             sent_per_s: state.sent.per_s(now_ms),
         }
     }
 
-    /// Send slots of this router at an upstream; none if the upstream names no limit.
+    /// Send slots of this router at an upstream; none if the upstream names no limit and is
+    /// not cold.
     pub(super) fn send_slots(&self, state: &UpstreamState) -> Option<&SendSlots> {
         self.limits.slots(state.name_hash)
     }
--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -1,9 +1,13 @@
 //! Placement: which upstream a request goes to, from the load of each upstream
 //! as this router knows it.
 
+mod cold;
 mod limits;
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, HashMap},
+};
 
 use span_types::{FailureDomain, InstanceName, SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -35,6 +39,9 @@
 /// Time that a full batch costs a request compared to an empty one, in
 /// milliseconds. Weighs the load of an engine against prefill time.
 const FULL_BATCH_COST_MS: f64 = 120.0;
+/// Time that a cold upstream costs a request, in milliseconds. It is slow for some seconds,
+/// as one with a full batch is, so others are taken up to that load.
+const COLD_COST_MS: f64 = FULL_BATCH_COST_MS;
 /// Fraction of the cost away from home that a request has at the second home of its
 /// prefix. Requests for which the home has no slot then meet at one upstream, which
 /// keeps the prefix too. Other upstreams copy it from the home.
@@ -175,6 +182,10 @@
     /// Limits on requests per second that upstreams name. Kept apart from their state,
     /// which goes when an entry lapses.
     limits: UpstreamLimits,
+    /// Part of the fleet's routers that this router hears, itself included, 0 to 1.
+    reach: f64,
+    /// Requests for which a cold upstream had no send slot.
+    held_back: Cell<u64>,
     /// Upstreams that each prompt prefix was sent to, the last one at the end.
     prefix_holders: HashMap<u64, Vec<PrefixHolder>>,
     /// Limit on this router's requests at one upstream, from the limit on
@@ -205,6 +216,8 @@
             upstreams: HashMap::new(),
             pauses_until_ms: HashMap::new(),
             limits: UpstreamLimits::default(),
+            reach: 1.0,
+            held_back: Cell::new(0),
             prefix_holders: HashMap::new(),
             max_own_requests: 1,
             routers_per_upstream: 1,
@@ -470,7 +483,8 @@
         draw: u64,
         allow_full: bool,
     ) -> Option<UpstreamName> {
-        let homes = request.prompt_prefix.map(|prefix| self.home_hashes(prefix));
+        let homes = request.prompt_prefix.map(|prefix| self.home_hashes(now_ms, prefix));
+        let is_held_back = Cell::new(false);
         let unassigned_home =
             request.prompt_prefix.and_then(|prefix| self.unassigned_home(now_ms, prefix));
         let usable = self.upstreams.iter().filter(|(name, state)| {
@@ -479,8 +493,12 @@
                 None => {
                     let may_use =
                         state.is_usable(now_ms) || unassigned_home == Some(state.name_hash);
-                    may_use
-                        && self.send_slots(state).is_none_or(|slots| slots.available(now_ms) > 0)
+                    let may_send =
+                        self.send_slots(state).is_none_or(|slots| slots.available(now_ms) > 0);
+                    if may_use && !may_send && self.is_cold(now_ms, state) {
+                        is_held_back.set(true);
+                    }
+                    may_use && may_send
                 }
             };
             is_usable
@@ -513,10 +531,17 @@
                 / f64::from(state.slots.max(1));
             let prefill_ms = state.pending_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS
                 + state.mean_gap_ms(now_ms);
-            let cost = in_use * FULL_BATCH_COST_MS + prefill_ms + away_from_home_cost + tie_breaker;
+            let cold_cost = if self.is_cold(now_ms, state) { COLD_COST_MS } else { 0.0 };
+            let cost = in_use * FULL_BATCH_COST_MS
+                + prefill_ms
+                + away_from_home_cost
+                + cold_cost
+                + tie_breaker;
             (cost, name)
         });
-        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone())
+        let chosen = costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone());
+        self.held_back.set(self.held_back.get() + u64::from(is_held_back.get()));
+        chosen
     }
 
     /// The upstream from which `upstream` can copy a prompt prefix: one that read the
@@ -547,8 +572,9 @@
         if let Some(holder) = recent.iter().rev().find(|holder| holder.has_read) {
             return Some(holder.upstream.clone());
         }
-        let usable = self.upstreams.iter();
-        let usable = usable.filter(|(_, state)| state.lane == Lane::Short && !state.replaced);
+        let usable = self.upstreams.iter().filter(|(_, state)| {
+            state.lane == Lane::Short && !state.replaced && !self.is_cold(now_ms, state)
+        });
         // If the home itself is chosen, it may have evicted the prefix.
         let others =
             usable.filter(|(name, state)| *name != upstream && state.software_version == *version);
@@ -564,8 +590,8 @@
         if prefix.tokens < MIN_UNASSIGNED_HOME_TOKENS {
             return None;
         }
-        let short = self.upstreams.values().filter(|state| state.lane == Lane::Short);
-        let home = short.max_by_key(|state| state.rendezvous_hash(prefix))?;
+        let candidates = self.home_candidates(now_ms);
+        let home = candidates.max_by_key(|state| state.rendezvous_hash(prefix))?;
         let in_use =
             home.total_requests(now_ms, self.routers_per_upstream) / f64::from(home.slots.max(1));
         let usable = !home.is_assigned
@@ -577,12 +603,12 @@
 
     /// Rendezvous hashes of the homes of a prompt prefix. All routers choose the same
     /// homes without a message.
-    fn home_hashes(&self, prefix: PromptPrefix) -> HomeHashes {
+    fn home_hashes(&self, now_ms: u64, prefix: PromptPrefix) -> HomeHashes {
         let mut homes = HomeHashes { first: 0, second: 0 };
-        let short = self.upstreams.values().filter(|state| state.lane == Lane::Short);
         let allow_unassigned = self.fleet_routers > self.routers_per_upstream
             && prefix.tokens >= MIN_UNASSIGNED_HOME_TOKENS;
-        for state in short.filter(|state| state.is_assigned || allow_unassigned) {
+        let candidates = self.home_candidates(now_ms);
+        for state in candidates.filter(|state| state.is_assigned || allow_unassigned) {
             let hash = state.rendezvous_hash(prefix);
             if hash > homes.first {
                 homes = HomeHashes { first: hash, second: homes.first };
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -46,6 +46,8 @@
     pub started_unix_ms: Option<u64>,
     /// Version of the software that the process runs.
     pub software_version: SoftwareVersion,
+    /// Time for which the upstream was still cold when this entry arrived, in milliseconds.
+    pub cold_remaining_ms: u64,
 }
 
 /// An entry as one router hands it to another.
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -187,6 +187,7 @@
         if now_ms < WARM_UP_MS {
             node.divide_capacity();
         }
+        node.tick_cold_upstreams();
         node.dispatch_all();
     }
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -46,6 +46,11 @@
     pub retry_slack: u64,
     /// Longest lifetime of an answer of the directory, in milliseconds.
     pub directory_lifetime_ms: u64,
+    /// Requests that may reach a cold upstream in any one second, as a multiple of those
+    /// that it takes, and so many more.
+    pub cold_overshoot: f64,
+    /// See `cold_overshoot`.
+    pub cold_slack: f64,
 }
 
 /// Settings of one process.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -13,6 +13,7 @@
 use strum::IntoEnumIterator;
 
 use crate::{
+    cold::{ColdSource, ColdStatement},
     config::Config,
     directory::ConfigReports,
     lane::Lane,
@@ -506,6 +507,7 @@
                 service.waiting.remove(&ticket);
             }
         }
+        self.sync_cold_terms(now_ms, settings);
         self.sync_upstreams(now_ms);
     }
 
@@ -521,8 +523,16 @@
                 software_version: &entry.software_version,
                 failure_domain: &entry.failure_domain,
             });
-            service.placement.set_upstreams(ready);
-            service.placement.apply_limits(now_ms);
+            let placement = &mut service.placement;
+            let new: Vec<_> =
+                self.registry.ready(name).filter(|(name, _)| !placement.contains(name)).collect();
+            placement.set_upstreams(ready);
+            placement.apply_limits(now_ms);
+            for (name, entry) in new {
+                let remaining_ms = entry.cold_remaining_ms;
+                let statement = ColdStatement::new(now_ms, remaining_ms, ColdSource::Entry);
+                placement.record_cold(now_ms, name, statement);
+            }
         }
         self.sync_fleet();
     }
@@ -543,6 +553,7 @@
             let accepted = f64::from(service_config.max_connections);
             let max_connections = accepted * MAX_CONNECTIONS_FRACTION * live_fraction;
             service.placement.set_fleet(&own_name, live, max_connections);
+            service.placement.set_reach(live_fraction);
             service.placement.set_gap_target(config.gap_target_ms(name));
         }
     }
--- a/crates/edge/src/store_sync.rs
+++ b/crates/edge/src/store_sync.rs
@@ -7,6 +7,7 @@
 use tracing::{info, warn};
 
 use crate::{
+    cold::ColdSource,
     metrics::Counter,
     node::Node,
     registry::UpstreamChange,
@@ -198,7 +199,7 @@
     let entries = items.into_iter().filter_map(|event| Some((event.name, event.entry?)));
     let entries = entries.collect();
     let interval_ms = node.settings().entry_renewal_interval_ms;
-    node.replace_entries(position, "store", |registry, now_ms| {
+    node.replace_entries(position, ColdSource::Entry, |registry, now_ms| {
         registry.replace_from_store(now_ms, position, entries, interval_ms)
     });
 }
@@ -215,7 +216,11 @@
         }
         for UpstreamEvent { name, entry } in watched.events {
             changes.extend(match entry {
-                Some(entry) => state.registry.update(name, entry),
+                Some(entry) => {
+                    let change = state.registry.update(name.clone(), entry);
+                    state.record_entry_cold(now_ms, &name);
+                    change
+                }
                 None => state.registry.remove(now_ms, &name),
             });
         }
--- a/crates/edge/src/upstream_limit.rs
+++ b/crates/edge/src/upstream_limit.rs
@@ -6,12 +6,19 @@
 //! upstream, spread evenly over time. A slot lapses if it is not used, so that idle routers
 //! do not save up requests that they would all send at once. The slots of many routers may
 //! still meet by chance, so none is used while all routers together have sent too much.
+//!
+//! A cold upstream counts as one that names a limit. There, any one second counts, and also
+//! requests of routers that others do not hear, so slots hardly move and no part grows with
+//! the routers that are out of reach.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
-use crate::load_summary::Summary;
+use crate::{
+    cold::{ColdChange, ColdReport, ColdStatement, ColdTerms},
+    load_summary::Summary,
+};
 
 /// Change of a limit from which it is logged, as a fraction of the limit.
 const LOGGED_CHANGE_FRACTION: f64 = 0.2;
@@ -42,6 +49,9 @@
 /// Time after a limit became known in which the claims of other routers may not be known,
 /// in milliseconds; covers the way over two collectors.
 const CLAIMS_SETTLE_MS: u64 = 2_000;
+/// What the claims to a cold upstream add up to at most, while no other router has reported
+/// its own. How many routers use an upstream is random.
+const MAX_UNREPORTED_CLAIMS: f64 = 1.5;
 /// Time for which others are told that a limit has ended, in milliseconds.
 const REPORT_END_MS: u64 = 3_000;
 /// Time after which a limit that ended is forgotten, and that of an upstream without an
@@ -61,6 +71,9 @@
 }
 
 impl LimitStatement {
+    /// The statement about an upstream that has not answered yet.
+    const NONE: Self = Self { per_s: None, sent_ms: 0, received_ms: 0 };
+
     /// Whether this statement replaces `known`. Answers arrive out of order, so only one
     /// to a request that was sent after `known` arrived is certainly newer. Otherwise the
     /// stricter statement counts.
@@ -100,18 +113,25 @@
     claim: f32,
     /// Requests that these routers sent in the last `SPAN_MS`.
     sent: u32,
+    /// Whether the upstream is cold, if it was lately.
+    cold: Option<ColdReport>,
 }
 
 impl LimitReport {
     fn new(now_ms: u64, limit: &KnownLimit) -> Self {
-        let age_ms = |at_ms: u64| u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX);
+        // Clocks of routers start with them, so the time of no statement is older than all.
+        let age_ms = |at_ms: u64| match at_ms {
+            0 => u32::MAX,
+            _ => u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX),
+        };
         let statement = &limit.statement;
         Self {
             per_s: statement.per_s,
             sent_age_ms: age_ms(statement.sent_ms),
             received_age_ms: age_ms(statement.received_ms),
-            claim: if statement.per_s.is_some() { limit.claim as f32 } else { 0.0 },
+            claim: if limit.is_limited(now_ms) { limit.claim as f32 } else { 0.0 },
             sent: limit.slots.as_ref().map_or(0, |slots| slots.sent_in_span(now_ms)),
+            cold: limit.cold.map(|cold| ColdReport::new(now_ms, &cold)),
         }
     }
 
@@ -128,6 +148,7 @@
         Self {
             sent_age_ms: self.sent_age_ms.saturating_add(age_ms),
             received_age_ms: self.received_age_ms.saturating_add(age_ms),
+            cold: self.cold.map(|cold| cold.aged(age_ms)),
             ..self
         }
     }
@@ -162,10 +183,17 @@
                 continue;
             };
             let (claim, sent) = (known.claim + report.claim, known.sent + report.sent);
+            let cold = match (known.cold, report.cold) {
+                (Some(known), Some(new)) => {
+                    let is_newer = new.statement(NOW_MS).replaces(&known.statement(NOW_MS));
+                    Some(if is_newer { new } else { known })
+                }
+                (known, new) => known.or(new),
+            };
             if report.statement(NOW_MS).replaces(&known.statement(NOW_MS)) {
                 *known = report;
             }
-            (known.claim, known.sent) = (claim, sent);
+            (known.claim, known.sent, known.cold) = (claim, sent, cold);
         }
     }
 
@@ -186,7 +214,13 @@
     claim: f64,
     /// Claims of all routers, as far as they have reported them.
     fleet_claim: f64,
-    /// Present while the upstream names a limit.
+    /// Whether the upstream is cold; none if it was not lately.
+    cold: Option<ColdStatement>,
+    /// Whether the upstream counted as cold when that was last asked for.
+    counted_as_cold: bool,
+    /// The limit that is applied, in requests per second from all routers.
+    applied_per_s: Option<f64>,
+    /// Present while a limit is applied.
     slots: Option<SendSlots>,
 }
 
@@ -198,21 +232,50 @@
             present_ms: now_ms,
             claim: 0.0,
             fleet_claim: 0.0,
+            cold: None,
+            counted_as_cold: false,
+            applied_per_s: None,
             slots: None,
         }
     }
 
-    /// The limit that is applied, in requests per second from all routers.
-    fn per_s(&self) -> Option<f64> {
+    fn is_cold(&self, now_ms: u64) -> bool {
+        self.cold.is_some_and(|cold| cold.is_cold(now_ms))
+    }
+
+    /// Whether the upstream names a limit or is cold.
+    fn is_limited(&self, now_ms: u64) -> bool {
+        self.statement.per_s.is_some() || self.is_cold(now_ms)
+    }
+
+    /// The limit that the upstream names, in requests per second.
+    fn named_per_s(&self) -> Option<f64> {
         self.statement.per_s.map(|per_s| per_s.max(MIN_LIMIT_PER_S))
     }
 
     /// Part of the limit that this router may use, 0 to 1.
-    fn own_fraction(&self, now_ms: u64, min_fleet_claim: f64) -> f64 {
+    fn own_fraction(&self, now_ms: u64, claim: &Claim) -> f64 {
+        let is_cold = self.is_cold(now_ms);
         let is_new = now_ms.saturating_sub(self.since_ms) < CLAIMS_SETTLE_MS;
-        let min_fleet_claim = if is_new { min_fleet_claim.max(1.0) } else { min_fleet_claim };
+        let is_unreported = self.fleet_claim <= self.claim;
+        let min_fleet_claim = if is_cold && claim.min_fleet == 0.0 && is_unreported {
+            MAX_UNREPORTED_CLAIMS
+        } else if is_new || is_cold {
+            1.0
+        } else {
+            claim.min_fleet
+        };
         let fleet_claim = self.fleet_claim.max(self.claim).max(min_fleet_claim);
-        if fleet_claim > 0.0 { self.claim / fleet_claim } else { 0.0 }
+        let fraction = if fleet_claim > 0.0 { self.claim / fleet_claim } else { 0.0 };
+        if is_cold { fraction * claim.reach } else { fraction }
+    }
+
+    /// When what is known of the upstream was last of use, in milliseconds.
+    fn last_used_ms(&self, now_ms: u64) -> u64 {
+        if self.is_limited(now_ms) {
+            return self.present_ms;
+        }
+        self.statement.received_ms.max(self.cold.map_or(0, |cold| cold.until_ms))
     }
 }
 
@@ -223,6 +286,8 @@
     pub own: f64,
     /// What the claims of all routers add up to at least.
     pub min_fleet: f64,
+    /// Part of the fleet that this router and those that it hears are, 0 to 1.
+    pub reach: f64,
     /// Part of an interval until its first send slot, 0 to 1. Differs between routers, so
     /// that their slots spread.
     pub phase: f64,
@@ -234,6 +299,8 @@
 #[derive(Debug, Default)]
 pub struct UpstreamLimits {
     limits: HashMap<u64, KnownLimit>,
+    /// What cold upstreams tolerate; none if their service states nothing.
+    cold_terms: Option<ColdTerms>,
 }
 
 impl UpstreamLimits {
@@ -256,12 +323,69 @@
         statement.is_notable_after(&old)
     }
 
+    /// Sets what cold upstreams tolerate; none if there is no such limit.
+    pub fn set_cold_terms(&mut self, terms: Option<ColdTerms>) {
+        self.cold_terms = terms;
+    }
+
+    /// What cold upstreams tolerate.
+    pub fn cold_terms(&self) -> Option<ColdTerms> {
+        self.cold_terms
+    }
+
+    /// Records whether an upstream is cold.
+    pub fn record_cold(&mut self, now_ms: u64, upstream: u64, statement: ColdStatement) {
+        let is_cold = statement.is_cold(now_ms);
+        if self.cold_terms.is_none() || !is_cold && !self.limits.contains_key(&upstream) {
+            return;
+        }
+        let known = self.limits.entry(upstream);
+        let known = known.or_insert_with(|| KnownLimit::new(now_ms, LimitStatement::NONE));
+        let was_cold = known.is_cold(now_ms);
+        let replaces = known.cold.is_none_or(|cold| statement.replaces(&cold));
+        if !replaces || !is_cold && !was_cold {
+            return;
+        }
+        if !known.is_limited(now_ms) {
+            known.since_ms = now_ms;
+        }
+        known.cold = Some(statement);
+    }
+
+    /// Whether an upstream is cold.
+    pub fn is_cold(&self, now_ms: u64, upstream: u64) -> bool {
+        self.limits.get(&upstream).is_some_and(|known| known.is_cold(now_ms))
+    }
+
+    /// Time for which an upstream is still cold, in milliseconds; 0 if it is warm.
+    pub fn cold_remaining_ms(&self, now_ms: u64, upstream: u64) -> u64 {
+        let cold = self.limits.get(&upstream).and_then(|known| known.cold);
+        cold.map_or(0, |cold| cold.until_ms.saturating_sub(now_ms))
+    }
+
+    /// Number of cold upstreams.
+    pub fn cold_count(&self, now_ms: u64) -> usize {
+        self.limits.values().filter(|known| known.is_cold(now_ms)).count()
+    }
+
+    /// The change of whether an upstream is cold since this was last asked for; none if
+    /// there is none.
+    pub fn take_cold_change(&mut self, now_ms: u64, upstream: u64) -> Option<ColdChange> {
+        let known = self.limits.get_mut(&upstream)?;
+        let (statement, is_cold) = (known.cold?, known.is_cold(now_ms));
+        let was_cold = std::mem::replace(&mut known.counted_as_cold, is_cold);
+        (is_cold != was_cold).then_some(ColdChange { statement, is_cold })
+    }
+
     /// Takes over what the fleet reports about an upstream. Returns whether that is worth a
     /// log line.
     pub fn merge(&mut self, now_ms: u64, upstream: u64, fleet: &LimitSummary) -> bool {
         let report = fleet.0.get(&(upstream as u32));
         let is_notable =
             report.is_some_and(|report| self.record(now_ms, upstream, report.statement(now_ms)));
+        if let Some(cold) = report.and_then(|report| report.cold) {
+            self.record_cold(now_ms, upstream, cold.statement(now_ms));
+        }
         if let Some(known) = self.limits.get_mut(&upstream) {
             known.fleet_claim = report.map_or(0.0, |report| report.claim.into());
             if let Some(slots) = &mut known.slots {
@@ -277,19 +401,26 @@
             return;
         };
         (known.claim, known.present_ms) = (claim.own, now_ms);
-        let Some(per_s) = known.per_s() else {
+        let cold_terms = self.cold_terms.filter(|_| known.is_cold(now_ms));
+        let cold_per_s = cold_terms.map(|terms| terms.rate_per_s());
+        known.applied_per_s = match (known.named_per_s(), cold_per_s) {
+            (Some(named), Some(cold)) => Some(named.min(cold)),
+            (named, cold) => named.or(cold),
+        };
+        let Some(per_s) = known.applied_per_s else {
             known.slots = None;
             return;
         };
-        let own_per_s = per_s * known.own_fraction(now_ms, claim.min_fleet);
+        let own_per_s = per_s * known.own_fraction(now_ms, &claim);
         let slots = known.slots.get_or_insert_with(|| {
             SendSlots::new(now_ms, own_per_s, claim.phase, claim.sent_per_s)
         });
         slots.set_rate(now_ms, own_per_s);
         slots.set_fleet_limit(per_s);
+        slots.set_cold_burst(cold_terms.map(|terms| terms.burst_ms()));
     }
 
-    /// Send slots of this router at an upstream; none if the upstream names no limit.
+    /// Send slots of this router at an upstream; none if no limit is applied.
     pub fn slots(&self, upstream: u64) -> Option<&SendSlots> {
         self.limits.get(&upstream)?.slots.as_ref()
     }
@@ -302,17 +433,23 @@
         }
     }
 
-    /// Limit of an upstream, in requests per second from all routers; none if it names
-    /// none.
+    /// Limit that is applied to an upstream, in requests per second from all routers; none
+    /// if there is none.
     pub fn per_s(&self, upstream: u64) -> Option<f64> {
-        self.limits.get(&upstream)?.per_s()
+        self.limits.get(&upstream)?.applied_per_s
+    }
+
+    /// Limit that an upstream names, in requests per second from all routers; none if it
+    /// names none.
+    pub fn named_per_s(&self, upstream: u64) -> Option<f64> {
+        self.limits.get(&upstream)?.named_per_s()
     }
 
     /// What this router reports to others.
     pub fn summary(&self, now_ms: u64) -> LimitSummary {
         let limits = self.limits.iter().filter(|(_, known)| {
-            let age_ms = now_ms.saturating_sub(known.statement.received_ms);
-            known.statement.per_s.is_some() || age_ms < REPORT_END_MS
+            known.is_limited(now_ms)
+                || now_ms.saturating_sub(known.last_used_ms(now_ms)) < REPORT_END_MS
         });
         let reports =
             limits.map(|(upstream, known)| (*upstream as u32, LimitReport::new(now_ms, known)));
@@ -336,11 +473,8 @@
 
     /// Drops limits that ended long ago, and those of upstreams that are gone.
     pub fn expire(&mut self, now_ms: u64) {
-        self.limits.retain(|_, known| {
-            let ended = known.statement.per_s.is_none();
-            let last_ms = if ended { known.statement.received_ms } else { known.present_ms };
-            now_ms.saturating_sub(last_ms) < FORGET_AFTER_MS
-        });
+        self.limits
+            .retain(|_, known| now_ms.saturating_sub(known.last_used_ms(now_ms)) < FORGET_AFTER_MS);
     }
 }
 
@@ -362,6 +496,9 @@
     /// Requests that all routers sent in the span that ended at `fleet_sent_at_ms`.
     fleet_sent: u32,
     fleet_sent_at_ms: u64,
+    /// Time by which a slot may be used late or early, in milliseconds, if the upstream is
+    /// cold.
+    cold_burst_ms: Option<f64>,
 }
 
 impl SendSlots {
@@ -378,9 +515,16 @@
             allowed_in_span: f64::INFINITY,
             fleet_sent: 0,
             fleet_sent_at_ms: now_ms,
+            cold_burst_ms: None,
         }
     }
 
+    /// Sets the time by which a slot may be used late, or early by a stream that continues,
+    /// in milliseconds, for a cold upstream; none for others.
+    pub fn set_cold_burst(&mut self, burst_ms: Option<f64>) {
+        self.cold_burst_ms = burst_ms;
+    }
+
     /// Changes this router's rate. The wait for the next slot becomes shorter or longer
     /// with it.
     pub fn set_rate(&mut self, now_ms: u64, own_per_s: f64) {
@@ -427,7 +571,7 @@
 
     /// The oldest slot that was not used and has not lapsed.
     fn next_slot_ms(&self, now_ms: u64) -> f64 {
-        let oldest_ms = now_ms as f64 - SLOT_LIFETIME_MS;
+        let oldest_ms = now_ms as f64 - self.cold_burst_ms.unwrap_or(SLOT_LIFETIME_MS);
         let lapsed = ((oldest_ms - self.next_ms) / self.interval_ms).ceil().max(0.0);
         self.next_ms + lapsed * self.interval_ms
     }
@@ -448,12 +592,16 @@
 
     /// Time before a slot at which any request may use it.
     fn early_ms(&self, now_ms: u64) -> f64 {
-        if self.used_fraction(now_ms) < FREE_USED_FRACTION { EARLY_SLOT_MS } else { 0.0 }
+        // At a cold upstream all routers would use slots early at once.
+        let has_room =
+            self.cold_burst_ms.is_none() && self.used_fraction(now_ms) < FREE_USED_FRACTION;
+        if has_room { EARLY_SLOT_MS } else { 0.0 }
     }
 
     /// Time until a stream that continues may be sent, in milliseconds.
     pub fn wait_to_continue_ms(&self, now_ms: u64) -> u64 {
-        self.wait_until_ms(now_ms, self.next_slot_ms(now_ms) - EARLY_SLOT_MS)
+        let early_ms = self.cold_burst_ms.unwrap_or(EARLY_SLOT_MS);
+        self.wait_until_ms(now_ms, self.next_slot_ms(now_ms) - early_ms)
     }
 
     fn wait_until_ms(&self, now_ms: u64, at_ms: f64) -> u64 {
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -24,6 +24,7 @@
         leaving: false,
         started_unix_ms: Some(1),
         software_version: "v1".into(),
+        cold_remaining_ms: 0,
     }
 }
 
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -27,6 +27,8 @@
             retry_window_ms: 10_000,
             retry_slack: 52,
             directory_lifetime_ms: 5_000,
+            cold_overshoot: 1.5,
+            cold_slack: 5.0,
         },
         is_first_start: false,
         entry_renewal_interval_ms: 1_200,
