--- a/crates/edge/src/upstream_limit.rs
+++ b/crates/edge/src/upstream_limit.rs
@@ -301,6 +301,9 @@
     limits: HashMap<u64, KnownLimit>,
     /// What cold upstreams tolerate; none if their service states nothing.
     cold_terms: Option<ColdTerms>,
+    /// Newest statements that an upstream is warm. Older ones by which it is cold may come
+    /// later.
+    warm: HashMap<u64, ColdStatement>,
 }
 
 impl UpstreamLimits {
@@ -335,17 +338,24 @@
 
     /// Records whether an upstream is cold.
     pub fn record_cold(&mut self, now_ms: u64, upstream: u64, statement: ColdStatement) {
-        let is_cold = statement.is_cold(now_ms);
-        if self.cold_terms.is_none() || !is_cold && !self.limits.contains_key(&upstream) {
+        if self.cold_terms.is_none() {
             return;
         }
-        let known = self.limits.entry(upstream);
-        let known = known.or_insert_with(|| KnownLimit::new(now_ms, LimitStatement::NONE));
-        let was_cold = known.is_cold(now_ms);
-        let replaces = known.cold.is_none_or(|cold| statement.replaces(&cold));
-        if !replaces || !is_cold && !was_cold {
+        let known = self.limits.get(&upstream).and_then(|known| known.cold);
+        let warm = self.warm.get(&upstream).copied();
+        let replaces = |old: ColdStatement| statement.replaces(&old);
+        if !known.is_none_or(replaces) || !warm.is_none_or(replaces) {
             return;
         }
+        if !statement.is_cold(now_ms) {
+            self.warm.insert(upstream, statement);
+            if let Some(known) = self.limits.get_mut(&upstream).filter(|at| at.is_cold(now_ms)) {
+                known.cold = Some(statement);
+            }
+            return;
+        }
+        let known = self.limits.entry(upstream);
+        let known = known.or_insert_with(|| KnownLimit::new(now_ms, LimitStatement::NONE));
         if !known.is_limited(now_ms) {
             known.since_ms = now_ms;
         }
@@ -469,10 +479,12 @@
     /// Drops what is known about an upstream, whose process has been replaced.
     pub fn forget(&mut self, upstream: u64) {
         self.limits.remove(&upstream);
+        self.warm.remove(&upstream);
     }
 
     /// Drops limits that ended long ago, and those of upstreams that are gone.
     pub fn expire(&mut self, now_ms: u64) {
+        self.warm.retain(|_, warm| now_ms.saturating_sub(warm.stated_ms) < FORGET_AFTER_MS);
         self.limits
             .retain(|_, known| now_ms.saturating_sub(known.last_used_ms(now_ms)) < FORGET_AFTER_MS);
     }
