--- a/crates/edge/src/cold_exchange.rs
+++ b/crates/edge/src/cold_exchange.rs
@@ -6,7 +6,6 @@
 use crate::{
     cold::{ColdSource, ColdStatement, ColdTerms},
     config::Service,
-    metrics::Counter,
     node::Node,
     registry::SharedEntry,
     settings::Settings,
@@ -100,16 +99,13 @@
         let now_ms = self.now_ms();
         let mut state = self.state();
         let mut changes = Vec::new();
-        let mut held_back = 0;
         for service in state.services.values_mut() {
             let changed = service.placement.take_cold_changes(now_ms);
             if !changed.is_empty() {
                 service.placement.apply_limits(now_ms);
             }
-            held_back += service.placement.take_held_back();
             changes.extend(changed);
         }
-        state.metrics.add(Counter::ColdHeldBack, held_back);
         drop(state);
         for (upstream, change) in changes {
             let ColdStatement { until_ms, stated_ms, source } = change.statement;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -43,7 +43,7 @@
     UpstreamFailures,
     /// Answers in which an upstream named a limit on requests per second.
     LimitedAnswers,
-    /// Requests for which a cold upstream had no send slot.
+    /// Requests that found no free slot while a cold upstream had no send slot.
     ColdHeldBack,
     /// Processes of upstreams that were found to have ended.
     UpstreamProcessesEnded,
@@ -121,11 +121,6 @@
         self.counters[counter as usize] += 1;
     }
 
-    /// Adds to a counter.
-    pub fn add(&mut self, counter: Counter, count: u64) {
-        self.counters[counter as usize] += count;
-    }
-
     /// Sets a counter whose value is kept elsewhere.
     pub fn set(&mut self, counter: Counter, value: u64) {
         self.counters[counter as usize] = value;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -373,7 +373,7 @@
     ) -> Result<(LaneTicket, oneshot::Receiver<ChosenUpstream>), NoSlot> {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        let State { services, rng, .. } = &mut *state;
+        let State { services, rng, metrics, .. } = &mut *state;
         let service_state = services.get_mut(service).ok_or(NoSlot::NoUpstream)?;
         let ServiceState { placement, retry_budget, admission, waiting, load_meter } =
             service_state;
@@ -388,6 +388,9 @@
         }
         let lane = placement.lane(prefill_tokens);
         let slots = placement.slot_counts(now_ms, lane);
+        if slots.free == 0 && placement.is_held_back(now_ms) {
+            metrics.count(Counter::ColdHeldBack);
+        }
         let (sender, receiver) = oneshot::channel();
         let prompt_prefix = work.prompt_prefix;
         if continued_version.is_some() {
--- a/crates/edge/src/placement/cold.rs
+++ b/crates/edge/src/placement/cold.rs
@@ -63,10 +63,15 @@
         self.limits.cold_count(now_ms)
     }
 
-    /// Requests that went elsewhere, or waited, since this was last asked for, because a
-    /// cold upstream had no send slot for them.
-    pub fn take_held_back(&mut self) -> u64 {
-        self.held_back.take()
+    /// Whether a cold upstream of this router would take a further request if it had a send
+    /// slot.
+    pub fn is_held_back(&self, now_ms: u64) -> bool {
+        let mut used = self.upstreams.values().filter(|state| state.is_usable(now_ms));
+        !self.limits.is_empty()
+            && used.any(|state| {
+                let slots = self.send_slots(state).filter(|_| self.is_cold(now_ms, state));
+                slots.is_some_and(|slots| slots.available(now_ms) == 0)
+            })
     }
 
     pub(super) fn is_cold(&self, now_ms: u64, state: &UpstreamState) -> bool {
--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -4,10 +4,7 @@
 mod cold;
 mod limits;
 
-use std::{
-    cell::Cell,
-    collections::{BTreeMap, HashMap},
-};
+use std::collections::{BTreeMap, HashMap};
 
 use span_types::{FailureDomain, InstanceName, SoftwareVersion, UpstreamName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -184,8 +181,6 @@
     limits: UpstreamLimits,
     /// Part of the fleet's routers that this router hears, itself included, 0 to 1.
     reach: f64,
-    /// Requests for which a cold upstream had no send slot.
-    held_back: Cell<u64>,
     /// Upstreams that each prompt prefix was sent to, the last one at the end.
     prefix_holders: HashMap<u64, Vec<PrefixHolder>>,
     /// Limit on this router's requests at one upstream, from the limit on
@@ -217,7 +212,6 @@
             pauses_until_ms: HashMap::new(),
             limits: UpstreamLimits::default(),
             reach: 1.0,
-            held_back: Cell::new(0),
             prefix_holders: HashMap::new(),
             max_own_requests: 1,
             routers_per_upstream: 1,
@@ -484,7 +478,6 @@
         allow_full: bool,
     ) -> Option<UpstreamName> {
         let homes = request.prompt_prefix.map(|prefix| self.home_hashes(now_ms, prefix));
-        let is_held_back = Cell::new(false);
         let unassigned_home =
             request.prompt_prefix.and_then(|prefix| self.unassigned_home(now_ms, prefix));
         let usable = self.upstreams.iter().filter(|(name, state)| {
@@ -493,12 +486,8 @@
                 None => {
                     let may_use =
                         state.is_usable(now_ms) || unassigned_home == Some(state.name_hash);
-                    let may_send =
-                        self.send_slots(state).is_none_or(|slots| slots.available(now_ms) > 0);
-                    if may_use && !may_send && self.is_cold(now_ms, state) {
-                        is_held_back.set(true);
-                    }
-                    may_use && may_send
+                    may_use
+                        && self.send_slots(state).is_none_or(|slots| slots.available(now_ms) > 0)
                 }
             };
             is_usable
@@ -539,9 +528,7 @@
                 + tie_breaker;
             (cost, name)
         });
-        let chosen = costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone());
-        self.held_back.set(self.held_back.get() + u64::from(is_held_back.get()));
-        chosen
+        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone())
     }
 
     /// The upstream from which `upstream` can copy a prompt prefix: one that read the
