--- a/crates/edge/src/cold.rs
+++ b/crates/edge/src/cold.rs
@@ -3,6 +3,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Longest time for which an upstream can say that it stays cold, in milliseconds. A longer
+/// one is taken for a mistake.
+const MAX_REMAINING_MS: u64 = 3_600_000;
 /// Part of the requests that may reach a cold upstream in any one second at which all routers
 /// together aim at most. The rest is for their send slots to meet by chance.
 const MAX_RATE_FRACTION: f64 = 0.75;
@@ -72,7 +75,7 @@
 impl ColdStatement {
     /// The statement that an upstream is cold for a further `remaining_ms`, 0 if it is warm.
     pub fn new(stated_ms: u64, remaining_ms: u64, source: ColdSource) -> Self {
-        Self { until_ms: stated_ms.saturating_add(remaining_ms), stated_ms, source }
+        Self { until_ms: stated_ms + remaining_ms.min(MAX_REMAINING_MS), stated_ms, source }
     }
 
     /// Whether the upstream is cold.
--- a/crates/edge/src/cold_exchange.rs
+++ b/crates/edge/src/cold_exchange.rs
@@ -81,15 +81,28 @@
     /// Records that an upstream refused a connection: its process has ended, and one that
     /// comes back under its name has just started.
     pub(crate) fn upstream_refused(&self, upstream: &UpstreamName) {
+        self.record_cold(upstream, ColdSource::Refused, |terms| terms.start_ms);
+    }
+
+    /// Records that an upstream stated in an answer for how long it is still cold.
+    pub(crate) fn upstream_states_cold(&self, upstream: &UpstreamName, remaining_ms: u64) {
+        self.record_cold(upstream, ColdSource::Answer, |_| remaining_ms);
+    }
+
+    fn record_cold(
+        &self,
+        upstream: &UpstreamName,
+        source: ColdSource,
+        remaining_ms: impl Fn(&ColdTerms) -> u64,
+    ) {
         let now_ms = self.now_ms();
         let mut state = self.state();
         let service = state.registry.get(upstream).map(|entry| entry.service.clone());
-        let service = service.and_then(|service| state.services.get_mut(&service));
-        let Some(service) = service else {
+        let Some(service) = service.and_then(|service| state.services.get_mut(&service)) else {
             return;
         };
         if let Some(terms) = service.placement.cold_terms() {
-            let statement = ColdStatement::new(now_ms, terms.start_ms, ColdSource::Refused);
+            let statement = ColdStatement::new(now_ms, remaining_ms(&terms), source);
             service.placement.record_cold(now_ms, upstream, statement);
         }
     }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -144,6 +144,10 @@
     if is_own && head::states_leaving(&parts.headers, &node.wire_format.headers) {
         node.upstream_states_leaving(upstream);
     }
+    let cold_remaining_ms = head::cold_remaining_ms(&parts.headers, &node.wire_format.headers);
+    if let Some(remaining_ms) = cold_remaining_ms.filter(|_| is_own) {
+        node.upstream_states_cold(upstream, remaining_ms);
+    }
     let pause_ms = requested_pause_ms(parts.status, &parts.headers);
     if let Some(pause_ms) = pause_ms.filter(|_| is_own) {
         node.upstream_requests_pause(upstream, pause_ms);
--- a/crates/edge/src/forward/head.rs
+++ b/crates/edge/src/forward/head.rs
@@ -170,6 +170,12 @@
     values.any(|value| value.as_bytes().trim_ascii() == b"1")
 }
 
+/// Time for which the upstream of an answer is still cold, in milliseconds; none if the
+/// answer does not say.
+pub(crate) fn cold_remaining_ms(headers: &HeaderMap, names: &HeaderNames) -> Option<u64> {
+    single(headers, &names.cold_remaining)?.to_str().ok()?.trim().parse().ok()
+}
+
 /// Limit in requests per second that an answer names; none if it names none.
 ///
 /// # Errors
@@ -217,7 +223,7 @@
 pub(crate) fn response_head(mut parts: response::Parts, names: &HeaderNames) -> response::Parts {
     remove_hop_by_hop(&mut parts.headers);
     // These concern routers, not callers.
-    for name in [&names.load_report, &names.leaving, &names.request_limit] {
+    for name in [&names.load_report, &names.leaving, &names.request_limit, &names.cold_remaining] {
         parts.headers.remove(name);
     }
     parts.version = Version::HTTP_11;
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -32,6 +32,8 @@
     /// Requests per second that an upstream takes from all routers together, for as long
     /// as its answers name the limit.
     pub request_limit: HeaderName,
+    /// Time for which an upstream is still cold, in milliseconds.
+    pub cold_remaining: HeaderName,
     /// With the value `1`, marks every answer of an upstream that is leaving.
     pub leaving: HeaderName,
     /// Id of the last event that the caller of a stream has.
