--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -145,6 +145,10 @@
     if is_own && head::states_leaving(&parts.headers, &node.wire_format.headers) {
         node.upstream_states_leaving(upstream);
     }
+    let cold_remaining_ms = head::cold_remaining_ms(&parts.headers, &node.wire_format.headers);
+    if let Some(remaining_ms) = cold_remaining_ms.filter(|_| is_own) {
+        node.upstream_states_cold(upstream, remaining_ms);
+    }
     let pause_ms = requested_pause_ms(parts.status, &parts.headers);
     if let Some(pause_ms) = pause_ms.filter(|_| is_own) {
         node.upstream_requests_pause(upstream, pause_ms);
@@ -175,6 +179,7 @@
     let connection = pool::connect(address, pool::BUFFER_BYTES).await.map_err(|error| {
         if matches!(error, SendError::Refused(_)) {
             node.upstream_process_ended(upstream);
+            node.upstream_refused(upstream);
         }
         failure(error)
     })?;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,6 +50,8 @@
     UpstreamFailures,
     /// Answers in which an upstream named a limit on requests per second.
     LimitedAnswers,
+    /// Requests that found no free slot while a cold upstream had no send slot.
+    ColdHeldBack,
     /// Processes of upstreams that were found to have ended.
     UpstreamProcessesEnded,
     /// Connections opened to upstreams.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -16,6 +16,7 @@
 use crate::{
     admission::{AdmissionRequest, Rejection},
     clock::Clock,
+    cold::ColdSource,
     config::{Config, Route},
     directory,
     load_summary::{self, LoadSummary, ServiceLoad, ServiceLoads},
@@ -140,6 +141,7 @@
             state.evacuations.set_enabled(has_evacuations);
             state.sync_upstreams(now_ms);
         }
+        state.sync_cold_terms(self.now_ms(), &self.settings());
         needs_restart
     }
 
@@ -239,18 +241,23 @@
     }
 
     /// Replaces the upstream entries by a list that `replace` takes over, which
-    /// corresponds to `position`.
+    /// corresponds to `position`. `cold_source` says where the list comes from.
     pub(crate) fn replace_entries(
         &self,
         position: Position,
-        source: &'static str,
+        cold_source: ColdSource,
         replace: impl FnOnce(&mut Registry, u64) -> Vec<UpstreamChange>,
     ) {
         let now_ms = self.now_ms();
+        let source = if cold_source == ColdSource::Entry { "store" } else { "peer" };
         let mut state = self.state();
         let (era, known) = (state.registry.era(), state.registry.len());
+        let old_position = state.registry.position();
         let changes = replace(&mut state.registry, now_ms);
         let new_era = state.registry.era();
+        if state.registry.position() != old_position {
+            state.record_listed_cold(now_ms, cold_source);
+        }
         drop(state);
         if new_era > era && known > 0 {
             let revision = position.revision;
@@ -374,7 +381,7 @@
     ) -> Result<(LaneTicket, oneshot::Receiver<ChosenUpstream>), NoSlot> {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        let State { services, rng, .. } = &mut *state;
+        let State { services, rng, metrics, .. } = &mut *state;
         let service_state = services.get_mut(service).ok_or(NoSlot::NoUpstream)?;
         let ServiceState { placement, retry_budget, admission, waiting, load_meter } =
             service_state;
@@ -389,6 +396,9 @@
         }
         let lane = placement.lane(prefill_tokens);
         let slots = placement.slot_counts(now_ms, lane);
+        if slots.free == 0 && placement.is_held_back(now_ms) {
+            metrics.count(Counter::ColdHeldBack);
+        }
         let (sender, receiver) = oneshot::channel();
         let prompt_prefix = work.prompt_prefix;
         if continued_version.is_some() {
--- a/crates/edge/src/placement/choice.rs
+++ b/crates/edge/src/placement/choice.rs
@@ -40,6 +40,8 @@
     pub own_work_ms: f64,
     /// Repeated work on the prompt prefix, which the upstream does not cache.
     pub away_from_home_ms: f64,
+    /// Slowness of an upstream that is cold.
+    pub cold_ms: f64,
     /// Random, below a millisecond.
     pub tie_breaker_ms: f64,
 }
@@ -53,6 +55,7 @@
             event_gap_ms,
             own_work_ms,
             away_from_home_ms,
+            cold_ms,
             tie_breaker_ms,
         } = *self;
         load_ms
@@ -60,6 +63,7 @@
             + event_gap_ms
             + own_work_ms
             + away_from_home_ms
+            + cold_ms
             + tie_breaker_ms
     }
 }
@@ -94,7 +98,7 @@
         draw: u64,
         allow_full: bool,
     ) -> Option<UpstreamName> {
-        let homes = request.prompt_prefix.map(|prefix| self.home_hashes(prefix));
+        let homes = request.prompt_prefix.map(|prefix| self.home_hashes(now_ms, prefix));
         let unassigned_home =
             request.prompt_prefix.and_then(|prefix| self.unassigned_home(now_ms, prefix));
         let usable = self.upstreams.iter().filter(|(name, state)| {
@@ -160,6 +164,9 @@
             event_gap_ms: state.mean_gap_ms(now_ms),
             own_work_ms,
             away_from_home_ms,
+            // It is slow for some seconds, as one with a full batch is, so others are taken up
+            // to that load.
+            cold_ms: if self.is_cold(now_ms, state) { self.full_load_cost_ms() } else { 0.0 },
             tie_breaker_ms: xxh3_64_with_seed(&draw.to_le_bytes(), state.name_hash) as f64
                 / u64::MAX as f64,
         }
--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -3,6 +3,7 @@
 
 mod availability;
 mod choice;
+mod cold;
 mod limits;
 mod loads;
 mod prefixes;
@@ -91,6 +92,8 @@
     /// Limits on requests per second that upstreams name. Kept apart from their state,
     /// which goes when an entry lapses.
     limits: UpstreamLimits,
+    /// Part of the fleet's routers that this router hears, itself included, 0 to 1.
+    reach: f64,
     /// Upstreams that each prompt prefix was sent to, the last one at the end.
     prefix_holders: HashMap<u64, Vec<PrefixHolder>>,
     /// Limit on this router's requests at one upstream, from the limit on
@@ -125,6 +128,7 @@
             upstreams: HashMap::new(),
             pauses_until_ms: HashMap::new(),
             limits: UpstreamLimits::default(),
+            reach: 1.0,
             prefix_holders: HashMap::new(),
             max_own_requests: 1,
             routers_per_upstream: 1,
--- a/crates/edge/src/placement/prefixes.rs
+++ b/crates/edge/src/placement/prefixes.rs
@@ -75,8 +75,9 @@
         if let Some(holder) = recent.iter().rev().find(|holder| holder.has_read) {
             return Some(holder.upstream.clone());
         }
-        let usable = self.upstreams.iter();
-        let usable = usable.filter(|(_, state)| state.lane == Lane::Short && !state.replaced);
+        let usable = self.upstreams.iter().filter(|(_, state)| {
+            state.lane == Lane::Short && !state.replaced && !self.is_cold(now_ms, state)
+        });
         // If the home itself is chosen, it may have evicted the prefix.
         let others =
             usable.filter(|(name, state)| *name != upstream && state.software_version == *version);
@@ -92,8 +93,8 @@
         if prefix.tokens < MIN_UNASSIGNED_HOME_TOKENS {
             return None;
         }
-        let short = self.upstreams.values().filter(|state| state.lane == Lane::Short);
-        let home = short.max_by_key(|state| state.rendezvous_hash(prefix))?;
+        let candidates = self.home_candidates(now_ms);
+        let home = candidates.max_by_key(|state| state.rendezvous_hash(prefix))?;
         let in_use =
             home.total_requests(now_ms, self.routers_per_upstream) / f64::from(home.slots.max(1));
         let usable = !home.is_assigned
@@ -105,12 +106,12 @@
 
     /// Rendezvous hashes of the homes of a prompt prefix. All routers choose the same
     /// homes without a message.
-    pub(super) fn home_hashes(&self, prefix: PromptPrefix) -> HomeHashes {
+    pub(super) fn home_hashes(&self, now_ms: u64, prefix: PromptPrefix) -> HomeHashes {
         let mut homes = HomeHashes { first: 0, second: 0 };
-        let short = self.upstreams.values().filter(|state| state.lane == Lane::Short);
         let allow_unassigned = self.fleet_routers > self.routers_per_upstream
             && prefix.tokens >= MIN_UNASSIGNED_HOME_TOKENS;
-        for state in short.filter(|state| state.is_assigned || allow_unassigned) {
+        let candidates = self.home_candidates(now_ms);
+        for state in candidates.filter(|state| state.is_assigned || allow_unassigned) {
             let hash = state.rendezvous_hash(prefix);
             if hash > homes.first {
                 homes = HomeHashes { first: hash, second: homes.first };
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -49,6 +49,11 @@
     /// Time within which an evacuation of a failure domain has to be in force, in
     /// milliseconds; none for a deployment without evacuations.
     pub evacuation_ms: Option<u64>,
+    /// Requests that may reach a cold upstream in any one second, as a multiple of those
+    /// that it takes, and so many more.
+    pub cold_overshoot: f64,
+    /// See `cold_overshoot`.
+    pub cold_slack: f64,
 }
 
 /// Settings of one process.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -9,11 +9,12 @@
 use futures::channel::oneshot;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use span_member::{MAX_FULL_MESH_PEERS, MembershipTiming, MembershipView, Router};
-use span_types::{InstanceName, Member, MemberState, ServiceName};
+use span_types::{InstanceName, Member, MemberState, ServiceName, UpstreamName};
 use strum::IntoEnumIterator;
 
 use crate::{
     caller_time::CallerTimes,
+    cold::{ColdSource, ColdStatement},
     config::Config,
     directory::ConfigReports,
     evacuation::Evacuations,
@@ -23,7 +24,7 @@
     },
     metrics::Metrics,
     origin_log::{OriginLog, SentOrigins},
-    placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix},
+    placement::{ChosenUpstream, Placement, PlacementRequest, PromptPrefix, ReadyUpstream},
     prompt_crashes::PromptCrashes,
     registry::Registry,
     retry_budget::{RetryBudget, RetryLimit},
@@ -524,6 +525,7 @@
                 service.waiting.remove(&ticket);
             }
         }
+        self.sync_cold_terms(now_ms, settings);
         self.sync_upstreams(now_ms);
     }
 
@@ -533,8 +535,21 @@
             let versions = self.registry.software_versions(name);
             self.stream_origins.set_versions(now_ms, name, &versions);
             let open = self.evacuations.open_upstreams(now_ms, &self.registry, name);
-            service.placement.set_upstreams(open);
-            service.placement.apply_limits(now_ms);
+            let open: Vec<ReadyUpstream<'_>> = open.collect();
+            let placement = &mut service.placement;
+            let new: Vec<&UpstreamName> = open
+                .iter()
+                .map(|upstream| upstream.name)
+                .filter(|name| !placement.contains(name))
+                .collect();
+            placement.set_upstreams(open.iter().copied());
+            placement.apply_limits(now_ms);
+            for name in new {
+                let remaining_ms =
+                    self.registry.get(name).map_or(0, |entry| entry.cold_remaining_ms);
+                let statement = ColdStatement::new(now_ms, remaining_ms, ColdSource::Entry);
+                placement.record_cold(now_ms, name, statement);
+            }
             if self.evacuations.covers_service(&self.registry, name) {
                 service.reject_waiting();
             }
@@ -558,6 +573,7 @@
             let accepted = f64::from(service_config.max_connections);
             let max_connections = accepted * MAX_CONNECTIONS_FRACTION * live_fraction;
             service.placement.set_fleet(&own_name, live, max_connections);
+            service.placement.set_reach(live_fraction);
             service.placement.set_gap_target(config.gap_target_ms(name));
         }
     }
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -28,6 +28,8 @@
             retry_slack: 52,
             evacuation_ms: None,
             directory_lifetime_ms: 5_000,
+            cold_overshoot: 1.5,
+            cold_slack: 5.0,
         },
         is_first_start: false,
         entry_renewal_interval_ms: 1_200,
