Charge what clients send against one memory budget of the process

Nothing bounded the sum of heads, bodies of open streams, unread answers and connections; the listeners that are not for callers had no bound at all. Connections, header fields, bodies, buffered answers and connections to upstreams are now charged before they are allocated, bodies and answers until the last holder is gone. Without room, idle connections are closed first, then half-read heads, then bodies and answers without progress; otherwise the request is refused as not run, and an answer is read later. Each listener has a bound, heads have the time limit of the configuration, and the number of fields follows from the size of a head.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -103,6 +103,8 @@
     pub max_head_bytes: usize,
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
+    /// Time in which a request head must arrive, in milliseconds.
+    pub head_timeout_ms: u64,
     /// Idle timeout of callers' connections, in milliseconds.
     pub idle_timeout_ms: u64,
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -8,14 +8,17 @@
 use hyper::body::{Body, Incoming};
 use span_http::{EventBoundary, Framing, requested_pause_ms, states_event_stream};
 use span_types::UpstreamName;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tracing::warn;
 
 use super::head::{self, HeadKind};
 use crate::{
+    charged_buffer::ChargedBuffer,
+    memory_budget::{Charge, MemoryUse},
     metrics::{Counter, Timing},
     node::Node,
     pool::{self, Connection, SendError},
+    refusals::Refusal,
     stream_origin::{RequestKey, StreamAttempt},
     upstream_load::{AttemptResult, LoadReport},
     wire_format::{SegmentId, WorkEstimate},
@@ -24,11 +27,16 @@
 /// Largest answer that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 4 << 20;
 
+/// Pause before memory for an answer is asked for again.
+const MEMORY_PAUSE: Duration = Duration::from_millis(50);
+
 /// What all attempts at a request have in common.
 pub(crate) struct RequestData {
     /// Head without the headers that differ between attempts.
     pub(crate) parts: request::Parts,
     pub(crate) body: Bytes,
+    /// The memory of the header fields.
+    pub(crate) _head_charge: Option<Charge>,
     pub(crate) work: WorkEstimate,
     /// Segments of the prompt that other prompts may share.
     pub(crate) shared_segments: Rc<[SegmentId]>,
@@ -170,8 +178,18 @@
 async fn connect(node: &Rc<Node>, upstream: &UpstreamName) -> Result<Connection, Failure> {
     let address = node.state().registry.get(upstream).map(|entry| entry.address);
     let address = address.ok_or_else(|| Failure::NotSent("the upstream was removed".to_owned()))?;
+    let charge = if node.connections.has_descriptor(node.settings().resources.max_sockets) {
+        node.connections.charge(MemoryUse::Upstreams, pool::CONNECTION_BYTES).await
+    } else {
+        None
+    };
+    let Some(charge) = charge else {
+        node.connections.refuse(Refusal::RefusedUpstreamConnections);
+        return Err(Failure::NotSent("no memory or descriptor for a connection".to_owned()));
+    };
     node.count(Counter::UpstreamConnects);
-    pool::connect(address, pool::BUFFER_BYTES).await.map_err(|error| {
+    let connected = pool::connect(address, pool::BUFFER_BYTES).await;
+    connected.map(|connection| connection.with_charge(charge)).map_err(|error| {
         if matches!(error, SendError::Refused(_)) {
             node.upstream_process_ended(upstream);
         }
@@ -298,6 +316,31 @@
     Ok(single.unwrap_or_else(|| chunks.freeze()))
 }
 
+/// Reads an answer into memory, which is charged until the caller has the answer. Without
+/// memory, it is read later.
+///
+/// # Errors
+///
+/// The body is interrupted, or is too large.
+async fn buffer_answer(node: &Node, mut body: Incoming) -> Result<Bytes, String> {
+    let expected_bytes = body.size_hint().exact().map(|length| length as usize);
+    let charge = node.connections.budget.start(MemoryUse::Answers);
+    let mut buffer = ChargedBuffer::new(charge, expected_bytes);
+    while let Some(frame) = body.frame().await {
+        let Ok(mut data) = frame.map_err(|error| pool::cause(&error))?.into_data() else {
+            continue;
+        };
+        if buffer.len() + data.len() > MAX_BUFFERED_ANSWER_BYTES {
+            return Err(format!("the answer is larger than {MAX_BUFFERED_ANSWER_BYTES} bytes"));
+        }
+        while !node.connections.push(&mut buffer, &mut data).await {
+            node.connections.refuse(Refusal::DelayedAnswers);
+            sleep(MEMORY_PAUSE).await;
+        }
+    }
+    Ok(buffer.finish())
+}
+
 /// Whether an answer is too large to be buffered until it is complete.
 pub(crate) fn is_large(answer: &Answer) -> bool {
     answer.body.size_hint().lower() > MAX_BUFFERED_ANSWER_BYTES as u64
@@ -312,7 +355,7 @@
 ) -> Result<(response::Parts, Bytes), Failure> {
     let Answer { parts, body, framing, connection, idle_timeout_ms, .. } = answer;
     let wait = Duration::from_millis(until_ms.saturating_sub(node.now_ms()));
-    match timeout(wait, read_to_end(body, MAX_BUFFERED_ANSWER_BYTES)).await {
+    match timeout(wait, buffer_answer(node, body)).await {
         Ok(Ok(bytes)) => {
             if states_event_stream(&parts.headers) {
                 let mut boundary = EventBoundary::default();
--- a/crates/edge/src/forward/body.rs
+++ b/crates/edge/src/forward/body.rs
@@ -10,6 +10,7 @@
 use http_body::{Body, Frame, SizeHint};
 
 use super::stream::StreamBody;
+use crate::connections::OpenRequest;
 
 /// The answer was interrupted. The connection to the caller is aborted, so that
 /// the caller sees an incomplete answer.
@@ -31,6 +32,32 @@
     Stream(Pin<Box<StreamBody>>),
 }
 
+/// Body of an answer on a connection. The request counts as open until it is dropped.
+pub(crate) struct AnswerBody {
+    pub(crate) body: EdgeBody,
+    pub(crate) _request: OpenRequest,
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Interrupted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl EdgeBody {
     pub(crate) fn complete(bytes: Bytes) -> Self {
         Self::Complete((!bytes.is_empty()).then_some(bytes))
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -11,7 +11,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -24,10 +24,14 @@
 
 use crate::{
     admission::{ANONYMOUS_WORKSPACE, AdmissionRequest, RejectReason},
+    charged_buffer::ChargedBuffer,
     config::{Config, Route, RouteKind, choose_target},
+    connection_table::ConnectionId,
     listen,
+    memory_budget::{Charge, MemoryUse},
     metrics::{Counter, Timing},
     node::{NoSlot, Node},
+    refusals::Refusal,
     sse::EventSplitter,
     stream_origin::{AttemptOrigin, StreamAttempt},
     upstream_load::AttemptResult,
@@ -35,7 +39,7 @@
 };
 pub(crate) use attempt::RequestData;
 use attempt::{Answer, Destination, Failure};
-pub(crate) use body::EdgeBody;
+pub(crate) use body::{AnswerBody, EdgeBody};
 use in_flight::{InFlightRequest, SlotWait};
 use record::{Outcome, RequestRecord};
 use stream::{MAX_CONTINUE_WAIT_MS, ResumeState, StreamBody, describe};
@@ -55,8 +59,8 @@
 const DEFAULT_RETRY_AFTER_MS: u64 = 500;
 /// Largest number of attempts for one request at which nothing could be sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
-/// Request bodies may take the process's memory divided by this.
-const BODY_MEMORY_DIVISOR: u64 = 6;
+/// Memory of one header field in the tables of a request and of an attempt at it, in bytes.
+const FIELD_BYTES: u64 = 256;
 /// Wait for the answer of an idempotent request before it is retried, as a
 /// multiple of the latency target.
 const IDEMPOTENT_TIMEOUT_FACTOR: u64 = 4;
@@ -77,6 +81,8 @@
     continued_version: Option<SoftwareVersion>,
     id: HeaderValue,
     deadline_ms: u64,
+    /// The memory of its header fields; none once it is handed on.
+    head_charge: Option<Charge>,
 }
 
 /// An answer with an error that this process makes itself.
@@ -211,8 +217,23 @@
     if too_large {
         return Err(ErrorReply::denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
     }
-    let continued_version = None;
-    Ok(CheckedRequest { config, route, workspace, service, continued_version, id, deadline_ms })
+    let field_bytes = parts.headers.len() as u64 * FIELD_BYTES;
+    let head_charge = node.connections.budget.try_charge(MemoryUse::Heads, field_bytes);
+    if head_charge.is_none() {
+        node.connections.refuse(Refusal::RefusedHeadMemory);
+        let message = "too many requests are in memory; the request did not run";
+        return Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
+    }
+    Ok(CheckedRequest {
+        config,
+        route,
+        workspace,
+        service,
+        continued_version: None,
+        id,
+        deadline_ms,
+        head_charge,
+    })
 }
 
 type ForwardResult = Result<Response<EdgeBody>, (ErrorReply, RequestRecord)>;
@@ -227,8 +248,11 @@
     mut record: RequestRecord,
 ) -> ForwardResult {
     let deadline_ms = checked.deadline_ms;
-    let held_body = match read_body(node, body, &checked.config, deadline_ms).await {
-        Ok(held_body) => held_body,
+    let connection = parts.extensions.get().copied();
+    let charge = node.connections.start_body(checked.workspace.as_ref());
+    let read = read_body(node, (connection, charge), body, &checked.config, deadline_ms).await;
+    let body = match read {
+        Ok(body) => body,
         Err(error_reply) => return Err((error_reply, record)),
     };
     let leaving_ms = node.leaving_since_ms.get().map(|since_ms| node.now_ms() - since_ms);
@@ -265,8 +289,9 @@
     let names = &node.wire_format.headers;
     let workspace = checked.workspace.as_ref();
     let data = RequestData {
-        parts: head::request_head(parts, names, workspace, held_body.bytes.len()),
-        body: held_body.bytes.clone(),
+        parts: head::request_head(parts, names, workspace, body.len()),
+        body,
+        _head_charge: checked.head_charge.take(),
         work,
         shared_segments,
         id: checked.id.clone(),
@@ -277,70 +302,50 @@
     run_attempts(node, Rc::new(data), &checked, in_flight, record).await
 }
 
-/// A request body in memory. Its bytes are counted until it is dropped.
-struct HeldBody {
-    node: Rc<Node>,
-    bytes: Bytes,
-    counted_bytes: u64,
-}
-
-impl Drop for HeldBody {
-    fn drop(&mut self) {
-        self.node
-            .request_body_bytes
-            .set(self.node.request_body_bytes.get().saturating_sub(self.counted_bytes));
-    }
-}
-
-/// Reads the body of a request into memory.
+/// Reads the body of a request into memory. It is charged until nothing holds it.
 async fn read_body(
     node: &Rc<Node>,
+    (connection, charge): (Option<ConnectionId>, Charge),
     mut body: Incoming,
     config: &Config,
     deadline_ms: u64,
-) -> Result<HeldBody, ErrorReply> {
-    let mut held = HeldBody { node: node.clone(), bytes: Bytes::new(), counted_bytes: 0 };
+) -> Result<Bytes, ErrorReply> {
     if body.is_end_stream() {
-        return Ok(held);
+        return Ok(Bytes::new());
     }
     let max_bytes = config.limits.max_body_bytes;
     let wait = Duration::from_millis(deadline_ms.saturating_sub(node.now_ms()));
+    let expected_bytes = body.size_hint().exact().map(|length| length as usize);
+    let mut buffer = ChargedBuffer::new(charge, expected_bytes);
+    node.connections.reads_body(connection, true);
     let read = async {
-        let mut chunks = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let interrupted = |_| {
                 ErrorReply::denied(StatusCode::BAD_REQUEST, "the body of the request breaks off")
             };
-            let Ok(data) = frame.map_err(interrupted)?.into_data() else {
+            let Ok(mut data) = frame.map_err(interrupted)?.into_data() else {
                 continue;
             };
-            let total_bytes = node.request_body_bytes.get() + data.len() as u64;
-            if total_bytes > node.settings().resources.memory_bytes / BODY_MEMORY_DIVISOR {
-                let message = "too many request bodies are in memory; the request did not run";
-                return Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
-            }
-            node.request_body_bytes.set(total_bytes);
-            held.counted_bytes += data.len() as u64;
-            if held.counted_bytes > max_bytes as u64 {
+            if buffer.len() + data.len() > max_bytes {
                 let message = "the body is too large";
                 return Err(ErrorReply::denied(StatusCode::PAYLOAD_TOO_LARGE, message));
             }
-            chunks.extend_from_slice(&data);
+            if !node.connections.push(&mut buffer, &mut data).await {
+                node.connections.refuse(Refusal::RefusedBodyMemory);
+                let message = "too many request bodies are in memory; the request did not run";
+                return Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
+            }
         }
-        Ok(chunks.freeze())
+        Ok(buffer.finish())
     };
-    match timeout(wait, read).await {
-        Ok(bytes) => {
-            held.bytes = bytes?;
-            Ok(held)
-        }
-        Err(_) => {
-            let message = "the body did not arrive in time; the request did not run";
-            let mut error_reply = ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS);
-            error_reply.status = StatusCode::REQUEST_TIMEOUT;
-            Err(error_reply)
-        }
-    }
+    let result = timeout(wait, read).await;
+    node.connections.reads_body(connection, false);
+    result.unwrap_or_else(|_| {
+        let message = "the body did not arrive in time; the request did not run";
+        let mut error_reply = ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS);
+        error_reply.status = StatusCode::REQUEST_TIMEOUT;
+        Err(error_reply)
+    })
 }
 
 /// The answer to a request whose prompt has a segment on which upstreams crash; none for
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,15 +2,19 @@
 //! callers' requests, membership and configuration.
 //!
 //! All persistent data is in the platform's store. The modules [`admission`],
-//! [`config`], [`directory`], [`lane`], [`load_summary`], [`overload`], [`placement`],
-//! [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`service_admission`],
+//! [`config`], [`connection_table`], [`directory`], [`lane`], [`load_summary`],
+//! [`memory_budget`], [`overload`], [`placement`], [`prompt_crashes`], [`refusals`],
+//! [`registry`], [`retry_budget`], [`role`], [`service_admission`],
 //! [`shares`], [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`] and
 //! [`upstream_load`] make decisions without I/O, with the current time as an argument.
 //! The other modules connect them to the network.
 
 pub mod admission;
+pub mod charged_buffer;
 pub mod clock;
 pub mod config;
+pub mod connection_table;
+mod connections;
 mod crash_exchange;
 pub mod directory;
 mod forward;
@@ -19,6 +23,7 @@
 mod listen;
 pub mod load_summary;
 pub mod log;
+pub mod memory_budget;
 pub mod metrics;
 pub mod node;
 pub mod origin_confirmation;
@@ -34,6 +39,7 @@
 pub mod prompt_crashes;
 pub mod recent_values;
 mod record_sync;
+pub mod refusals;
 pub mod registry;
 pub mod retry_budget;
 pub mod role;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -1,6 +1,8 @@
 //! HTTP servers: for callers, readiness checks, the directory, peers and metrics.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration,
+};
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -14,11 +16,14 @@
 use tracing::warn;
 
 use crate::{
-    forward::{self, EdgeBody},
+    connections::{CountedStream, OpenConnection},
+    forward::{self, AnswerBody, EdgeBody},
+    memory_budget::MemoryUse,
     metrics::Counter,
     node::Node,
     overload,
     peers::UpstreamsAnswer,
+    refusals::Refusal,
     settings::Settings,
     socket,
 };
@@ -33,6 +38,8 @@
 /// Fraction of the callers' sockets in use up to which the connections of
 /// rejected callers stay open: accepting a new one costs more than the rejection.
 const KEEP_REJECTED_SOCKETS_FRACTION: f64 = 0.1;
+/// Fewest connections of a listener that is not for callers.
+const MIN_INTERNAL_CONNECTIONS: usize = 8;
 /// Idle timeout of accepted connections while no configuration is known, in
 /// milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
@@ -43,6 +50,14 @@
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Bytes read ahead beyond the largest head.
 const READ_AHEAD_BYTES: usize = 4 * 1024;
+/// Length of the shortest header field, in bytes: a name of one character, a colon and the end
+/// of the line.
+const SHORTEST_FIELD_BYTES: usize = 4;
+/// Time in which a request head must arrive while no configuration is known, in milliseconds.
+const DEFAULT_HEAD_TIMEOUT_MS: u64 = 10_000;
+/// Time by which the timeout of a head exceeds the one that callers know, in milliseconds. The
+/// last bytes may be in transit, or wait to be read, when theirs ends.
+const HEAD_TIMEOUT_MARGIN_MS: u64 = 1_000;
 /// Time for which sent bytes may stay unacknowledged, or the other end may read
 /// nothing, before an accepted connection fails, in milliseconds.
 const UNACKNOWLEDGED_TIMEOUT_MS: u64 = 10_000;
@@ -69,6 +84,33 @@
     has_many || node.overload.borrow().is_overloaded()
 }
 
+/// A listener that is not for callers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct InternalListener {
+    number: usize,
+    /// Fraction of the sockets that its connections may use.
+    sockets_fraction: f64,
+}
+
+/// Number of the callers' listener.
+const CALLERS: usize = 0;
+/// For readiness checks.
+pub(crate) const READINESS: InternalListener =
+    InternalListener { number: 1, sockets_fraction: 0.03 };
+/// For the directory.
+pub(crate) const DIRECTORY: InternalListener =
+    InternalListener { number: 2, sockets_fraction: 0.1 };
+/// For other routers.
+pub(crate) const PEERS: InternalListener = InternalListener { number: 3, sockets_fraction: 0.05 };
+/// For metrics.
+pub(crate) const METRICS: InternalListener = InternalListener { number: 4, sockets_fraction: 0.02 };
+
+/// Time in which the head of a request must arrive, in milliseconds.
+pub(crate) fn head_timeout_ms(node: &Node) -> u64 {
+    let timeout_ms = node.config().map(|config| config.limits.head_timeout_ms);
+    timeout_ms.unwrap_or(DEFAULT_HEAD_TIMEOUT_MS) + HEAD_TIMEOUT_MARGIN_MS
+}
+
 /// Accepts callers until `stop` is true; open connections stay open.
 pub(crate) async fn serve_callers(
     node: Rc<Node>,
@@ -89,10 +131,17 @@
             continue;
         };
         node.overload.borrow_mut().record_accept(node.now_ms());
-        if node.caller_connections.get() >= max_connections {
+        let is_full = node.caller_connections.get() >= max_connections;
+        if is_full && !make_place(&node, CALLERS, &node.caller_connections, max_connections).await {
             node.count(Counter::CallerConnectionsRefused);
             continue;
         }
+        let max_head_bytes = max_head_bytes(&node) + READ_AHEAD_BYTES;
+        let opened = OpenConnection::open(&node.connections, CALLERS, max_head_bytes).await;
+        let Some(connection) = opened else {
+            node.count(Counter::CallerConnectionsRefused);
+            continue;
+        };
         node.count(Counter::CallerConnections);
         node.caller_connections.update(|open| open + 1);
         let node = node.clone();
@@ -101,64 +150,102 @@
             // Boxed, so that an idle connection does not hold memory for the
             // state of a request.
             let handler = move |request| Box::pin(forward::handle(handler_node.clone(), request));
-            serve(&node, stream, handler).await;
+            serve(&node, stream, &connection, handler).await;
             node.caller_connections.update(|open| open - 1);
         });
     }
 }
 
+/// Closes a connection of a listener that has as many as it may. Returns whether there is a
+/// place then.
+async fn make_place(node: &Node, listener: usize, open: &Cell<usize>, max: usize) -> bool {
+    let has_closed = node.connections.replace_one(listener).await;
+    let has_place = has_closed && open.get() < max;
+    if !has_place {
+        node.connections.refuse(Refusal::RefusedConnections);
+    }
+    has_place
+}
+
 /// Answers the requests on a listener that is not for callers with `answer`, until
 /// the process ends.
 pub(crate) async fn serve_internal(
     node: Rc<Node>,
     listener: TcpListener,
+    internal: InternalListener,
     answer: impl Fn(&Node, &Request<Incoming>) -> Response<EdgeBody> + Clone + 'static,
 ) {
+    let InternalListener { number, sockets_fraction } = internal;
+    let max_sockets = node.settings().resources.max_sockets as f64;
+    let max_connections = ((max_sockets * sockets_fraction) as usize).max(MIN_INTERNAL_CONNECTIONS);
+    let open_connections = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
             continue;
         };
-        let (node, answer) = (node.clone(), answer.clone());
+        let is_full = open_connections.get() >= max_connections;
+        if is_full && !make_place(&node, number, &open_connections, max_connections).await {
+            continue;
+        }
+        let max_head_bytes = max_head_bytes(&node) + READ_AHEAD_BYTES;
+        let opened = OpenConnection::open(&node.connections, number, max_head_bytes).await;
+        let Some(connection) = opened else { continue };
+        open_connections.update(|open| open + 1);
+        let (node, answer, open_connections) =
+            (node.clone(), answer.clone(), open_connections.clone());
         spawn_local(async move {
             let handler_node = node.clone();
             let handler = move |request: Request<Incoming>| {
                 std::future::ready(answer(&handler_node, &request))
             };
-            serve(&node, stream, handler).await;
+            serve(&node, stream, &connection, handler).await;
+            open_connections.update(|open| open - 1);
         });
     }
 }
 
+/// Largest request head, in bytes.
+fn max_head_bytes(node: &Node) -> usize {
+    node.config().map_or(DEFAULT_MAX_HEAD_BYTES, |config| config.limits.max_head_bytes)
+}
+
 /// Serves one connection until it is closed.
-async fn serve<F, Fut>(node: &Node, stream: TcpStream, handler: F)
+async fn serve<F, Fut>(node: &Node, stream: TcpStream, connection: &Rc<OpenConnection>, handler: F)
 where
     F: Fn(Request<Incoming>) -> Fut,
     Fut: Future<Output = Response<EdgeBody>>,
 {
-    let limits = node.config().map(|config| config.limits);
-    let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms)
-        + IDLE_TIMEOUT_MARGIN_MS;
-    let max_head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_head_bytes);
+    let idle_ms =
+        node.config().map_or(DEFAULT_IDLE_TIMEOUT_MS, |config| config.limits.idle_timeout_ms)
+            + IDLE_TIMEOUT_MARGIN_MS;
+    let max_head_bytes = max_head_bytes(node);
     let answer_end = AnswerEnd::default();
     let stream = OrderlyCloseStream::new(stream, answer_end.clone());
-    let service = service_fn(|request: Request<Incoming>| {
+    let stream = CountedStream::new(stream, connection.clone());
+    let service = service_fn(|mut request: Request<Incoming>| {
         let (version, answer_end) = (request.version(), &answer_end);
+        let open_request = connection.request_begins();
+        request.extensions_mut().insert(connection.id);
         let response = handler(request);
         async move {
             let response = response.await;
             answer_end.record(version, &response);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| AnswerBody { body, _request: open_request }))
         }
     });
-    let connection = http1::Builder::new()
+    let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(max_head_bytes + READ_AHEAD_BYTES)
+        .max_headers(max_head_bytes / SHORTEST_FIELD_BYTES)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    // An interrupted connection is no error of this process.
-    let _ = connection.await;
+    tokio::select! {
+        // An interrupted connection is no error of this process.
+        _ = served => {}
+        () = connection.close.notified() => {}
+    }
 }
 
 /// Answers a readiness check: 200 if this instance takes callers, else 503.
@@ -224,10 +311,15 @@
 /// Answers with all metrics as text.
 pub(crate) fn answer_metrics(node: &Node, _request: &Request<Incoming>) -> Response<EdgeBody> {
     let state = node.state();
+    let budget = &node.connections.budget;
     let gauges = [
         ("open_requests", node.open_requests.get() as u64),
         ("idle_upstream_connections", node.pool.len() as u64),
-        ("request_body_bytes", node.request_body_bytes.get()),
+        ("request_body_bytes", budget.used_bytes(MemoryUse::Bodies)),
+        ("answer_bytes", budget.used_bytes(MemoryUse::Answers)),
+        ("charged_bytes", budget.total_used_bytes()),
+        ("memory_budget_bytes", budget.limit_bytes()),
+        ("connections", node.connections.len() as u64),
         ("routers", state.live_router_count() as u64),
         ("upstreams", state.registry.len() as u64),
         ("limited_upstreams", state.limited_upstream_count() as u64),
@@ -237,7 +329,8 @@
         ("recorded_streams", state.recorded_origins.len() as u64),
         ("config_version", state.config.as_ref().map_or(0, |config| config.version)),
     ];
-    let text = state.metrics.render(&gauges.into_iter().collect());
+    let gauges = gauges.into_iter().chain(node.connections.refusal_counts());
+    let text = state.metrics.render(&gauges.collect());
     Response::new(EdgeBody::complete(text.into()))
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -17,6 +17,7 @@
     admission::{AdmissionRequest, Rejection},
     clock::Clock,
     config::Config,
+    connections::Connections,
     directory,
     load_summary::{self, LoadSummary, ServiceLoad, ServiceLoads},
     metrics::Counter,
@@ -51,8 +52,8 @@
     pub(crate) caller_connections: Cell<usize>,
     /// Requests whose answer has not ended.
     pub(crate) open_requests: Cell<usize>,
-    /// Bytes of request bodies in memory.
-    pub(crate) request_body_bytes: Cell<u64>,
+    /// Accepted connections and the memory budget.
+    pub(crate) connections: Rc<Connections>,
     /// Wakes the sender of load summaries after a change that the failure
     /// domain's routers wait for.
     pub(crate) summary_trigger: Notify,
@@ -87,6 +88,7 @@
         seed: u64,
     ) -> Rc<Self> {
         let is_first_start = settings.is_first_start;
+        let connections = Rc::new(Connections::new(settings.resources.memory_bytes));
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             wire_format,
@@ -96,7 +98,7 @@
             overload: RefCell::default(),
             caller_connections: Cell::new(0),
             open_requests: Cell::new(0),
-            request_body_bytes: Cell::new(0),
+            connections,
             summary_trigger: Notify::new(),
             outbox: Outbox::default(),
             inquiries: Inquiries::default(),
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -15,7 +15,7 @@
     time::timeout,
 };
 
-use crate::{socket::set_options, stream_origin::RequestKey};
+use crate::{memory_budget::Charge, socket::set_options, stream_origin::RequestKey};
 
 /// Time limit for connecting, in milliseconds. The links between failure domains
 /// take a few milliseconds; a lost SYN packet is sent again only after a second.
@@ -35,6 +35,9 @@
 /// Read buffer of a connection to an upstream, in bytes. The memory of a small
 /// instance must suffice for thousands of connections.
 pub(crate) const BUFFER_BYTES: usize = 16 * 1024;
+/// Memory of a connection to an upstream, in bytes: the allocation of its read buffer doubles
+/// when it grows.
+pub(crate) const CONNECTION_BYTES: u64 = 2 * BUFFER_BYTES as u64;
 
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
@@ -70,9 +73,16 @@
     pub(crate) reused: bool,
     /// Requests whose rejection it has carried.
     rejected: Vec<RequestKey>,
+    /// Its memory.
+    _charge: Option<Charge>,
 }
 
 impl Connection {
+    /// Keeps `charge` for as long as the connection is open.
+    pub(crate) fn with_charge(self, charge: Charge) -> Self {
+        Self { _charge: Some(charge), ..self }
+    }
+
     /// Whether the connection is open and can send a request.
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -211,5 +221,5 @@
         let _ = connection.await;
     });
     let task = ConnectionTask(task.abort_handle());
-    Ok(Connection { sender, _task: task, reused: false, rejected: Vec::new() })
+    Ok(Connection { sender, _task: task, reused: false, rejected: Vec::new(), _charge: None })
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -104,13 +104,26 @@
     let callers = bind(addresses.callers, "callers")?;
     spawn_local(listen::serve_callers(node.clone(), callers, stopped));
     let listener = bind(addresses.readiness, "readiness checks")?;
-    spawn_local(listen::serve_internal(node.clone(), listener, listen::answer_readiness));
+    let readiness = listen::READINESS;
+    spawn_local(listen::serve_internal(
+        node.clone(),
+        listener,
+        readiness,
+        listen::answer_readiness,
+    ));
     let listener = bind(addresses.directory, "the directory")?;
-    spawn_local(listen::serve_internal(node.clone(), listener, listen::answer_directory));
+    let directory = listen::DIRECTORY;
+    spawn_local(listen::serve_internal(
+        node.clone(),
+        listener,
+        directory,
+        listen::answer_directory,
+    ));
     let listener = bind(addresses.peers, "peers")?;
-    spawn_local(listen::serve_internal(node.clone(), listener, listen::answer_peer));
+    spawn_local(listen::serve_internal(node.clone(), listener, listen::PEERS, listen::answer_peer));
     let listener = bind(addresses.metrics, "metrics")?;
-    spawn_local(listen::serve_internal(node.clone(), listener, listen::answer_metrics));
+    let metrics = listen::METRICS;
+    spawn_local(listen::serve_internal(node.clone(), listener, metrics, listen::answer_metrics));
     let peers = Peers::bind(node.clone()).await.map_err(|source| StartError::Bind {
         address: addresses.heartbeats,
         purpose: "heartbeats",
@@ -180,6 +193,7 @@
             prompt_ticks += 1;
             node.tick_prompt_crashes(prompt_ticks);
         }
+        node.connections.tick(now_ms, listen::head_timeout_ms(&node));
         node.pool.expire(now_ms);
         let changes = node.state().registry.expire(now_ms);
         node.apply_upstream_changes(&changes);
