--- a/crates/edge/tests/cold_upstreams.rs
+++ b/crates/edge/tests/cold_upstreams.rs
@@ -453,8 +453,7 @@
             let request = PlacementRequest { prompt_prefix, ..PLAIN };
             let chosen = placement.assign(now_ms, request, hash, false).unwrap();
             placement.request_ended(&chosen.upstream);
-            if chosen.copy_source.is_some() {
-                let source = chosen.copy_source.as_ref().unwrap();
+            if let Some(source) = &chosen.copy_source {
                 assert_eq!(placement.cold_remaining_ms(now_ms, source), 0, "copy from {source}");
             }
             chosen.upstream
