Keep the estimated speed of an upstream steady, and show it

Statements of the work time come several times a second and change with other work on the machine; each moved the lasting estimate by a tenth. They weigh 0.03 now. The load of an engine is weighed in prompt tokens, so that the terms of the cost keep their proportions at any prefill rate. An upstream that begins or ceases to count as slow leaves a log line; slow_upstreams and prefill_tokens_per_ms are gauges.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,8 +4,8 @@
 //! All persistent data is in the platform's store. The modules [`admission`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`], [`overload`], [`placement`],
 //! [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`service_admission`],
-//! [`shares`], [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`] and
-//! [`upstream_load`] make decisions without I/O, with the current time as an argument.
+//! [`shares`], [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`],
+//! [`upstream_load`] and [`upstream_speed`] make decisions without I/O, with the current time as an argument.
 //! The other modules connect them to the network.
 
 pub mod admission;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -231,6 +231,8 @@
         ("routers", state.live_router_count() as u64),
         ("upstreams", state.registry.len() as u64),
         ("limited_upstreams", state.limited_upstream_count() as u64),
+        ("slow_upstreams", state.slow_upstream_count() as u64),
+        ("prefill_tokens_per_ms", state.prefill_tokens_per_ms()),
         ("blocked_segments", state.prompt_crashes.blocked_count() as u64),
         ("store_era", state.registry.era()),
         ("unrecorded_streams", state.origin_log.unwritten_len() as u64),
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -450,6 +450,7 @@
         });
         let fleet_limits = state.fleet_limits(now_ms);
         let mut changed_limits = Vec::new();
+        let mut changed_speeds = Vec::new();
         let State { services, config, .. } = &mut *state;
         let reporting_routers = fleet.routers.max(1) as usize;
         let scale = routers.max(reporting_routers) as f64 / reporting_routers as f64;
@@ -459,7 +460,7 @@
             let own_load = own_loads.get(name).unwrap_or(&no_load);
             let long_tokens_per_s = (fleet_load.long_tokens_per_s as f64 * scale) as u64;
             service.placement.merge_reported_loads(now_ms, &fleet.upstreams);
-            service.placement.refresh_speeds(now_ms);
+            changed_speeds.extend(service.placement.refresh_speeds(now_ms));
             service.placement.set_long_prompt_rate(now_ms, long_tokens_per_s);
             if let Some(taken_ms) = taken_ms {
                 service.placement.merge_in_flight(taken_ms, &fleet.in_flight);
@@ -485,6 +486,15 @@
             let upstream = upstream.as_str();
             info!(upstream, limit_per_s, "other routers report the limit of an upstream");
         }
+        for (upstream, speed) in changed_speeds {
+            info!(
+                upstream = upstream.as_str(),
+                slowness = speed.lasting,
+                spread = speed.spread,
+                age_ms = speed.age_ms,
+                "upstream changes its speed"
+            );
+        }
     }
 
     /// Chooses a further upstream for a request that has a slot, if need be one
--- a/crates/edge/src/placement/choice.rs
+++ b/crates/edge/src/placement/choice.rs
@@ -9,9 +9,10 @@
 };
 use crate::upstream_load::UpstreamState;
 
-/// Time that a full batch costs a request compared to an empty one, as a fraction of the gap
-/// between events that callers accept. Weighs the load of an engine against prefill time.
-const FULL_BATCH_GAP_FRACTION: f64 = 0.4;
+/// Time that a full batch costs a request compared to an empty one, as the number of prompt
+/// tokens that the engine could process in that time. Weighs the load of an engine against
+/// prefill.
+const FULL_BATCH_COST_TOKENS: f64 = 15_000.0;
 /// Time that a request to an upstream that is no engine loses if all slots are in use, as a
 /// multiple of the time of an answer.
 const FULL_LOAD_ANSWERS: f64 = 8.0;
@@ -168,9 +169,10 @@
     /// Time that all slots in use cost a request at a typical upstream, compared to none, in
     /// milliseconds.
     fn full_load_cost_ms(&self) -> f64 {
-        match self.gap_target_ms {
-            Some(gap_ms) => gap_ms as f64 * FULL_BATCH_GAP_FRACTION,
-            None => self.speed.answer_ms() * FULL_LOAD_ANSWERS,
+        if self.is_engine() {
+            FULL_BATCH_COST_TOKENS / self.speed.prefill.tokens_per_ms()
+        } else {
+            self.speed.answer_ms() * FULL_LOAD_ANSWERS
         }
     }
 }
--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -112,9 +112,6 @@
     /// Mean gap between events up to which an engine gets prompts, in
     /// milliseconds; infinite if the upstreams are no engines.
     max_mean_gap_ms: f64,
-    /// Longest gap between events that callers accept, in milliseconds; none for a service
-    /// without streams.
-    gap_target_ms: Option<u64>,
     lane_split: LaneSplit,
     speed: ServiceSpeed,
 }
@@ -134,7 +131,6 @@
             max_connections: f64::INFINITY,
             capacity_fraction: 1.0,
             max_mean_gap_ms: f64::INFINITY,
-            gap_target_ms: None,
             lane_split: LaneSplit::default(),
             speed: ServiceSpeed::default(),
         }
@@ -147,12 +143,11 @@
     pub fn set_gap_target(&mut self, gap_ms: Option<u64>) {
         self.max_mean_gap_ms =
             gap_ms.map_or(f64::INFINITY, |gap_ms| gap_ms as f64 * MAX_MEAN_GAP_FRACTION);
-        self.gap_target_ms = gap_ms;
         self.lane_split.set_gap_target(gap_ms);
     }
 
     /// Whether the upstreams are model engines that stream.
-    fn is_engine(&self) -> bool {
+    pub fn is_engine(&self) -> bool {
         self.max_mean_gap_ms.is_finite()
     }
 
--- a/crates/edge/src/placement/speed.rs
+++ b/crates/edge/src/placement/speed.rs
@@ -69,20 +69,40 @@
         }
     }
 
-    /// Computes the typical upstreams anew, if that is due.
-    pub fn refresh_speeds(&mut self, now_ms: u64) {
+    /// Computes the typical upstreams anew, if that is due. Returns the upstreams that begin
+    /// or cease to count as slow, with their speed.
+    pub fn refresh_speeds(&mut self, now_ms: u64) -> Vec<(UpstreamName, SpeedEstimate)> {
         let is_recent = |computed_ms: u64| now_ms.saturating_sub(computed_ms) < TYPICAL_LIFETIME_MS;
         if self.speed.computed_ms.is_some_and(is_recent) {
-            return;
+            return Vec::new();
         }
         let of_lane = |lane| {
-            let states = self.upstreams.values();
-            TypicalSpeed::of(
-                states.filter(move |state| state.lane == lane).map(|state| &state.speed),
-            )
+            let service = self.upstreams.values();
+            let peers = service.clone().filter(|state| state.lane == lane);
+            TypicalSpeed::of(service.map(|state| &state.speed), peers.map(|state| &state.speed))
         };
         (self.speed.short, self.speed.long) = (of_lane(Lane::Short), of_lane(Lane::Long));
         self.speed.computed_ms = Some(now_ms);
+        let mut changed = Vec::new();
+        for (name, state) in &mut self.upstreams {
+            let estimate = self.speed.typical(state.lane).estimate(now_ms, &state.speed);
+            let is_slow = estimate.is_slow(state.is_slow);
+            if is_slow != state.is_slow {
+                state.is_slow = is_slow;
+                changed.push((name.clone(), estimate));
+            }
+        }
+        changed
+    }
+
+    /// Number of upstreams that count as slow.
+    pub fn slow_count(&self) -> usize {
+        self.upstreams.values().filter(|state| state.is_slow).count()
+    }
+
+    /// Prompt tokens that a typical engine processes per millisecond.
+    pub fn prefill_tokens_per_ms(&self) -> f64 {
+        self.speed.prefill.tokens_per_ms()
     }
 
     /// How fast an upstream is compared to a typical one of its lane.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -232,6 +232,20 @@
         self.services.values().map(|service| service.placement.limited_count()).sum()
     }
 
+    /// Number of upstreams that count as slow against others of their service.
+    pub(crate) fn slow_upstream_count(&self) -> usize {
+        self.services.values().map(|service| service.placement.slow_count()).sum()
+    }
+
+    /// Prompt tokens that a typical engine processes per millisecond: the fewest of all
+    /// services with streams; 0 without such a service.
+    pub(crate) fn prefill_tokens_per_ms(&self) -> u64 {
+        let placements = self.services.values().map(|service| &service.placement);
+        let rates = placements.filter(|placement| placement.is_engine());
+        let rates = rates.map(|placement| placement.prefill_tokens_per_ms() as u64);
+        rates.min().unwrap_or(0)
+    }
+
     /// Load from this router's callers, for services with demand.
     pub(crate) fn own_loads(&mut self, now_ms: u64) -> ServiceLoads {
         let services = self.services.iter_mut();
--- a/crates/edge/src/upstream_load.rs
+++ b/crates/edge/src/upstream_load.rs
@@ -102,6 +102,8 @@
     pub(crate) mean_gap: Option<(f64, u64)>,
     /// What is known of the upstream's speed.
     pub(crate) speed: UpstreamSpeed,
+    /// Whether the upstream counts as slow against its peers.
+    pub(crate) is_slow: bool,
 }
 
 /// Hash by which routers name an upstream to each other.
@@ -133,6 +135,7 @@
             pending_prefill_tokens: 0,
             mean_gap: None,
             speed: UpstreamSpeed::default(),
+            is_slow: false,
         }
     }
 
--- a/crates/edge/src/upstream_speed.rs
+++ b/crates/edge/src/upstream_speed.rs
@@ -4,14 +4,25 @@
 //! typical upstream of its service. What a unit of work takes at a typical one is estimated
 //! for the whole service. The design is described in `docs/design/upstream-speed.md`.
 
-/// Weight of the newest observation in the mean of a series that has many.
-const NEWEST_WEIGHT: f64 = 0.1;
+/// Weight of the newest observation in the mean of a series that has many, and of the newest
+/// stated work time: several of those come each second, and what slows a machine down for
+/// half a second must not move the mean much.
+const NEWEST_OBSERVED_WEIGHT: f64 = 0.1;
+const NEWEST_STATED_WEIGHT: f64 = 0.03;
 /// Largest factor between an observation and the mean that counts in full. A single odd
 /// observation thus moves the mean by a tenth of it at most.
 const MAX_OBSERVED_FACTOR: f64 = 2.5;
 /// Observations that the typical upstream of the service counts for. An upstream that has
 /// just started is taken for a typical one.
 const PRIOR_OBSERVATIONS: f64 = 8.0;
+/// Observations that a stated work time counts for: it does not depend on the request.
+const STATED_OBSERVATIONS: f64 = 3.0;
+/// Most observations that a series counts for.
+const MAX_OBSERVATIONS: u32 = 40;
+/// Lasting slowness from which an upstream counts as slow, and up to which a slow one counts
+/// as usual again. In between it stays what it is, so that what depends on it does not flap.
+const SLOW_FROM: f64 = 1.6;
+const USUAL_UP_TO: f64 = 1.2;
 /// Time after which observations count for a third, in milliseconds.
 const OBSERVATION_LIFETIME_MS: f64 = 20_000.0;
 /// Smallest factor between an upstream and a typical one that matters. Differences below are
@@ -19,9 +30,9 @@
 const MIN_FACTOR: f64 = 1.1;
 /// Bounds of the slowness, as a factor in both directions.
 const MAX_SLOWNESS: f64 = 4.0;
-/// Weight of the newest stated work time against its mean, and the time after which it counts
+/// Weight of the last stated work time against what lasts, and the time after which it counts
 /// for a third, in milliseconds. Other work on the machine comes and goes many times a second.
-const NEWEST_STATED_WEIGHT: f64 = 0.7;
+const PASSING_WEIGHT: f64 = 0.7;
 const STATED_LIFETIME_MS: f64 = 400.0;
 /// Shortest time between two stated work times that count, in milliseconds. Routers tell each
 /// other of the same statement with ages that differ by the time on the way.
@@ -55,14 +66,14 @@
 }
 
 impl LogMean {
-    fn add(&mut self, now_ms: u64, value: f64) {
+    fn add(&mut self, now_ms: u64, value: f64, newest_weight: f64) {
         let newest = value.max(f64::MIN_POSITIVE).ln();
         if self.count == 0 {
             self.mean = newest;
         }
         let limit = MAX_OBSERVED_FACTOR.ln();
         let deviation = (newest - self.mean).clamp(-limit, limit);
-        let weight = (1.0 / f64::from(self.count + 1)).max(NEWEST_WEIGHT);
+        let weight = (1.0 / f64::from(self.count + 1)).max(newest_weight);
         self.mean += deviation * weight;
         self.spread += (deviation.abs() - self.spread) * weight;
         self.count = self.count.saturating_add(1);
@@ -72,7 +83,7 @@
     /// Number of observations, fewer as they age.
     fn weight(&self, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        let count = f64::from(self.count).min(1.0 / NEWEST_WEIGHT);
+        let count = f64::from(self.count.min(MAX_OBSERVATIONS));
         count * (-age_ms / OBSERVATION_LIFETIME_MS).exp()
     }
 }
@@ -99,7 +110,7 @@
             return;
         }
         let fraction = f64::from(work_time_percent) / 100.0;
-        self.stated.add(at_ms, fraction);
+        self.stated.add(at_ms, fraction, NEWEST_STATED_WEIGHT);
         self.last_stated = Some((fraction.ln(), at_ms));
     }
 
@@ -107,7 +118,8 @@
     /// load of the upstream as a fraction of its slots.
     pub fn record_observed(&mut self, now_ms: u64, took_ms: u64, in_use: f64) {
         // Beyond the slots, requests wait for each other: a full upstream is not slow.
-        self.observed.add(now_ms, took_ms.max(1) as f64 / in_use.max(1.0));
+        let took_ms = took_ms.max(1) as f64 / in_use.max(1.0);
+        self.observed.add(now_ms, took_ms, NEWEST_OBSERVED_WEIGHT);
     }
 }
 
@@ -117,6 +129,8 @@
     /// How long work takes now, compared to a typical upstream of the service: 2 for twice
     /// as long.
     pub slowness: f64,
+    /// The same over several seconds, without what passes.
+    pub lasting: f64,
     /// Mean relative deviation of the observations from each other.
     pub spread: f64,
     /// Age of the newest observation, in milliseconds; none without one.
@@ -125,10 +139,15 @@
 
 impl SpeedEstimate {
     /// An upstream of which nothing is known.
-    pub const UNKNOWN: Self = Self { slowness: 1.0, spread: 0.0, age_ms: None };
+    pub const UNKNOWN: Self = Self { slowness: 1.0, lasting: 1.0, spread: 0.0, age_ms: None };
+
+    /// Whether an upstream counts as slow, if it did or did not before.
+    pub fn is_slow(&self, was_slow: bool) -> bool {
+        self.lasting > if was_slow { USUAL_UP_TO } else { SLOW_FROM }
+    }
 }
 
-/// The typical upstream of a group of peers.
+/// The typical upstream of a service.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TypicalSpeed {
     stated: Option<f64>,
@@ -136,15 +155,15 @@
 }
 
 impl TypicalSpeed {
-    /// The median of upstreams.
-    pub fn of<'a>(speeds: impl Iterator<Item = &'a UpstreamSpeed> + Clone) -> Self {
-        let median_of = |series: fn(&UpstreamSpeed) -> &LogMean| {
-            let known = speeds.clone().map(series).filter(|series| series.count > 0);
-            median(known.map(|series| series.mean).collect())
-        };
+    /// The median of the upstreams of a service, for those of its `peers` that get similar
+    /// requests.
+    pub fn of<'a>(
+        service: impl Iterator<Item = &'a UpstreamSpeed>,
+        peers: impl Iterator<Item = &'a UpstreamSpeed>,
+    ) -> Self {
         Self {
-            stated: median_of(|speed| &speed.stated),
-            observed: median_of(|speed| &speed.observed),
+            stated: median(service.map(|speed| &speed.stated)),
+            observed: median(peers.map(|speed| &speed.observed)),
         }
     }
 
@@ -158,9 +177,11 @@
         let mut weights = 0.0;
         let mut sum = 0.0;
         let mut spread = 0.0;
-        for (series, typical) in [(speed.stated, self.stated), (speed.observed, self.observed)] {
+        for (series, typical, unit) in
+            [(speed.stated, self.stated, STATED_OBSERVATIONS), (speed.observed, self.observed, 1.0)]
+        {
             if let Some(typical) = typical {
-                let weight = series.weight(now_ms);
+                let weight = series.weight(now_ms) * unit;
                 weights += weight;
                 sum += (series.mean - typical) * weight;
                 spread += series.spread * weight;
@@ -175,7 +196,7 @@
         let slowness = match (speed.last_stated, self.stated) {
             (Some((stated, at_ms)), Some(typical)) => {
                 let age_ms = now_ms.saturating_sub(at_ms) as f64;
-                let weight = NEWEST_STATED_WEIGHT * (-age_ms / STATED_LIFETIME_MS).exp();
+                let weight = PASSING_WEIGHT * (-age_ms / STATED_LIFETIME_MS).exp();
                 let limit = MAX_OBSERVED_FACTOR.ln();
                 let passing = (stated - typical - lasting).clamp(-limit, limit);
                 lasting + passing * weight
@@ -186,13 +207,17 @@
         let updated_ms = speed.stated.updated_ms.max(speed.observed.updated_ms);
         SpeedEstimate {
             slowness: slowness.clamp(-bound, bound).exp(),
+            lasting: lasting.clamp(-bound, bound).exp(),
             spread: (spread / weights).exp() - 1.0,
             age_ms: Some(now_ms.saturating_sub(updated_ms)),
         }
     }
 }
 
-fn median(mut values: Vec<f64>) -> Option<f64> {
+/// Median of the means of series with observations.
+fn median<'a>(series: impl Iterator<Item = &'a LogMean>) -> Option<f64> {
+    let known = series.filter(|series| series.count > 0);
+    let mut values: Vec<f64> = known.map(|series| series.mean).collect();
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
 }
--- a/crates/edge/tests/upstream_speed.rs
+++ b/crates/edge/tests/upstream_speed.rs
@@ -184,7 +184,7 @@
                 speed.record_observed(step * 100, if is_slow { 200 } else { 40 }, 0.5);
             }
         }
-        let typical = TypicalSpeed::of(speeds.iter());
+        let typical = TypicalSpeed::of(speeds.iter(), speeds.iter());
         let estimate = typical.estimate(10_000, &speeds[0]);
         assert!(case.slowness.contains(&estimate.slowness), "{}: {estimate:?}", case.name);
         assert_eq!(estimate.age_ms, Some(100), "{}", case.name);
@@ -203,7 +203,7 @@
         speeds[2].record_observed(step * 100, 15, 1.0);
     }
     speeds[3].record_observed(5_000, 3, 0.1);
-    let typical = TypicalSpeed::of(speeds.iter());
+    let typical = TypicalSpeed::of(speeds.iter(), speeds.iter());
     assert_eq!(typical.estimate(5_000, &speeds[0]).slowness, 1.0);
     let new = typical.estimate(5_000, &speeds[3]).slowness;
     assert!((0.8..=1.0).contains(&new), "{new}");
@@ -219,7 +219,7 @@
 /// served as before: all upstreams count as equal.
 #[test]
 fn upstreams_are_equal_while_nothing_is_known() {
-    let typical = TypicalSpeed::of(std::iter::empty::<&UpstreamSpeed>());
+    let typical = TypicalSpeed::of([].iter(), [].iter());
     assert_eq!(typical.estimate(1_000, &UpstreamSpeed::default()), SpeedEstimate::UNKNOWN);
     let mut placement = placement(4, 16, Some(400));
     for draw in 0..16 {
@@ -297,3 +297,47 @@
         assert_eq!(placement.assign(100, request, draw, false).unwrap().upstream, home);
     }
 }
+
+/// Guards against log lines for each moment in which other work slows a machine down, and
+/// against an upstream that stays slow in the log after it has recovered.
+#[test]
+fn upstream_counts_as_slow_only_for_a_lasting_difference() {
+    struct Case {
+        name: &'static str,
+        /// Work time of the last of each three engines after ten seconds, in percent. The
+        /// others keep theirs.
+        later_percent: u16,
+        slow: usize,
+        changes: usize,
+    }
+    let cases = [
+        Case { name: "stays slow", later_percent: 170, slow: 3, changes: 0 },
+        Case { name: "recovers", later_percent: 70, slow: 0, changes: 3 },
+    ];
+    for case in cases {
+        let mut placement = placement(9, 16, Some(400));
+        let mut changes = 0;
+        for now_ms in (0..30_000).step_by(150) {
+            for index in 0..9 {
+                let is_kind_slow = index % 3 == 2;
+                let usual = match (is_kind_slow, now_ms < 10_000) {
+                    (false, _) => 70,
+                    (true, true) => 170,
+                    (true, false) => case.later_percent,
+                };
+                // Other work on the machine takes a sixth of the time, 600 ms at a time.
+                let is_busy = (now_ms / 600 + index as u64).is_multiple_of(6);
+                let work_time_percent = Some(if is_busy { usual * 5 / 2 } else { usual });
+                let report = LoadReport { running: 0, waiting: 0, slots: 16, work_time_percent };
+                placement.record_report(now_ms, &name(index), report);
+            }
+            let changed = placement.refresh_speeds(now_ms);
+            if now_ms < 10_000 {
+                assert!(placement.slow_count() == 3 || now_ms < 5_000, "{}", case.name);
+            } else {
+                changes += changed.len();
+            }
+        }
+        assert_eq!((placement.slow_count(), changes), (case.slow, case.changes), "{}", case.name);
+    }
+}
