--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -325,6 +325,8 @@
         ("evacuated_domains", state.evacuations.len() as u64),
         ("limited_upstreams", state.limited_upstream_count() as u64),
         ("cold_upstreams", state.cold_upstream_count(node.now_ms()) as u64),
+        ("slow_upstreams", state.slow_upstream_count() as u64),
+        ("prefill_tokens_per_ms", state.prefill_tokens_per_ms()),
         ("blocked_segments", state.prompt_crashes.blocked_count() as u64),
         ("store_era", state.registry.era()),
         ("unrecorded_streams", state.origin_log.unwritten_len() as u64),
