--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -74,6 +74,7 @@
                 leaving: false,
                 started_unix_ms: Some(1),
                 software_version: "v1".into(),
+                cold_remaining_ms: 0,
             };
             registry.update(format!("{name}{index}").into(), entry);
         }
