Keep the entry of the later process when a restored store lists an earlier one

Cause: Registry::is_stale compared whether the processes differ, not which started first, so the list of a store restored from a copy gave an upstream the software version of its earlier process. The new table test failed first: the case "earlier process" had the version "listed" instead of "known".

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -204,12 +204,15 @@
         if now_ms >= self.stale_until_ms {
             return false;
         }
-        let left = self.upstreams.get(name).is_some_and(|known| {
-            known.entry.leaving && !listed.leaving && !is_new_process(&known.entry, listed)
+        let is_outdated = self.upstreams.get(name).is_some_and(|known| {
+            let left = known.entry.leaving && !listed.leaving;
+            is_earlier_process(&known.entry, listed)
+                || (left && !is_new_process(&known.entry, listed))
         });
-        let was_removed =
-            self.removed.get(name).is_some_and(|gone| !is_new_process(&gone.entry, listed));
-        left || was_removed
+        let was_removed = self.removed.get(name).is_some_and(|gone| {
+            !is_new_process(&gone.entry, listed) || is_earlier_process(&gone.entry, listed)
+        });
+        is_outdated || was_removed
     }
 
     /// Replaces all entries by those of another router, if they are newer. A
@@ -412,3 +415,10 @@
         || old.service != new.service
         || old.software_version != new.software_version
 }
+
+/// Whether `listed` is of a process that started before that of `known`. If the clock of the
+/// upstream's machine was set back, that holds for its successor too, until it renews its entry.
+fn is_earlier_process(known: &UpstreamEntry, listed: &UpstreamEntry) -> bool {
+    let started_ms = known.started_unix_ms.zip(listed.started_unix_ms);
+    started_ms.is_some_and(|(known_ms, listed_ms)| listed_ms < known_ms)
+}
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -274,6 +274,62 @@
     assert_eq!(registry.mark_leaving(3, &"u2".into()), None);
 }
 
+/// A store that was restored from a copy may have the entry of an earlier process under a name.
+/// Streams that begin at its successor must not count as of the earlier software.
+#[test]
+fn list_of_a_restored_store_does_not_bring_back_an_earlier_process() {
+    struct Case {
+        name: &'static str,
+        /// Start of the known process and of the listed one, in milliseconds.
+        started_ms: (Option<u64>, Option<u64>),
+        is_removed: bool,
+        era: u64,
+        /// Version of the upstream after the list.
+        expected: Option<&'static str>,
+    }
+    let case = |name, started_ms, is_removed, era, expected| Case {
+        name,
+        started_ms,
+        is_removed,
+        era,
+        expected,
+    };
+    let cases = [
+        case("earlier process", (Some(20), Some(10)), false, 1, Some("known")),
+        case("earlier process of a removed one", (Some(20), Some(10)), true, 1, None),
+        case("later process", (Some(20), Some(30)), false, 1, Some("listed")),
+        case("later process of a removed one", (Some(20), Some(30)), true, 1, Some("listed")),
+        case("no start is stated", (None, None), false, 1, Some("listed")),
+        // The clock of the upstream's machine may have been set back.
+        case("same era", (Some(20), Some(10)), false, 0, Some("listed")),
+    ];
+    for case in cases {
+        let mut registry = registry_of_two();
+        let (known_ms, listed_ms) = case.started_ms;
+        let known = UpstreamEntry {
+            started_unix_ms: known_ms,
+            software_version: "known".into(),
+            ..entry(1)
+        };
+        let listed = UpstreamEntry {
+            started_unix_ms: listed_ms,
+            software_version: "listed".into(),
+            ..entry(1)
+        };
+        registry.update("u1".into(), known);
+        if case.is_removed {
+            registry.remove(9_000, &"u1".into());
+        }
+        let list = vec![("u1".into(), listed.clone()), ("u2".into(), entry(2))];
+        registry.replace_from_store(10_000, at(case.era, 5), list, RENEWAL_INTERVAL_MS);
+        let version = registry.get(&"u1".into()).map(|entry| entry.software_version.clone());
+        assert_eq!(version, case.expected.map(Into::into), "{}", case.name);
+        registry.update("u1".into(), listed);
+        let version = registry.get(&"u1".into()).map(|entry| entry.software_version.clone());
+        assert_eq!(version, Some("listed".into()), "{}: written again", case.name);
+    }
+}
+
 /// A list of a restored store is older than what is known. It must neither bring back
 /// a process that has left, nor take away one that started since, nor hold against a
 /// process that has written its entry again.
