Attribute streams to the process that sends them

Cause: a stream counted as of the software version of the entry that was known when its upstream was chosen. An upstream that had just restarted under its name with other software got streams of the earlier version for up to half a second, or for as long as the store was away, and they went on there after a crash.

Change: a connection keeps the entry that was known before it was opened. Its version counts once later entries, or bytes of another connection, show the same process (upstream_process). A stream that breaks before waits for up to a second while its router reads the entries; if that does not tell, the others learn that its version is not known. While the store is away, connections that have broken tell. Nothing changes where entries state no start.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -118,7 +118,13 @@
 ) -> Result<Answer, Failure> {
     let upstream = destination.upstream;
     let key = RequestKey::new(data.id.as_bytes());
-    let mut connection = match node.pool.take(node.now_ms(), upstream, key) {
+    // One that was opened before the upstream's present entry came may lead to another process.
+    let is_present = |connection: &Connection| {
+        let process = connection.process.as_ref();
+        process.is_none_or(|process| node.is_present_process(upstream, process))
+    };
+    let idle = node.pool.take(node.now_ms(), upstream, key).filter(is_present);
+    let mut connection = match idle {
         Some(connection) => connection,
         None => connect(node, upstream).await?,
     };
@@ -129,6 +135,7 @@
         Ok(response) => response,
         // The upstream had closed the idle connection.
         Err(SendError::NotSent(_)) if connection.reused => {
+            node.connection_broke(upstream);
             connection = connect(node, upstream).await?;
             let request = build_request(node, data, destination, node.now_ms());
             connection.send(request).await.map_err(failure)?
@@ -168,15 +175,21 @@
 }
 
 async fn connect(node: &Rc<Node>, upstream: &UpstreamName) -> Result<Connection, Failure> {
-    let address = node.state().registry.get(upstream).map(|entry| entry.address);
-    let address = address.ok_or_else(|| Failure::NotSent("the upstream was removed".to_owned()))?;
+    let process = node.process_to_connect(upstream);
+    let mut process =
+        process.ok_or_else(|| Failure::NotSent("the upstream was removed".to_owned()))?;
     node.count(Counter::UpstreamConnects);
-    pool::connect(address, pool::BUFFER_BYTES).await.map_err(|error| {
+    let opened = pool::connect(process.entry.address, pool::BUFFER_BYTES).await;
+    let mut connection = opened.map_err(|error| {
         if matches!(error, SendError::Refused(_)) {
+            node.connection_broke(upstream);
             node.upstream_process_ended(upstream);
         }
         failure(error)
-    })
+    })?;
+    process.opened_ms = node.now_ms();
+    connection.process = Some(Rc::new(process));
+    Ok(connection)
 }
 
 fn failure(error: SendError) -> Failure {
--- a/crates/edge/src/forward/in_flight.rs
+++ b/crates/edge/src/forward/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use futures::channel::oneshot;
+use futures::{channel::oneshot, future::LocalBoxFuture};
 use span_http::Framing;
 use span_types::{ServiceName, SoftwareVersion, UpstreamName};
 
@@ -11,13 +11,27 @@
     node::Node,
     origin_exchange::OpenConfirmation,
     placement::{ChosenUpstream, PromptPrefix},
+    pool::Connection,
     prompt_crashes::{ANSWERED_MS, Progress, RISK_MS},
     service_admission::LaneTicket,
     stream_origin::StreamOrigin,
+    stream_process::{StreamProcess, UnsettledStream},
     upstream_load::AttemptResult,
+    upstream_process::ProcessVersion,
     wire_format::{SegmentId, WorkEstimate},
 };
 
+/// Whether it is certain at which version a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Settling {
+    /// It is.
+    Settled,
+    /// It will be once later entries are known.
+    Pending,
+    /// Nothing will tell.
+    Unknown,
+}
+
 /// A request that waits for a slot. Dropping it cancels the wait.
 pub(crate) struct SlotWait {
     node: Rc<Node>,
@@ -70,6 +84,9 @@
             attempt: 0,
             confirmation: None,
             sent_prompt: None,
+            answering: None,
+            is_version_certain: false,
+            awaits_version: false,
         })
     }
 }
@@ -104,6 +121,13 @@
     confirmation: Option<OpenConfirmation>,
     /// The prompt, since it was sent to the current upstream.
     sent_prompt: Option<SentPrompt>,
+    /// The process that sends, or sent, the events of a stream that may go on elsewhere.
+    answering: Option<StreamProcess>,
+    /// Whether the version of that process is certain.
+    is_version_certain: bool,
+    /// Whether the caller has events of a stream that began there, at a version that is not
+    /// certain.
+    awaits_version: bool,
 }
 
 /// A prompt that was sent to an upstream which has not answered it for [`ANSWERED_MS`] yet.
@@ -146,8 +170,39 @@
         }
     }
 
+    /// Records the connection on which the events of a stream arrive.
+    pub(crate) fn stream_arrives_on(&mut self, connection: &Connection) {
+        let process = connection.process.clone().zip(self.upstream().cloned());
+        let last_bytes_ms = self.node.now_ms();
+        self.answering = process.map(|(connection, upstream)| StreamProcess {
+            upstream,
+            connection,
+            last_bytes_ms,
+        });
+        self.is_version_certain = false;
+    }
+
+    /// Waits until it is certain that events fit to those that the caller has; none if it is, or
+    /// if the caller has none. The wait ends with false if they do not, or may not.
+    pub(crate) fn verify_version(&mut self) -> Option<LocalBoxFuture<'static, bool>> {
+        let (version, process) = (self.continued_version.clone()?, self.answering.clone()?);
+        let found = self.node.process_version(&process);
+        self.is_version_certain = found.is_certain();
+        if found == ProcessVersion::Certain(version.clone()) {
+            return None;
+        }
+        let node = self.node.clone();
+        Some(Box::pin(async move { node.await_version(&process, &version).await }))
+    }
+
     /// Records the arrival of bytes of the answer.
     pub(crate) fn answer_arrives(&mut self, now_ms: u64) {
+        if let Some(process) = &mut self.answering {
+            process.last_bytes_ms = now_ms;
+            if self.is_version_certain {
+                self.node.process_sends(now_ms, &process.upstream, &process.connection);
+            }
+        }
         if let Some(prompt) = &mut self.sent_prompt {
             let first_ms = *prompt.first_bytes_ms.get_or_insert(now_ms);
             if now_ms >= first_ms + ANSWERED_MS {
@@ -178,6 +233,9 @@
     /// Records that the connection to the upstream broke.
     pub(crate) fn connection_broke(&mut self) {
         let now_ms = self.node.now_ms();
+        if let Some(chosen) = &self.chosen {
+            self.node.connection_broke(&chosen.upstream);
+        }
         if let (Some(prompt), Some(chosen)) = (self.sent_prompt.take(), &self.chosen)
             && let Some(progress) = prompt.progress(now_ms)
         {
@@ -187,12 +245,65 @@
 
     /// Records that the caller gets events of the current upstream: only upstreams of
     /// its software version can continue them. Returns where the stream began.
-    pub(crate) fn stream_began(&mut self) -> Option<StreamOrigin> {
-        let origin = self.origin()?;
+    pub(crate) fn stream_began(&mut self, data: &RequestData) -> Option<StreamOrigin> {
+        let mut origin = self.origin()?;
+        if let (None, Some(process)) = (&self.continued_version, &self.answering) {
+            let found = self.node.process_version(process);
+            self.is_version_certain = found.is_certain();
+            self.awaits_version = !found.is_certain();
+            if *found.version() != origin.software_version {
+                origin.software_version = found.version().clone();
+                self.attempt += 1;
+                let confirmation = self.confirmation.take();
+                self.confirmation =
+                    self.node.stream_sent(data, self.attempt, &origin, confirmation);
+            }
+        }
         self.continued_version = Some(origin.software_version.clone());
         Some(origin)
     }
 
+    /// Looks again at which version a stream began, and tells others if it is another one than
+    /// they were told. `is_broken` says whether its process sends no more.
+    pub(crate) fn settle_version(&mut self, data: &RequestData, is_broken: bool) -> Settling {
+        let Some(process) = self.answering.as_ref().filter(|_| self.awaits_version) else {
+            return Settling::Settled;
+        };
+        let version = match self.node.process_version(process) {
+            ProcessVersion::Certain(version) => version,
+            ProcessVersion::Likely(version) if is_broken => version,
+            ProcessVersion::Assumed(_) | ProcessVersion::Likely(_) => return Settling::Pending,
+            ProcessVersion::Ambiguous(_) => return Settling::Unknown,
+        };
+        self.is_version_certain = !is_broken;
+        self.awaits_version = false;
+        if self.continued_version.as_ref() != Some(&version) {
+            self.attempt += 1;
+            let (service, software_version) = (self.service.clone(), version.clone());
+            let origin = StreamOrigin { service, software_version };
+            self.node.stream_moved(data, self.attempt, &origin);
+            self.continued_version = Some(version);
+        }
+        Settling::Settled
+    }
+
+    /// Records that the caller has a whole stream.
+    pub(crate) fn stream_completed(&mut self) {
+        self.awaits_version = false;
+    }
+
+    /// Records that this router does not go on with a stream, which its caller may take up.
+    pub(crate) fn stream_interrupted(&mut self, data: &Rc<RequestData>) {
+        let awaits_version = std::mem::take(&mut self.awaits_version);
+        if let (true, Some(process), Some(told_version)) =
+            (awaits_version, self.answering.take(), self.continued_version.clone())
+        {
+            let service = self.service.clone();
+            let stream = UnsettledStream { service, process, told_version };
+            self.node.settle_stream(data, self.attempt, stream);
+        }
+    }
+
     /// Where a stream begins whose first event comes from the current upstream.
     fn origin(&self) -> Option<StreamOrigin> {
         let software_version = self.chosen.as_ref()?.software_version.clone();
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -20,7 +20,7 @@
 use super::{
     attempt::{self, Answer, Destination, Failure, RequestData},
     body::Interrupted,
-    in_flight::InFlightRequest,
+    in_flight::{InFlightRequest, Settling},
     record::{Outcome, RequestRecord},
 };
 use crate::{
@@ -28,6 +28,7 @@
     node::Node,
     pool::{self, Connection},
     sse::{EventError, EventSplitter},
+    stream_process::VERSION_CHECK_INTERVAL_MS,
     upstream_load::AttemptResult,
     wire_format::list_segments,
 };
@@ -78,6 +79,13 @@
         idle_timeout_ms: Option<u64>,
     },
     Resuming(PendingAttempt),
+    /// The bytes follow once it is certain that the upstream has the stream's version.
+    Verifying {
+        verified: LocalBoxFuture<'static, bool>,
+        body: Incoming,
+        connection: Connection,
+        idle_timeout_ms: Option<u64>,
+    },
     /// No upstream that can continue the stream takes requests at the moment.
     Waiting {
         sleep: Pin<Box<Sleep>>,
@@ -123,10 +131,16 @@
         resume: Option<ResumeState>,
     ) -> Self {
         let Answer { body, framing, connection, idle_timeout_ms, .. } = answer;
+        let mut in_flight = in_flight;
+        let source = if splitter.is_some() {
+            source_on(&mut in_flight, body, connection, idle_timeout_ms)
+        } else {
+            Source::Body { body, connection, idle_timeout_ms }
+        };
         let deadline = tokio::time::sleep_until(node.clock.instant(deadline_ms));
         Self {
             node: node.clone(),
-            source: Source::Body { body, connection, idle_timeout_ms },
+            source,
             in_flight,
             record,
             boundary,
@@ -164,7 +178,7 @@
             && !resume.has_begun
         {
             resume.has_begun = true;
-            if let Some(origin) = self.in_flight.stream_began() {
+            if let Some(origin) = self.in_flight.stream_began(&resume.data) {
                 let streams = resume.data.stream_attempts(self.in_flight.attempt());
                 let confirmation = self.in_flight.take_confirmation();
                 self.node.stream_began(&streams, &origin, confirmation.is_some());
@@ -180,6 +194,8 @@
                     return Ok(None);
                 }
             }
+        } else if let Some(resume) = &self.resume {
+            self.in_flight.settle_version(&resume.data, false);
         }
         Ok(Some(events))
     }
@@ -201,6 +217,7 @@
     /// Ends the stream after its last byte, which ends an event.
     fn finish(&mut self) {
         self.record.ended_inside_event = self.ends_inside_event();
+        self.in_flight.stream_completed();
         let source = std::mem::replace(&mut self.source, Source::Ended);
         if let (Source::Body { connection, idle_timeout_ms, .. }, Some(upstream)) =
             (source, self.in_flight.upstream())
@@ -225,11 +242,18 @@
         self.source = Source::Failing(Interrupted(cause.clone()));
         cx.waker().wake_by_ref();
         self.record.ended_inside_event = self.ends_inside_event();
+        self.interrupt();
         self.in_flight.end_attempt(result);
         self.record.outcome = Outcome::Failed;
         self.record.reason = Some(cause);
     }
 
+    fn interrupt(&mut self) {
+        if let Some(resume) = &self.resume {
+            self.in_flight.stream_interrupted(&resume.data);
+        }
+    }
+
     /// Continues the stream at another upstream after the current one broke off or
     /// refused. Returns false if that is not possible.
     fn try_resume(&mut self, broken: &Broken) -> bool {
@@ -260,12 +284,25 @@
             Source::Resuming(_) if broken.result == AttemptResult::Full => {
                 resume.remaining_attempts += 1;
             }
-            Source::Resuming(_) => resume.tried.extend(last_upstream.clone()),
+            Source::Resuming(_) | Source::Verifying { .. } => {
+                resume.tried.extend(last_upstream.clone());
+            }
             Source::Body { .. } | Source::Failing(_) | Source::Ended => {
                 resume.tried.extend(last_upstream.clone());
                 resume.broken_ms = now_ms;
             }
         }
+        match self.in_flight.settle_version(&resume.data, true) {
+            Settling::Settled => {}
+            Settling::Pending if now_ms < resume.broken_ms + MAX_CONTINUE_WAIT_MS => {
+                self.node.entries_wanted.notify_one();
+                let until = self.node.clock.instant(now_ms + VERSION_CHECK_INTERVAL_MS);
+                let sleep = Box::pin(tokio::time::sleep_until(until));
+                self.source = Source::Waiting { sleep, cause: broken.cause.clone() };
+                return true;
+            }
+            Settling::Pending | Settling::Unknown => return false,
+        }
         if resume.remaining_attempts == 0 {
             return false;
         }
@@ -370,7 +407,8 @@
                         self.record.framing = Some(framing);
                         self.framing = framing;
                         self.boundary = Some(EventBoundary::default());
-                        self.source = Source::Body { body, connection, idle_timeout_ms };
+                        self.source =
+                            source_on(&mut self.in_flight, body, connection, idle_timeout_ms);
                         continue;
                     }
                     Err(failure @ Failure::NotRun(result)) => {
@@ -383,6 +421,18 @@
                         Broken::failed(describe(&failure))
                     }
                 },
+                Source::Verifying { verified, .. } => {
+                    if ready!(verified.as_mut().poll(cx)) {
+                        let source = std::mem::replace(&mut self.source, Source::Ended);
+                        if let Source::Verifying { body, connection, idle_timeout_ms, .. } = source
+                        {
+                            self.source = Source::Body { body, connection, idle_timeout_ms };
+                        }
+                        continue;
+                    }
+                    let cause = "the upstream may have restarted with other software".to_owned();
+                    Broken { cause, result: AttemptResult::Unknown }
+                }
                 Source::Body { body, .. } => match ready!(Pin::new(body).poll_frame(cx)) {
                     Some(Ok(frame)) => {
                         let Ok(bytes) = frame.into_data() else { continue };
@@ -423,6 +473,26 @@
     }
 }
 
+impl Drop for StreamBody {
+    fn drop(&mut self) {
+        self.interrupt();
+    }
+}
+
+/// The source of a stream whose answer arrives on `connection`.
+fn source_on(
+    in_flight: &mut InFlightRequest,
+    body: Incoming,
+    connection: Connection,
+    idle_timeout_ms: Option<u64>,
+) -> Source {
+    in_flight.stream_arrives_on(&connection);
+    match in_flight.verify_version() {
+        Some(verified) => Source::Verifying { verified, body, connection, idle_timeout_ms },
+        None => Source::Body { body, connection, idle_timeout_ms },
+    }
+}
+
 /// Describes a failure for logs.
 pub(crate) fn describe(failure: &Failure) -> String {
     match failure {
--- a/crates/edge/src/forward/take_up.rs
+++ b/crates/edge/src/forward/take_up.rs
@@ -67,7 +67,8 @@
         request = record.id,
         takes_up = record.takes_up,
         service = origin.map(|origin| origin.service.as_str()),
-        software_version = origin.map(|origin| origin.software_version.as_str()),
+        software_version =
+            origin.and_then(StreamOrigin::known_version).map(SoftwareVersion::as_str),
         attempt = start.map(|start| start.attempt),
         source,
         candidates = list_versions(candidates),
@@ -90,6 +91,9 @@
         Some(start) if !scope.services.contains(&start.origin.service) => {
             refuse("the route no longer leads to the stream's service; the request did not run")
         }
+        Some(start) if start.origin.known_version().is_none() => {
+            refuse("it is not known yet at which version the stream began; the request did not run")
+        }
         Some(start) => Ok(start.clone()),
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,8 +4,8 @@
 //! All persistent data is in the platform's store. The modules [`admission`],
 //! [`config`], [`directory`], [`lane`], [`load_summary`], [`overload`], [`placement`],
 //! [`prompt_crashes`], [`registry`], [`retry_budget`], [`role`], [`service_admission`],
-//! [`shares`], [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`] and
-//! [`upstream_load`] make decisions without I/O, with the current time as an argument.
+//! [`shares`], [`sse`], [`store_source`], [`stream_origin`], [`upstream_limit`],
+//! [`upstream_load`] and [`upstream_process`] make decisions without I/O, with the current time as an argument.
 //! The other modules connect them to the network.
 
 pub mod admission;
@@ -49,9 +49,11 @@
 mod store_sync;
 pub mod stream_history;
 pub mod stream_origin;
+mod stream_process;
 pub mod stream_records;
 pub mod upstream_limit;
 pub mod upstream_load;
+pub mod upstream_process;
 pub mod wire_format;
 
 pub use run::{ReadSettings, StartError, run};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -33,6 +33,8 @@
     RepeatsDenied,
     /// Streams that another upstream continued.
     Resumed,
+    /// Streams that were interrupted before it was certain at which version they began.
+    StreamsUnsettled,
     /// Requests that take up a stream of an earlier request of their caller.
     TakenUp,
     /// Questions to other routers for streams that callers took up.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -67,6 +67,8 @@
     /// Wakes the writer of records about streams after a change of the upstreams or of the
     /// configuration.
     pub(crate) records_changed: Notify,
+    /// Wakes the reader of upstream entries that are wanted at once.
+    pub(crate) entries_wanted: Notify,
     state: RefCell<State>,
 }
 
@@ -103,6 +105,7 @@
             confirmations: Confirmations::default(),
             record_reads: RecordReads::default(),
             records_changed: Notify::new(),
+            entries_wanted: Notify::new(),
             state: RefCell::new(State::new(own_router, seed, is_first_start)),
         })
     }
@@ -194,6 +197,7 @@
                 UpstreamChange::Started(name) => {
                     self.pool.close(name);
                     state.prompt_crashes.record_started(now_ms, name);
+                    state.processes.record_started(now_ms, name);
                     for service in state.services.values_mut() {
                         service.placement.reset(name);
                     }
@@ -201,6 +205,7 @@
                 UpstreamChange::Removed(name) => {
                     self.pool.close(name);
                     state.prompt_crashes.record_removed(now_ms, name);
+                    state.processes.record_removed(name);
                 }
                 UpstreamChange::Leaving(_) => {}
             }
--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -270,7 +270,7 @@
     }
 
     /// Tells others of streams, and has them recorded in the store.
-    fn send_notices(&self, notices: Vec<OriginNotice>) {
+    pub(crate) fn send_notices(&self, notices: Vec<OriginNotice>) {
         self.tell_routers(&notices);
         self.record_origins(&notices);
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -32,6 +32,7 @@
     role::Role,
     store::Position,
     store_source::{START_HEARTBEAT_INTERVAL_MS, StoreKnowledge},
+    store_sync::MAX_ENTRIES_LAG_MS,
     stream_origin::{OriginAnswer, OriginNotice, RequestKey, RouteScope, StreamAttempt},
     upstream_limit::LimitSummary,
 };
@@ -383,6 +384,9 @@
             let is_same = reported.registry_digest == own.registry_digest;
             if is_same && own.registry_position > Position::default() {
                 state.registry.confirm(now_ms, reported.registry_position, interval_ms);
+                let age_ms = reported.store_age_ms + MAX_ENTRIES_LAG_MS;
+                let era = reported.registry_position.era;
+                state.processes.record_entries(now_ms, now_ms.saturating_sub(age_ms), era);
             }
             let has_older_entries = reported.registry_position > own.registry_position && !is_same;
             let wants_entries = has_older_entries && {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of idle connections to upstreams.
 
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -15,7 +15,7 @@
     time::timeout,
 };
 
-use crate::{socket::set_options, stream_origin::RequestKey};
+use crate::{socket::set_options, stream_origin::RequestKey, upstream_process::ConnectedProcess};
 
 /// Time limit for connecting, in milliseconds. The links between failure domains
 /// take a few milliseconds; a lost SYN packet is sent again only after a second.
@@ -68,6 +68,8 @@
     _task: ConnectionTask,
     /// Whether an earlier request used the connection.
     pub(crate) reused: bool,
+    /// The process of an upstream that it leads to.
+    pub(crate) process: Option<Rc<ConnectedProcess>>,
     /// Requests whose rejection it has carried.
     rejected: Vec<RequestKey>,
 }
@@ -167,13 +169,20 @@
         self.idle.borrow_mut().remove(name);
     }
 
-    /// Closes idle connections whose idle timeout is over.
-    pub(crate) fn expire(&self, now_ms: u64) {
-        self.idle.borrow_mut().retain(|_, connections| {
-            connections
-                .retain(|idle| idle.expires_ms > now_ms && !idle.connection.sender.is_closed());
+    /// Closes idle connections whose idle timeout is over. Returns the upstreams that closed some
+    /// before.
+    pub(crate) fn expire(&self, now_ms: u64) -> Vec<UpstreamName> {
+        let mut closed_by = Vec::new();
+        self.idle.borrow_mut().retain(|name, connections| {
+            let open = connections.len();
+            connections.retain(|idle| !idle.connection.sender.is_closed());
+            if connections.len() < open {
+                closed_by.push(name.clone());
+            }
+            connections.retain(|idle| idle.expires_ms > now_ms);
             !connections.is_empty()
         });
+        closed_by
     }
 
     /// Number of idle connections.
@@ -211,5 +220,5 @@
         let _ = connection.await;
     });
     let task = ConnectionTask(task.abort_handle());
-    Ok(Connection { sender, _task: task, reused: false, rejected: Vec::new() })
+    Ok(Connection { sender, _task: task, reused: false, process: None, rejected: Vec::new() })
 }
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -14,7 +14,7 @@
 
 /// Time after the end of a store outage within which live upstreams have written
 /// their entries again, in milliseconds. The platform states about two seconds.
-const ENTRY_RECOVERY_MS: u64 = 2_200;
+pub(crate) const ENTRY_RECOVERY_MS: u64 = 2_200;
 
 /// Time after the first failed call from which an answer to another router shows
 /// that the outage concerned only this router, in milliseconds. An earlier answer
@@ -346,6 +346,11 @@
         self.upstreams.get(name).map(|known| &known.entry)
     }
 
+    /// Entry of an upstream, or the one that it had lately; none if the upstream is unknown.
+    pub fn last_entry(&self, name: &UpstreamName) -> Option<&UpstreamEntry> {
+        self.get(name).or_else(|| self.removed.get(name).map(|gone| &gone.entry))
+    }
+
     /// Upstreams of a service that take new requests.
     pub fn ready<'a>(
         &'a self,
@@ -409,7 +414,8 @@
     }
 }
 
-fn is_new_process(old: &UpstreamEntry, new: &UpstreamEntry) -> bool {
+/// Whether two entries of an upstream are of different processes.
+pub(crate) fn is_new_process(old: &UpstreamEntry, new: &UpstreamEntry) -> bool {
     old.started_unix_ms != new.started_unix_ms
         || old.address != new.address
         || old.service != new.service
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -122,6 +122,7 @@
     spawn_local(peers.clone().send_outbox());
     spawn_local(store_sync::watch_config(node.clone(), store.clone()));
     spawn_local(store_sync::watch_upstreams(node.clone(), store.clone()));
+    spawn_local(store_sync::read_wanted_entries(node.clone(), store.clone()));
     spawn_local(store_sync::sync_routers(node.clone(), store.clone()));
     spawn_local(record_sync::read_on_demand(node.clone(), store.clone()));
     spawn_local(record_sync::write_records(node.clone(), store));
@@ -180,7 +181,9 @@
             prompt_ticks += 1;
             node.tick_prompt_crashes(prompt_ticks);
         }
-        node.pool.expire(now_ms);
+        for upstream in node.pool.expire(now_ms) {
+            node.connection_broke(&upstream);
+        }
         let changes = node.state().registry.expire(now_ms);
         node.apply_upstream_changes(&changes);
         node.state().metrics.set(Counter::LogLinesDropped, log.dropped());
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -37,6 +37,7 @@
     },
     stream_records::{HistoryRecord, RecordedOrigins},
     upstream_limit::LimitSummary,
+    upstream_process::UpstreamProcesses,
 };
 
 /// Fraction of the connections that an upstream accepts which the known routers
@@ -122,6 +123,8 @@
     /// time limit of a route at most, and so does the attempt that takes it up. Falls only
     /// when streams are over that began with longer limits.
     pub(crate) stream_lifetime_ms: u64,
+    /// When processes of upstreams started, as far as streams depend on it.
+    pub(crate) processes: UpstreamProcesses,
     /// Prompts that crash upstreams.
     pub(crate) prompt_crashes: PromptCrashes,
     /// From where this router gets what the store holds.
@@ -215,6 +218,7 @@
             recorded_origins: RecordedOrigins::default(),
             stream_history: StreamHistory::default(),
             stream_lifetime_ms: 0,
+            processes: UpstreamProcesses::default(),
             prompt_crashes: PromptCrashes::default(),
             store_source: StoreSource::default(),
             metrics: Metrics::default(),
--- a/crates/edge/src/store_sync.rs
+++ b/crates/edge/src/store_sync.rs
@@ -23,6 +23,11 @@
 /// an entry is a change, so a watch returns almost at once; the pause batches
 /// changes. It delays the notice of a leaving upstream by as much.
 const UPSTREAMS_PAUSE_MS: u64 = 500;
+/// Pause between two reads of entries that are wanted at once, in milliseconds.
+const WANTED_ENTRIES_PAUSE_MS: u64 = 100;
+/// Longest time by which the entries of a router that the store answers may be older than its last
+/// answer, in milliseconds.
+pub(crate) const MAX_ENTRIES_LAG_MS: u64 = WATCH_WAIT_MS + UPSTREAMS_PAUSE_MS;
 /// Shortest and longest pause after a failed call to the store, in milliseconds,
 /// before jitter of up to half of it. The pause doubles with each failure.
 const MIN_AND_MAX_BACKOFF_MS: (u64, u64) = (100, 500);
@@ -86,6 +91,7 @@
             let mut state = node.state();
             state.registry.store_answered(now_ms, min_expiry_ms);
             state.store_source.record_answer(now_ms);
+            state.processes.store_answered(now_ms);
             drop(state);
             if failures > 0 {
                 info!(what, failures, "the store answers again");
@@ -93,7 +99,10 @@
         }
         Err(error) => {
             node.count(Counter::StoreFailures);
-            node.state().registry.store_failed(now_ms);
+            let mut state = node.state();
+            state.registry.store_failed(now_ms);
+            state.processes.store_failed();
+            drop(state);
             if failures == 0 {
                 warn!(what, error = %error, "the store does not answer");
             }
@@ -151,6 +160,7 @@
         // Entries from another router are up to date as of their position.
         let known_position = node.state().registry.position();
         if known_position == Position::default() {
+            let asked_ms = node.now_ms();
             let read = (store.read_upstreams)().await;
             let read = read.and_then(|listing| reject_earlier_era(&node, listing));
             record_result(&node, Purpose::Upstreams, &read, backoff.failures);
@@ -159,17 +169,18 @@
                 continue;
             };
             backoff.failures = 0;
-            replace_entries(&node, listing);
+            replace_entries(&node, asked_ms, listing);
             node.state().store_source.record_upstreams_read();
         }
         while node.reads_upstreams() {
             let position = node.state().registry.position();
+            let asked_ms = node.now_ms();
             let watched = (store.watch_upstreams)(position, WATCH_WAIT_MS).await;
             record_result(&node, Purpose::Upstreams, &watched, backoff.failures);
             match watched {
                 Ok(changes) => {
                     backoff.failures = 0;
-                    update_entries(&node, position, changes);
+                    update_entries(&node, asked_ms, position, changes);
                     node.state().store_source.record_upstreams_read();
                     sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS)).await;
                 }
@@ -183,6 +194,41 @@
     }
 }
 
+/// Reads the changes of the upstream entries at once when a stream depends on them, until the
+/// process ends. Watches come with a pause, and routers that do not read the store get the entries
+/// later still.
+pub(crate) async fn read_wanted_entries(node: Rc<Node>, store: Store) {
+    let mut failures = 0;
+    loop {
+        node.entries_wanted.notified().await;
+        let position = node.state().registry.position();
+        if position > Position::default() {
+            let asked_ms = node.now_ms();
+            let watched = (store.watch_upstreams)(position, 0).await;
+            node.count(Counter::StoreCalls);
+            node.count(Counter::StoreUpstreamsCalls);
+            match watched {
+                Ok(changes) => {
+                    failures = 0;
+                    let now_ms = node.now_ms();
+                    node.state().processes.store_answered(now_ms);
+                    update_entries(&node, asked_ms, position, changes);
+                }
+                // Those who watch the store read a list.
+                Err(StoreError::HistoryDropped) => {}
+                Err(error) => {
+                    node.state().processes.store_failed();
+                    if failures == 0 {
+                        warn!(error = %error, "cannot read the entries that a stream depends on");
+                    }
+                    failures += 1;
+                }
+            }
+        }
+        sleep(Duration::from_millis(WANTED_ENTRIES_PAUSE_MS << failures.min(3))).await;
+    }
+}
+
 /// Rejects a list of an era that is over. It would be ignored, and read again at once.
 fn reject_earlier_era<T>(node: &Node, listing: Listing<T>) -> Result<Listing<T>, StoreError> {
     let (era, known_era) = (listing.position.era, node.state().registry.era());
@@ -193,7 +239,8 @@
     Ok(listing)
 }
 
-fn replace_entries(node: &Node, listing: Listing<UpstreamEvent>) {
+/// Takes over a list that the store was asked for at `asked_ms`.
+fn replace_entries(node: &Node, asked_ms: u64, listing: Listing<UpstreamEvent>) {
     let Listing { items, position } = listing;
     let entries = items.into_iter().filter_map(|event| Some((event.name, event.entry?)));
     let entries = entries.collect();
@@ -201,11 +248,12 @@
     node.replace_entries(position, "store", |registry, now_ms| {
         registry.replace_from_store(now_ms, position, entries, interval_ms)
     });
+    node.state().processes.record_entries(node.now_ms(), asked_ms, position.era);
 }
 
-/// Applies the changes since `position`, unless newer entries of another router
-/// have arrived meanwhile.
-fn update_entries(node: &Node, position: Position, watched: Changes<UpstreamEvent>) {
+/// Applies the changes since `position` that the store was asked for at `asked_ms`, unless newer
+/// entries of another router have arrived meanwhile.
+fn update_entries(node: &Node, asked_ms: u64, position: Position, watched: Changes<UpstreamEvent>) {
     let now_ms = node.now_ms();
     let mut changes: Vec<UpstreamChange> = Vec::new();
     {
@@ -220,6 +268,7 @@
             });
         }
         state.registry.set_position(watched.position);
+        state.processes.record_entries(now_ms, asked_ms, position.era);
     }
     node.apply_upstream_changes(&changes);
 }
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -58,6 +58,23 @@
     pub software_version: SoftwareVersion,
 }
 
+/// Stands for the software version of streams of which nobody knows at which one they began; no
+/// upstream can have it.
+const UNDETERMINED_VERSION: &str = "\0";
+
+impl StreamOrigin {
+    /// The origin of a stream of which nobody knows at which version of `service` it began.
+    pub fn undetermined(service: &ServiceName) -> Self {
+        let software_version = UNDETERMINED_VERSION.into();
+        Self { service: service.clone(), software_version }
+    }
+
+    /// The version, if it is known.
+    pub fn known_version(&self) -> Option<&SoftwareVersion> {
+        Some(&self.software_version).filter(|version| version.as_str() != UNDETERMINED_VERSION)
+    }
+}
+
 /// Where an attempt at a request was sent. The request may have been sent to several upstreams
 /// before one sent the first event; the stream began at the last of them.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -384,8 +401,10 @@
     /// router knows no upstream yet.
     pub fn learn(&mut self, now_ms: u64, notice: &OriginNotice) {
         let StreamOrigin { service, software_version } = &notice.start.origin;
-        self.note_sole_version(now_ms, service);
-        self.versions.note(now_ms, service, software_version);
+        if notice.start.origin.known_version().is_some() {
+            self.note_sole_version(now_ms, service);
+            self.versions.note(now_ms, service, software_version);
+        }
         let stream = KnownStream {
             may_have_moved: true,
             ..KnownStream::new(now_ms, &notice.start, notice.lifetime_ms, false)
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -340,3 +340,27 @@
     known.learn(0, &notice(3));
     assert_eq!(known.get_settled(0, key("r")), None);
 }
+
+/// Guards against a stream that goes on at the version that its upstream had before a restart:
+/// its router tells the others later that it does not know the version, and then which one it is.
+/// The notice must make no further version a candidate.
+#[test]
+fn later_notice_withdraws_the_version_of_a_stream() {
+    let mut known = StreamOrigins::new(true);
+    known.set_versions(0, &service(), &versions(&["v1"]));
+    let notice = |attempt, origin| OriginNotice {
+        request: key("r1"),
+        start: AttemptOrigin { origin, attempt },
+        lifetime_ms: LIFETIME_MS,
+    };
+    let undetermined = StreamOrigin::undetermined(&service());
+    known.learn(10, &notice(1, origin("v1")));
+    known.learn(20, &notice(2, undetermined.clone()));
+    // The first notice may come again.
+    known.learn(30, &notice(1, origin("v1")));
+    assert_eq!(known.get(30, key("r1")).unwrap().origin.known_version(), None);
+    assert_eq!(known.candidates(30, &service(), LIFETIME_MS), origins(&["v1"]));
+    assert!(!known.may_differ(30, &service(), LIFETIME_MS));
+    known.learn(40, &notice(3, origin("v2")));
+    assert_eq!(known.get(40, key("r1")).unwrap().origin, origin("v2"));
+}
