Count the services that the paths of a route led to before

Cause: where a stream may have begun was looked up by the route that its path matches now. A route with a longer prefix that was added while all routers were down had no history, so its service alone was a candidate.

Change: a route that is added or removed, by the configuration or against the history in the store, makes the services of the route that had its paths before candidates of the one that has them now, for the lifetime of streams. Routes that stay nested change nothing.

--- a/crates/edge/src/recent_values.rs
+++ b/crates/edge/src/recent_values.rs
@@ -128,6 +128,15 @@
         keys.filter(|(_, values)| !values.is_empty()).collect()
     }
 
+    /// Values that keys have now.
+    pub fn all_present(&self) -> BTreeMap<K, BTreeSet<V>> {
+        let keys = self.values.iter().map(|(key, values)| {
+            let present = values.iter().filter(|(_, recent)| recent.gone_ms.is_none());
+            (key.clone(), present.map(|(value, _)| value.clone()).collect::<BTreeSet<V>>())
+        });
+        keys.filter(|(_, values)| !values.is_empty()).collect()
+    }
+
     /// Forgets the values that were gone for `lifetime_ms`.
     pub fn expire(&mut self, now_ms: u64, lifetime_ms: u64) {
         for values in self.values.values_mut() {
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -166,6 +166,18 @@
     StreamOrigin { service: service.clone(), software_version: version.clone() }
 }
 
+/// Services of each route whose streams may be taken up.
+type RouteServices = BTreeMap<RouteId, BTreeSet<ServiceName>>;
+
+/// The route among `routes` that takes the paths of `route`, which is none of them.
+fn shorter_route<'a>(
+    routes: &'a RouteServices,
+    route: &RouteId,
+) -> Option<(&'a RouteId, &'a BTreeSet<ServiceName>)> {
+    let covering = routes.iter().filter(|(known, _)| route.starts_with(known.as_ref()));
+    covering.max_by_key(|(known, _)| known.len())
+}
+
 /// What a router knows of where streams began.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
@@ -226,12 +238,48 @@
     }
 
     /// Records the services that routes lead to from now on.
-    pub fn set_routes(&mut self, now_ms: u64, routes: &BTreeMap<RouteId, BTreeSet<ServiceName>>) {
+    pub fn set_routes(&mut self, now_ms: u64, routes: &RouteServices) {
         let services: Vec<ServiceName> = self.versions.keys().cloned().collect();
         for service in &services {
             self.note_sole_version(now_ms, service);
         }
+        let (present, lifetime_ms) = (self.routes.all_present(), self.lifetime_ms(now_ms));
+        let known = self.routes.all_recent(now_ms, lifetime_ms);
+        // Before the first configuration, only the history says which routes there were.
+        let before = if present.is_empty() { known.clone() } else { present };
         self.routes.set_all(now_ms, routes);
+        self.note_paths_of_added(now_ms, &known, routes);
+        self.note_paths_of_removed(now_ms, &before, routes);
+    }
+
+    /// Records that the paths of added routes led to the services of routes with shorter
+    /// prefixes until now.
+    fn note_paths_of_added(&mut self, now_ms: u64, before: &RouteServices, after: &RouteServices) {
+        for route in after.keys().filter(|route| !before.contains_key(*route)) {
+            let Some((_, services)) = shorter_route(before, route) else { continue };
+            for service in services {
+                self.routes.note(now_ms, route, service);
+            }
+        }
+    }
+
+    /// Records that some paths that lead to routes with shorter prefixes from now on led to the
+    /// services of removed ones until now.
+    fn note_paths_of_removed(
+        &mut self,
+        now_ms: u64,
+        before: &RouteServices,
+        after: &RouteServices,
+    ) {
+        for (removed, services) in before {
+            if after.contains_key(removed) {
+                continue;
+            }
+            let Some((covering, _)) = shorter_route(after, removed) else { continue };
+            for service in services {
+                self.routes.note(now_ms, covering, service);
+            }
+        }
     }
 
     /// Records that streams of `service` may have begun at its only version until now, if it
@@ -302,6 +350,11 @@
                 }
             }
             self.versions_before_start = Some(record.versions.clone());
+            let present = self.routes.all_present();
+            if !present.is_empty() {
+                self.note_paths_of_added(now_ms, &record.routes, &present);
+                self.note_paths_of_removed(now_ms, &record.routes, &present);
+            }
         }
         self.has_record |= is_complete;
         for lifetime_ms in &record.lifetimes_ms {
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -215,6 +215,92 @@
     assert_eq!(services(&restarted, 0), ["new", "old"]);
 }
 
+/// Guards against a stream that goes on at the service to which its path leads since a route with a
+/// longer prefix was added or removed, whether its router saw that or was down.
+#[test]
+fn services_of_the_paths_of_a_route_are_candidates_for_the_lifetime_of_its_streams() {
+    type Routes = &'static [(&'static str, &'static str)];
+    struct Case {
+        name: &'static str,
+        before: Routes,
+        after: Routes,
+        route: &'static str,
+        expected: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "longer prefix added",
+            before: &[("h/a/", "old")],
+            after: &[("h/a/", "old"), ("h/a/b/", "new")],
+            route: "h/a/b/",
+            expected: &["new", "old"],
+        },
+        Case {
+            name: "the longest of the shorter ones counts",
+            before: &[("h/", "oldest"), ("h/a/", "old")],
+            after: &[("h/", "oldest"), ("h/a/", "old"), ("h/a/b/", "new")],
+            route: "h/a/b/",
+            expected: &["new", "old"],
+        },
+        Case {
+            name: "longer prefix removed",
+            before: &[("h/a/", "old"), ("h/a/b/", "new")],
+            after: &[("h/a/", "old")],
+            route: "h/a/",
+            expected: &["new", "old"],
+        },
+        Case {
+            name: "nested routes that stay",
+            before: &[("h/a/", "old"), ("h/a/b/", "new")],
+            after: &[("h/a/", "old"), ("h/a/b/", "new")],
+            route: "h/a/b/",
+            expected: &["new"],
+        },
+        Case {
+            name: "another host",
+            before: &[("h/a/", "old")],
+            after: &[("h/a/", "old"), ("h2/a/b/", "new")],
+            route: "h2/a/b/",
+            expected: &["new"],
+        },
+    ];
+    let routes = |routes: Routes| {
+        let routes = routes
+            .iter()
+            .map(|(route, service)| ((*route).into(), BTreeSet::from([(*service).into()])));
+        routes.collect::<BTreeMap<_, _>>()
+    };
+    let services = |known: &StreamOrigins, now_ms, route: &str| {
+        let route = route.into();
+        let services = known.route_services(now_ms, &route, LIFETIME_MS);
+        services.map(|service| service.as_str().to_owned()).collect::<Vec<_>>()
+    };
+    for Case { name, before, after, route, expected } in cases {
+        let mut known = StreamOrigins::new(true);
+        known.set_lifetime(0, LIFETIME_MS);
+        known.set_routes(0, &routes(before));
+        let record = known.history(500, LIFETIME_MS);
+        known.set_routes(1_000, &routes(after));
+        assert_eq!(services(&known, 1_000, route), expected, "{name}, seen");
+        let is_over_ms = 1_000 + LIFETIME_MS;
+        assert_eq!(services(&known, is_over_ms, route).len(), 1, "{name}, over");
+
+        for reads_history_first in [false, true] {
+            let mut restarted = StreamOrigins::default();
+            restarted.set_lifetime(0, LIFETIME_MS);
+            if reads_history_first {
+                restarted.add_history(0, Some(&record), true);
+                restarted.set_routes(10, &routes(after));
+            } else {
+                restarted.set_routes(0, &routes(after));
+                restarted.add_history(10, Some(&record), true);
+            }
+            let found = services(&restarted, 10, route);
+            assert_eq!(found, expected, "{name}, history first: {reads_history_first}");
+        }
+    }
+}
+
 /// Guards against a first start that the settings still state after a restart, and against a
 /// fleet that refuses streams because the store has no record yet.
 #[test]
