--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -127,7 +127,13 @@
     let upstream = destination.upstream;
     check_not_evacuated(node, upstream)?;
     let key = RequestKey::new(data.id.as_bytes());
-    let mut connection = match node.pool.take(node.now_ms(), upstream, key) {
+    // One that was opened before the upstream's present entry came may lead to another process.
+    let is_present = |connection: &Connection| {
+        let process = connection.process.as_ref();
+        process.is_none_or(|process| node.is_present_process(upstream, process))
+    };
+    let idle = node.pool.take(node.now_ms(), upstream, key).filter(is_present);
+    let mut connection = match idle {
         Some(connection) => connection,
         None => connect(node, upstream).await?,
     };
@@ -138,6 +144,7 @@
         Ok(response) => response,
         // The upstream had closed the idle connection.
         Err(SendError::NotSent(_)) if connection.reused => {
+            node.connection_broke(upstream);
             connection = connect(node, upstream).await?;
             let request = build_request(node, data, destination, node.now_ms());
             connection.send(request).await.map_err(failure)?
@@ -181,8 +188,9 @@
 }
 
 async fn connect(node: &Rc<Node>, upstream: &UpstreamName) -> Result<Connection, Failure> {
-    let address = node.state().registry.get(upstream).map(|entry| entry.address);
-    let address = address.ok_or_else(|| Failure::NotSent("the upstream was removed".to_owned()))?;
+    let process = node.process_to_connect(upstream);
+    let mut process =
+        process.ok_or_else(|| Failure::NotSent("the upstream was removed".to_owned()))?;
     let charge = if node.connections.has_descriptor(node.settings().resources.max_sockets) {
         node.connections.charge(MemoryUse::Upstreams, pool::CONNECTION_BYTES).await
     } else {
@@ -193,16 +201,19 @@
         return Err(Failure::NotSent("no memory or descriptor for a connection".to_owned()));
     };
     node.count(Counter::UpstreamConnects);
-    let connected = pool::connect(address, pool::BUFFER_BYTES).await;
+    let connected = pool::connect(process.entry.address, pool::BUFFER_BYTES).await;
     let connected = connected.map(|connection| connection.with_charge(charge));
-    let connection = connected.map_err(|error| {
+    let mut connection = connected.map_err(|error| {
         if matches!(error, SendError::Refused(_)) {
+            node.connection_broke(upstream);
             node.upstream_process_ended(upstream);
             node.upstream_refused(upstream);
         }
         failure(error)
     })?;
     check_not_evacuated(node, upstream)?;
+    process.opened_ms = node.now_ms();
+    connection.process = Some(Rc::new(process));
     Ok(connection)
 }
 
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of idle connections to upstreams.
 
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -15,7 +15,10 @@
     time::timeout,
 };
 
-use crate::{memory_budget::Charge, socket::set_options, stream_origin::RequestKey};
+use crate::{
+    memory_budget::Charge, socket::set_options, stream_origin::RequestKey,
+    upstream_process::ConnectedProcess,
+};
 
 /// Time limit for connecting, in milliseconds. The links between failure domains
 /// take a few milliseconds; a lost SYN packet is sent again only after a second.
@@ -71,6 +74,8 @@
     _task: ConnectionTask,
     /// Whether an earlier request used the connection.
     pub(crate) reused: bool,
+    /// The process of an upstream that it leads to.
+    pub(crate) process: Option<Rc<ConnectedProcess>>,
     /// Requests whose rejection it has carried.
     rejected: Vec<RequestKey>,
     /// Its memory.
@@ -177,13 +182,20 @@
         self.idle.borrow_mut().remove(name);
     }
 
-    /// Closes idle connections whose idle timeout is over.
-    pub(crate) fn expire(&self, now_ms: u64) {
-        self.idle.borrow_mut().retain(|_, connections| {
-            connections
-                .retain(|idle| idle.expires_ms > now_ms && !idle.connection.sender.is_closed());
+    /// Closes idle connections whose idle timeout is over. Returns the upstreams that closed some
+    /// before.
+    pub(crate) fn expire(&self, now_ms: u64) -> Vec<UpstreamName> {
+        let mut closed_by = Vec::new();
+        self.idle.borrow_mut().retain(|name, connections| {
+            let open = connections.len();
+            connections.retain(|idle| !idle.connection.sender.is_closed());
+            if connections.len() < open {
+                closed_by.push(name.clone());
+            }
+            connections.retain(|idle| idle.expires_ms > now_ms);
             !connections.is_empty()
         });
+        closed_by
     }
 
     /// Number of idle connections.
@@ -221,5 +233,12 @@
         let _ = connection.await;
     });
     let task = ConnectionTask(task.abort_handle());
-    Ok(Connection { sender, _task: task, reused: false, rejected: Vec::new(), _charge: None })
+    Ok(Connection {
+        sender,
+        _task: task,
+        reused: false,
+        process: None,
+        rejected: Vec::new(),
+        _charge: None,
+    })
 }
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -14,7 +14,7 @@
 
 /// Time after the end of a store outage within which live upstreams have written
 /// their entries again, in milliseconds. The platform states about two seconds.
-const ENTRY_RECOVERY_MS: u64 = 2_200;
+pub(crate) const ENTRY_RECOVERY_MS: u64 = 2_200;
 
 /// Time after the first failed call from which an answer to another router shows
 /// that the outage concerned only this router, in milliseconds. An earlier answer
@@ -206,12 +206,15 @@
         if now_ms >= self.stale_until_ms {
             return false;
         }
-        let left = self.upstreams.get(name).is_some_and(|known| {
-            known.entry.leaving && !listed.leaving && !is_new_process(&known.entry, listed)
+        let is_outdated = self.upstreams.get(name).is_some_and(|known| {
+            let left = known.entry.leaving && !listed.leaving;
+            is_earlier_process(&known.entry, listed)
+                || (left && !is_new_process(&known.entry, listed))
         });
-        let was_removed =
-            self.removed.get(name).is_some_and(|gone| !is_new_process(&gone.entry, listed));
-        left || was_removed
+        let was_removed = self.removed.get(name).is_some_and(|gone| {
+            !is_new_process(&gone.entry, listed) || is_earlier_process(&gone.entry, listed)
+        });
+        is_outdated || was_removed
     }
 
     /// Replaces all entries by those of another router, if they are newer. A
@@ -345,6 +348,11 @@
         self.upstreams.get(name).map(|known| &known.entry)
     }
 
+    /// Entry of an upstream, or the one that it had lately; none if the upstream is unknown.
+    pub fn last_entry(&self, name: &UpstreamName) -> Option<&UpstreamEntry> {
+        self.get(name).or_else(|| self.removed.get(name).map(|gone| &gone.entry))
+    }
+
     /// Upstreams of a service that take new requests.
     pub fn ready<'a>(
         &'a self,
@@ -414,9 +422,17 @@
     }
 }
 
-fn is_new_process(old: &UpstreamEntry, new: &UpstreamEntry) -> bool {
+/// Whether two entries of an upstream are of different processes.
+pub(crate) fn is_new_process(old: &UpstreamEntry, new: &UpstreamEntry) -> bool {
     old.started_unix_ms != new.started_unix_ms
         || old.address != new.address
         || old.service != new.service
         || old.software_version != new.software_version
 }
+
+/// Whether `listed` is of a process that started before that of `known`. If the clock of the
+/// upstream's machine was set back, that holds for its successor too, until it renews its entry.
+fn is_earlier_process(known: &UpstreamEntry, listed: &UpstreamEntry) -> bool {
+    let started_ms = known.started_unix_ms.zip(listed.started_unix_ms);
+    started_ms.is_some_and(|(known_ms, listed_ms)| listed_ms < known_ms)
+}
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -137,6 +137,7 @@
     spawn_local(store_sync::watch_config(node.clone(), store.clone()));
     spawn_local(store_sync::watch_upstreams(node.clone(), store.clone()));
     spawn_local(evacuation_sync::watch_evacuations(node.clone(), store.clone()));
+    spawn_local(store_sync::read_wanted_entries(node.clone(), store.clone()));
     spawn_local(store_sync::sync_routers(node.clone(), store.clone()));
     spawn_local(record_sync::read_on_demand(node.clone(), store.clone()));
     spawn_local(record_sync::write_records(node.clone(), store));
@@ -197,7 +198,9 @@
             node.tick_prompt_crashes(prompt_ticks);
         }
         node.connections.tick(now_ms, listen::head_timeout_ms(&node));
-        node.pool.expire(now_ms);
+        for upstream in node.pool.expire(now_ms) {
+            node.connection_broke(&upstream);
+        }
         let changes = node.state().registry.expire(now_ms);
         node.apply_upstream_changes(&changes);
         awaits_evacuations = node.tick_evacuations(awaits_evacuations);
