Read heads with many fields apart from others, and let refused callers see the answer

The rest of a refused body is now read, for 3 s at most. A workspace may use three quarters of the room for large bodies, and makes no room at the cost of others when that is used.

--- a/crates/edge/src/charged_buffer.rs
+++ b/crates/edge/src/charged_buffer.rs
@@ -14,6 +14,8 @@
 pub struct OutOfMemory {
     /// Size of the segment.
     pub needed_bytes: u64,
+    /// Whether it would fit if others released what they hold.
+    pub can_make_room: bool,
 }
 
 /// Collects bytes in segments, each of which is charged before it is allocated. A single
@@ -54,7 +56,10 @@
             if !has_space {
                 let next_len = self.next_segment_len();
                 if !self.charge.try_grow(next_len as u64) {
-                    return Err(OutOfMemory { needed_bytes: next_len as u64 });
+                    return Err(OutOfMemory {
+                        needed_bytes: next_len as u64,
+                        can_make_room: self.charge.fits_group(next_len as u64),
+                    });
                 }
                 self.segments.push(BytesMut::with_capacity(next_len));
             }
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -20,8 +20,8 @@
 use tracing::warn;
 
 use crate::{
-    charged_buffer::ChargedBuffer,
-    connection_table::{ConnectionId, ConnectionTable},
+    charged_buffer::{ChargedBuffer, OutOfMemory},
+    connection_table::{Activity, ConnectionId, ConnectionTable},
     memory_budget::{Charge, Group, MemoryBudget, MemoryUse},
     pool,
     refusals::{Refusal, Refusals},
@@ -34,8 +34,11 @@
 /// Memory of a connection with a full read buffer, as a multiple of the buffer: the allocation
 /// doubles when it grows.
 const READ_BUFFER_FACTOR: u64 = 2;
+/// Lines of a head from which on it is read with room for all fields that fit into it. The
+/// HTTP library has room for 100 fields on the stack, and allocates more for each head.
+const MANY_FIELDS: usize = 100;
 /// How often connections are closed to make room for one use of memory.
-const MAX_ROOM_ATTEMPTS: usize = 4;
+const MAX_ROOM_ATTEMPTS: usize = 2;
 /// Number of workspaces above which those without a body are forgotten.
 const MAX_GROUPS: usize = 1_024;
 /// Descriptors for listeners, the store and other routers.
@@ -168,8 +171,12 @@
         for _ in 0..MAX_ROOM_ATTEMPTS {
             match buffer.push(data) {
                 Ok(()) => return true,
-                Err(error) if !self.make_room(None, error.needed_bytes) => return false,
-                Err(_) => yield_now().await,
+                Err(OutOfMemory { needed_bytes, can_make_room }) => {
+                    if !can_make_room || !self.make_room(None, needed_bytes) {
+                        return false;
+                    }
+                    yield_now().await;
+                }
             }
         }
         buffer.push(data).is_ok()
@@ -194,6 +201,12 @@
     read_bytes: Cell<usize>,
     /// Memory with a full read buffer, in bytes.
     full_bytes: u64,
+    /// Lines of the head that is read.
+    head_lines: Cell<usize>,
+    /// Whether a head with many fields has begun.
+    pub(crate) has_many_fields: Cell<bool>,
+    /// Notified when that happens.
+    pub(crate) many_fields_begin: Notify,
 }
 
 impl OpenConnection {
@@ -218,6 +231,9 @@
             charge: RefCell::new(charge),
             read_bytes: Cell::new(0),
             full_bytes: READ_BUFFER_FACTOR * buffer_bytes as u64,
+            head_lines: Cell::new(0),
+            has_many_fields: Cell::new(false),
+            many_fields_begin: Notify::new(),
         }))
     }
 
@@ -225,6 +241,7 @@
     /// dropped.
     pub(crate) fn request_begins(self: &Rc<Self>) -> OpenRequest {
         self.read_bytes.set(0);
+        self.head_lines.set(0);
         self.connections.table.borrow_mut().request_begins(self.id);
         OpenRequest(self.clone())
     }
@@ -249,6 +266,21 @@
         false
     }
 
+    /// Whether `bytes` make a head the first one with more fields than `MANY_FIELDS`.
+    fn begins_many_fields(&self, bytes: &[u8]) -> bool {
+        let activity = self.connections.table.borrow().activity(self.id);
+        if self.has_many_fields.get() || activity != Some(Activity::ReadingHead) {
+            return false;
+        }
+        let head = bytes.windows(4).position(|end| end == b"\r\n\r\n");
+        let head = &bytes[..head.unwrap_or(bytes.len())];
+        let lines = head.iter().filter(|byte| **byte == b'\n').count();
+        self.head_lines.update(|before| before + lines);
+        let begins = self.head_lines.get() >= MANY_FIELDS;
+        self.has_many_fields.set(begins);
+        begins
+    }
+
     fn written(&self, takes_bytes: bool) {
         self.connections.table.borrow_mut().written(self.id, takes_bytes);
     }
@@ -273,11 +305,20 @@
 pub(crate) struct CountedStream {
     stream: OrderlyCloseStream,
     connection: Rc<OpenConnection>,
+    /// Bytes that were read before and are read again.
+    replay: Bytes,
+    /// Whether nothing is read until `put_back`.
+    is_paused: bool,
 }
 
 impl CountedStream {
     pub(crate) fn new(stream: OrderlyCloseStream, connection: Rc<OpenConnection>) -> Self {
-        Self { stream, connection }
+        Self { stream, connection, replay: Bytes::new(), is_paused: false }
+    }
+
+    /// The stream with `bytes` to be read again before all others.
+    pub(crate) fn put_back(self, bytes: &[u8]) -> Self {
+        Self { replay: [bytes, &self.replay].concat().into(), is_paused: false, ..self }
     }
 
     fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
@@ -294,12 +335,27 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.is_paused {
+            return Poll::Pending;
+        }
+        if !self.replay.is_empty() {
+            let count = self.replay.len().min(buf.remaining());
+            buf.put_slice(&self.replay.split_to(count));
+            return Poll::Ready(Ok(()));
+        }
         let filled = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let bytes = buf.filled().len() - filled;
         if bytes > 0 && !self.connection.received(bytes) {
             return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
         }
+        if self.connection.begins_many_fields(&buf.filled()[filled..]) {
+            self.replay = Bytes::copy_from_slice(&buf.filled()[filled..]);
+            buf.set_filled(filled);
+            self.is_paused = true;
+            self.connection.many_fields_begin.notify_one();
+            return Poll::Pending;
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -59,6 +59,8 @@
 const DEFAULT_RETRY_AFTER_MS: u64 = 500;
 /// Largest number of attempts for one request at which nothing could be sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
+/// Longest time for which the rest of a refused body is read, in milliseconds.
+const MAX_DRAIN_MS: u64 = 3_000;
 /// Memory of one header field in the tables of a request and of an attempt at it, in bytes.
 const FIELD_BYTES: u64 = 256;
 /// Wait for the answer of an idempotent request before it is retried, as a
@@ -318,7 +320,7 @@
     let expected_bytes = body.size_hint().exact().map(|length| length as usize);
     let mut buffer = ChargedBuffer::new(charge, expected_bytes);
     node.connections.reads_body(connection, true);
-    let read = async {
+    let read = async move {
         while let Some(frame) = body.frame().await {
             let interrupted = |_| {
                 ErrorReply::denied(StatusCode::BAD_REQUEST, "the body of the request breaks off")
@@ -332,6 +334,8 @@
             }
             if !node.connections.push(&mut buffer, &mut data).await {
                 node.connections.refuse(Refusal::RefusedBodyMemory);
+                drop(buffer);
+                drain(&mut body, max_bytes).await;
                 let message = "too many request bodies are in memory; the request did not run";
                 return Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
             }
@@ -348,6 +352,22 @@
     })
 }
 
+/// Reads the rest of a body that is refused and drops it, at most `max_bytes`: unread bytes
+/// would reset the connection, and the caller would not see the answer.
+async fn drain(body: &mut Incoming, max_bytes: usize) {
+    let read = async {
+        let mut dropped_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            dropped_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if dropped_bytes > max_bytes {
+                return;
+            }
+        }
+    };
+    // The answer follows in any case.
+    let _ = timeout(Duration::from_millis(MAX_DRAIN_MS), read).await;
+}
+
 /// The answer to a request whose prompt has a segment on which upstreams crash; none for
 /// others. The request must not have run.
 fn blocked_reply(node: &Node, record: &mut RequestRecord) -> Option<ErrorReply> {
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -196,8 +196,14 @@
             (node.clone(), answer.clone(), open_connections.clone());
         spawn_local(async move {
             let handler_node = node.clone();
+            let open = open_connections.clone();
             let handler = move |request: Request<Incoming>| {
-                std::future::ready(answer(&handler_node, &request))
+                let mut response = answer(&handler_node, &request);
+                // An idle connection would only keep others out.
+                if open.get() > max_connections / 2 {
+                    set_connection_close(&mut response);
+                }
+                std::future::ready(response)
             };
             serve(&node, stream, &connection, handler).await;
             open_connections.update(|open| open - 1);
@@ -222,29 +228,39 @@
     let max_head_bytes = max_head_bytes(node);
     let answer_end = AnswerEnd::default();
     let stream = OrderlyCloseStream::new(stream, answer_end.clone());
-    let stream = CountedStream::new(stream, connection.clone());
-    let service = service_fn(|mut request: Request<Incoming>| {
-        let (version, answer_end) = (request.version(), &answer_end);
-        let open_request = connection.request_begins();
-        request.extensions_mut().insert(connection.id);
-        let response = handler(request);
-        async move {
-            let response = response.await;
-            answer_end.record(version, &response);
-            Ok::<_, Infallible>(response.map(|body| AnswerBody { body, _request: open_request }))
+    let mut stream = CountedStream::new(stream, connection.clone());
+    loop {
+        let service = service_fn(|mut request: Request<Incoming>| {
+            let (version, answer_end) = (request.version(), &answer_end);
+            let open_request = connection.request_begins();
+            request.extensions_mut().insert(connection.id);
+            let response = handler(request);
+            async move {
+                let response = response.await;
+                answer_end.record(version, &response);
+                let response = response.map(|body| AnswerBody { body, _request: open_request });
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(idle_ms))
+            .max_buf_size(max_head_bytes + READ_AHEAD_BYTES)
+            .auto_date_header(false);
+        if connection.has_many_fields.get() {
+            builder.max_headers(max_head_bytes / SHORTEST_FIELD_BYTES);
+        }
+        let mut served = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            // An interrupted connection is no error of this process.
+            _ = &mut served => return,
+            () = connection.close.notified() => return,
+            () = connection.many_fields_begin.notified() => {}
         }
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle_ms))
-        .max_buf_size(max_head_bytes + READ_AHEAD_BYTES)
-        .max_headers(max_head_bytes / SHORTEST_FIELD_BYTES)
-        .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::select! {
-        // An interrupted connection is no error of this process.
-        _ = served => {}
-        () = connection.close.notified() => {}
+        // No answer is being written: the stream reports this only between requests.
+        let parts = served.into_parts();
+        stream = parts.io.into_inner().put_back(&parts.read_buf);
     }
 }
 
--- a/crates/edge/src/memory_budget.rs
+++ b/crates/edge/src/memory_budget.rs
@@ -24,7 +24,7 @@
 /// beside them.
 const BULK_FRACTION: f64 = 0.75;
 /// Fraction of what larger holders may use that is for those of one workspace.
-const GROUP_BULK_FRACTION: f64 = 0.5;
+const GROUP_BULK_FRACTION: f64 = 0.75;
 
 /// What memory is used for.
 #[derive(
@@ -101,8 +101,8 @@
     }
 
     /// As [`Self::start`], for a holder of `group`. A group leaves room for others: its larger
-    /// holders get no more than half of what is for such holders, and all of its holders no
-    /// more than what is for larger ones.
+    /// holders get no more than three quarters of what is for such holders, and all of its
+    /// holders no more than what is for larger ones.
     pub fn start_in_group(&self, memory_use: MemoryUse, group: &Group) -> Charge {
         Charge { budget: self.clone(), group: Some(group.clone()), memory_use, bytes: 0 }
     }
@@ -133,20 +133,28 @@
     pub fn try_grow(&mut self, bytes: u64) -> bool {
         let Inner { limit_bytes, bulk_limit_bytes, .. } = *self.budget.0;
         let is_small = self.bytes.saturating_add(bytes) <= SMALL_BYTES;
-        let (limit_bytes, group_limit_bytes) = if is_small {
-            (limit_bytes, bulk_limit_bytes)
-        } else {
-            (bulk_limit_bytes, (bulk_limit_bytes as f64 * GROUP_BULK_FRACTION) as u64)
-        };
-        let group_bytes = self.group.as_ref().map_or(0, Group::used_bytes);
+        let limit_bytes = if is_small { limit_bytes } else { bulk_limit_bytes };
         let fits = self.budget.total_used_bytes().saturating_add(bytes) <= limit_bytes
-            && (self.group.is_none() || group_bytes.saturating_add(bytes) <= group_limit_bytes);
+            && self.fits_group(bytes);
         if fits {
             self.grow(bytes);
         }
         fits
     }
 
+    /// Whether `bytes` more would leave the group within its part of the budget.
+    pub fn fits_group(&self, bytes: u64) -> bool {
+        let is_small = self.bytes.saturating_add(bytes) <= SMALL_BYTES;
+        let bulk_limit_bytes = self.budget.0.bulk_limit_bytes;
+        let limit_bytes = if is_small {
+            bulk_limit_bytes
+        } else {
+            (bulk_limit_bytes as f64 * GROUP_BULK_FRACTION) as u64
+        };
+        let fits = |group: &Group| group.used_bytes().saturating_add(bytes) <= limit_bytes;
+        self.group.as_ref().is_none_or(fits)
+    }
+
     /// Charges `bytes` more, whether they fit or not: for a copy that replaces what is held
     /// already, or if others were closed to make room.
     pub fn grow(&mut self, bytes: u64) {
