--- a/crates/edge/tests/upstream_process.rs
+++ b/crates/edge/tests/upstream_process.rs
@@ -21,6 +21,7 @@
         leaving: false,
         started_unix_ms: started_unix_ms.into(),
         software_version: software_version.into(),
+        cold_remaining_ms: 0,
     }
 }
 
