End cold times when a configuration drops the limit

Cause: an upstream stayed cold, and away from prefix homes, until its own end although its service no longer had a limit; the test counted one cold upstream instead of none. A bound below one request a second is taken as one.

--- a/crates/edge/src/cold_exchange.rs
+++ b/crates/edge/src/cold_exchange.rs
@@ -12,11 +12,14 @@
     state::State,
 };
 
+/// Least bound on the requests of a second: with a lower one, no request could be sent.
+const MIN_IN_SECOND: f64 = 1.0;
+
 /// What cold upstreams of a service tolerate; none if the service states nothing.
 fn cold_terms(service: &Service, settings: &Settings) -> Option<ColdTerms> {
     let limits = settings.fleet_limits;
     let per_s = service.cold_per_s;
-    let max_in_second = per_s * limits.cold_overshoot + limits.cold_slack;
+    let max_in_second = (per_s * limits.cold_overshoot + limits.cold_slack).max(MIN_IN_SECOND);
     (per_s > 0.0).then_some(ColdTerms { start_ms: service.cold_start_ms, per_s, max_in_second })
 }
 
--- a/crates/edge/src/upstream_limit.rs
+++ b/crates/edge/src/upstream_limit.rs
@@ -329,6 +329,10 @@
     /// Sets what cold upstreams tolerate; none if there is no such limit.
     pub fn set_cold_terms(&mut self, terms: Option<ColdTerms>) {
         self.cold_terms = terms;
+        if terms.is_none() {
+            self.warm.clear();
+            self.limits.values_mut().for_each(|known| known.cold = None);
+        }
     }
 
     /// What cold upstreams tolerate.
--- a/crates/edge/tests/cold_upstreams.rs
+++ b/crates/edge/tests/cold_upstreams.rs
@@ -436,6 +436,23 @@
     }
 }
 
+/// Guards against upstreams that stay cold when a configuration drops the limit.
+#[test]
+fn cold_times_end_with_the_limit() {
+    let names: Vec<UpstreamName> = vec!["u0".into()];
+    let mut placement = Placement::default();
+    placement.set_cold_terms(0, Some(terms(14.0)));
+    set_upstreams(&mut placement, &names, 1);
+    let statement = ColdStatement::new(100, 3_000, ColdSource::Entry);
+    placement.record_cold(100, &names[0], statement);
+    assert_eq!(placement.cold_count(100), 1);
+    placement.set_cold_terms(200, None);
+    assert_eq!(placement.cold_count(200), 0);
+    for _ in 0..SLOTS {
+        assert!(placement.assign(200, PLAIN, 1, false).is_some());
+    }
+}
+
 /// Guards against a cold upstream that gets the requests of all prefixes whose home it is,
 /// which it takes seconds to serve, and against homes that move more than they have to.
 #[test]
@@ -453,8 +470,7 @@
             let request = PlacementRequest { prompt_prefix, ..PLAIN };
             let chosen = placement.assign(now_ms, request, hash, false).unwrap();
             placement.request_ended(&chosen.upstream);
-            if chosen.copy_source.is_some() {
-                let source = chosen.copy_source.as_ref().unwrap();
+            if let Some(source) = &chosen.copy_source {
                 assert_eq!(placement.cold_remaining_ms(now_ms, source), 0, "copy from {source}");
             }
             chosen.upstream
