Keep late requests from holding up punctual ones, and bound what is learnt of limits

A review by one who had not written the part found by reading: late requests counted ahead of punctual ones, so that these were rejected as busy; late requests of a time without a limit left a debt once there was one; a workspace within its share waited with its late requests behind others over theirs; the estimated lower end of time limits only rose; stated times had no bound.

Each of the first three has a test; they were not run on the code before.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -184,6 +184,8 @@
             // A workspace starts with half of the largest budget.
             self.budget = limit_per_s.map_or(0.0, |limit| limit * MAX_BURST_MS / 2_000.0);
             self.spare_budget = self.budget * SPARE_LIMIT_FACTOR;
+            self.late_budget = self.budget;
+            self.late_refilled_ms = now_ms;
         }
         if let (Some(old), Some(new)) = (self.limit_per_s, limit_per_s)
             && new < old
@@ -232,10 +234,23 @@
         self.limit_per_s.is_some() && utilization != Utilization::Low && self.late_budget <= 0.0
     }
 
+    /// Adds a request, punctual ones before all late ones.
     fn push(&mut self, request: QueuedRequest) {
-        let punctual = self.requests.iter().take_while(|queued| !queued.is_late).count();
-        let index = if request.is_late { self.requests.len() } else { punctual };
-        self.requests.insert(index, request);
+        self.requests.insert(self.len_ahead(request.is_late), request);
+    }
+
+    /// Number of requests that a further one would wait behind.
+    fn len_ahead(&self, is_late: bool) -> usize {
+        if is_late {
+            return self.requests.len();
+        }
+        self.requests.partition_point(|queued| !queued.is_late)
+    }
+
+    /// Number of requests in the queue that are as late, or as punctual.
+    fn len_alike(&self, is_late: bool) -> usize {
+        let punctual = self.len_ahead(false);
+        if is_late { self.requests.len() - punctual } else { punctual }
     }
 
     /// Checks that a request of the workspace may be dispatched while `slots` are as they
@@ -297,9 +312,9 @@
 /// The requests of one lane of a service that wait at this router for a slot, in
 /// fair order over the workspaces.
 ///
-/// Requests that can meet their latency target go before late ones. Workspaces within their
-/// share go first; among them, the one with the least recent usage. The upstream is chosen
-/// when the request is dispatched.
+/// Workspaces within their share go first; among them, requests that can meet their latency
+/// target before late ones, and then the workspace with the least recent usage. The upstream
+/// is chosen when the request is dispatched.
 #[derive(Debug, Default)]
 pub struct Admission {
     queues: BTreeMap<WorkspaceName, WorkspaceQueue>,
@@ -355,14 +370,21 @@
         }
         let is_overload = |since_ms| now_ms.saturating_sub(since_ms) >= OVERLOAD_AFTER_MS;
         let is_overloaded = self.backlog_since_ms.is_some_and(is_overload);
-        let wait_limit_ms = match (is_overloaded, request.is_late) {
-            // Others that can still meet their target would have to wait for it.
-            (true, true) => 0,
-            (true, false) => request.target_wait_ms.min(request.max_wait_ms),
-            (false, _) => request.max_wait_ms,
+        let punctual_wait = || {
+            let mut queues = self.queues.values();
+            queues.any(|queue| queue.len_ahead(false) > 0 && !queue.is_over_share())
         };
-        let own_queued = self.queues.get(&request.workspace).map_or(0, |own| own.requests.len());
-        let expected_wait_ms = self.expected_wait_ms(now_ms, own_queued, slots);
+        let wait_limit_ms = if !is_overloaded {
+            request.max_wait_ms
+        } else if request.is_late && punctual_wait() {
+            0
+        } else {
+            request.target_wait_ms.min(request.max_wait_ms)
+        };
+        let own = self.queues.get(&request.workspace);
+        let own_ahead = own.map_or(0, |own| own.len_ahead(request.is_late));
+        let own_queued = own.map_or(0, |own| own.len_alike(request.is_late));
+        let expected_wait_ms = self.expected_wait_ms(now_ms, own_ahead, request.is_late, slots);
         let queue = self.queues.entry(request.workspace.clone()).or_default();
         queue.refill(now_ms);
         queue.refill_late(now_ms, slots.utilization());
@@ -436,12 +458,17 @@
         self.window_dispatches += 1;
     }
 
-    /// Wait of one more request of a workspace that has `own_queued` requests
-    /// in its queue. Ahead of it are its own requests, and as many of each other
-    /// workspace.
-    fn expected_wait_ms(&self, now_ms: u64, own_queued: usize, slots: SlotCounts) -> u64 {
-        let queued = self.queues.values().map(|queue| queue.requests.len());
-        let ahead: usize = queued.map(|queued| queued.min(own_queued + 1)).sum();
+    /// Wait of one more request of a workspace that has `own_ahead` requests in its queue
+    /// before it. Ahead of it are those, and as many of each other workspace.
+    fn expected_wait_ms(
+        &self,
+        now_ms: u64,
+        own_ahead: usize,
+        is_late: bool,
+        slots: SlotCounts,
+    ) -> u64 {
+        let queued = self.queues.values().map(|queue| queue.len_ahead(is_late));
+        let ahead: usize = queued.map(|queued| queued.min(own_ahead + 1)).sum();
         let ahead = (ahead as u64).saturating_sub(u64::from(slots.free));
         let wait_ms = ahead * 1_000 / u64::from(self.dispatches_per_s(now_ms).max(1));
         wait_ms.max(slots.free_in_ms)
@@ -471,7 +498,7 @@
                 continue;
             }
             let is_late = queue.requests.front().is_some_and(|request| request.is_late);
-            let key = (is_late, is_over_share, queue.dispatched.per_s(now_ms));
+            let key = (is_over_share, is_late, queue.dispatched.per_s(now_ms));
             if best.as_ref().is_none_or(|(other, ..)| key < *other) {
                 best = Some((key, name, queue));
             }
@@ -479,8 +506,8 @@
         let (_, name, queue) = best?;
         let workspace = name.clone();
         let QueuedRequest { ticket, cost, is_late } = queue.requests.pop_front()?;
-        if is_late {
-            queue.late_budget -= cost as f64;
+        if is_late && queue.limit_per_s.is_some() {
+            queue.late_budget = (queue.late_budget - cost as f64).max(-(cost as f64));
         }
         queue.dispatched.add(now_ms, cost);
         queue.charge(cost, 0.0);
--- a/crates/edge/src/caller_time.rs
+++ b/crates/edge/src/caller_time.rs
@@ -23,11 +23,17 @@
 /// Fraction of the known lower end from which a sample confirms it, and from which an attempt
 /// may be a first one. A few first attempts state less than the estimated end.
 const LIMIT_TOLERANCE_FRACTION: f64 = 0.97;
+/// Inverse of the weight that a sample which confirms the lower end has in it.
+const SAMPLE_INVERSE_WEIGHT: u64 = 8;
 /// Part of a workspace's attempts on a route that can be repeats. If more state little time,
 /// its callers have shorter limits than others.
 const MAX_REPEATED_FRACTION: f64 = 2.0 / 3.0;
 /// Workspaces that are tracked at most, counted once for each route.
 const MAX_TRACKED: usize = 4_096;
+/// Attempts per second below which a workspace is forgotten if there are too many, and how often
+/// that is looked for at most, in milliseconds.
+const MIN_ATTEMPTS_PER_S: f64 = 0.1;
+const PRUNE_INTERVAL_MS: u64 = 1_000;
 /// Routes whose limits are told to other routers at most.
 const MAX_REPORTED_ROUTES: usize = 16;
 
@@ -38,6 +44,9 @@
 /// Adds what other routers learnt: in an overload a router learns too short limits.
 pub fn merge_limits(limits: &mut ShortestLimits, others: &ShortestLimits) {
     for (route, limit_ms) in others {
+        if limits.len() >= MAX_REPORTED_ROUTES && !limits.contains_key(route) {
+            continue;
+        }
         let known_ms = limits.entry(*route).or_default();
         *known_ms = (*known_ms).max(*limit_ms);
     }
@@ -70,8 +79,17 @@
         self.samples_ms.clear();
         self.shortest_limit = match self.shortest_limit {
             Some((known_ms, at_ms)) if now_ms.saturating_sub(at_ms) < LIMIT_LIFETIME_MS => {
-                let confirms = sampled_ms as f64 >= known_ms as f64 * LIMIT_TOLERANCE_FRACTION;
-                Some((known_ms.max(sampled_ms), if confirms { now_ms } else { at_ms }))
+                let tolerated_ms = (known_ms as f64 * LIMIT_TOLERANCE_FRACTION) as u64;
+                let longest_ms = (known_ms as f64 / LIMIT_TOLERANCE_FRACTION) as u64;
+                if sampled_ms > longest_ms {
+                    Some((sampled_ms, now_ms))
+                } else if sampled_ms >= tolerated_ms {
+                    // The most of many samples would rise further and further.
+                    let kept_ms = known_ms * (SAMPLE_INVERSE_WEIGHT - 1);
+                    Some(((kept_ms + sampled_ms) / SAMPLE_INVERSE_WEIGHT, now_ms))
+                } else {
+                    Some((known_ms, at_ms))
+                }
             }
             _ => {
                 self.longest_ms = remaining_ms;
@@ -95,6 +113,8 @@
     /// What the other routers learnt.
     fleet_limits: ShortestLimits,
     attempts: HashMap<(RouteId, WorkspaceName), Attempts>,
+    /// When workspaces without recent attempts were last forgotten.
+    pruned_ms: u64,
 }
 
 impl CallerTimes {
@@ -117,7 +137,11 @@
         let spent_ms = if is_repeat { mean_limit_ms - remaining_ms } else { 0 };
         let key = (route.clone(), workspace.clone());
         if !self.attempts.contains_key(&key) && self.attempts.len() >= MAX_TRACKED {
-            self.attempts.retain(|_, attempts| attempts.all.per_s(now_ms) >= 0.1);
+            if now_ms.saturating_sub(self.pruned_ms) >= PRUNE_INTERVAL_MS {
+                self.pruned_ms = now_ms;
+                self.attempts
+                    .retain(|_, attempts| attempts.all.per_s(now_ms) >= MIN_ATTEMPTS_PER_S);
+            }
             if self.attempts.len() >= MAX_TRACKED {
                 return 0;
             }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -451,6 +451,8 @@
         let Some(service) = state.services.get_mut(service) else {
             return 0;
         };
+        // A longer time does not help a caller.
+        let remaining_ms = remaining_ms.min(route.timeout_ms);
         service.load_meter.caller_times.record(now_ms, &route.id(), workspace, remaining_ms)
     }
 
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -550,3 +550,49 @@
         assert!(case.late.contains(&late_served), "{}: {late_served}", case.name);
     }
 }
+
+/// Late requests that wait must not make the router reject punctual ones, which go first.
+#[test]
+fn punctual_request_does_not_count_late_ones_ahead_of_it() {
+    let mut admission = Admission::default();
+    let mut now_ms = 0;
+    for _ in 0..20 {
+        admission.enqueue(now_ms, with_free(1), &request("a", 1)).unwrap();
+        assert!(dispatch(&mut admission, now_ms, with_free(1)).is_some());
+        now_ms += 100;
+    }
+    let late = AdmissionRequest { is_late: true, ..request("a", 1) };
+    for _ in 0..64 {
+        admission.enqueue(now_ms, FULL, &late).unwrap();
+    }
+    let punctual = AdmissionRequest { max_wait_ms: 300, target_wait_ms: 300, ..request("a", 1) };
+    assert!(admission.enqueue(now_ms + 600, FULL, &punctual).is_ok());
+}
+
+/// What a workspace used for late requests while it had no limit must not count against its
+/// late requests once it has one.
+#[test]
+fn late_requests_before_a_limit_leave_no_debt() {
+    let mut admission = Admission::default();
+    let late = AdmissionRequest { is_late: true, ..request("a", 1_000) };
+    for step in 0..600 {
+        admission.enqueue(step * 100, with_free(1), &late).unwrap();
+        assert!(dispatch(&mut admission, step * 100, with_free(1)).is_some());
+    }
+    admission.set_limits(60_000, &BTreeMap::from([("a".into(), 1_000.0)]));
+    assert!(admission.enqueue(60_000, FULL, &late).is_ok());
+}
+
+/// A workspace within its share goes before one over its share, even with late requests only.
+#[test]
+fn late_requests_within_the_share_go_before_others_over_theirs() {
+    let mut admission = Admission::default();
+    admission.enqueue(0, with_free(5), &request("large", 5_000)).unwrap();
+    admission.set_limits(0, &BTreeMap::from([("large".into(), 4_000.0)]));
+    dispatch(&mut admission, 0, with_free(5)).unwrap();
+    let large = admission.enqueue(0, with_free(5), &request("large", 100)).unwrap();
+    let late = AdmissionRequest { is_late: true, ..request("small", 100) };
+    let late = admission.enqueue(0, FULL, &late).unwrap();
+    assert_eq!(dispatch(&mut admission, 0, with_free(5)), Some(late));
+    assert_eq!(dispatch(&mut admission, 0, with_free(5)), Some(large));
+}
