Mend what reviews of the new parts found by reading

* Upstreams of a failure domain that is taken back count as cold at first, where their service has a limit for cold ones: what was said of them during the evacuation was dropped, and an entry as old as its arrival counted as new.
* A router without memory or descriptors for a connection, and an evacuation between choice and sending, no longer count as failures of the upstream.
* Answers may use the whole memory budget: their requests are held until they are complete, so answers over 64 KiB could wait for each other until their time limits.
* A request head is charged after idle connections were closed for it, and the body of a request that is refused for its head is read first.
* A connection with a request is not closed for lack of memory for bytes that were sent ahead, and one that is to be closed reads no further request.

--- a/crates/edge/src/cold.rs
+++ b/crates/edge/src/cold.rs
@@ -58,6 +58,8 @@
     Refused,
     /// From another router.
     Router,
+    /// Its failure domain was evacuated until now, and it may have become cold meanwhile.
+    TakenBack,
 }
 
 /// What is known of how long an upstream is cold.
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -246,9 +246,11 @@
         OpenRequest(self.clone())
     }
 
-    /// Records bytes that arrived. Returns whether there is memory for them.
+    /// Records bytes that arrived. Returns whether there is memory for them. A connection with a
+    /// request is kept without: its buffer is bounded, and its request is refused truthfully.
     fn received(&self, bytes: usize) -> bool {
         self.connections.table.borrow_mut().received(self.id);
+        let activity = self.connections.table.borrow().activity(self.id);
         self.read_bytes.update(|read| read + bytes);
         let mut charge = self.charge.borrow_mut();
         let missing_bytes = self.full_bytes.saturating_sub(charge.bytes());
@@ -258,7 +260,8 @@
         if charge.try_grow(missing_bytes) {
             return true;
         }
-        if self.connections.make_room(None, missing_bytes) {
+        let has_request = !matches!(activity, None | Some(Activity::Idle | Activity::ReadingHead));
+        if self.connections.make_room(None, missing_bytes) || has_request {
             charge.grow(missing_bytes);
             return true;
         }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -36,7 +36,7 @@
     pub(crate) parts: request::Parts,
     pub(crate) body: Bytes,
     /// The memory of the header fields.
-    pub(crate) _head_charge: Option<Charge>,
+    pub(crate) _head_charge: Charge,
     pub(crate) work: WorkEstimate,
     /// Segments of the prompt that other prompts may share.
     pub(crate) shared_segments: Rc<[SegmentId]>,
@@ -82,6 +82,8 @@
 pub(crate) enum Failure {
     /// Nothing was sent to the upstream.
     NotSent(String),
+    /// Nothing was sent, for a reason that says nothing about the upstream.
+    Withheld(&'static str),
     /// The upstream did not run the request.
     NotRun(AttemptResult),
     /// The upstream ran the request and answered with an error.
@@ -198,7 +200,7 @@
     };
     let Some(charge) = charge else {
         node.connections.refuse(Refusal::RefusedUpstreamConnections);
-        return Err(Failure::NotSent("no memory or descriptor for a connection".to_owned()));
+        return Err(Failure::Withheld("no memory or descriptor for a connection"));
     };
     node.count(Counter::UpstreamConnects);
     let connected = pool::connect(process.entry.address, pool::BUFFER_BYTES).await;
@@ -224,7 +226,7 @@
         return Ok(());
     }
     node.count(Counter::EvacuatedAttempts);
-    Err(Failure::NotSent("the failure domain of the upstream is evacuated".to_owned()))
+    Err(Failure::Withheld("the failure domain of the upstream is evacuated"))
 }
 
 fn failure(error: SendError) -> Failure {
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -88,8 +88,6 @@
     deadline_ms: u64,
     /// Time for which the caller probably waited before this attempt, in milliseconds.
     spent_ms: u64,
-    /// The memory of its header fields; none once it is handed on.
-    head_charge: Option<Charge>,
 }
 
 /// An answer with an error that this process makes itself.
@@ -226,13 +224,6 @@
     if too_large {
         return Err(ErrorReply::denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
     }
-    let field_bytes = parts.headers.len() as u64 * FIELD_BYTES;
-    let head_charge = node.connections.budget.try_charge(MemoryUse::Heads, field_bytes);
-    if head_charge.is_none() {
-        node.connections.refuse(Refusal::RefusedHeadMemory);
-        let message = "too many requests are in memory; the request did not run";
-        return Err(ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS));
-    }
     Ok(CheckedRequest {
         config,
         route,
@@ -242,7 +233,6 @@
         id,
         deadline_ms,
         spent_ms,
-        head_charge,
     })
 }
 
@@ -252,12 +242,19 @@
 async fn forward(
     node: &Rc<Node>,
     parts: request::Parts,
-    body: Incoming,
+    mut body: Incoming,
     mut checked: CheckedRequest,
     arrived_ms: u64,
     mut record: RequestRecord,
 ) -> ForwardResult {
     let deadline_ms = checked.deadline_ms;
+    let field_bytes = parts.headers.len() as u64 * FIELD_BYTES;
+    let Some(head_charge) = node.connections.charge(MemoryUse::Heads, field_bytes).await else {
+        node.connections.refuse(Refusal::RefusedHeadMemory);
+        drain(&mut body, checked.config.limits.max_body_bytes).await;
+        let message = "too many requests are in memory; the request did not run";
+        return Err((ErrorReply::not_run(message, DEFAULT_RETRY_AFTER_MS), record));
+    };
     let connection = parts.extensions.get().copied();
     let charge = node.connections.start_body(checked.workspace.as_ref());
     let read = read_body(node, (connection, charge), body, &checked.config, deadline_ms).await;
@@ -301,7 +298,7 @@
     let data = RequestData {
         parts: head::request_head(parts, names, workspace, body.len()),
         body,
-        _head_charge: checked.head_charge.take(),
+        _head_charge: head_charge,
         work,
         shared_segments,
         id: checked.id.clone(),
@@ -583,6 +580,7 @@
         let is_late = node.now_ms() >= checked.deadline_ms;
         let attempt_result = match &failure {
             Failure::NotRun(attempt_result) => *attempt_result,
+            Failure::Withheld(_) => AttemptResult::Unknown,
             Failure::NotSent(_) | Failure::Lost(_) | Failure::Upstream(_) | Failure::TimedOut => {
                 AttemptResult::Failed
             }
@@ -594,7 +592,7 @@
         sent_attempts -= u32::from(awaited_version.is_some());
         let allows_next = match &failure {
             // The upstream got nothing, so a further attempt is no retry.
-            Failure::NotSent(_) => {
+            Failure::NotSent(_) | Failure::Withheld(_) => {
                 sent_attempts -= 1;
                 unsent_attempts += 1;
                 unsent_attempts < MAX_UNSENT_ATTEMPTS
@@ -604,8 +602,9 @@
                 kind.allows_retry() && sent_attempts < checked.route.max_attempts
             }
         };
-        let is_retry = !matches!(failure, Failure::NotSent(_));
-        may_have_run |= !matches!(failure, Failure::NotSent(_) | Failure::NotRun(_));
+        let is_unsent = matches!(failure, Failure::NotSent(_) | Failure::Withheld(_));
+        let is_retry = !is_unsent;
+        may_have_run |= !is_unsent && !matches!(failure, Failure::NotRun(_));
         match awaited_version {
             Some(version) => {
                 take_up::await_upstream(node, &checked.service, version, wait_until_ms).await;
@@ -713,11 +712,11 @@
 ) -> ForwardResult {
     let cause = describe(&failure);
     match failure {
-        Failure::NotSent(_) | Failure::NotRun(_) if may_have_run => {
+        Failure::NotSent(_) | Failure::Withheld(_) | Failure::NotRun(_) if may_have_run => {
             let message = "the answer of an upstream is lost; the request may have run";
             Err((ErrorReply::failed(StatusCode::BAD_GATEWAY, message, cause), record))
         }
-        Failure::NotSent(_) | Failure::NotRun(_) => {
+        Failure::NotSent(_) | Failure::Withheld(_) | Failure::NotRun(_) => {
             let mut error_reply = ErrorReply::not_run(
                 "no upstream took the request; it did not run",
                 no_upstream_advice_ms(node, checked),
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -414,6 +414,9 @@
                     Err(failure @ Failure::NotRun(result)) => {
                         Broken { cause: describe(&failure), result }
                     }
+                    Err(failure @ Failure::Withheld(_)) => {
+                        Broken { cause: describe(&failure), result: AttemptResult::Unknown }
+                    }
                     Err(failure) => {
                         if matches!(failure, Failure::Lost(_)) {
                             self.in_flight.connection_broke();
@@ -497,6 +500,7 @@
 pub(crate) fn describe(failure: &Failure) -> String {
     match failure {
         Failure::NotSent(cause) | Failure::Lost(cause) => cause.clone(),
+        Failure::Withheld(cause) => (*cause).to_owned(),
         Failure::NotRun(result) => format!("the upstream refused the request: {result}"),
         Failure::Upstream(answer) => format!("the upstream answered {}", answer.parts.status),
         Failure::TimedOut => "the upstream did not answer within the time limit".to_owned(),
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -253,9 +253,11 @@
         }
         let mut served = builder.serve_connection(TokioIo::new(stream), service);
         tokio::select! {
+            // First, so that no further request is read that would end without an answer.
+            biased;
+            () = connection.close.notified() => return,
             // An interrupted connection is no error of this process.
             _ = &mut served => return,
-            () = connection.close.notified() => return,
             () = connection.many_fields_begin.notified() => {}
         }
         // No answer is being written: the stream reports this only between requests.
--- a/crates/edge/src/memory_budget.rs
+++ b/crates/edge/src/memory_budget.rs
@@ -133,7 +133,10 @@
     pub fn try_grow(&mut self, bytes: u64) -> bool {
         let Inner { limit_bytes, bulk_limit_bytes, .. } = *self.budget.0;
         let is_small = self.bytes.saturating_add(bytes) <= SMALL_BYTES;
-        let limit_bytes = if is_small { limit_bytes } else { bulk_limit_bytes };
+        // The request of an answer is held until the answer is complete, so answers must not wait
+        // for each other.
+        let is_unbounded = is_small || self.memory_use == MemoryUse::Answers;
+        let limit_bytes = if is_unbounded { limit_bytes } else { bulk_limit_bytes };
         let fits = self.budget.total_used_bytes().saturating_add(bytes) <= limit_bytes
             && self.fits_group(bytes);
         if fits {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -390,7 +390,7 @@
         let mut state = self.state();
         let State { services, rng, metrics, .. } = &mut *state;
         let service_state = services.get_mut(service).ok_or(NoSlot::NoUpstream)?;
-        let ServiceState { placement, retry_budget, admission, waiting, load_meter } =
+        let ServiceState { placement, retry_budget, admission, waiting, load_meter, .. } =
             service_state;
         retry_budget.record_request(now_ms);
         load_meter.demand.add(now_ms, &request.workspace, request.cost);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -71,6 +71,8 @@
     pub(crate) admission: ServiceAdmission,
     pub(crate) waiting: HashMap<LaneTicket, WaitingRequest>,
     pub(crate) load_meter: LoadMeter,
+    /// Upstreams in evacuated failure domains.
+    pub(crate) evacuated: BTreeSet<UpstreamName>,
 }
 
 /// Measures the load that this router's callers put on a service.
@@ -534,6 +536,7 @@
                 admission: ServiceAdmission::default(),
                 waiting: HashMap::new(),
                 load_meter: LoadMeter::default(),
+                evacuated: BTreeSet::new(),
             });
         }
         for service in self.services.values_mut() {
@@ -562,12 +565,25 @@
                 .collect();
             placement.set_upstreams(open.iter().copied());
             placement.apply_limits(now_ms);
+            let start_ms = placement.cold_terms().map_or(0, |terms| terms.start_ms);
             for name in new {
-                let remaining_ms =
-                    self.registry.get(name).map_or(0, |entry| entry.cold_remaining_ms);
-                let statement = ColdStatement::new(now_ms, remaining_ms, ColdSource::Entry);
-                placement.record_cold(now_ms, name, statement);
+                let stated_ms = self.registry.get(name).map_or(0, |entry| entry.cold_remaining_ms);
+                // What was said of it meanwhile has not been followed.
+                let (remaining_ms, source) = if service.evacuated.contains(name) {
+                    (stated_ms.max(start_ms), ColdSource::TakenBack)
+                } else {
+                    (stated_ms, ColdSource::Entry)
+                };
+                placement.record_cold(
+                    now_ms,
+                    name,
+                    ColdStatement::new(now_ms, remaining_ms, source),
+                );
             }
+            let evacuated = self.registry.ready(name);
+            let evacuated =
+                evacuated.filter(|(_, entry)| self.evacuations.is_evacuated(&entry.failure_domain));
+            service.evacuated = evacuated.map(|(name, _)| name.clone()).collect();
             if self.evacuations.covers_service(&self.registry, name) {
                 service.reject_waiting();
             }
