Let slow engines take as many pending prompts and other requests as before

Cause: the limit on pending prompts and the number of engines for long prompts followed the measured prefill rate.

The limit is 36,000 tokens at least, at a typical engine, and engines are reserved as for 125 tokens per millisecond at least.

service_of_slow_engines_takes_as_many_prompts_as_one_whose_rate_is_unknown failed before with 36 prompts instead of 78.

--- a/crates/edge/src/placement/mod.rs
+++ b/crates/edge/src/placement/mod.rs
@@ -27,6 +27,10 @@
 /// the longest gap that callers accept. Prefill lengthens all gaps.
 const MAX_MEAN_GAP_FRACTION: f64 = 0.55;
 
+/// Prefill rate from which the number of engines for long prompts is computed at least, in
+/// tokens per millisecond. Slow engines would else leave too few for all other requests.
+const MIN_SPLIT_PREFILL_TOKENS_PER_MS: f64 = 125.0;
+
 /// The beginning of a prompt that it shares with other prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPrefix {
@@ -173,7 +177,7 @@
             now_ms,
             self.upstreams.len(),
             tokens_per_s,
-            self.speed.prefill.tokens_per_ms(),
+            self.speed.prefill.tokens_per_ms().max(MIN_SPLIT_PREFILL_TOKENS_PER_MS),
             in_use_fraction,
         );
         self.assign_lanes();
--- a/crates/edge/src/placement/slots.rs
+++ b/crates/edge/src/placement/slots.rs
@@ -9,6 +9,9 @@
 /// Work on prompts that all routers together may have pending at an engine, unless a single
 /// prompt is larger, in milliseconds.
 const MAX_PENDING_PREFILL_MS: f64 = 288.0;
+/// Prompt tokens that may be pending at a typical engine whatever its prefill rate. With less,
+/// one or two prompts would make a slow engine count as full.
+const MIN_PENDING_PREFILL_TOKENS: f64 = 36_000.0;
 /// Requests that a router may have at an engine, as a multiple of its callers'
 /// fraction of the slots.
 const ENGINE_OWN_REQUESTS_FACTOR: f64 = 1.6;
@@ -73,7 +76,8 @@
             state.lane == Lane::Short && state.mean_gap_ms(now_ms) > self.max_mean_gap_ms;
         let fraction = self.capacity_fraction / self.upstreams_fraction;
         let pending_ms = self.prefill_ms(now_ms, state, state.pending_prefill_tokens);
-        pending_ms > MAX_PENDING_PREFILL_MS * fraction || has_long_gaps
+        let min_ms = MIN_PENDING_PREFILL_TOKENS / self.speed.prefill.tokens_per_ms();
+        pending_ms > MAX_PENDING_PREFILL_MS.max(min_ms) * fraction || has_long_gaps
     }
 
     /// Requests that this router may send to an upstream now.
--- a/crates/edge/tests/upstream_speed.rs
+++ b/crates/edge/tests/upstream_speed.rs
@@ -284,6 +284,32 @@
     assert!(slow >= 2 && slow * 3 <= usual * 2, "{usual}, {slow}");
 }
 
+/// Engines of kba-windhoek read 54.6 prompt tokens per millisecond. Guards against two faults
+/// that rejected callers there on a quiet day: a few prompts made such an engine count as full,
+/// and half of the engines were reserved for long prompts.
+#[test]
+fn service_of_slow_engines_takes_as_many_prompts_as_one_whose_rate_is_unknown() {
+    let measured = |tokens_per_ms: Option<f64>| {
+        let mut placement = placement(12, 16, Some(300));
+        for step in 0..4_000_u64 {
+            let Some(tokens_per_ms) = tokens_per_ms else { break };
+            let tokens = if step % 2 == 0 { 200 } else { 4_000 + step % 7 * 1_000 };
+            let took_ms = (30.0 + tokens as f64 / tokens_per_ms) as u64;
+            placement.record_prefill(step * 10, &name(step as usize % 12), tokens, took_ms);
+        }
+        let now_ms = 40_000;
+        placement.refresh_speeds(now_ms);
+        placement.set_long_prompt_rate(now_ms, 60_000);
+        let short_slots = placement.slot_counts(now_ms, Lane::Short).total;
+        let request = PlacementRequest { prefill_tokens: 3_000, ..REQUEST };
+        let prompts = (0..400).map_while(|draw| placement.assign(now_ms, request, draw, false));
+        (short_slots, prompts.count())
+    };
+    let (unknown, slow) = (measured(None), measured(Some(54.6)));
+    assert_eq!(slow.0, unknown.0, "slots for short prompts");
+    assert!(slow.1 >= unknown.1, "prompts: {} and {}", slow.1, unknown.1);
+}
+
 /// Guards against a prefix that is read again at a fast engine when its home is as fast.
 #[test]
 fn prefix_stays_at_its_home_among_equal_engines() {
