Take what waits in the kernel before a leaving process ends

Requests that were sent whole got no answer when the router was short of processor time: as it stopped to listen, connections that it had not accepted were reset, and it exited as idle 0.2 s later whatever waited to be read on those that it had. While it held back connections, it did not look at the stop at all.

The process now takes the backlog of the closed listener, and ends once each connection is closed: after its answer, or if it has no request and the kernel has no bytes for it, which is asked directly, since the runtime may not have noticed them yet. Counts of connections are released by a guard, so that a panic in one does not hold up the end.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -54,6 +54,10 @@
     /// What the bodies of each workspace use.
     groups: RefCell<HashMap<WorkspaceName, Group>>,
     late_heads_checked_ms: Cell<u64>,
+    /// Whether connections are closed as soon as they have no request.
+    ends_idle: Cell<bool>,
+    /// Notified when that begins.
+    pub(crate) idle_ends: Notify,
 }
 
 impl Connections {
@@ -64,6 +68,8 @@
             refusals: RefCell::default(),
             groups: RefCell::default(),
             late_heads_checked_ms: Cell::new(0),
+            ends_idle: Cell::new(false),
+            idle_ends: Notify::new(),
         }
     }
 
@@ -76,6 +82,16 @@
         self.refusals.borrow().counts().collect()
     }
 
+    /// Closes each connection as soon as it has no request and nothing to read.
+    pub(crate) fn end_idle(&self) {
+        self.ends_idle.set(true);
+        self.idle_ends.notify_waiters();
+    }
+
+    pub(crate) fn ends_idle(&self) -> bool {
+        self.ends_idle.get()
+    }
+
     /// Number of open connections of a listener in each activity.
     pub(crate) fn count_activities(&self, listener: usize) -> BTreeMap<Activity, usize> {
         self.table.borrow().count_activities(listener)
@@ -289,6 +305,12 @@
         begins
     }
 
+    /// Whether the connection has to be closed if nothing has arrived on it.
+    fn ends_if_quiet(&self) -> bool {
+        let activity = || self.connections.table.borrow().activity(self.id);
+        self.connections.ends_idle() && activity() == Some(Activity::Idle)
+    }
+
     fn written(&self, takes_bytes: bool) {
         self.connections.table.borrow_mut().written(self.id, takes_bytes);
     }
@@ -352,7 +374,13 @@
             return Poll::Ready(Ok(()));
         }
         let filled = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if self.connection.ends_if_quiet() {
+            // The end of the stream, for the server, unless a request has arrived.
+            let count = self.stream.read_arrived(buf.initialize_unfilled())?;
+            buf.advance(count);
+        } else {
+            ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        }
         let bytes = buf.filled().len() - filled;
         if bytes > 0 && !self.connection.received(bytes) {
             return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use span_http::{AnswerEnd, OrderlyCloseStream};
+use span_http::{AnswerEnd, OrderlyCloseStream, drain_backlog};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -118,48 +118,77 @@
     timeout_ms.unwrap_or(DEFAULT_HEAD_TIMEOUT_MS) + HEAD_TIMEOUT_MARGIN_MS
 }
 
-/// Accepts callers until `stop` is true; open connections stay open.
+/// Accepts callers until `stop` is true, and then those that the kernel has accepted already;
+/// open connections stay open.
 pub(crate) async fn serve_callers(
     node: Rc<Node>,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) {
-    let max_connections = max_caller_connections(&node.settings());
     loop {
-        while !node.overload.borrow().may_accept(node.now_ms()) {
-            tokio::time::sleep(OVERLOAD_PAUSE).await;
-        }
+        let accept = async {
+            while !node.overload.borrow().may_accept(node.now_ms()) {
+                tokio::time::sleep(OVERLOAD_PAUSE).await;
+            }
+            listener.accept().await
+        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
+            accepted = accept => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
             continue;
         };
         node.overload.borrow_mut().record_accept(node.now_ms());
-        let is_full = node.caller_connections.get() >= max_connections;
-        if is_full && !make_place(&node, CALLERS, &node.caller_connections, max_connections).await {
-            node.count(Counter::CallerConnectionsRefused);
-            continue;
-        }
-        let max_head_bytes = max_head_bytes(&node) + READ_AHEAD_BYTES;
-        let opened = OpenConnection::open(&node.connections, CALLERS, max_head_bytes).await;
-        let Some(connection) = opened else {
-            node.count(Counter::CallerConnectionsRefused);
-            continue;
-        };
-        node.count(Counter::CallerConnections);
-        node.caller_connections.update(|open| open + 1);
-        let node = node.clone();
-        spawn_local(async move {
-            let handler_node = node.clone();
-            // Boxed, so that an idle connection does not hold memory for the
-            // state of a request.
-            let handler = move |request| Box::pin(forward::handle(handler_node.clone(), request));
-            serve(&node, stream, &connection, handler).await;
-            node.caller_connections.update(|open| open - 1);
-        });
+        serve_caller(&node, stream).await;
+    }
+    for (stream, _) in drain_backlog(listener) {
+        node.count(Counter::BacklogConnections);
+        serve_caller(&node, stream).await;
+    }
+}
+
+/// Starts to serve an accepted connection of a caller, unless there is no room for it.
+async fn serve_caller(node: &Rc<Node>, stream: TcpStream) {
+    let max_connections = max_caller_connections(&node.settings());
+    let is_full = node.caller_connections.get() >= max_connections;
+    if is_full && !make_place(node, CALLERS, &node.caller_connections, max_connections).await {
+        node.count(Counter::CallerConnectionsRefused);
+        return;
+    }
+    let max_head_bytes = max_head_bytes(node) + READ_AHEAD_BYTES;
+    let opened = OpenConnection::open(&node.connections, CALLERS, max_head_bytes).await;
+    let Some(connection) = opened else {
+        node.count(Counter::CallerConnectionsRefused);
+        return;
+    };
+    node.count(Counter::CallerConnections);
+    let counted = Counted::new(&node.caller_connections);
+    let node = node.clone();
+    spawn_local(async move {
+        let _counted = counted;
+        let handler_node = node.clone();
+        // Boxed, so that an idle connection does not hold memory for the
+        // state of a request.
+        let handler = move |request| Box::pin(forward::handle(handler_node.clone(), request));
+        serve(&node, stream, &connection, handler).await;
+    });
+}
+
+/// A connection in a count of open ones, until it is dropped.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.update(|open| open + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.update(|open| open - 1);
     }
 }
 
@@ -198,10 +227,11 @@
         let max_head_bytes = max_head_bytes(&node) + READ_AHEAD_BYTES;
         let opened = OpenConnection::open(&node.connections, number, max_head_bytes).await;
         let Some(connection) = opened else { continue };
-        open_connections.update(|open| open + 1);
+        let counted = Counted::new(&open_connections);
         let (node, answer, open_connections) =
             (node.clone(), answer.clone(), open_connections.clone());
         spawn_local(async move {
+            let _counted = counted;
             let handler_node = node.clone();
             let open = open_connections.clone();
             let handler = move |request: Request<Incoming>| {
@@ -213,7 +243,6 @@
                 std::future::ready(response)
             };
             serve(&node, stream, &connection, handler).await;
-            open_connections.update(|open| open - 1);
         });
     }
 }
@@ -259,13 +288,18 @@
             builder.max_headers(max_head_bytes / SHORTEST_FIELD_BYTES);
         }
         let mut served = builder.serve_connection(TokioIo::new(stream), service);
-        tokio::select! {
-            // First, so that no further request is read that would end without an answer.
-            biased;
-            () = connection.close.notified() => return,
-            // An interrupted connection is no error of this process.
-            _ = &mut served => return,
-            () = connection.many_fields_begin.notified() => {}
+        loop {
+            let knows_end = node.connections.ends_idle();
+            tokio::select! {
+                // First, so that no further request is read that would end without an answer.
+                biased;
+                () = connection.close.notified() => return,
+                // An interrupted connection is no error of this process.
+                _ = &mut served => return,
+                () = connection.many_fields_begin.notified() => break,
+                // Lets the server read, which sees the end of a connection without a request.
+                () = node.connections.idle_ends.notified(), if !knows_end => {}
+            }
         }
         // No answer is being written: the stream reports this only between requests.
         let parts = served.into_parts();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -66,6 +66,8 @@
     CallerConnections,
     /// Connections of callers closed at once, since too many were open.
     CallerConnectionsRefused,
+    /// Connections of callers that waited in the kernel when the process stopped to listen.
+    BacklogConnections,
     /// Configurations put in force.
     ConfigsApplied,
     /// Calls to the platform's store.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -57,7 +57,7 @@
     answers_become_due: Notify,
     pub(crate) overload: RefCell<OverloadDetector>,
     /// Open connections of callers.
-    pub(crate) caller_connections: Cell<usize>,
+    pub(crate) caller_connections: Rc<Cell<usize>>,
     /// Requests whose answer has not ended.
     pub(crate) open_requests: Cell<usize>,
     /// Whether the process ends now, so that open requests get no answer.
@@ -112,7 +112,7 @@
             answers_are_due: Cell::new(false),
             answers_become_due: Notify::new(),
             overload: RefCell::default(),
-            caller_connections: Cell::new(0),
+            caller_connections: Rc::default(),
             open_requests: Cell::new(0),
             has_ended: Cell::new(false),
             connections,
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -7,7 +7,7 @@
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
-    task::spawn_local,
+    task::{JoinHandle, spawn_local},
     time::sleep,
 };
 use tracing::{info, warn};
@@ -22,8 +22,8 @@
 /// dispatched when a request ends; the periodic task dispatches those for which a
 /// slot becomes free in another way, such as at the end of a backoff.
 const TICK_MS: u64 = overload::TICK_INTERVAL_MS;
-/// Time without an open request after which a leaving process exits, in
-/// milliseconds. The last answers may still be in transit.
+/// Time for which idle connections stay open after the last one was accepted, in milliseconds.
+/// Their requests may be in transit.
 const LAST_REQUESTS_MS: u64 = 200;
 /// Time after the start in which capacity is divided at each tick and not only
 /// at each heartbeat, in milliseconds. A process that replaces another one gets
@@ -101,7 +101,7 @@
     let node = Node::new(settings, wire_format, own_router, incarnation);
     let (stop, stopped) = watch::channel(false);
     let callers = bind(addresses.callers, "callers")?;
-    spawn_local(listen::serve_callers(node.clone(), callers, stopped));
+    let accepting = spawn_local(listen::serve_callers(node.clone(), callers, stopped));
     let listener = bind(addresses.readiness, "readiness checks")?;
     let readiness = listen::READINESS;
     spawn_local(listen::serve_internal(
@@ -150,7 +150,7 @@
             }
         }
     }
-    leave(&node, &peers, &stop).await;
+    leave(&node, &peers, &stop, &accepting).await;
     Ok(())
 }
 
@@ -211,30 +211,42 @@
 }
 
 /// Announces that this router is leaving, and ends once all callers have their answers, but
-/// not beyond the grace period.
-async fn leave(node: &Rc<Node>, peers: &Peers, stop: &watch::Sender<bool>) {
+/// not beyond the grace period. `accepting` accepts callers until `stop` is true.
+async fn leave(
+    node: &Rc<Node>,
+    peers: &Peers,
+    stop: &watch::Sender<bool>,
+    accepting: &JoinHandle<()>,
+) {
     let grace_ms = node.settings().fleet_limits.shutdown_grace_ms;
     let plan = DrainPlan::new(node.now_ms(), grace_ms);
     node.leave(plan);
     peers.send_heartbeat_to_all();
     node.hand_over_stream_origins();
     log_open_work(node, plan, "told to stop; waiting for open requests to end");
-    let mut idle_since_ms = None;
+    let mut accepted_ms = None;
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
         let now_ms = node.now_ms();
-        let accepting = now_ms < plan.accept_until_ms;
-        if !accepting && !stop.send_replace(true) {
+        if now_ms >= plan.accept_until_ms && !stop.send_replace(true) {
             log_open_work(node, plan, "no further connections are accepted");
         }
-        let idle = !accepting && node.open_requests.get() == 0;
-        idle_since_ms = idle.then(|| idle_since_ms.unwrap_or(now_ms));
-        let done = idle_since_ms.is_some_and(|at_ms| now_ms >= at_ms + LAST_REQUESTS_MS);
+        if accepting.is_finished() {
+            let accepted_ms = *accepted_ms.get_or_insert(now_ms);
+            if now_ms >= accepted_ms + LAST_REQUESTS_MS && !node.connections.ends_idle() {
+                node.connections.end_idle();
+            }
+            // Each connection is closed after its last answer.
+            let is_open = node.caller_connections.get() > 0 || node.open_requests.get() > 0;
+            if !is_open && node.connections.ends_idle() {
+                break;
+            }
+        }
         if now_ms >= plan.answer_by_ms && !node.answers_are_due() {
             log_open_work(node, plan, "open requests are answered with an error");
             node.answer_open_requests();
         }
-        if done || now_ms >= plan.end_ms {
+        if now_ms >= plan.end_ms {
             break;
         }
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -20,4 +20,4 @@
 pub use framing::Framing;
 pub use orderly_close::{AnswerEnd, OrderlyCloseStream};
 pub use pause::requested_pause_ms;
-pub use server::{Limits, Server, serve, serve_listener};
+pub use server::{Limits, Server, drain_backlog, serve, serve_listener};
--- a/crates/http/src/orderly_close.rs
+++ b/crates/http/src/orderly_close.rs
@@ -1,7 +1,7 @@
 //! Resets connections whose end could be taken for the end of an answer.
 
 use std::{
-    io,
+    io::{self, Read},
     pin::Pin,
     sync::{
         Arc,
@@ -49,6 +49,19 @@
         Self { stream, answer_end, resets_on_close: false }
     }
 
+    /// Reads what has arrived, also if the runtime has not noticed it yet. Returns the number of
+    /// bytes, 0 if there are none or the stream has ended.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed.
+    pub fn read_arrived(&self, bytes: &mut [u8]) -> io::Result<usize> {
+        match (&*SockRef::from(&self.stream)).read(bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
+            read => read,
+        }
+    }
+
     /// Sets whether closing the socket resets the connection.
     fn set_reset_on_close(&mut self, reset: bool) -> io::Result<()> {
         if self.resets_on_close != reset {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -164,7 +164,7 @@
 
 /// Closes a listener and returns the connections that the kernel has accepted; their
 /// callers may have sent requests.
-fn drain_backlog(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+pub fn drain_backlog(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
     let listener = match listener.into_std() {
         Ok(listener) => listener,
         Err(error) => {
