Serve with limits on heads below the least buffer of the HTTP library

With maxHeaderBytes below 4,096, callers got no answer on any connection, and a router that had closed many said that it was ready and took nobody after the limit was back: the task of each connection panicked as it set up its buffer, and skipped the line that counted the connection down.

The buffer now has the least size at all events. Looked through for further pairs: the accepted connections of the product's router are counted down by a task of their own, and its setting of the head size is checked.

Evidence: small_limit_on_heads_leaves_ordinary_requests_served failed before on the first connection.

--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -52,6 +52,8 @@
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Bytes read ahead beyond the largest head.
 const READ_AHEAD_BYTES: usize = 4 * 1024;
+/// Smallest read buffer that the HTTP library accepts, in bytes.
+const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 /// Length of the shortest header field, in bytes: a name of one character, a colon and the end
 /// of the line.
 const SHORTEST_FIELD_BYTES: usize = 4;
@@ -157,8 +159,8 @@
         node.count(Counter::CallerConnectionsRefused);
         return;
     }
-    let max_head_bytes = max_head_bytes(node) + READ_AHEAD_BYTES;
-    let opened = OpenConnection::open(&node.connections, CALLERS, max_head_bytes).await;
+    let buffer_bytes = read_buffer_bytes(max_head_bytes(node));
+    let opened = OpenConnection::open(&node.connections, CALLERS, buffer_bytes).await;
     let Some(connection) = opened else {
         node.count(Counter::CallerConnectionsRefused);
         return;
@@ -224,8 +226,8 @@
         if is_full && !make_place(&node, number, &open_connections, max_connections).await {
             continue;
         }
-        let max_head_bytes = max_head_bytes(&node) + READ_AHEAD_BYTES;
-        let opened = OpenConnection::open(&node.connections, number, max_head_bytes).await;
+        let buffer_bytes = read_buffer_bytes(max_head_bytes(&node));
+        let opened = OpenConnection::open(&node.connections, number, buffer_bytes).await;
         let Some(connection) = opened else { continue };
         let counted = Counted::new(&open_connections);
         let (node, answer, open_connections) =
@@ -252,6 +254,11 @@
     node.config().map_or(DEFAULT_MAX_HEAD_BYTES, |config| config.limits.max_head_bytes)
 }
 
+/// Read buffer of a connection whose heads have at most `max_head_bytes`, in bytes.
+fn read_buffer_bytes(max_head_bytes: usize) -> usize {
+    max_head_bytes.saturating_add(READ_AHEAD_BYTES).max(MIN_READ_BUFFER_BYTES)
+}
+
 /// Serves one connection until it is closed.
 async fn serve<F, Fut>(node: &Node, stream: TcpStream, connection: &Rc<OpenConnection>, handler: F)
 where
@@ -282,7 +289,7 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(idle_ms))
-            .max_buf_size(max_head_bytes + READ_AHEAD_BYTES)
+            .max_buf_size(read_buffer_bytes(max_head_bytes))
             .auto_date_header(false);
         if connection.has_many_fields.get() {
             builder.max_headers(max_head_bytes / SHORTEST_FIELD_BYTES);
