Notice that a caller leaves after it has sent ahead

The upstream worked on for a caller that had sent further bytes ahead and then closed its connection (GONE): the HTTP library reads no further while it holds such bytes, so it does not see the end of the connection. While there are any, the state of the socket is now checked ten times a second.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -7,15 +7,19 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use socket2::SockRef;
 use span_http::OrderlyCloseStream;
 use span_types::WorkspaceName;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     sync::Notify,
     task::yield_now,
+    time::sleep,
 };
 use tracing::warn;
 
@@ -37,6 +41,8 @@
 /// Lines of a head from which on it is read with room for all fields that fit into it. The
 /// HTTP library has room for 100 fields on the stack, and allocates more for each head.
 const MANY_FIELDS: usize = 100;
+/// Interval of checks whether a client that has sent ahead has closed its connection.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often connections are closed to make room for one use of memory.
 const MAX_ROOM_ATTEMPTS: usize = 2;
 /// Number of workspaces above which those without a body are forgotten.
@@ -228,6 +234,10 @@
     pub(crate) has_many_fields: Cell<bool>,
     /// Notified when that happens.
     pub(crate) many_fields_begin: Notify,
+    /// Whether bytes have arrived that may follow the request which is served.
+    has_read_ahead: Cell<bool>,
+    /// Notified when that happens.
+    reads_ahead: Notify,
 }
 
 impl OpenConnection {
@@ -255,6 +265,8 @@
             head_lines: Cell::new(0),
             has_many_fields: Cell::new(false),
             many_fields_begin: Notify::new(),
+            has_read_ahead: Cell::new(false),
+            reads_ahead: Notify::new(),
         }))
     }
 
@@ -263,6 +275,7 @@
     pub(crate) fn request_begins(self: &Rc<Self>) -> OpenRequest {
         self.read_bytes.set(0);
         self.head_lines.set(0);
+        self.has_read_ahead.set(false);
         self.connections.table.borrow_mut().request_begins(self.id);
         OpenRequest(self.clone())
     }
@@ -290,6 +303,24 @@
         false
     }
 
+    /// Waits until the connection has to be polled to see whether its client has closed it. The
+    /// server does not read on, and would not see that, while it holds bytes that were sent ahead.
+    pub(crate) async fn close_check_is_due(&self) {
+        if !self.has_read_ahead.get() {
+            self.reads_ahead.notified().await;
+        }
+        sleep(CLOSE_CHECK_INTERVAL).await;
+    }
+
+    /// Records that bytes arrive.
+    fn record_read_ahead(&self) {
+        let activity = self.connections.table.borrow().activity(self.id);
+        let is_ahead = matches!(activity, Some(Activity::Working | Activity::AnswerUnread));
+        if is_ahead && !self.has_read_ahead.replace(true) {
+            self.reads_ahead.notify_one();
+        }
+    }
+
     /// Whether `bytes` make a head the first one with more fields than `MANY_FIELDS`.
     fn begins_many_fields(&self, bytes: &[u8]) -> bool {
         let activity = self.connections.table.borrow().activity(self.id);
@@ -316,6 +347,14 @@
     }
 }
 
+/// Whether the client has closed its side of a connection.
+fn has_closed(socket: &SockRef<'_>) -> bool {
+    let mut polled = [PollFd::new(&**socket, PollFlags::RDHUP)];
+    let is_known = poll(&mut polled, Some(&Timespec::default())).is_ok();
+    let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    is_known && polled[0].revents().intersects(ends)
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.connections.table.borrow_mut().remove(self.id);
@@ -382,8 +421,11 @@
             ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         }
         let bytes = buf.filled().len() - filled;
-        if bytes > 0 && !self.connection.received(bytes) {
-            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        if bytes > 0 {
+            if !self.connection.received(bytes) {
+                return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+            }
+            self.connection.record_read_ahead();
         }
         if self.connection.begins_many_fields(&buf.filled()[filled..]) {
             self.replay = Bytes::copy_from_slice(&buf.filled()[filled..]);
@@ -420,6 +462,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The server flushes each time that it is polled.
+        if self.connection.has_read_ahead.get() && has_closed(&self.stream.socket()) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -304,6 +304,7 @@
                 // An interrupted connection is no error of this process.
                 _ = &mut served => return,
                 () = connection.many_fields_begin.notified() => break,
+                () = connection.close_check_is_due() => {}
                 // Lets the server read, which sees the end of a connection without a request.
                 () = node.connections.idle_ends.notified(), if !knows_end => {}
             }
--- a/crates/http/src/orderly_close.rs
+++ b/crates/http/src/orderly_close.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// The socket, to look at its state.
+    pub fn socket(&self) -> SockRef<'_> {
+        SockRef::from(&self.stream)
+    }
+
     /// Sets whether closing the socket resets the connection.
     fn set_reset_on_close(&mut self, reset: bool) -> io::Result<()> {
         if self.resets_on_close != reset {
