Read requests that wait on connections of a stopping server

Callers of the product's own processes got no answer to requests that were sent whole: half a second after the stop, each connection got hyper's graceful shutdown, which closes one that has not read anything yet or is between two requests, whatever waits in the kernel. With a runtime that is short of processor time that half second passes before the request is read.

The stream of such a connection now ends only if the connection has no request and no part of one, and the kernel, which is asked directly, has no bytes for it. A head that has begun is read; header_timeout_ms bounds the wait. The server can be told to stop without waiting for it.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 mod body;
 mod checked_events;
 mod client;
+mod drained_stream;
 mod event_boundary;
 mod framing;
 mod orderly_close;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -14,7 +14,10 @@
 };
 
 use crate::{
-    AnswerEnd, Body, OrderlyCloseStream, json_response, write_timeout::WriteTimeoutStream,
+    AnswerEnd, Body, OrderlyCloseStream,
+    drained_stream::{ConnectionState, DrainedStream},
+    json_response,
+    write_timeout::WriteTimeoutStream,
 };
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -61,12 +64,23 @@
         self.address
     }
 
-    /// Stops accepting connections and waits until open requests have finished, those
-    /// included that arrive on an open connection within a short time.
-    pub async fn shutdown(self) {
+    /// Stops accepting connections. Open requests go on, and so do those that arrive on an
+    /// open connection within a short time.
+    pub fn stop(&self) {
         self.stop.send_replace(true);
+    }
+
+    /// Waits until the server has stopped and all connections are closed.
+    pub async fn stopped(&mut self) {
         // The task fails only if it panicked, and then it has stopped already.
-        let _ = self.task.await;
+        let _ = (&mut self.task).await;
+    }
+
+    /// Stops accepting connections and waits until open requests have finished, those
+    /// included that arrive on an open connection within a short time.
+    pub async fn shutdown(mut self) {
+        self.stop();
+        self.stopped().await;
     }
 
     /// Stops accepting connections and drops all open ones at once.
@@ -198,7 +212,10 @@
     let answer_end = AnswerEnd::default();
     let stream = OrderlyCloseStream::new(stream, answer_end.clone());
     let is_stopped = stopped.clone();
+    let state = ConnectionState::default();
+    let service_state = state.clone();
     let service = service_fn(move |request: Request<Incoming>| {
+        let open_request = service_state.request_begins();
         let (version, answer_end) = (request.version(), answer_end.clone());
         let is_stopped = is_stopped.clone();
         let response = respond(request, is_admitted);
@@ -208,10 +225,11 @@
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             answer_end.record(version, &response);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| open_request.track_answer(body)))
         }
     });
     let stream = WriteTimeoutStream::new(stream, Duration::from_millis(limits.write_timeout_ms));
+    let stream = DrainedStream::new(stream, state.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
@@ -230,7 +248,7 @@
             _ = connection.as_mut() => return,
             () = last_request_grace => {}
         }
-        connection.as_mut().graceful_shutdown();
+        state.end_when_idle();
         let _ = connection.await;
         drop(permit);
     }
--- a/crates/http/src/write_timeout.rs
+++ b/crates/http/src/write_timeout.rs
@@ -31,6 +31,11 @@
         Self { stream, timeout, timer: None }
     }
 
+    /// Reads what has arrived; see [`OrderlyCloseStream::read_arrived`].
+    pub(crate) fn read_arrived(&self, bytes: &mut [u8]) -> io::Result<usize> {
+        self.stream.read_arrived(bytes)
+    }
+
     /// Replaces a pending `result` by an error once the timeout has passed.
     fn apply_timeout<T>(
         &mut self,
