Start only requests that can end before a leaving router does

Callers of the product's own router got no answer to requests that it took while it was leaving, whatever time they may take, and to those that were open at timeouts.shutdown_ms or at a second signal, also if they had not reached an upstream. Then the process exited and cut them.

The stop is now a plan (drain.rs): a request is sent to an upstream only if timeouts.answer_ms ends before the router does, else it is rejected at once as not run, also while it waits for a slot. A second before the end, or at a second signal, what is open is answered: 503 if it did not run, 504 if it may have, and a stream of a model with an error event. Router::shutdown returns these requests as before. The plan of crates/edge is not used: its times are those of the platform's rules, its exceptions for streams do not apply here, and the router does not depend on that crate.

--- a/crates/router/src/frontend/attempts.rs
+++ b/crates/router/src/frontend/attempts.rs
@@ -30,7 +30,7 @@
     let mut last_failure: Option<Failure> = None;
     loop {
         let span = tracing::info_span!(target: crate::trace::REQUEST_SPAN_TARGET, "queue");
-        let permit = frontend.control.admit(admit.clone()).instrument(span).await;
+        let permit = frontend.admit(admit.clone()).instrument(span).await;
         let mut permit =
             permit.map_err(|rejection| last_failure.clone().unwrap_or(rejection.into()))?;
         if let Some(failure) = last_failure.filter(|_| admit.avoid.contains(&permit.upstream)) {
@@ -41,7 +41,7 @@
         admit.avoid.push(permit.upstream.clone());
         let mut attempt =
             UpstreamAttempt::new(frontend, &run.id, permit, upstream_request.is_engine);
-        let sent_before = std::mem::replace(&mut run.sent, true);
+        let sent_before = run.set_sent(true);
         let error = match send_attempt(frontend, run, upstream_request, &attempt).await {
             Ok(answer) => {
                 attempt.answer_begins(&answer);
@@ -50,7 +50,7 @@
             Err(error) => error,
         };
         if error == SendError::NotConnected {
-            run.sent = sent_before;
+            run.set_sent(sent_before);
         } else {
             run.unanswered_attempts += 1;
         }
--- a/crates/router/src/frontend/idempotency.rs
+++ b/crates/router/src/frontend/idempotency.rs
@@ -32,7 +32,7 @@
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Whether a byte of the request may have reached an upstream.
-    pub sent: bool,
+    sent: bool,
     /// Upstreams that may have got the request and have not answered it.
     pub unanswered_attempts: u32,
     run_key: RunKey,
@@ -47,6 +47,13 @@
 }
 
 impl Run {
+    /// Sets whether a byte of the request may have reached an upstream. Returns the value
+    /// before.
+    pub fn set_sent(&mut self, sent: bool) -> bool {
+        self.frontend.in_flight.set_may_have_run(&self.id, sent);
+        std::mem::replace(&mut self.sent, sent)
+    }
+
     /// Records that the answer of an upstream is lost. Returns whether the request may
     /// run again.
     pub fn answer_lost(&mut self) -> bool {
--- a/crates/router/src/frontend/in_flight.rs
+++ b/crates/router/src/frontend/in_flight.rs
@@ -27,23 +27,36 @@
 /// Requests in flight, by sequence number of their id.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InFlight {
-    requests: Arc<Mutex<BTreeMap<u64, InFlightRequest>>>,
+    requests: Arc<Mutex<BTreeMap<u64, OpenRequest>>>,
+}
+
+#[derive(Debug)]
+struct OpenRequest {
+    request: InFlightRequest,
+    may_have_run: bool,
 }
 
 impl InFlight {
     /// Adds a request; dropping the entry removes it.
     pub fn add(&self, request: InFlightRequest) -> InFlightEntry {
         let seq = request.id.seq;
-        self.lock().insert(seq, request);
+        self.lock().insert(seq, OpenRequest { request, may_have_run: false });
         InFlightEntry { list: self.clone(), seq }
     }
 
     /// The requests in flight, by sequence number.
     pub fn list(&self) -> Vec<InFlightRequest> {
-        self.lock().values().cloned().collect()
+        self.lock().values().map(|open| open.request.clone()).collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, InFlightRequest>> {
+    /// Sets whether a byte of the request may have reached an upstream.
+    pub fn set_may_have_run(&self, id: &RequestId, may_have_run: bool) {
+        if let Some(open) = self.lock().get_mut(&id.seq) {
+            open.may_have_run = may_have_run;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, OpenRequest>> {
         self.requests.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -56,6 +69,11 @@
 }
 
 impl InFlightEntry {
+    /// Whether a byte of the request may have reached an upstream.
+    pub fn may_have_run(&self) -> bool {
+        self.list.lock().get(&self.seq).is_some_and(|open| open.may_have_run)
+    }
+
     /// Keeps the request in the list until the body of its answer was sent.
     pub fn track_body(self, body: Body) -> Body {
         Body::new(TrackedBody { body, _entry: self })
--- a/crates/router/src/frontend/mod.rs
+++ b/crates/router/src/frontend/mod.rs
@@ -36,9 +36,19 @@
 use span_once::{RegistryLimits, RetryBudget};
 use span_platform::PlatformClient;
 use span_types::{Member, Outcome, RequestId};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep_until},
+};
 use tracing::Instrument;
 
-use crate::{control, minted::MintedIds, settings::Settings, trace};
+use crate::{
+    control::{self, AdmitRequest, AttemptResult, Permit, Rejection},
+    drain::DrainPlan,
+    minted::MintedIds,
+    settings::Settings,
+    trace,
+};
 use answer::{Failure, failure_response, set_outcome_headers};
 use auth::Caller;
 use claims::Claims;
@@ -46,6 +56,15 @@
 use in_flight::InFlight;
 pub use in_flight::InFlightRequest;
 
+/// How far the planned stop of the router is.
+#[derive(Clone, Copy, Debug, Default)]
+struct DrainState {
+    /// Steps of the stop; `None` before it begins.
+    plan: Option<DrainPlan>,
+    /// Whether open requests are answered with an error.
+    is_interrupted: bool,
+}
+
 /// State shared by all requests of callers.
 pub(crate) struct Frontend {
     /// Instance and incarnation of this router.
@@ -69,6 +88,7 @@
     /// Requests that are waiting or running.
     pub in_flight: InFlight,
     closed: AtomicBool,
+    drain: watch::Sender<DrainState>,
     last_seq: AtomicU64,
     retry_budget: Mutex<RetryBudget>,
     rng: Mutex<ChaCha8Rng>,
@@ -94,6 +114,7 @@
             claims: Claims::new(platform),
             in_flight: InFlight::default(),
             closed: AtomicBool::new(false),
+            drain: watch::Sender::default(),
             last_seq: AtomicU64::new(0),
             retry_budget: Mutex::default(),
             // The incarnation is the start time, which differs between routers,
@@ -115,6 +136,60 @@
         self.closed.store(true, Ordering::Relaxed);
     }
 
+    /// Starts only requests that can end before the router does.
+    pub fn leave(&self, plan: DrainPlan) {
+        self.drain.send_modify(|state| state.plan = Some(plan));
+    }
+
+    /// Answers the requests in flight with an error.
+    pub fn interrupt(&self) {
+        self.drain.send_modify(|state| state.is_interrupted = true);
+    }
+
+    /// Returns once open requests have to be answered with an error.
+    async fn interrupted(&self) {
+        // Fails only if the frontend is gone.
+        let _ = self.drain.subscribe().wait_for(|state| state.is_interrupted).await;
+    }
+
+    /// Time in which an upstream must make progress with a request.
+    fn answer_limit(&self) -> Duration {
+        Duration::from_millis(self.settings.timeouts.answer_ms)
+    }
+
+    /// Rejects a request that may take longer than a leaving router lives.
+    fn check_start(&self, now: Instant) -> Result<(), Rejection> {
+        match self.drain.borrow().plan {
+            Some(plan) if !plan.may_start(now, self.answer_limit()) => Err(Rejection::ShuttingDown),
+            _ => Ok(()),
+        }
+    }
+
+    /// Waits for a slot for as long as requests may start.
+    async fn admit(&self, request: AdmitRequest) -> Result<Permit, Rejection> {
+        let starts_are_over = async {
+            let mut drain = self.drain.subscribe();
+            let Ok(Some(plan)) =
+                drain.wait_for(|state| state.plan.is_some()).await.map(|state| state.plan)
+            else {
+                return;
+            };
+            if let Some(last_start) = plan.last_start(self.answer_limit()) {
+                sleep_until(last_start).await;
+            }
+        };
+        let mut permit = tokio::select! {
+            biased;
+            permit = self.control.admit(request) => permit?,
+            () = starts_are_over => return Err(Rejection::ShuttingDown),
+        };
+        if let Err(rejection) = self.check_start(Instant::now()) {
+            permit.set_result(AttemptResult::Abandoned);
+            return Err(rejection);
+        }
+        Ok(permit)
+    }
+
     /// A request id that this incarnation has not used yet.
     pub fn next_request_id(&self) -> RequestId {
         RequestId {
@@ -156,7 +231,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
     if frontend.closed.load(Ordering::Relaxed) {
-        return Err(control::Rejection::ShuttingDown.into());
+        return Err(Rejection::ShuttingDown.into());
     }
     let index = frontend.index.load_full();
     if let Some(answer) = admin::answer(frontend, &index, id, &request).await {
@@ -168,10 +243,23 @@
         workspace: caller.workspace.clone(),
         path: request.uri().path().to_owned(),
     });
-    let response = handle_caller(frontend, &index, id, caller, request).await?;
+    let response = tokio::select! {
+        biased;
+        response = handle_caller(frontend, &index, id, caller, request) => response?,
+        () = frontend.interrupted() => return Err(interruption(entry.may_have_run())),
+    };
     Ok(response.map(|body| entry.track_body(body)))
 }
 
+/// The failure of a request that is open shortly before the router ends.
+fn interruption(may_have_run: bool) -> Failure {
+    if !may_have_run {
+        return Rejection::ShuttingDown.into();
+    }
+    let message = "the router ends before the answer is complete";
+    Failure::new(Outcome::Unknown, StatusCode::GATEWAY_TIMEOUT, "shutting_down", message)
+}
+
 async fn handle_caller(
     frontend: &Arc<Frontend>,
     index: &ConfigIndex,
@@ -181,10 +269,12 @@
 ) -> Result<Response<Body>, Failure> {
     let path = request.uri().path();
     if path.starts_with("/svc/") {
+        frontend.check_start(Instant::now())?;
         return plain::call(frontend, index, id, caller, request).await;
     }
     match (request.method(), path) {
         (&Method::POST, "/v1/chat/completions") => {
+            frontend.check_start(Instant::now())?;
             chat::complete(frontend, index, id, caller, request).await
         }
         (&Method::GET, "/v1/models") => Ok(chat::list_models(index, id, &caller)),
--- a/crates/router/src/frontend/stream.rs
+++ b/crates/router/src/frontend/stream.rs
@@ -27,11 +27,12 @@
 use tracing::Instrument;
 
 use super::{
-    Frontend,
+    Failure, Frontend,
     answer::set_request_id_header,
     attempts::{MAX_FAILED_RESUMES, resume, send_with_retries},
     headers::clean_answer_headers,
     idempotency::Run,
+    interruption,
     sse::{self, Event, EventSplitter},
     upstream::{SendError, UpstreamAttempt, UpstreamRequest, attempt_failure},
 };
@@ -119,6 +120,9 @@
     }
     head.headers.entry(CACHE_CONTROL).or_insert(http::HeaderValue::from_static("no-cache"));
     let id = request.run.id.clone();
+    let frontend = Arc::clone(&request.frontend);
+    // One future serves the whole stream.
+    let interrupted = Box::pin(async move { frontend.interrupted().await });
     let relay = Box::new(Relay {
         id_text: id.to_string(),
         body,
@@ -130,11 +134,11 @@
         state: State::Reading,
         request,
     });
-    let frames = stream::unfold(relay, |mut relay| {
+    let frames = stream::unfold((relay, interrupted), |(mut relay, mut interrupted)| {
         let span = relay.request.attempt.span.clone();
         let next = async move {
-            let payload = relay.next_data().await?;
-            Some((Ok::<_, Infallible>(Frame::data(payload)), relay))
+            let payload = relay.next_data(interrupted.as_mut()).await?;
+            Some((Ok::<_, Infallible>(Frame::data(payload)), (relay, interrupted)))
         };
         next.instrument(span)
     });
@@ -145,8 +149,26 @@
 }
 
 impl Relay {
-    /// The next data for the caller; `None` at the end.
-    async fn next_data(&mut self) -> Option<Bytes> {
+    /// The next data for the caller; `None` at the end. Once `interrupted` is ready, this is
+    /// the error that ends the stream.
+    async fn next_data(
+        &mut self,
+        interrupted: Pin<&mut impl Future<Output = ()>>,
+    ) -> Option<Bytes> {
+        if matches!(self.state, State::Ended) {
+            return None;
+        }
+        let data = match select(pin!(self.relay_data()), interrupted).await {
+            Either::Left((data, _)) => Some(data),
+            Either::Right(_) => None,
+        };
+        data.unwrap_or_else(|| {
+            self.state = State::Ended;
+            Some(self.error_event(&interruption(true)))
+        })
+    }
+
+    async fn relay_data(&mut self) -> Option<Bytes> {
         loop {
             match self.state {
                 State::Ended => return None,
@@ -287,8 +309,8 @@
         format!(": {REQUEST_ID_HEADER}={id} {OUTCOME_HEADER}={outcome}\n\n")
     }
 
-    fn error_event(&self, error: SendError) -> Bytes {
-        let error = attempt_failure(error, Outcome::Unknown).json(&self.request.run.id);
+    fn error_event(&self, failure: &Failure) -> Bytes {
+        let error = failure.json(&self.request.run.id);
         format!("data: {error}\n\n{}", self.outcome_comment(Outcome::Unknown)).into()
     }
 
@@ -301,7 +323,7 @@
     fn fail(&mut self, error: SendError) -> Bytes {
         self.state = State::Ended;
         self.request.attempt.fail(error);
-        self.error_event(error)
+        self.error_event(&attempt_failure(error, Outcome::Unknown))
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod args;
 pub mod control;
+pub mod drain;
 mod frontend;
 mod minted;
 mod run;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -5,28 +5,26 @@
     io,
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use span_http::{Limits, Server};
 use span_once::RegistryLimits;
 use span_platform::PlatformClient;
 use span_types::{Incarnation, Member};
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{Instant, sleep_until, timeout_at},
+};
 
 use crate::{
     MintedIds, control,
+    drain::{ANSWER_MARGIN, DrainPlan},
     frontend::{self, Frontend, InFlightRequest},
     settings::Settings,
 };
 
-/// Time for which a leaving router accepts connections after the address
-/// lifetime.
-/// Peers may still hand out its address for a moment, and requests may be in
-/// transit. Without it, requests sent at the end of the address lifetime reached
-/// a closed connection.
-const LATE_CALLER_GRACE_MS: u64 = 1_000;
-
 /// The router could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum SpawnError {
@@ -64,26 +62,31 @@
         self.frontend.in_flight.list()
     }
 
-    /// Announces that the router is leaving. Once the lifetime of the last
-    /// address handed out is over, it accepts no more connections and waits for
-    /// the requests in flight. When `force` is ready or the shutdown time limit
-    /// passes, the remaining requests are interrupted and returned.
+    /// Announces that the router is leaving, and starts only requests whose time limit ends
+    /// before the router does. Once the lifetime of the last address handed out is over, it
+    /// accepts no more connections and waits for the requests in flight. When `force` is ready,
+    /// or shortly before the shutdown time limit, the remaining requests are answered with an
+    /// error, and returned.
     pub async fn shutdown(self, force: impl Future<Output = ()>) -> Vec<InFlightRequest> {
-        let timeouts = self.frontend.settings.timeouts.clone();
-        tracing::info!(in_flight = self.frontend.in_flight.list().len(), "leaving");
-        self.frontend.control.start_leaving();
-        let Self { server, frontend, config_task } = self;
+        let Self { mut server, frontend, config_task } = self;
+        let plan = DrainPlan::new(Instant::now(), &frontend.settings.timeouts);
+        tracing::info!(in_flight = frontend.in_flight.list().len(), "leaving");
+        frontend.leave(plan);
+        frontend.control.start_leaving();
         let graceful = async {
-            let accept_ms = timeouts.address_lifetime_ms + LATE_CALLER_GRACE_MS;
-            tokio::time::sleep(Duration::from_millis(accept_ms)).await;
+            sleep_until(plan.accept_until).await;
             frontend.close();
-            server.shutdown().await;
+            server.stop();
+            server.stopped().await;
+        };
+        let forced_end = tokio::select! {
+            () = graceful => None,
+            () = force => Some(Instant::now() + ANSWER_MARGIN),
+            () = sleep_until(plan.answer_by) => Some(plan.end),
         };
-        let deadline = tokio::time::sleep(Duration::from_millis(timeouts.shutdown_ms));
-        let interrupted = tokio::select! {
-            () = graceful => Vec::new(),
-            () = force => frontend.in_flight.list(),
-            () = deadline => frontend.in_flight.list(),
+        let interrupted = match forced_end {
+            Some(end) => interrupt(&frontend, &mut server, end).await,
+            None => Vec::new(),
         };
         config_task.abort();
         frontend.control.stop();
@@ -96,6 +99,22 @@
     }
 }
 
+/// Answers the requests in flight with an error and returns them. Waits until `end` for
+/// their callers, and for requests that have not been read.
+async fn interrupt(frontend: &Frontend, server: &mut Server, end: Instant) -> Vec<InFlightRequest> {
+    frontend.close();
+    let mut interrupted = frontend.in_flight.list();
+    frontend.interrupt();
+    server.stop();
+    if timeout_at(end, server.stopped()).await.is_err() {
+        let open = frontend.in_flight.list();
+        let late: Vec<_> =
+            open.into_iter().filter(|request| !interrupted.contains(request)).collect();
+        interrupted.extend(late);
+    }
+    interrupted
+}
+
 /// Starts a router.
 ///
 /// # Errors
