Store the outcomes of idempotency keys before a router ends

A caller that repeated a request with its own key at another router got "may have run" for one that had completed, or that had certainly not run, if the first router ended right after the answer: the outcome is stored in the background, and the process exited without waiting for it. The router that could still have told the outcome is gone.

The shutdown now waits until the changes are stored, for as long as a caller would wait for one, and warns if some are not.

Evidence: outcome_of_a_claimed_key_is_stored_before_the_end failed in its first case (unknown instead of completed), and passes.

--- a/crates/router/src/frontend/claims.rs
+++ b/crates/router/src/frontend/claims.rs
@@ -8,7 +8,7 @@
 
 use span_once::{CLAIM_BUCKETS, ClaimChange, ClaimKey, ClaimResult};
 use span_platform::PlatformClient;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::claim_store::{self, StoredBucket, UncertainResult};
 use crate::minted::now_ms;
@@ -35,6 +35,8 @@
 pub(crate) struct Claims {
     platform: PlatformClient,
     workers: Vec<OnceLock<mpsc::Sender<PendingChange>>>,
+    /// Number of changes that are not stored yet.
+    pending: Arc<watch::Sender<usize>>,
 }
 
 impl Claims {
@@ -42,7 +44,7 @@
     /// first change.
     pub(super) fn new(platform: PlatformClient) -> Arc<Self> {
         let workers = (0..CLAIM_BUCKETS).map(|_| OnceLock::new()).collect();
-        Arc::new(Self { platform, workers })
+        Arc::new(Self { platform, workers, pending: Arc::default() })
     }
 
     /// Applies a change and waits until it is stored.
@@ -58,11 +60,9 @@
     ) -> Result<ClaimResult, UncertainResult> {
         let (reply, answer) = oneshot::channel();
         let pending = PendingChange { change, reply: Some(reply) };
-        self.worker(key.bucket()).try_send(pending).map_err(|_| UncertainResult)?;
+        self.send(key, pending).map_err(|_| UncertainResult)?;
         // Several slow calls for one batch must not delay its callers further.
-        let limit_ms = MAX_STORE_CALLS_WAITED * self.platform.settings().call_timeout_ms;
-        let limit = Duration::from_millis(limit_ms);
-        match tokio::time::timeout(limit, answer).await {
+        match tokio::time::timeout(self.wait_limit(), answer).await {
             Ok(Ok(result)) => result,
             _ => Err(UncertainResult),
         }
@@ -72,13 +72,45 @@
     /// changes wait, the change is lost; the registry of the claim's owner then
     /// still has the outcome.
     pub(super) fn apply_in_background(&self, key: &ClaimKey, change: ClaimChange) {
-        let _ = self.worker(key.bucket()).try_send(PendingChange { change, reply: None });
+        let _ = self.send(key, PendingChange { change, reply: None });
+    }
+
+    /// Waits until all changes are stored, for as long as a caller would wait. The registry of
+    /// a router that has ended cannot tell the outcomes any more.
+    pub(crate) async fn flush(&self) {
+        let mut pending = self.pending.subscribe();
+        let stored = pending.wait_for(|pending| *pending == 0);
+        if tokio::time::timeout(self.wait_limit(), stored).await.is_err() {
+            let changes = *self.pending.borrow();
+            tracing::warn!(changes, "outcomes of idempotency keys are not stored");
+        }
+    }
+
+    /// Longest wait for a change.
+    fn wait_limit(&self) -> Duration {
+        let calls_ms = MAX_STORE_CALLS_WAITED * self.platform.settings().call_timeout_ms;
+        Duration::from_millis(calls_ms)
+    }
+
+    fn send(
+        &self,
+        key: &ClaimKey,
+        change: PendingChange,
+    ) -> Result<(), mpsc::error::TrySendError<PendingChange>> {
+        let worker = self.worker(key.bucket());
+        self.pending.send_modify(|pending| *pending += 1);
+        let sent = worker.try_send(change);
+        if sent.is_err() {
+            self.pending.send_modify(|pending| *pending -= 1);
+        }
+        sent
     }
 
     fn worker(&self, bucket: u64) -> &mpsc::Sender<PendingChange> {
         self.workers[bucket as usize].get_or_init(|| {
             let (sender, pending) = mpsc::channel(MAX_QUEUED_CHANGES);
-            tokio::spawn(run_worker(self.platform.clone(), bucket, pending));
+            let counter = Arc::clone(&self.pending);
+            tokio::spawn(run_worker(self.platform.clone(), bucket, pending, counter));
             sender
         })
     }
@@ -88,6 +120,7 @@
     platform: PlatformClient,
     bucket: u64,
     mut pending: mpsc::Receiver<PendingChange>,
+    pending_counter: Arc<watch::Sender<usize>>,
 ) {
     let mut cached = None;
     let mut batch = Vec::new();
@@ -95,6 +128,7 @@
         let changes: Vec<ClaimChange> =
             batch.iter().map(|pending| pending.change.clone()).collect();
         let results = apply_batch(&platform, bucket, &mut cached, &changes).await;
+        pending_counter.send_modify(|pending| *pending -= changes.len());
         for (index, pending) in batch.drain(..).enumerate() {
             let result = results.as_ref().map(|results| results[index].clone()).map_err(|e| *e);
             if let Some(reply) = pending.reply {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -88,6 +88,7 @@
             Some(end) => interrupt(&frontend, &mut server, end).await,
             None => Vec::new(),
         };
+        frontend.claims.flush().await;
         config_task.abort();
         frontend.control.stop();
         for request in &interrupted {
--- a/crates/router/tests/planned_stop.rs
+++ b/crates/router/tests/planned_stop.rs
@@ -21,6 +21,7 @@
 use span_http::{Body, BodyError, Client, empty_body, full_body, pooled_client, unpooled_client};
 use span_standin::{
     engine::{self, Engine},
+    objects::Faults,
     service::{self, Service},
 };
 use tokio::{
@@ -316,3 +317,71 @@
     assert_eq!(summary(&answer), (504, "unknown".to_owned()));
     assert_eq!(router.wait().await.code(), Some(1), "{}", router.log());
 }
+
+/// Guards against a claim on a key whose outcome is not stored when its router ends: a
+/// repetition then got "may have run" for a request that had completed, or had not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn outcome_of_a_claimed_key_is_stored_before_the_end() {
+    struct Case {
+        name: &'static str,
+        shutdown_ms: u64,
+        call_ms: u64,
+        /// Status and outcome of the request, and of its repetition at another router.
+        first: (u16, &'static str),
+        repeated: (u16, &'static str),
+    }
+    let cases = [
+        Case {
+            name: "claim-completed",
+            shutdown_ms: 300_000,
+            call_ms: 3_000,
+            first: (200, "completed"),
+            repeated: (409, "completed"),
+        },
+        Case {
+            name: "claim-released",
+            shutdown_ms: 4_000,
+            call_ms: 5_000,
+            first: (503, "not_run"),
+            repeated: (200, "completed"),
+        },
+    ];
+    for case in cases {
+        let (engine, booking) = (slow_engine().await, service_with(case.call_ms).await);
+        let setup = start_setup(&engine, &booking, &booking).await;
+        let timeouts = format!("address_lifetime_ms: 0, shutdown_ms: {}", case.shutdown_ms);
+        let mut router = RouterProcess::start(&setup, case.name, &timeouts).await;
+        let send = |key: &'static str| {
+            let client = unpooled_client(Duration::from_secs(1));
+            let headers = [("idempotency-key", key), ("x-nonce", key)];
+            let request = post(router.address, BOOK, &headers, "book");
+            tokio::spawn(async move { try_call(&client, request).await })
+        };
+        let runs =
+            |key: &str| booking.ledger().executions().iter().filter(|row| row.nonce == key).count();
+        if case.first.0 == 503 {
+            // Takes the only slot.
+            send("occupant");
+            wait_until(|| runs("occupant") == 1).await;
+        }
+        let call = send(case.name);
+        let claims = || setup.platform.edit(|store| store.counters.writes);
+        let before = claims();
+        match case.first.0 {
+            503 => wait_until(|| claims() > before).await,
+            _ => wait_until(|| runs(case.name) == 1).await,
+        }
+        router.signal("TERM");
+        setup.platform.set_faults(Faults { delay_ms: 300, ..Faults::default() });
+        let answer = call.await.expect("the task failed");
+        let of = |(status, outcome): (u16, &str)| (status, outcome.to_owned());
+        assert_eq!(summary(&answer), of(case.first), "{}", case.name);
+        router.wait().await;
+        setup.platform.set_faults(Faults::default());
+        let headers = [("idempotency-key", case.name), ("x-nonce", case.name)];
+        let repeated = post(setup.router.http_address(), BOOK, &headers, "book");
+        let repeated = try_call(&setup.client, repeated).await;
+        assert_eq!(summary(&repeated), of(case.repeated), "{}: {repeated:?}", case.name);
+        assert_eq!(runs(case.name), 1, "{}", case.name);
+    }
+}
