Keep a router running on SIGHUP and handle signals that come early

SIGHUP, with which operators let the platform's router read its settings again, ended the product's own router at once, with all its requests. So did SIGTERM and SIGINT until the settings were read and the trace export had started.

Handlers are installed before the settings are read. SIGHUP is logged and has no other effect, since settings are read only at the start.

Evidence: hangup_does_not_end_the_process and signal_at_the_start_is_handled failed, the latter with "signal: 15"; both pass.

--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -27,13 +27,20 @@
         return Ok(ExitCode::SUCCESS);
     }
     let args = Args::parse(raw).wrap_err("see --help")?;
+    // Until then, a signal ends the process at once.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let settings = settings::load(&args.settings)?;
     if args.check {
         return Ok(ExitCode::SUCCESS);
     }
     let _telemetry = trace::start(&settings.trace)?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            tracing::info!("SIGHUP is ignored; the settings are read only at the start");
+        }
+    });
     let router = span_router::spawn(settings).await?;
     println!("listening on {}", router.http_address());
     wait_for_signal(&mut terminate, &mut interrupt).await;
--- a/crates/router/tests/planned_stop.rs
+++ b/crates/router/tests/planned_stop.rs
@@ -385,3 +385,48 @@
         assert_eq!(runs(case.name), 1, "{}", case.name);
     }
 }
+
+/// Guards against SIGHUP, with which operators let processes read their settings again, as
+/// the end of the process and of all its requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn hangup_does_not_end_the_process() {
+    let pages = service_with(20).await;
+    let setup = TestSetup::new().upstream("pages", pages.address()).start().await;
+    let mut router = RouterProcess::start(&setup, "hangup", "address_lifetime_ms: 0").await;
+    router.signal("HUP");
+    let mut has_ended = || matches!(router.child.try_wait(), Ok(Some(_)));
+    let log = Arc::clone(&router.log);
+    let log = || log.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    wait_until(|| has_ended() || log().contains("SIGHUP")).await;
+    assert!(!has_ended(), "{}", log());
+    let answer = try_call(&setup.client, get(router.address, PAGE)).await;
+    assert_eq!(summary(&answer), (200, "completed".to_owned()));
+    router.signal("TERM");
+    assert!(router.wait().await.success(), "{}", router.log());
+}
+
+/// Guards against a process that a signal ends at once while it starts, when it may already
+/// have taken requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn signal_at_the_start_is_handled() {
+    let setup = TestSetup::new().start().await;
+    let (address, text) = settings_text(&setup, "early", "address_lifetime_ms: 0");
+    let path = file("early.fifo");
+    let _ = std::fs::remove_file(&path);
+    assert!(Command::new("mkfifo").arg(&path).status().expect("cannot run mkfifo").success());
+    let mut router = RouterProcess::spawn(address, &path);
+    // Waits until the process reads its settings.
+    let open = {
+        let path = path.clone();
+        tokio::task::spawn_blocking(move || std::fs::File::options().write(true).open(path))
+    };
+    let mut settings = open.await.expect("the task failed").expect("cannot open the settings");
+    router.signal("TERM");
+    let written = tokio::task::spawn_blocking(move || {
+        std::io::Write::write_all(&mut settings, text.as_bytes())
+    });
+    // Fails if the process has ended.
+    let _ = written.await.expect("the task failed");
+    let status = router.wait().await;
+    assert!(status.success(), "{status}: {}", router.log());
+}
