Let orders end before an intent process does

An order whose caller had left was cut by a planned stop between its claim and its end. The lease then blocked the orders of all processes until it expired, and the claim of an order could stay open. An order runs in a task of its own for exactly this reason, but the shutdown waited for connections only.

The shutdown now takes the lock that each order holds while it runs.

Evidence: order_of_a_caller_that_left_ends_before_the_process failed with the lease held, and passes.

--- a/crates/intent/src/process.rs
+++ b/crates/intent/src/process.rs
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 pub struct Handle {
     server: Server,
+    state: Arc<SharedState>,
     sweeper: JoinHandle<()>,
 }
 
@@ -47,10 +48,13 @@
         self.server.address()
     }
 
-    /// Stops accepting connections and returns when all requests have finished.
+    /// Stops accepting connections and returns when all requests have finished, and the orders
+    /// of callers that have left.
     pub async fn shutdown(self) {
         self.sweeper.abort();
         self.server.shutdown().await;
+        // The lock is fair, so that orders that wait for it run before.
+        drop(self.state.order_lock.lock().await);
     }
 
     /// Closes all connections and stops.
@@ -76,9 +80,9 @@
     let state =
         Arc::new(SharedState { settings, platform, client, holder, order_lock: Mutex::default() });
     let limits = Limits { max_connections: MAX_CONNECTIONS, ..Limits::default() };
-    let sweep_state = Arc::clone(&state);
-    let handler = move |request, _peer| api::handle(Arc::clone(&state), request);
+    let handler_state = Arc::clone(&state);
+    let handler = move |request, _peer| api::handle(Arc::clone(&handler_state), request);
     let server = span_http::serve(address, limits, handler).await?;
-    let sweeper = tokio::spawn(sweep::run(sweep_state));
-    Ok(Handle { server, sweeper })
+    let sweeper = tokio::spawn(sweep::run(Arc::clone(&state)));
+    Ok(Handle { server, state, sweeper })
 }
--- a/crates/intent/tests/orders.rs
+++ b/crates/intent/tests/orders.rs
@@ -11,13 +11,17 @@
     IntentError,
     message::{OrderKind, OrderRequest},
     order::{
-        AcquireDecision, ClaimDecision, ClaimState, Claims, LEASE_DURATION_MS, Lease, LoadRate,
-        OrderExecutor, OrderTarget, decide_acquire, is_held,
+        AcquireDecision, ClaimDecision, ClaimState, Claims, LEASE_DURATION_MS, LEASE_KEY, Lease,
+        LoadRate, OrderExecutor, OrderTarget, decide_acquire, is_held,
     },
 };
 use span_platform::PlatformClient;
-use span_standin::engine::{self, Engine, Settings};
-use support::{Fleet, loopback};
+use span_standin::{
+    engine::{self, Engine, Settings},
+    objects::Faults,
+};
+use support::{Fleet, ROOT_KEY, loopback};
+use tokio::io::AsyncWriteExt;
 
 const NOW_MS: u64 = 1_000_000;
 const NO_LOADS: LoadRate = LoadRate { per_minute: 0 };
@@ -258,3 +262,29 @@
     let (status, response) = site.fleet.post(0, "/v1/orders", &json!(order_request("e"))).await;
     assert_eq!((status.as_u16(), &response["error"]["type"]), (409, &json!("not_run")));
 }
+
+/// Guards against a planned stop that ends the process between the claim of an order and its
+/// end, because the caller that sent the order has left.
+#[tokio::test]
+async fn order_of_a_caller_that_left_ends_before_the_process() {
+    let mut site = TestSite::start(Settings::default()).await;
+    site.fleet.platform.set_faults(Faults { delay_ms: 100, ..Faults::default() });
+    let handle = site.fleet.intents[0].take().unwrap();
+    let body = json!(order_request("x")).to_string();
+    let head = format!(
+        "POST /v1/orders HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {ROOT_KEY}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut caller = tokio::net::TcpStream::connect(handle.address()).await.unwrap();
+    caller.write_all((head + &body).as_bytes()).await.unwrap();
+    while site.fleet.platform.edit(|store| store.get(LEASE_KEY).is_none()) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop(caller);
+    handle.shutdown().await;
+    assert_eq!(site.executed_orders(), ["x"]);
+    let lease = site.fleet.platform.edit(|store| store.get(LEASE_KEY).unwrap().value.clone());
+    let lease: Lease = serde_json::from_slice(&lease).unwrap();
+    assert_eq!(lease, lease.released(), "the lease is held");
+}
