Keep an intent process running on SIGHUP and handle signals that come early

SIGHUP ended the process with all its requests. SIGTERM did so until the handlers were installed, which was after the process had begun to listen; SIGINT until the first wait for a signal.

Handlers are installed before the settings are read. SIGHUP is logged and has no other effect.

Evidence: hangup_does_not_end_the_process and signal_at_the_start_is_handled failed, the latter with "signal: 15"; both pass.

--- a/crates/intent/src/main.rs
+++ b/crates/intent/src/main.rs
@@ -28,12 +28,20 @@
     }
     tracing_subscriber::fmt().json().with_writer(std::io::stderr).init();
     let args = Args::parse(raw).wrap_err("see --help")?;
+    // Until then, a signal ends the process at once.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            tracing::info!("SIGHUP is ignored; the settings are read only at the start");
+        }
+    });
     let settings = settings::load(&args.settings)?;
     let handle = span_intent::spawn(settings).await?;
     println!("listening on {}", handle.address());
-    let mut terminate = signal(SignalKind::terminate())?;
     tokio::select! {
-        result = tokio::signal::ctrl_c() => result?,
+        _ = interrupt.recv() => {}
         _ = terminate.recv() => {}
     }
     handle.shutdown().await;
