--- a/crates/edge/src/evacuation_sync.rs
+++ b/crates/edge/src/evacuation_sync.rs
@@ -170,7 +170,8 @@
                     sleep(Duration::from_millis(wait_ms)).await;
                 }
             }
-            Err(StoreError::HistoryDropped) => needs_list = true,
+            // A list that fails so is read again after a pause.
+            Err(StoreError::HistoryDropped) if !needs_list => needs_list = true,
             Err(_) => backoff.pause(&node).await,
         }
     }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -48,12 +48,13 @@
     pub revision: u64,
 }
 
-/// All objects of one kind at one position of the store.
+/// All objects of one kind as of one position of the store, also if they are read in several
+/// calls. A watch from there misses nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing<T> {
     /// The objects.
     pub items: Vec<T>,
-    /// Position of the store at which they were read.
+    /// Position of the store that they correspond to.
     pub position: Position,
 }
 
@@ -99,7 +100,7 @@
     pub read_routers: Read<Vec<Router>>,
     /// Registers this router.
     pub register: Rc<dyn Fn(Router) -> Answer<()>>,
-    /// Reads what routers recorded about streams.
+    /// Reads what routers recorded about streams, as of one position.
     pub read_stream_records: Read<StreamRecords>,
     /// Creates a segment, or replaces it. The flag says whether it was written before.
     pub write_segment: Rc<dyn Fn(OriginSegment, bool) -> Answer<()>>,
