Ignore a list that is older than what another router has told

While a router that starts reads a list, it may get newer entries from another router. The list then took these back, and an upstream that had left got requests again until the next watch, or for as long as the store was down. The same class as lists of several pages: what was read earlier counts as the state of now. The registry compares positions now, and the watch goes on from the newer one.

Evidence: list_older_than_the_entries_of_another_router_changes_nothing failed with the case "older" and passes.

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -173,7 +173,8 @@
     }
 
     /// Takes over a list from the store. Upstreams renew their entries every
-    /// `renewal_interval_ms`. A list of an era that is over changes nothing.
+    /// `renewal_interval_ms`. A list of an era that is over changes nothing, nor does one that is
+    /// older than what another router has told since the store was asked.
     pub fn replace_from_store(
         &mut self,
         now_ms: u64,
@@ -181,7 +182,7 @@
         entries: Vec<(UpstreamName, UpstreamEntry)>,
         renewal_interval_ms: u64,
     ) -> Vec<UpstreamChange> {
-        if position.era < self.era {
+        if position < self.position || position.era < self.era {
             return Vec::new();
         }
         self.begin_era(now_ms, position.era, renewal_interval_ms);
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -455,3 +455,33 @@
     assert_eq!(change, Some(UpstreamChange::Started("u1".into())));
     assert_ne!(registry.digest(), digest);
 }
+
+/// Guards against a list that takes a while, and takes back what another router has told
+/// meanwhile: an upstream that left would get requests again until the next watch, or for as
+/// long as the store is down.
+#[test]
+fn list_older_than_the_entries_of_another_router_changes_nothing() {
+    struct Case {
+        name: &'static str,
+        list: Position,
+        is_taken: bool,
+    }
+    let cases = [
+        Case { name: "older", list: at(1, 8), is_taken: false },
+        Case { name: "far older", list: at(1, 1), is_taken: false },
+        Case { name: "same", list: at(1, 9), is_taken: true },
+        Case { name: "newer", list: at(1, 10), is_taken: true },
+        Case { name: "earlier era", list: at(0, 20), is_taken: false },
+        Case { name: "new era", list: at(2, 3), is_taken: true },
+    ];
+    for case in cases {
+        let mut registry = Registry::default();
+        let told = SharedEntry { name: "u2".into(), entry: entry(2), expires_in_ms: None };
+        registry.replace_if_newer(10, at(1, 9), vec![told], RENEWAL_INTERVAL_MS);
+        let list = vec![("u1".into(), entry(1)), ("u2".into(), entry(2))];
+        registry.replace_from_store(20, case.list, list, RENEWAL_INTERVAL_MS);
+        let has_list = ready(&registry).contains(&"u1".to_owned());
+        assert_eq!(has_list, case.is_taken, "{}", case.name);
+        assert_eq!(registry.position(), at(1, 9).max(case.list), "{}", case.name);
+    }
+}
