Ignore another router's entries from before a dropped history

When the store has dropped its history, a router asks for a new list and has no position until it arrives. Entries of another router were then taken whatever their position, so older ones could bring back an upstream that had left. The registry keeps the position for this comparison.

Evidence: entries_older_than_a_dropped_position_are_ignored failed with the case "older" and passes.

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -112,6 +112,8 @@
     digest: Cell<Option<u64>>,
     /// Position of the store that the entries correspond to.
     position: Position,
+    /// The same, but kept while a new list is asked for.
+    kept_position: Position,
     /// Latest era of the store that is known.
     era: u64,
     /// Until when a list may have entries that are older than what is known.
@@ -159,6 +161,9 @@
     /// position asks for a new list.
     pub fn set_position(&mut self, position: Position) {
         self.position = position;
+        if position > Position::default() {
+            self.kept_position = position;
+        }
         self.era = self.era.max(position.era);
     }
 
@@ -228,7 +233,8 @@
         shared: Vec<SharedEntry>,
         renewal_interval_ms: u64,
     ) -> Vec<UpstreamChange> {
-        if position <= self.position || position.era < self.era {
+        let is_older = position < self.kept_position || position.era < self.era;
+        if position <= self.position || is_older {
             return Vec::new();
         }
         self.begin_era(now_ms, position.era, renewal_interval_ms);
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -485,3 +485,48 @@
         assert_eq!(registry.position(), at(1, 9).max(case.list), "{}", case.name);
     }
 }
+
+/// Guards against older entries of another router that bring back an upstream that left, while
+/// a router reads a new list because the store dropped its history.
+#[test]
+fn entries_older_than_a_dropped_position_are_ignored() {
+    struct Case {
+        name: &'static str,
+        told: Position,
+        is_taken: bool,
+    }
+    let cases = [
+        Case { name: "older", told: at(1, 11), is_taken: false },
+        Case { name: "before the first list", told: at(1, 3), is_taken: false },
+        Case { name: "earlier era", told: at(0, 20), is_taken: false },
+        Case { name: "same", told: at(1, 12), is_taken: true },
+        Case { name: "newer", told: at(1, 13), is_taken: true },
+        Case { name: "new era", told: at(2, 3), is_taken: true },
+    ];
+    for case in cases {
+        let mut registry = Registry::default();
+        let list = vec![("u1".into(), entry(1)), ("u2".into(), entry(2))];
+        registry.replace_from_store(10, at(1, 9), list, RENEWAL_INTERVAL_MS);
+        registry.remove(20, &"u1".into());
+        registry.set_position(at(1, 12));
+        registry.set_position(Position::default());
+        let names = ["u1", "u2", "u3"].into_iter().zip(1..);
+        let told = names.map(|(name, port)| SharedEntry {
+            name: name.into(),
+            entry: entry(port),
+            expires_in_ms: None,
+        });
+        registry.replace_if_newer(30, case.told, told.collect(), RENEWAL_INTERVAL_MS);
+        let is_taken = ready(&registry).contains(&"u3".to_owned());
+        assert_eq!(is_taken, case.is_taken, "{}", case.name);
+        let position = if case.is_taken { case.told } else { Position::default() };
+        assert_eq!(registry.position(), position, "{}", case.name);
+        // A store that states no era may give revisions out again: its list counts.
+        let list = vec![("u4".into(), entry(4))];
+        let listed_at = at(registry.era(), 1);
+        registry.set_position(Position::default());
+        registry.replace_from_store(40, listed_at, list, RENEWAL_INTERVAL_MS);
+        assert!(ready(&registry).contains(&"u4".to_owned()), "{}", case.name);
+        assert_eq!(registry.position(), listed_at, "{}", case.name);
+    }
+}
