Count each crash of a group that has one unusual prompt segment

Crashes less than 0.4 s apart counted as one, so that a segment whose requests came in clumps was blocked after the fifth clump, not after the fifth crash. They now count one by one if no upstream has answered on the segment for a minute while others were answered, also since the crashes, and hardly any upstream without the segment ended at the same time. A router that has judged a group tells the others.

--- a/crates/edge/src/crash_exchange.rs
+++ b/crates/edge/src/crash_exchange.rs
@@ -1,16 +1,20 @@
 //! Exchange between routers of which prompts crash upstreams.
 
-use std::{net::IpAddr, rc::Rc};
+use std::{net::IpAddr, rc::Rc, time::Duration};
 
 use rand::seq::IndexedRandom;
 use span_types::UpstreamName;
+use tokio::{task::spawn_local, time::sleep};
 use tracing::{info, warn};
 
 use crate::{
     metrics::Counter,
     node::Node,
     peers::Packet,
-    prompt_crashes::{COPY_RECEIVERS, MAX_NOTICES, Progress, SegmentNotice, TICKS_PER_COPY},
+    pool,
+    prompt_crashes::{
+        CLOSE_MS, COPY_RECEIVERS, MAX_NOTICES, Progress, SegmentNotice, TICKS_PER_COPY,
+    },
     wire_format::SegmentId,
 };
 
@@ -72,19 +76,23 @@
 
     /// Records that an answer broke off while its prompt may have been the reason.
     pub(crate) fn answer_broke(
-        &self,
+        self: &Rc<Self>,
         upstream: &UpstreamName,
         segments: &Rc<[SegmentId]>,
         progress: Progress,
     ) {
         let now_ms = self.now_ms();
-        self.state().prompt_crashes.record_broken(now_ms, upstream, segments, progress);
+        let is_first =
+            self.state().prompt_crashes.record_broken(now_ms, upstream, segments, progress);
+        if is_first {
+            self.check_process(upstream);
+        }
     }
 
     /// Records that an answer ended with its connection, which a crash of the upstream on
     /// its prompt may also have caused. The prompt was sent at `sent_ms`.
     pub(crate) fn answer_closed(
-        &self,
+        self: &Rc<Self>,
         upstream: &UpstreamName,
         segments: &Rc<[SegmentId]>,
         progress: Progress,
@@ -92,7 +100,32 @@
     ) {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        state.prompt_crashes.record_closed(now_ms, upstream, segments, progress, sent_ms);
+        let is_first =
+            state.prompt_crashes.record_closed(now_ms, upstream, segments, progress, sent_ms);
+        drop(state);
+        if is_first {
+            self.check_process(upstream);
+        }
+    }
+
+    /// Finds out whether the process of an upstream has ended. Without this, a router that has
+    /// nothing to send there finds out when the entry changes, which takes seconds, and blocks
+    /// what crashes upstreams that much later.
+    fn check_process(self: &Rc<Self>, upstream: &UpstreamName) {
+        let (node, upstream) = (self.clone(), upstream.clone());
+        spawn_local(async move {
+            sleep(Duration::from_millis(CLOSE_MS)).await;
+            let Some(process) = node.process_to_connect(&upstream) else {
+                return;
+            };
+            if !node.connections.has_descriptor(node.settings().resources.max_sockets) {
+                return;
+            }
+            if pool::is_refused(process.entry.address).await {
+                node.connection_broke(&upstream);
+                node.upstream_process_ended(&upstream);
+            }
+        });
     }
 
     /// Records that an upstream has answered on a prompt that was sent at `sent_ms`.
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -204,6 +204,13 @@
     }
 }
 
+/// Whether nothing listens at `address`, as its machine says.
+pub(crate) async fn is_refused(address: SocketAddr) -> bool {
+    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let connected = timeout(limit, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Opens a connection to an HTTP server, with a read buffer of at most
 /// `buffer_bytes`.
 pub(crate) async fn connect(
--- a/crates/edge/src/prompt_crashes.rs
+++ b/crates/edge/src/prompt_crashes.rs
@@ -5,11 +5,12 @@
 //! failure of one upstream. Routers therefore note which segments the requests had that an
 //! upstream was about to answer when it crashed, and tell each other. A segment that was
 //! there at several crashes in a row, and on which no upstream has answered since the
-//! first of them, is blocked.
+//! first of them, is blocked. Crashes at about the same time may have a reason of their own,
+//! such as a release; they count one by one only for a segment that is out of the ordinary.
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     rc::Rc,
 };
 
@@ -35,9 +36,35 @@
 /// Time after the first bytes of an answer from which its prompt has not crashed the
 /// upstream, in milliseconds.
 pub const ANSWERED_MS: u64 = 500;
-/// Crashes within this time count as one, in milliseconds: when many upstreams end at
-/// once, their prompts are not the reason.
+/// Crashes within this time are a group, in milliseconds. A group counts as one crash unless
+/// the segment is out of the ordinary: when many upstreams end at once, their prompts are
+/// mostly not the reason.
 pub const SEPARATION_MS: u64 = 400;
+/// Time for which an answer shows that a segment is in ordinary use, in milliseconds. What
+/// several upstreams have at the same time is sent several times a second, so a sound one has
+/// been answered within this time, even if answers take long.
+pub const ORDINARY_USE_MS: u64 = 60_000;
+/// Answers on prompts without a segment from which it is out of the ordinary. A segment that
+/// is in half of the prompts is missed in all of them with a chance of 1 in 16, and by all of
+/// several routers hardly ever.
+pub const MIN_OTHER_ANSWERS: usize = 4;
+/// Ends of upstreams without the segment, per end of one with it, from which a group has
+/// another reason. Not zero, so that one end by chance hides no group of four or more.
+const MAX_OTHER_ENDS: f64 = 0.25;
+/// Time after its last news in which a group is judged, in milliseconds. Later, the ends of
+/// other upstreams are forgotten.
+const JUDGING_MS: u64 = 5_000;
+/// Time after the end of a process in which routers find out, in milliseconds, for those on
+/// which no request is about to be answered. The entry of a process that renews it no longer
+/// lapses within 1.5 s, but a busy one is connected to within less.
+const FIND_OUT_MS: u64 = 600;
+/// Time for which the end of a process is remembered, in milliseconds. Exceeds
+/// [`JUDGING_MS`] and the time in which a group gets further news.
+const END_MEMORY_MS: u64 = 15_000;
+/// Largest number of ends, and half of the largest number of answered segments, that are
+/// remembered, to bound the memory.
+const MAX_ENDS: usize = 512;
+const MAX_ANSWERED_SEGMENTS: usize = 2_048;
 /// Time in which other routers may object that upstreams answer on a segment, before it
 /// is blocked, in milliseconds. Must exceed [`TICK_INTERVAL_MS`].
 pub const OBJECTION_MS: u64 = 500;
@@ -53,6 +80,9 @@
 /// Time after a broken answer in which its upstream must be found to have ended, in
 /// milliseconds. The entry of a process that renews it no longer lapses within seconds.
 const CONFIRM_MS: u64 = 5_000;
+/// Time after a broken answer in which a process that ends has closed its listening socket,
+/// in milliseconds.
+pub const CLOSE_MS: u64 = 100;
 /// Time within which the connections to a process that ends are seen to break, in
 /// milliseconds.
 const SAME_END_MS: u64 = 250;
@@ -63,7 +93,7 @@
 /// are kept, to bound the memory.
 const MAX_SEGMENTS: usize = 512;
 const MAX_CRASHES: usize = 8;
-const MAX_PROCESSES: usize = 8;
+const MAX_PROCESSES: usize = 16;
 /// Largest number of blocked segments; the most suspicious ones. If more seem to crash
 /// upstreams, the upstreams rather than the prompts are the reason.
 pub const MAX_BLOCKED: usize = 8;
@@ -107,6 +137,8 @@
     pub processes: Vec<ProcessKey>,
     /// How far they were with a request that has the segment.
     pub progress: Progress,
+    /// Whether each process counts.
+    pub counts_each: bool,
 }
 
 /// What a router tells others of a segment.
@@ -127,8 +159,31 @@
     at_ms: i64,
     /// When this router learned of it.
     learned_ms: u64,
+    /// When this router learned of the last of the processes.
+    changed_ms: u64,
     processes: Vec<ProcessKey>,
     progress: Progress,
+    /// Whether each process counts, since the segment is out of the ordinary.
+    counts_each: bool,
+}
+
+impl Crash {
+    /// Weight of the crash, or of the group if each process counts. A group of four alone does
+    /// not suffice to block; two groups do, or five crashes in any order.
+    fn points(&self, counts_each: bool) -> u32 {
+        let further = self.processes.len().saturating_sub(1) as u32;
+        if !counts_each || further == 0 {
+            return self.progress.points();
+        }
+        Progress::Answering.points() + further * Progress::Waiting.points()
+    }
+
+    /// Whether an answer at `answered_ms` shows that a segment was in ordinary use.
+    fn is_in_ordinary_use(&self, answered_ms: Option<i64>) -> bool {
+        answered_ms.is_some_and(|answered_ms| {
+            answered_ms.saturating_add_unsigned(ORDINARY_USE_MS) > self.at_ms
+        })
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -166,9 +221,23 @@
             .filter(move |crash| answered_ms.is_none_or(|answered_ms| crash.at_ms >= answered_ms))
     }
 
+    /// Weight of a crash.
+    fn crash_points(&self, crash: &Crash) -> u32 {
+        crash.points(crash.counts_each && !crash.is_in_ordinary_use(self.answered_ms))
+    }
+
     /// Weight of the suspicion.
     fn points(&self) -> u32 {
-        self.unanswered().map(|crash| crash.progress.points()).sum()
+        self.unanswered().map(|crash| self.crash_points(crash)).sum()
+    }
+
+    /// Weight of the suspicion at a router that counts each process and knows of the answer at
+    /// `answered_ms`, if any.
+    fn greatest_points(&self, answered_ms: Option<i64>) -> u32 {
+        let crashes = self.crashes.iter();
+        let unanswered = crashes
+            .filter(|crash| answered_ms.is_none_or(|answered_ms| crash.at_ms >= answered_ms));
+        unanswered.map(|crash| crash.points(!crash.is_in_ordinary_use(answered_ms))).sum()
     }
 
     /// Time for which a block lasts after the last crash, in milliseconds.
@@ -182,7 +251,7 @@
     fn blocked_until_ms(&self, now_ms: u64) -> Option<u64> {
         let mut points = 0;
         let decisive = self.unanswered().find(|crash| {
-            points += crash.progress.points();
+            points += self.crash_points(crash);
             points >= POINTS_TO_BLOCK
         })?;
         let until_ms = self.last_crash_ms().checked_add_unsigned(self.block_ms())?;
@@ -192,8 +261,17 @@
 
     /// Whether a router that knows the crashes but not the answers would suspect the segment
     /// wrongly.
-    fn has_answer_after_first_crash(&self) -> bool {
-        self.crashes.len() > 1 && self.unanswered().count() < self.crashes.len()
+    fn has_answer_to_tell(&self) -> bool {
+        let is_first_crash_answered = self.unanswered().count() < self.crashes.len();
+        (self.crashes.len() > 1 && is_first_crash_answered)
+            || (self.greatest_points(None) >= POINTS_TO_BLOCK
+                && self.greatest_points(self.answered_ms) < POINTS_TO_BLOCK)
+    }
+
+    /// Whether a router that does not know of the segment may have to.
+    fn has_several_crashes(&self) -> bool {
+        self.unanswered().count() > 1
+            || self.unanswered().any(|crash| self.crash_points(crash) > crash.progress.points())
     }
 
     fn is_over(&self, now_ms: u64) -> bool {
@@ -201,13 +279,8 @@
     }
 
     /// Adds a crash, unless it is known. Returns whether it is news.
-    fn add_crash(
-        &mut self,
-        now_ms: u64,
-        at_ms: i64,
-        processes: &[ProcessKey],
-        progress: Progress,
-    ) -> bool {
+    fn add_crash(&mut self, now_ms: u64, at_ms: i64, crash: &CrashNotice) -> bool {
+        let CrashNotice { processes, progress, counts_each, .. } = crash;
         let is_shared = |crash: &Crash| {
             crash.at_ms.abs_diff(at_ms) < SAME_PROCESS_MS
                 && crash.processes.iter().any(|process| processes.contains(process))
@@ -218,18 +291,27 @@
         if let Some(known) = position.map(|position| &mut self.crashes[position]) {
             // News takes time, so the earliest time is the most exact.
             known.at_ms = known.at_ms.min(at_ms);
-            let is_news = progress > known.progress;
-            known.progress = known.progress.max(progress);
+            let mut is_news = *progress > known.progress || (*counts_each && !known.counts_each);
+            known.progress = known.progress.max(*progress);
+            known.counts_each |= counts_each;
             for process in processes {
                 let is_new = !known.processes.contains(process);
                 if is_new && known.processes.len() < MAX_PROCESSES {
                     known.processes.push(*process);
+                    known.changed_ms = now_ms;
+                    is_news = true;
                 }
             }
             return is_news;
         }
-        let processes = processes.to_vec();
-        self.crashes.push(Crash { at_ms, learned_ms: now_ms, processes, progress });
+        self.crashes.push(Crash {
+            at_ms,
+            learned_ms: now_ms,
+            changed_ms: now_ms,
+            processes: processes.clone(),
+            progress: *progress,
+            counts_each: *counts_each,
+        });
         self.crashes.sort_by_key(|crash| crash.at_ms);
         if self.crashes.len() > MAX_CRASHES {
             // The first one tells for how long the segment has crashed upstreams.
@@ -243,6 +325,7 @@
             age_ms: age_ms(now_ms, crash.at_ms),
             processes: crash.processes.clone(),
             progress: crash.progress,
+            counts_each: crash.counts_each,
         });
         SegmentNotice {
             segment,
@@ -252,6 +335,65 @@
     }
 }
 
+/// Segments on which upstreams have answered, and how many prompts.
+#[derive(Debug, Default)]
+struct Answers {
+    /// When the last request with a segment was sent that got an answer.
+    segments: HashMap<SegmentId, i64>,
+    /// The same, of longer ago.
+    earlier: HashMap<SegmentId, i64>,
+    /// When the last [`MIN_OTHER_ANSWERS`] requests with segments were sent that got an
+    /// answer.
+    sent_ms: VecDeque<u64>,
+    /// Whether there was an answer since the last tick.
+    is_fresh: bool,
+    /// Time of the last tick, and of the last one that an answer followed.
+    tick_ms: u64,
+    followed_tick_ms: Option<u64>,
+}
+
+impl Answers {
+    fn tick(&mut self, now_ms: u64) {
+        if std::mem::take(&mut self.is_fresh) {
+            self.followed_tick_ms = Some(self.tick_ms);
+        }
+        self.tick_ms = now_ms;
+    }
+
+    /// Whether an answer is known to have come after `at_ms`.
+    fn has_any_since(&self, at_ms: u64) -> bool {
+        self.followed_tick_ms.is_some_and(|tick_ms| tick_ms >= at_ms)
+    }
+
+    fn record(&mut self, sent_ms: u64, segments: &[SegmentId]) {
+        if segments.is_empty() {
+            return;
+        }
+        if self.sent_ms.len() >= MIN_OTHER_ANSWERS {
+            self.sent_ms.pop_front();
+        }
+        self.sent_ms.push_back(sent_ms);
+        self.is_fresh = true;
+        for segment in segments {
+            let last_ms = self.last_ms(*segment).max(Some(sent_ms as i64));
+            if self.segments.len() >= MAX_ANSWERED_SEGMENTS {
+                self.earlier = std::mem::take(&mut self.segments);
+            }
+            self.segments.extend(last_ms.map(|last_ms| (*segment, last_ms)));
+        }
+    }
+
+    fn last_ms(&self, segment: SegmentId) -> Option<i64> {
+        self.segments.get(&segment).or_else(|| self.earlier.get(&segment)).copied()
+    }
+
+    /// Whether enough prompts were answered lately to tell what is in ordinary use.
+    fn are_enough(&self, now_ms: u64) -> bool {
+        let recent = self.sent_ms.iter().filter(|sent_ms| now_ms < **sent_ms + ORDINARY_USE_MS);
+        recent.count() >= MIN_OTHER_ANSWERS
+    }
+}
+
 /// An answer that broke off, or did not come, while its prompt may have been the reason.
 #[derive(Clone, Debug)]
 struct BrokenAnswer {
@@ -284,24 +426,28 @@
     ended: BTreeMap<UpstreamName, u64>,
     histories: HashMap<SegmentId, History>,
     blocked: BTreeSet<SegmentId>,
+    answers: Answers,
+    /// Processes that ended lately, whatever they had, and when.
+    ends: VecDeque<(ProcessKey, i64)>,
 }
 
 impl PromptCrashes {
     /// Records that the connection to an upstream broke before the upstream had answered
-    /// for [`ANSWERED_MS`] on a prompt with these segments.
+    /// for [`ANSWERED_MS`] on a prompt with these segments. Returns whether it is the first
+    /// such answer of late, so that somebody has to find out whether the upstream has ended.
     pub fn record_broken(
         &mut self,
         now_ms: u64,
         upstream: &UpstreamName,
         segments: &Rc<[SegmentId]>,
         progress: Progress,
-    ) {
-        self.record_end(now_ms, upstream, segments, progress, None);
+    ) -> bool {
+        self.record_end(now_ms, upstream, segments, progress, None)
     }
 
     /// Records that an answer ended with its connection within [`ANSWERED_MS`]: it is
     /// complete, unless the upstream is found to have ended. The request was sent at
-    /// `sent_ms`.
+    /// `sent_ms`. Returns the same.
     pub fn record_closed(
         &mut self,
         now_ms: u64,
@@ -309,8 +455,8 @@
         segments: &Rc<[SegmentId]>,
         progress: Progress,
         sent_ms: u64,
-    ) {
-        self.record_end(now_ms, upstream, segments, progress, Some(sent_ms));
+    ) -> bool {
+        self.record_end(now_ms, upstream, segments, progress, Some(sent_ms))
     }
 
     fn record_end(
@@ -320,22 +466,27 @@
         segments: &Rc<[SegmentId]>,
         progress: Progress,
         sent_if_complete_ms: Option<u64>,
-    ) {
+    ) -> bool {
         if segments.is_empty() {
-            return;
+            return false;
         }
         let segments = segments.clone();
         let answer = BrokenAnswer { broken_ms: now_ms, segments, progress, sent_if_complete_ms };
         if self.ended.contains_key(upstream) {
             self.add_crash(now_ms, upstream, &[answer]);
-        } else {
-            self.broken.entry(upstream.clone()).or_default().push(answer);
+            return false;
         }
+        let answers = self.broken.entry(upstream.clone()).or_default();
+        answers.push(answer);
+        answers.len() == 1
     }
 
     /// Records that the process of an upstream has ended. Returns whether that is news.
     pub fn record_ended(&mut self, now_ms: u64, upstream: &UpstreamName) -> bool {
         let is_new = self.ended.insert(upstream.clone(), now_ms).is_none();
+        let first_ms = self.broken.get(upstream).and_then(|answers| answers.first());
+        let at_ms = first_ms.map_or(now_ms, |answer| answer.broken_ms);
+        self.add_end(ProcessKey::new(upstream), at_ms as i64);
         let mut answers = self.broken.remove(upstream).unwrap_or_default();
         let last_ms = answers.iter().map(|answer| answer.broken_ms).max().unwrap_or(0);
         answers.retain(|answer| {
@@ -375,10 +526,16 @@
         }
         for (segment, progress) in suspects {
             let history = self.history(segment);
-            let process = ProcessKey::new(upstream);
-            let is_news = history.add_crash(now_ms, at_ms as i64, &[process], progress);
+            let processes = vec![ProcessKey::new(upstream)];
+            let crash = CrashNotice {
+                age_ms: age_ms(now_ms, at_ms as i64),
+                processes,
+                progress,
+                counts_each: false,
+            };
+            let is_news = history.add_crash(now_ms, at_ms as i64, &crash);
             history.has_untold_crash |= is_news;
-            history.has_untold_answer |= is_news && history.has_answer_after_first_crash();
+            history.has_untold_answer |= is_news && history.has_answer_to_tell();
         }
     }
 
@@ -391,20 +548,78 @@
                 self.histories.remove(&least);
             }
         }
-        self.histories.entry(segment).or_default()
+        let answered_ms = self.answers.last_ms(segment);
+        let new = || History { answered_ms, ..History::default() };
+        self.histories.entry(segment).or_insert_with(new)
+    }
+
+    /// Notes that a process has ended, unless it is known.
+    fn add_end(&mut self, process: ProcessKey, at_ms: i64) {
+        let is_same = |(known, known_ms): &(ProcessKey, i64)| {
+            *known == process && known_ms.abs_diff(at_ms) < SAME_PROCESS_MS
+        };
+        if self.ends.iter().any(is_same) {
+            return;
+        }
+        if self.ends.len() >= MAX_ENDS {
+            self.ends.pop_front();
+        }
+        self.ends.push_back((process, at_ms));
+    }
+
+    /// Decides which groups of crashes count one by one for a segment. They do if the segment
+    /// is not in ordinary use, which other prompts show that were answered, also since the
+    /// crashes, and if hardly any upstream without it ended at the same time.
+    fn judge_groups(&mut self, now_ms: u64) {
+        if !self.answers.are_enough(now_ms) {
+            return;
+        }
+        let (ends, answers) = (&self.ends, &self.answers);
+        for history in self.histories.values_mut() {
+            let answered_ms = history.answered_ms;
+            let is_due = |crash: &Crash| {
+                crash.processes.len() > 1
+                    && !crash.counts_each
+                    && now_ms >= crash.changed_ms + OBJECTION_MS
+                    && now_ms < crash.changed_ms + JUDGING_MS
+                    && age_ms(now_ms, crash.at_ms) < END_MEMORY_MS
+                    && answers.has_any_since(crash.changed_ms)
+                    && !crash.is_in_ordinary_use(answered_ms)
+            };
+            for index in 0..history.crashes.len() {
+                let crash = &history.crashes[index];
+                if !is_due(crash) {
+                    continue;
+                }
+                let has_segment = |process: &ProcessKey| {
+                    history.crashes.iter().any(|crash| crash.processes.contains(process))
+                };
+                let earliest_ms = crash.at_ms.saturating_sub_unsigned(SEPARATION_MS);
+                let latest_ms = crash.at_ms.saturating_add_unsigned(SEPARATION_MS + FIND_OUT_MS);
+                let others = ends.iter().filter(|(process, at_ms)| {
+                    (earliest_ms..latest_ms).contains(at_ms) && !has_segment(process)
+                });
+                let allowed = crash.processes.len() as f64 * MAX_OTHER_ENDS;
+                if others.count() as f64 <= allowed {
+                    history.crashes[index].counts_each = true;
+                    history.has_untold_crash = true;
+                }
+            }
+        }
     }
 
     /// Records that an upstream has answered on a prompt with these segments, which was
     /// sent at `sent_ms`.
     pub fn record_answered(&mut self, sent_ms: u64, segments: &[SegmentId]) {
+        self.answers.record(sent_ms, segments);
         for segment in segments {
             let Some(history) = self.histories.get_mut(segment) else {
                 continue;
             };
-            let unanswered = history.unanswered().count();
+            let known_points = history.greatest_points(history.answered_ms);
             history.answered_ms = history.answered_ms.max(Some(sent_ms as i64));
-            let is_news = history.unanswered().count() < unanswered;
-            history.has_untold_answer |= is_news && history.has_answer_after_first_crash();
+            let is_news = history.greatest_points(history.answered_ms) < known_points;
+            history.has_untold_answer |= is_news && history.has_answer_to_tell();
         }
     }
 
@@ -416,17 +631,20 @@
             if !has_recent {
                 continue;
             }
+            for crash in notice.crashes.iter().filter(|crash| crash.age_ms < END_MEMORY_MS) {
+                let at_ms = time_ms(now_ms, crash.age_ms);
+                crash.processes.iter().for_each(|process| self.add_end(*process, at_ms));
+            }
             let history = self.history(notice.segment);
             let mut has_new_crash = false;
             for crash in &notice.crashes {
                 let at_ms = time_ms(now_ms, crash.age_ms);
-                has_new_crash |= history.add_crash(now_ms, at_ms, &crash.processes, crash.progress);
+                has_new_crash |= history.add_crash(now_ms, at_ms, crash);
             }
-            history.has_untold_answer |= has_new_crash && history.has_answer_after_first_crash();
+            history.has_untold_answer |= has_new_crash && history.has_answer_to_tell();
             let told_ms = notice.answered_age_ms.map(|age_ms| time_ms(now_ms, age_ms));
-            let own = history.unanswered().count();
-            let own_ms = std::mem::replace(&mut history.answered_ms, told_ms);
-            if history.unanswered().count() <= own {
+            let own_ms = history.answered_ms;
+            if history.greatest_points(told_ms) <= history.greatest_points(own_ms) {
                 history.has_untold_answer = false;
             }
             history.answered_ms = told_ms.max(own_ms);
@@ -448,7 +666,11 @@
     /// Crashes without an answer since, by the progress of the upstream.
     fn crash_count(&self, segment: SegmentId, progress: Progress) -> usize {
         let history = self.histories.get(&segment).into_iter();
-        history.flat_map(History::unanswered).filter(|crash| crash.progress == progress).count()
+        let crashes = history.flat_map(History::unanswered);
+        let counts = crashes
+            .filter(|crash| crash.progress == progress)
+            .map(|crash| if crash.counts_each { crash.processes.len() } else { 1 });
+        counts.sum()
     }
 
     /// Forgets what is over, blocks segments and ends blocks. Returns the changes.
@@ -469,6 +691,10 @@
         for (sent_ms, segments) in complete {
             self.record_answered(sent_ms, &segments);
         }
+        let is_remembered = |at_ms: i64| age_ms(now_ms, at_ms) < END_MEMORY_MS;
+        self.ends.retain(|(_, at_ms)| is_remembered(*at_ms));
+        self.answers.tick(now_ms);
+        self.judge_groups(now_ms);
         let is_due =
             |(_, history): &(&SegmentId, &History)| history.blocked_until_ms(now_ms).is_some();
         let mut due: Vec<(&SegmentId, &History)> = self.histories.iter().filter(is_due).collect();
@@ -495,14 +721,15 @@
                 news.push(history.notice(now_ms, *segment));
             }
         }
+        news.sort_by_key(|notice| notice.segment);
         news
     }
 
-    /// The segments with more than one crash, the most suspicious first, for a router that
+    /// The segments with more than one crash that counts, the most suspicious first, for a router that
     /// may not know of them.
     pub fn copy(&self, now_ms: u64) -> Vec<SegmentNotice> {
         let mut suspects: Vec<(&SegmentId, &History)> =
-            self.histories.iter().filter(|(_, history)| history.unanswered().count() > 1).collect();
+            self.histories.iter().filter(|(_, history)| history.has_several_crashes()).collect();
         suspects.sort_by_key(|(segment, history)| (Reverse(history.points()), **segment));
         suspects.truncate(MAX_NOTICES);
         suspects.into_iter().map(|(segment, history)| history.notice(now_ms, *segment)).collect()
--- a/crates/edge/tests/prompt_crashes.rs
+++ b/crates/edge/tests/prompt_crashes.rs
@@ -482,3 +482,341 @@
     let named: Vec<SegmentId> = crashes.copy(2_000).iter().map(|notice| notice.segment).collect();
     assert_eq!(named, [SegmentId(BAD)]);
 }
+
+/// Time after the fifth crash from which the users' bound on requests with the bad segment
+/// holds, and the requests that it allows.
+const BOUND_MS: u64 = 3_000;
+const CRASHES_BEFORE_BOUND: usize = 5;
+const MAX_LATE_REQUESTS: usize = 3;
+/// Time from the arrival of a bad prompt to the crash, in milliseconds.
+const CRASH_AFTER_MS: u64 = 60;
+/// Time for which an upstream is away after its end, in milliseconds.
+const AWAY_MS: u64 = 2_500;
+/// Time after its end at which the entry of an upstream lapses, in milliseconds.
+const LAPSE_MS: u64 = 1_500;
+/// Segments of a dozen kinds of sound prompts, and of sound sessions.
+const KINDS: u64 = 12;
+const SESSIONS: u64 = 150;
+/// Segment of new sound prompts, which is unknown until the first wave of ends.
+const NEW: u64 = 0xe;
+
+/// Requests at all routers and ends of upstreams, in virtual time.
+#[derive(Clone, Copy)]
+struct Load {
+    routers: usize,
+    upstreams: usize,
+    /// Pause between two sound prompts, in milliseconds.
+    sound_pause_ms: u64,
+    /// Bad prompts in a clump, and the time between two clumps, in milliseconds.
+    clump: usize,
+    clump_pause_ms: u64,
+    clumps: usize,
+    /// Whether upstreams crash before the first byte of their answer.
+    before_first_byte: bool,
+    /// Times at which upstreams end for another reason, one wave after the other, and how
+    /// many of them.
+    wave_pause_ms: u64,
+    waves: usize,
+    wave_size: usize,
+    /// Share of the sound prompts that have a segment on which no upstream has answered, from
+    /// 0.4 s before the first wave on.
+    new_share: f64,
+}
+
+const CALM: Load = Load {
+    routers: 3,
+    upstreams: 18,
+    sound_pause_ms: 25,
+    clump: 0,
+    clump_pause_ms: 4_000,
+    clumps: 0,
+    before_first_byte: false,
+    wave_pause_ms: 1_000,
+    waves: 0,
+    wave_size: 0,
+    new_share: 0.0,
+};
+
+/// What became of the requests of a [`Load`].
+#[derive(Debug, Default)]
+struct Outcome {
+    crashes: usize,
+    /// Bad prompts that reached an upstream while the bound held.
+    late: usize,
+    sound: usize,
+    /// Sound prompts that were rejected.
+    rejected: usize,
+}
+
+/// A request at an upstream.
+struct Running {
+    router: usize,
+    upstream: usize,
+    segments: Rc<[SegmentId]>,
+    sent_ms: u64,
+    first_byte_ms: u64,
+}
+
+/// Something that a router finds out later.
+enum Finding {
+    Ended,
+    Lapsed,
+    Started,
+}
+
+struct Play {
+    fleet: Fleet,
+    rng: SmallRng,
+    running: Vec<Running>,
+    /// When each upstream is back.
+    back_ms: Vec<u64>,
+    /// When a router finds out something of an upstream.
+    findings: Vec<(u64, usize, usize, Finding)>,
+}
+
+impl Play {
+    fn new(load: &Load, seed: u64) -> Self {
+        Self {
+            fleet: Fleet::new(load.routers, 0.02, seed),
+            rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
+            running: Vec::new(),
+            back_ms: vec![0; load.upstreams],
+            findings: Vec::new(),
+        }
+    }
+
+    fn living(&self) -> Vec<usize> {
+        let is_back = |upstream: &usize| self.back_ms[*upstream] <= self.fleet.now_ms;
+        (0..self.back_ms.len()).filter(is_back).collect()
+    }
+
+    /// Sends a prompt by a router to some upstream. Returns whether the router rejects it.
+    fn send(&mut self, router: usize, prompt: &[u64], first_byte_after_ms: u64) -> bool {
+        let now_ms = self.fleet.now_ms;
+        let prompt = segments(prompt);
+        if self.fleet.routers[router].find_blocked(now_ms, &prompt).is_some() {
+            return true;
+        }
+        let first_byte_ms = now_ms + first_byte_after_ms;
+        if let Some(upstream) = self.living().choose(&mut self.rng).copied() {
+            let sent_ms = now_ms;
+            let running = Running { router, upstream, segments: prompt, sent_ms, first_byte_ms };
+            self.running.push(running);
+        }
+        false
+    }
+
+    /// Ends an upstream: what it has not answered for long breaks off, at each router.
+    fn end(&mut self, upstream: usize) {
+        let now_ms = self.fleet.now_ms;
+        if self.back_ms[upstream] > now_ms {
+            return;
+        }
+        self.back_ms[upstream] = now_ms + AWAY_MS;
+        let name = self::upstream(upstream as u64);
+        let (broken, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|running| running.upstream == upstream);
+        self.running = running;
+        let broken: Vec<Running> = broken;
+        for Running { router, segments, first_byte_ms, .. } in broken {
+            let is_answering = first_byte_ms <= now_ms && now_ms < first_byte_ms + 250;
+            let progress = if is_answering { Progress::Answering } else { Progress::Waiting };
+            self.fleet.routers[router].record_broken(now_ms, &name, &segments, progress);
+        }
+        for router in 0..self.fleet.routers.len() {
+            if self.rng.random::<f64>() < 0.7 {
+                let found_ms = now_ms + self.rng.random_range(20..1_000);
+                self.findings.push((found_ms, router, upstream, Finding::Ended));
+            }
+            self.findings.push((now_ms + LAPSE_MS, router, upstream, Finding::Lapsed));
+            self.findings.push((now_ms + AWAY_MS + 20, router, upstream, Finding::Started));
+        }
+    }
+
+    fn advance(&mut self) {
+        self.fleet.advance();
+        let now_ms = self.fleet.now_ms;
+        let due: Vec<_> = self.findings.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
+        for (_, router, upstream, finding) in due {
+            let name = self::upstream(upstream as u64);
+            let router = &mut self.fleet.routers[router];
+            match finding {
+                Finding::Ended => {
+                    router.record_ended(now_ms, &name);
+                }
+                Finding::Lapsed => router.record_removed(now_ms, &name),
+                Finding::Started => router.record_started(now_ms, &name),
+            }
+        }
+        let answered = |running: &mut Running| now_ms >= running.first_byte_ms + 500;
+        let answered: Vec<Running> = self.running.extract_if(.., answered).collect();
+        for Running { router, segments, sent_ms, .. } in answered {
+            self.fleet.routers[router].record_answered(sent_ms, &segments);
+        }
+    }
+}
+
+/// Plays a load on a fleet that has served sound prompts for 10 s.
+fn play(load: &Load, seed: u64) -> Outcome {
+    let mut play = Play::new(load, seed);
+    let start_ms = play.fleet.now_ms + 10_000;
+    let clumps_ms = load.clumps as u64 * load.clump_pause_ms;
+    let waves_ms = load.waves as u64 * load.wave_pause_ms;
+    let end_ms = start_ms + clumps_ms.max(waves_ms) + 8_000;
+    let mut outcome = Outcome::default();
+    let mut fifth_ms = None;
+    // Crashes to come: time and upstream.
+    let mut crashes: Vec<(u64, usize)> = Vec::new();
+    while play.fleet.now_ms < end_ms {
+        play.advance();
+        let now_ms = play.fleet.now_ms;
+        let due: Vec<_> = crashes.extract_if(.., |(at_ms, _)| *at_ms <= now_ms).collect();
+        for (_, upstream) in due {
+            if play.back_ms[upstream] <= now_ms {
+                outcome.crashes += 1;
+                if outcome.crashes == CRASHES_BEFORE_BOUND {
+                    fifth_ms = Some(now_ms);
+                }
+            }
+            play.end(upstream);
+        }
+        if now_ms.is_multiple_of(load.sound_pause_ms) {
+            let router = play.rng.random_range(0..load.routers);
+            let kind = 0x100 + play.rng.random_range(0..KINDS);
+            let session = 0x1000 + play.rng.random_range(0..SESSIONS);
+            let mut prompt = vec![COMMON, kind, session];
+            if now_ms + 400 >= start_ms && play.rng.random::<f64>() < load.new_share {
+                prompt.push(NEW);
+            }
+            let first_byte_after_ms = play.rng.random_range(100..700);
+            outcome.sound += 1;
+            outcome.rejected += usize::from(play.send(router, &prompt, first_byte_after_ms));
+        }
+        let Some(since_ms) = now_ms.checked_sub(start_ms) else {
+            continue;
+        };
+        // The prompts of a clump come 20 ms apart, each at the next router.
+        let (clump, in_clump_ms) = (since_ms / load.clump_pause_ms, since_ms % load.clump_pause_ms);
+        let number = (in_clump_ms / 20) as usize;
+        if (clump as usize) < load.clumps && in_clump_ms % 20 == 0 && number < load.clump {
+            let router = (clump as usize + number) % load.routers;
+            let first_byte_after_ms = if load.before_first_byte { 5_000 } else { CRASH_AFTER_MS };
+            if !play.send(router, &[COMMON, BAD], first_byte_after_ms) {
+                outcome.late +=
+                    usize::from(fifth_ms.is_some_and(|fifth_ms| now_ms > fifth_ms + BOUND_MS));
+                let upstream = play.running.last().map(|running| running.upstream);
+                crashes.extend(upstream.map(|upstream| (now_ms + CRASH_AFTER_MS, upstream)));
+            }
+        }
+        let (wave, in_wave_ms) = (since_ms / load.wave_pause_ms, since_ms % load.wave_pause_ms);
+        if (wave as usize) < load.waves && in_wave_ms == 0 {
+            let living = play.living();
+            let ended: Vec<usize> = living.sample(&mut play.rng, load.wave_size).copied().collect();
+            ended.into_iter().for_each(|upstream| play.end(upstream));
+        }
+    }
+    outcome
+}
+
+/// Load pattern: 40 sound prompts a second, and bad ones in clumps of one to five within
+/// 100 ms, 4 s apart, at one to 24 routers in turn. Guards against crashes at about the same
+/// time that count as one, so that the segment is blocked long after the fifth crash, and
+/// against rejecting sound prompts beside it.
+#[test]
+fn fifth_crash_counts_however_close_together_crashes_come() {
+    let mut failed = Vec::new();
+    for clump in [1, 2, 3, 5, 12] {
+        for before_first_byte in [true, false] {
+            for routers in [1, 3, 6, 24] {
+                for seed in 0..4 {
+                    let clumps = 8;
+                    let load = Load { routers, clump, clumps, before_first_byte, ..CALM };
+                    let outcome = play(&load, seed);
+                    assert!(outcome.crashes >= 3, "{outcome:?}");
+                    if outcome.late > MAX_LATE_REQUESTS || outcome.rejected > 0 {
+                        failed.push(format!(
+                            "clumps of {clump}, before the first byte: {before_first_byte}, \
+                             {routers} routers, seed {seed}: {outcome:?}"
+                        ));
+                    }
+                }
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{} plays:\n{}", failed.len(), failed.join("\n"));
+}
+
+/// Load pattern: 40 sound prompts a second, and waves in which several upstreams end at one
+/// moment with what they had. Guards against blocking sound segments after a release or a
+/// lost failure domain: those of all prompts, of each twelfth, of a session, and one that no
+/// upstream has answered on before.
+#[test]
+fn upstreams_that_end_together_for_another_reason_block_no_sound_segment() {
+    struct Case {
+        name: &'static str,
+        load: Load,
+    }
+    let cases = [
+        Case { name: "a third ends", load: Load { waves: 1, wave_size: 6, ..CALM } },
+        Case { name: "all end", load: Load { waves: 1, wave_size: 18, ..CALM } },
+        Case {
+            name: "a third ends, a new segment",
+            load: Load { waves: 1, wave_size: 6, new_share: 0.33, ..CALM },
+        },
+        Case {
+            name: "all end, a new segment",
+            load: Load { waves: 1, wave_size: 18, new_share: 0.33, ..CALM },
+        },
+        Case {
+            name: "a third ends, all prompts have a new segment",
+            load: Load { waves: 1, wave_size: 6, new_share: 1.0, ..CALM },
+        },
+        Case {
+            name: "all end, all prompts have a new segment",
+            load: Load { waves: 1, wave_size: 18, new_share: 1.0, ..CALM },
+        },
+        Case {
+            name: "three waves, 0.3 s apart",
+            load: Load { waves: 3, wave_size: 5, wave_pause_ms: 300, ..CALM },
+        },
+        Case { name: "three waves, 1 s apart", load: Load { waves: 3, wave_size: 4, ..CALM } },
+        Case {
+            name: "four waves, 3 s apart",
+            load: Load { waves: 4, wave_size: 9, wave_pause_ms: 3_000, ..CALM },
+        },
+        Case {
+            name: "a release, one after the other",
+            load: Load { waves: 18, wave_size: 1, wave_pause_ms: 250, ..CALM },
+        },
+    ];
+    let mut failed = Vec::new();
+    for Case { name, load } in cases {
+        for routers in [1, 3, 6, 24] {
+            for seed in 0..4 {
+                let outcome = play(&Load { routers, ..load }, seed);
+                if outcome.rejected > 0 {
+                    failed.push(format!("{name}, {routers} routers, seed {seed}: {outcome:?}"));
+                }
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{} plays:\n{}", failed.len(), failed.join("\n"));
+}
+
+/// Load pattern: 40 sound prompts a second, and eleven waves, 1 s apart, in each of which three
+/// of 18 upstreams end. Guards against blocking the segment of a session that is at three of
+/// them by chance.
+#[test]
+fn waves_in_quick_succession_block_no_sound_segment() {
+    let mut failed = Vec::new();
+    for routers in [1, 3, 6, 24] {
+        for seed in 0..4 {
+            let outcome = play(&Load { routers, waves: 11, wave_size: 3, ..CALM }, seed);
+            if outcome.rejected > 0 {
+                failed.push(format!("{routers} routers, seed {seed}: {outcome:?}"));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{} plays:\n{}", failed.len(), failed.join("\n"));
+}
