Bound the memory for answers of engines that have no end

A faulty engine that answers completions with bytes without end made the router keep up to 64 MiB for each of them, four times in a row, however many there were; with enough of them the process ran out of memory, and the requests of all callers on it ended.

Completions that are not streamed now share limits.buffered_answer_bytes, until their callers have them: 256 MiB, four of the largest. A request that finds no memory ends as unknown; its engine is not blamed. An answer that is too large is not asked for again at the same engine. Parts of a body are copied into one buffer, since a list of small ones takes many times their size.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,8 +1,10 @@
 //! Bodies of HTTP requests and responses.
 
-use bytes::Bytes;
+use std::pin::pin;
+
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
-use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, combinators::BoxBody};
+use http_body_util::{BodyExt, Empty, Full, combinators::BoxBody};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Error of a streamed body.
@@ -19,6 +21,9 @@
         /// Largest body allowed, in bytes.
         limit_bytes: usize,
     },
+    /// There is no memory for more of the body.
+    #[error("there is no memory for the body")]
+    NoMemory,
     /// The connection failed before the body was complete.
     #[error("the body ended early: {0}")]
     Incomplete(BodyError),
@@ -61,11 +66,46 @@
     B: http_body::Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLarge { limit_bytes }),
-        Err(error) => Err(ReadError::Incomplete(error)),
+    collect_body_if(body, limit_bytes, |_| true).await
+}
+
+/// Reads a complete body of at most `limit_bytes`. Before a part of it is kept, `reserve` gets
+/// its size and returns whether there is memory for it.
+///
+/// The parts are copied into one buffer: kept as they arrive, each of them would occupy many
+/// times the memory of a few bytes.
+///
+/// # Errors
+///
+/// The errors of [`collect_body`], and [`ReadError::NoMemory`] if `reserve` returns false.
+pub async fn collect_body_if<B>(
+    body: B,
+    limit_bytes: usize,
+    mut reserve: impl FnMut(usize) -> bool,
+) -> Result<Bytes, ReadError>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BodyError>,
+{
+    let mut body = pin!(body);
+    let (mut first, mut buffer) = (Bytes::new(), BytesMut::new());
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| ReadError::Incomplete(error.into()))?;
+        let Ok(part) = frame.into_data() else { continue };
+        if part.len() > limit_bytes - (first.len() + buffer.len()) {
+            return Err(ReadError::TooLarge { limit_bytes });
+        }
+        if !reserve(part.len()) {
+            return Err(ReadError::NoMemory);
+        }
+        if first.is_empty() && buffer.is_empty() {
+            first = part;
+            continue;
+        }
+        buffer.extend_from_slice(&std::mem::take(&mut first));
+        buffer.extend_from_slice(&part);
     }
+    Ok(if buffer.is_empty() { first } else { buffer.freeze() })
 }
 
 /// Reads and parses a JSON body of at most `limit_bytes`.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,7 +13,8 @@
 mod write_timeout;
 
 pub use body::{
-    Body, BodyError, ReadError, collect_body, empty_body, full_body, json_response, read_json_body,
+    Body, BodyError, ReadError, collect_body, collect_body_if, empty_body, full_body,
+    json_response, read_json_body,
 };
 pub use checked_events::CheckedEvents;
 pub use client::{Client, ClientError, pooled_client, root_cause, unpooled_client};
--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -23,6 +23,39 @@
 /// they can be sent again and a slow caller does not occupy a slot.
 const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
 
+/// Keeps a value until a body was sent.
+pub(super) struct HoldingBody<T> {
+    body: Body,
+    _held: T,
+}
+
+impl<T> HoldingBody<T> {
+    /// Holds `held` until `body` is dropped.
+    pub fn new(body: Body, held: T) -> Self {
+        Self { body, _held: held }
+    }
+}
+
+impl<T: Unpin> http_body::Body for HoldingBody<T> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// No frame of a body arrived within the idle time limit.
 #[derive(Debug, thiserror::Error)]
 #[error("no byte of the body arrived for {limit_ms} ms")]
@@ -187,7 +220,7 @@
     collect_body(timed_body, limit_bytes).await.map_err(|error| match error {
         ReadError::TooLarge { .. } => too_large(limit_bytes, Outcome::NotRun),
         ReadError::Incomplete(error) => body_failure(error.as_ref(), Outcome::NotRun),
-        ReadError::Json(error) => body_failure(&error, Outcome::NotRun),
+        error @ (ReadError::Json(_) | ReadError::NoMemory) => body_failure(&error, Outcome::NotRun),
     })
 }
 
--- a/crates/router/src/frontend/in_flight.rs
+++ b/crates/router/src/frontend/in_flight.rs
@@ -3,16 +3,14 @@
 
 use std::{
     collections::BTreeMap,
-    pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll},
 };
 
-use bytes::Bytes;
-use http_body::{Frame, SizeHint};
-use span_http::{Body, BodyError};
+use span_http::Body;
 use span_types::{RequestId, WorkspaceName};
 
+use super::body::HoldingBody;
+
 /// A request whose answer is not complete yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InFlightRequest {
@@ -76,7 +74,7 @@
 
     /// Keeps the request in the list until the body of its answer was sent.
     pub fn track_body(self, body: Body) -> Body {
-        Body::new(TrackedBody { body, _entry: self })
+        Body::new(HoldingBody::new(body, self))
     }
 }
 
@@ -85,28 +83,3 @@
         self.list.lock().remove(&self.seq);
     }
 }
-
-struct TrackedBody {
-    body: Body,
-    _entry: InFlightEntry,
-}
-
-impl http_body::Body for TrackedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/router/src/frontend/mod.rs
+++ b/crates/router/src/frontend/mod.rs
@@ -37,7 +37,7 @@
 use span_platform::PlatformClient;
 use span_types::{Member, Outcome, RequestId};
 use tokio::{
-    sync::watch,
+    sync::{Semaphore, watch},
     time::{Instant, sleep_until},
 };
 use tracing::Instrument;
@@ -87,6 +87,8 @@
     pub claims: Arc<Claims>,
     /// Requests that are waiting or running.
     pub in_flight: InFlight,
+    /// Bytes that answers of engines may still occupy.
+    pub answer_memory: Arc<Semaphore>,
     closed: AtomicBool,
     drain: watch::Sender<DrainState>,
     last_seq: AtomicU64,
@@ -113,6 +115,9 @@
             key_lifetime_ms: RegistryLimits::default().lifetime_ms,
             claims: Claims::new(platform),
             in_flight: InFlight::default(),
+            answer_memory: Arc::new(Semaphore::new(
+                settings.limits.buffered_answer_bytes.min(Semaphore::MAX_PERMITS),
+            )),
             closed: AtomicBool::new(false),
             drain: watch::Sender::default(),
             last_seq: AtomicU64::new(0),
--- a/crates/router/src/frontend/upstream.rs
+++ b/crates/router/src/frontend/upstream.rs
@@ -55,6 +55,12 @@
     /// The engine no longer has the answer, so it cannot be resumed.
     #[error("the upstream lost the answer")]
     AnswerLost,
+    /// The answer is larger than allowed.
+    #[error("the answer of the upstream is too large")]
+    TooLarge,
+    /// The router has no memory for the answer.
+    #[error("the router has no memory for the answer")]
+    NoMemory,
     /// The engine did not confirm that its answer begins at the requested chunk.
     #[error("the upstream did not resume the answer")]
     NotResumed,
@@ -65,9 +71,13 @@
     pub fn attempt_result(self) -> AttemptResult {
         match self {
             Self::Silent => AttemptResult::Silent,
-            Self::NotConnected | Self::Interrupted | Self::AnswerLost | Self::NotResumed => {
-                AttemptResult::Failed
-            }
+            // No fault of the upstream.
+            Self::NoMemory => AttemptResult::Abandoned,
+            Self::NotConnected
+            | Self::Interrupted
+            | Self::AnswerLost
+            | Self::TooLarge
+            | Self::NotResumed => AttemptResult::Failed,
         }
     }
 }
@@ -259,9 +269,11 @@
 pub(super) fn attempt_failure(error: SendError, outcome: span_types::Outcome) -> Failure {
     let (status, kind) = match error {
         SendError::NotConnected => (StatusCode::SERVICE_UNAVAILABLE, "upstream_unreachable"),
-        SendError::Interrupted | SendError::AnswerLost | SendError::NotResumed => {
-            (StatusCode::BAD_GATEWAY, "upstream_failed")
-        }
+        SendError::Interrupted
+        | SendError::AnswerLost
+        | SendError::TooLarge
+        | SendError::NotResumed => (StatusCode::BAD_GATEWAY, "upstream_failed"),
+        SendError::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "no_answer_memory"),
         SendError::Silent => (StatusCode::GATEWAY_TIMEOUT, "upstream_silent"),
     };
     Failure::new(outcome, status, kind, error.to_string())
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -114,6 +114,9 @@
     pub header_bytes: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Memory for answers of engines that are read completely before they are passed on, all
+    /// together, in bytes. While it is used up, such requests fail.
+    pub buffered_answer_bytes: usize,
     /// Maximum of concurrent connections.
     pub connections: usize,
     /// Maximum of request ids whose outcome is kept.
@@ -125,6 +128,8 @@
         Self {
             header_bytes: 64 * 1024,
             body_bytes: 8 * 1024 * 1024,
+            // Four of the largest answers.
+            buffered_answer_bytes: 256 * 1024 * 1024,
             connections: 4_096,
             remembered_ids: 65_536,
         }
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -118,12 +118,15 @@
     let limits = Limits {
         header_bytes: section.optional("header_bytes", default.header_bytes),
         body_bytes: section.optional("body_bytes", default.body_bytes),
+        buffered_answer_bytes: section
+            .optional("buffered_answer_bytes", default.buffered_answer_bytes),
         connections: section.optional("connections", default.connections),
         remembered_ids: section.optional("remembered_ids", default.remembered_ids),
     };
     let message = format!("must be at least {MIN_HEADER_BYTES}");
     section.check("header_bytes", limits.header_bytes >= MIN_HEADER_BYTES, &message);
     section.check("body_bytes", limits.body_bytes > 0, "must be above 0");
+    section.check("buffered_answer_bytes", limits.buffered_answer_bytes > 0, "must be above 0");
     section.check("connections", limits.connections > 0, "must be above 0");
     section.check("remembered_ids", limits.remembered_ids > 0, "must be above 0");
     limits
