Search an event of a stream once, however many parts it has

An engine that sends an event in small chunks and never ends it made the router search all of the event again for each chunk, up to 1 MiB. That takes a core for as long as the engine goes on, and the engine was given up as silent at the time limit of the answer instead of as failed at the limit of an event.

Evidence: endless_answer_is_given_up, case "event in small chunks", failed with upstream_silent after 10 s of chunks of 16 bytes, and passes.

--- a/crates/router/src/frontend/sse.rs
+++ b/crates/router/src/frontend/sse.rs
@@ -11,6 +11,8 @@
 
 /// Largest event that is accepted.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Bytes of the longest end of an event: an LF and a blank line with CRLF.
+const MAX_END_BYTES: usize = 3;
 
 /// An event is larger than allowed.
 #[derive(Debug, thiserror::Error)]
@@ -35,8 +37,14 @@
             let rest = bytes.split_off(complete_length(&bytes));
             self.partial.extend_from_slice(&rest);
         } else {
+            // Only the end of the first event may have begun in the bytes before. Searched from
+            // their start each time, an event in many small parts takes the whole core.
+            let start = self.partial.len().saturating_sub(MAX_END_BYTES - 1);
             self.partial.extend_from_slice(&bytes);
-            let complete = complete_length(&self.partial);
+            let complete = match complete_length(&self.partial[start..]) {
+                0 => 0,
+                length => start + length,
+            };
             bytes = self.partial.split_to(complete).freeze();
         }
         if self.partial.len() > MAX_EVENT_BYTES {
--- a/crates/router/tests/endless_answers.rs
+++ b/crates/router/tests/endless_answers.rs
@@ -120,6 +120,7 @@
         json("error", &[FAILED, "\r\n"], "a"),
         event("event", &[OK, EVENTS, "\r\n"], "a"),
         event("event with a length", &[OK, EVENTS, LENGTH], "a"),
+        event("event in small chunks", &[OK, EVENTS, CHUNKED], CHUNK),
     ];
     for case in cases {
         let upstream = EndlessUpstream::bind(case.start.concat(), case.piece).await;
