Judge overload by the work that waits, not by a late tick

Callers of a router that gets its processor time in slices found no connection, or waited until their time was over: the periodic task was late after each standstill, which counted as overload, and the router took one connection in half a second. Its kernel queue filled up, and connections that the kernel could not complete were reset when a leaving router closed its listener.

A late tick is now followed by rounds of the runtime's queue, which begin while the process runs.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -103,6 +103,7 @@
         let mut state = State::new(own_router, seed, is_first_start);
         state.evacuations.set_enabled(settings.fleet_limits.evacuation_ms.is_some());
         let connections = Rc::new(Connections::new(settings.resources.memory_bytes));
+        let overload = OverloadDetector::new(settings.resources.processor_millicores);
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             wire_format,
@@ -111,7 +112,7 @@
             drain_plan: Cell::new(None),
             answers_are_due: Cell::new(false),
             answers_become_due: Notify::new(),
-            overload: RefCell::default(),
+            overload: RefCell::new(overload),
             caller_connections: Rc::default(),
             open_requests: Cell::new(0),
             has_ended: Cell::new(false),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -7,8 +7,8 @@
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
-    task::{JoinHandle, spawn_local},
-    time::sleep,
+    task::{JoinHandle, spawn_local, yield_now},
+    time::{Instant, sleep},
 };
 use tracing::{info, warn};
 
@@ -140,6 +140,7 @@
     spawn_local(record_sync::read_on_demand(node.clone(), store.clone()));
     spawn_local(record_sync::write_records(node.clone(), store));
     spawn_local(run_periodic_tasks(node.clone(), log));
+    spawn_local(measure_overload(node.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -171,6 +172,20 @@
     }
 }
 
+/// Measures whether the process is overloaded until it ends.
+async fn measure_overload(node: Rc<Node>) {
+    loop {
+        sleep(Duration::from_millis(TICK_MS)).await;
+        node.overload.borrow_mut().record_tick(node.now_ms());
+        while node.overload.borrow().needs_round() {
+            let begin = Instant::now();
+            yield_now().await;
+            let round_us = begin.elapsed().as_micros() as u64;
+            node.overload.borrow_mut().record_round(node.now_ms(), round_us);
+        }
+    }
+}
+
 /// Runs the periodic tasks until the process ends.
 async fn run_periodic_tasks(node: Rc<Node>, log: Log) {
     // The difference of the clocks grows only while the instance is suspended.
@@ -180,7 +195,6 @@
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
         let now_ms = node.now_ms();
-        node.overload.borrow_mut().record_tick(now_ms);
         let clock_offset_ms = clock::boot_ms().saturating_sub(now_ms);
         if clock_offset_ms > last_clock_offset_ms + MIN_LOGGED_SUSPENSION_MS {
             warn!(
