Let members of a large fleet wait for the history too

Members leave the history in the store to their collector, and let first events pass whatever it named. In a fleet of 12, streams that had begun at a version which the store had not recorded went on at the old one after a restart of all routers.

A member now asks its collector which versions the history names while a service has several, holds the first events of the others, and keeps new requests from their upstreams. All of a service's versions count alike if none of them is known to be recorded.

--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -29,6 +29,9 @@
 /// Largest number of notices in a datagram; they fit into it with long names.
 const MAX_NOTICES_PER_PACKET: usize = 300;
 
+/// Largest number of versions in a datagram; they fit into it with long names.
+const MAX_VERSIONS_PER_PACKET: usize = 100;
+
 /// Requests for streams that are about to begin, and what others know of them.
 #[derive(Debug, Default)]
 pub(crate) struct Confirmations {
@@ -138,6 +141,33 @@
         known.is_confirmed(now_ms, state.is_in_history(now_ms, &known.start().origin))
     }
 
+    /// Asks the collector of a member of a large fleet which versions the history names.
+    pub(crate) fn ask_recorded_versions(&self) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let Some(keeper) = state.record_keeper() else { return };
+        let versions = state.unconfirmed_versions(now_ms);
+        drop(state);
+        for part in versions.chunks(MAX_VERSIONS_PER_PACKET) {
+            let receivers = vec![keeper.peer_address.ip()];
+            self.outbox.push(receivers, Packet::VersionQuestion(part.to_vec()));
+        }
+    }
+
+    /// Tells a member of a large fleet which of `versions` the history names.
+    pub(crate) fn answer_version_question(&self, to: IpAddr, versions: Vec<StreamOrigin>) {
+        let recorded = self.state().recorded_versions(versions);
+        if !recorded.is_empty() {
+            self.outbox.push(vec![to], Packet::RecordedVersions(recorded));
+        }
+    }
+
+    /// Takes over which versions the history names, as the collector says.
+    pub(crate) fn versions_recorded(&self, versions: Vec<StreamOrigin>) {
+        self.state().stream_history.confirm(versions);
+        self.history_written();
+    }
+
     /// Lets streams begin that waited for the history in the store.
     pub(crate) fn history_written(&self) {
         self.state().sync_recorded_versions();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -35,7 +35,9 @@
     store::Position,
     store_source::{START_HEARTBEAT_INTERVAL_MS, StoreKnowledge},
     store_sync::MAX_ENTRIES_LAG_MS,
-    stream_origin::{OriginAnswer, OriginNotice, RequestKey, RouteScope, StreamAttempt},
+    stream_origin::{
+        OriginAnswer, OriginNotice, RequestKey, RouteScope, StreamAttempt, StreamOrigin,
+    },
     upstream_limit::LimitSummary,
 };
 
@@ -122,6 +124,11 @@
     /// Tells of the failure domains that the operator has evacuated. Routers of earlier
     /// software ignore it.
     Evacuations(EvacuationNews),
+    /// From a router to the collector of its failure domain: asks which of these versions the
+    /// history in the store names.
+    VersionQuestion(Vec<StreamOrigin>),
+    /// Answers a [`Packet::VersionQuestion`] with those that it names.
+    RecordedVersions(Vec<StreamOrigin>),
 }
 
 /// Routers that a summary covers.
@@ -586,6 +593,10 @@
                     Ok(Packet::Evacuations(news)) => {
                         self.node.learn_evacuations(from.ip(), news);
                     }
+                    Ok(Packet::VersionQuestion(versions)) => {
+                        self.node.answer_version_question(from.ip(), versions);
+                    }
+                    Ok(Packet::RecordedVersions(versions)) => self.node.versions_recorded(versions),
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/record_sync.rs
+++ b/crates/edge/src/record_sync.rs
@@ -151,6 +151,7 @@
             state.origin_log.rewrite_all();
         }
         node.resend_origins();
+        node.ask_recorded_versions();
         node.state().refresh_stream_lifetime(now_ms);
         let mut result = write_history(&node, &store, &mut failures).await;
         if now_ms >= flushed_ms + FLUSH_INTERVAL_MS {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -436,7 +436,7 @@
     pub(crate) fn is_in_history(&self, now_ms: u64, origin: &StreamOrigin) -> bool {
         if self.record_keeper().is_some() {
             // Members of a large fleet leave the history to their collector.
-            return true;
+            return self.stream_history.is_confirmed(origin);
         }
         if self.stream_history.is_known() {
             return self.stream_history.tells_of(origin);
@@ -446,17 +446,49 @@
         !self.stream_origins.may_differ(now_ms, &origin.service, lifetime_ms)
     }
 
+    /// Versions of which a member of a large fleet has to ask its collector whether the history
+    /// names them: those of services that have several.
+    pub(crate) fn unconfirmed_versions(&mut self, now_ms: u64) -> Vec<StreamOrigin> {
+        let (origins, lifetime_ms) = (&self.stream_origins, self.stream_lifetime_ms);
+        let candidates = |service: &ServiceName| origins.candidates(now_ms, service, lifetime_ms);
+        self.stream_history.retain_confirmed(|origin| candidates(&origin.service).contains(origin));
+        let services = self.services.keys();
+        let differing = services.filter(|name| origins.may_differ(now_ms, name, lifetime_ms));
+        let versions = differing.flat_map(candidates);
+        versions.filter(|origin| !self.stream_history.is_confirmed(origin)).collect()
+    }
+
+    /// Those of `versions` that a collector can say the history names. One that has no upstream
+    /// may be about to leave it.
+    pub(crate) fn recorded_versions(&self, versions: Vec<StreamOrigin>) -> Vec<StreamOrigin> {
+        if self.record_keeper().is_some() {
+            return Vec::new();
+        }
+        let is_recorded = |origin: &StreamOrigin| {
+            let present = self.registry.software_versions(&origin.service);
+            present.contains(&origin.software_version) && self.stream_history.tells_of(origin)
+        };
+        versions.into_iter().filter(is_recorded).collect()
+    }
+
     /// Keeps new streams from versions that the history lacks while others serve.
     pub(crate) fn sync_recorded_versions(&mut self) {
         let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        let has_keeper = self.record_keeper().is_some();
         for name in names {
-            let versions = self.registry.software_versions(&name).into_iter();
-            let unrecorded = versions.filter(|version| {
+            let present = self.registry.software_versions(&name);
+            let unrecorded = present.iter().filter(|version| {
                 let origin =
-                    StreamOrigin { service: name.clone(), software_version: version.clone() };
-                self.record_keeper().is_none() && self.stream_history.rules_out(&origin)
+                    StreamOrigin { service: name.clone(), software_version: (*version).clone() };
+                match has_keeper {
+                    true => !self.stream_history.is_confirmed(&origin),
+                    false => self.stream_history.rules_out(&origin),
+                }
             });
-            let unrecorded: BTreeSet<SoftwareVersion> = unrecorded.collect();
+            let mut unrecorded: BTreeSet<SoftwareVersion> = unrecorded.cloned().collect();
+            if unrecorded.len() == present.len() {
+                unrecorded.clear();
+            }
             let Some(service) = self.services.get_mut(&name) else { continue };
             if service.placement.set_unrecorded(&unrecorded) {
                 let versions: Vec<&str> = unrecorded.iter().map(SoftwareVersion::as_str).collect();
--- a/crates/edge/src/stream_history.rs
+++ b/crates/edge/src/stream_history.rs
@@ -6,7 +6,10 @@
 //! from when the store has said that it took it: no first event of a stream passes before that, so
 //! what a record that names a service lacks has begun no stream, also while the store is away.
 
-use std::{collections::BTreeMap, mem};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+};
 
 use crate::{stream_origin::StreamOrigin, stream_records::HistoryRecord};
 
@@ -25,6 +28,8 @@
     era: u64,
     is_read: bool,
     was_read: bool,
+    /// Versions that the record names, as the collector says that keeps it for this router.
+    confirmed: BTreeSet<StreamOrigin>,
     /// Whether the store was restored from a copy since the record was read.
     is_restored: bool,
 }
@@ -69,6 +74,23 @@
     /// The store may lack what was written last, and has to be read again.
     pub fn store_restored(&mut self) {
         (self.is_read, self.is_restored) = (false, true);
+        self.confirmed.clear();
+    }
+
+    /// Records what the collector says that the record names.
+    pub fn confirm(&mut self, named: impl IntoIterator<Item = StreamOrigin>) {
+        self.confirmed.extend(named);
+    }
+
+    /// Whether the collector has said that the record names `origin`.
+    pub fn is_confirmed(&self, origin: &StreamOrigin) -> bool {
+        self.confirmed.contains(origin)
+    }
+
+    /// Forgets what the collector said of versions that are no candidates any more: the record
+    /// loses them.
+    pub fn retain_confirmed(&mut self, is_candidate: impl FnMut(&StreamOrigin) -> bool) {
+        self.confirmed.retain(is_candidate);
     }
 
     /// The record to write so that it agrees with `wanted`, if that is needed.
--- a/crates/edge/tests/version_history.rs
+++ b/crates/edge/tests/version_history.rs
@@ -212,3 +212,51 @@
         assert!(origins.is_witness(LIFETIME_MS + 300, &services, LIFETIME_MS), "{name}");
     }
 }
+
+/// Guards against a member of a large fleet that lets streams begin at a version which its
+/// collector said was recorded, although the record has lost it since.
+#[test]
+fn word_of_the_collector_holds_until_the_record_may_have_lost_the_version() {
+    struct Case {
+        name: &'static str,
+        is_restored: bool,
+        /// Versions at which streams may have begun later.
+        candidates: &'static [&'static str],
+        confirmed: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "both stay",
+            is_restored: false,
+            candidates: &["v1", "v2"],
+            confirmed: &["v1", "v2"],
+        },
+        Case { name: "one has gone", is_restored: false, candidates: &["v2"], confirmed: &["v2"] },
+        Case {
+            name: "another has come",
+            is_restored: false,
+            candidates: &["v1", "v3"],
+            confirmed: &["v1"],
+        },
+        Case {
+            name: "store restored",
+            is_restored: true,
+            candidates: &["v1", "v2"],
+            confirmed: &[],
+        },
+    ];
+    for Case { name, is_restored, candidates, confirmed } in cases {
+        let mut history = StreamHistory::default();
+        assert!(!history.is_confirmed(&origin("v1")), "{name}");
+        history.confirm([origin("v1"), origin("v2")]);
+        if is_restored {
+            history.store_restored();
+        }
+        let candidates = versions(candidates);
+        history.retain_confirmed(|known| candidates.contains(&known.software_version));
+        for version in ["v1", "v2", "v3"] {
+            let is_confirmed = confirmed.contains(&version);
+            assert_eq!(history.is_confirmed(&origin(version)), is_confirmed, "{name}, {version}");
+        }
+    }
+}
