Give up an answer of the store or a router that trickles without end

A body had no time limit as long as a byte came before each time-out, so a faulty router or store could keep a call open for months, up to 8 MiB. While a configuration is fetched from another router, no other fetch is begun.

The whole body now has to arrive within 60 s, which a process with 0.12 of a core stays below by half for the largest answer.

Evidence: body_that_trickles_without_end_is_given_up, in virtual time, read on until the size limit ("the answer is too large"); it passes.

--- a/crates/edge/src/http_client.rs
+++ b/crates/edge/src/http_client.rs
@@ -6,12 +6,15 @@
 use http::{Method, Request, Response, header::HOST};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::pool::{Connection, connect};
 
 /// Largest answer, in bytes. A listing may have about a megabyte.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Longest time to read a body, in milliseconds. A process with 0.12 of a core needs a little
+/// more than a second for 400 KB, so less than half of this for the largest answer.
+const MAX_BODY_MS: u64 = 60_000;
 /// Read buffer, in bytes. A process that is busy with callers' requests reads from
 /// a connection only rarely, so each read has to take much.
 const BUFFER_BYTES: usize = 512 * 1024;
@@ -22,6 +25,9 @@
     /// No bytes arrived for this time, in milliseconds.
     #[error("no bytes arrived for {0} ms")]
     TimedOut(u64),
+    /// The body of the answer did not end within this time, in milliseconds.
+    #[error("the answer did not end within {0} ms")]
+    TooLong(u64),
     /// The connection failed or the answer is too large.
     #[error("{0}")]
     Failed(String),
@@ -104,22 +110,24 @@
     Ok((Response::from_parts(head, body), connection))
 }
 
-/// Reads a body whose chunks arrive at most `timeout_ms` after one another. There
-/// is no time limit for the complete body: a busy process with a fraction of a
+/// Reads a body whose chunks arrive at most `timeout_ms` after one another. The time
+/// limit for the complete body is far longer: a busy process with a fraction of a
 /// core reads a large one slowly.
 ///
 /// # Errors
 ///
-/// The body is interrupted, stalls, or is too large.
+/// The body is interrupted, stalls, has no end, or is too large.
 pub async fn read_body<B>(mut body: B, timeout_ms: u64) -> Result<Bytes, CallError>
 where
     B: Body<Data = Bytes> + Unpin,
     B::Error: Display,
 {
     let time_limit = Duration::from_millis(timeout_ms);
+    let end = Instant::now() + Duration::from_millis(MAX_BODY_MS);
     let mut bytes = BytesMut::new();
     loop {
-        let frame = timeout(time_limit, body.frame()).await;
+        let frame = timeout_at(end, timeout(time_limit, body.frame())).await;
+        let frame = frame.map_err(|_| CallError::TooLong(MAX_BODY_MS))?;
         let Some(frame) = frame.map_err(|_| CallError::TimedOut(timeout_ms))? else {
             return Ok(bytes.freeze());
         };
--- a/crates/edge/tests/http_client.rs
+++ b/crates/edge/tests/http_client.rs
@@ -51,6 +51,18 @@
     }
 }
 
+/// Guards against a call that never ends because its answer always makes some progress. No
+/// further configuration was fetched from other routers until then.
+#[tokio::test(start_paused = true)]
+async fn body_that_trickles_without_end_is_given_up() {
+    let chunks = stream::repeat(()).then(|()| async {
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        Ok::<_, Infallible>(Frame::data(Bytes::from(vec![b'x'; 100])))
+    });
+    let read = read_body(StreamBody::new(Box::pin(chunks)), 1_000).await;
+    assert_eq!(read.err(), Some(CallError::TooLong(60_000)));
+}
+
 const OK: &str = "HTTP/1.1 200 OK\r\n";
 const LENGTH: &str = "content-length: 1000000000000\r\n\r\n";
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
