Use a new address of the store at once, and name fields that need a restart

The address of the store was read only at the start, so a changed settings file left the router at the old one for ever, and nothing said so. A router that the store does not list registers again.

Fields that need a restart are named in a line at level WARN and counted in settings_awaiting_restart; their old values stay in use as a whole, where the failure domain and the resources were taken over in part. A change that waits for a restart is logged once, not every 5 s.

--- a/crates/edge/src/http_client.rs
+++ b/crates/edge/src/http_client.rs
@@ -1,12 +1,12 @@
 //! HTTP client for calls to the store and to other routers.
 
-use std::{cell::RefCell, fmt::Display, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, fmt::Display, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, header::HOST};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 
 use crate::pool::{Connection, connect};
 
@@ -27,19 +27,71 @@
     Failed(String),
 }
 
+/// Address of a server, which may change. Clones share it.
+#[derive(Clone, Debug)]
+pub struct ServerAddress(Rc<watch::Sender<NumberedAddress>>);
+
+/// An address, and how many there were before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct NumberedAddress {
+    address: SocketAddr,
+    number: u64,
+}
+
+impl ServerAddress {
+    /// The address `address`, until it is set to another one.
+    pub fn new(address: SocketAddr) -> Self {
+        Self(Rc::new(watch::Sender::new(NumberedAddress { address, number: 0 })))
+    }
+
+    /// The present address.
+    pub fn get(&self) -> SocketAddr {
+        self.0.borrow().address
+    }
+
+    /// Number of addresses before the present one.
+    pub fn number(&self) -> u64 {
+        self.0.borrow().number
+    }
+
+    /// Sets the address. Calls that are under way to another one fail at once, so that their
+    /// callers make them again; a write may have had its effect there. Returns whether the
+    /// address is another one.
+    pub fn set(&self, address: SocketAddr) -> bool {
+        self.0.send_if_modified(|present| {
+            let is_other = present.address != address;
+            if is_other {
+                *present = NumberedAddress { address, number: present.number + 1 };
+            }
+            is_other
+        })
+    }
+}
+
 /// A client of one server. Keeps one connection between calls.
 #[derive(Debug)]
 pub struct HttpClient {
-    address: SocketAddr,
-    idle: RefCell<Option<Connection>>,
+    address: ServerAddress,
+    /// The connection, and the number of the address that it is to.
+    idle: RefCell<Option<(u64, Connection)>>,
 }
 
 impl HttpClient {
     /// Creates a client of the server at `address`. It connects on the first call.
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_address(ServerAddress::new(address))
+    }
+
+    /// Creates a client of a server whose address may change.
+    pub fn with_address(address: ServerAddress) -> Self {
         Self { address, idle: RefCell::new(None) }
     }
 
+    /// Number of addresses of the server before the present one.
+    pub fn address_number(&self) -> u64 {
+        self.address.number()
+    }
+
     /// Makes a call and reads the answer. At most `timeout_ms` may pass until the
     /// head of the answer, and between chunks of its body. A `GET` is retried once on
     /// a new connection if the kept one fails; other calls are not retried.
@@ -53,20 +105,30 @@
         body: Bytes,
         timeout_ms: u64,
     ) -> Result<Response<Bytes>, CallError> {
+        let mut addresses = self.address.0.subscribe();
+        let NumberedAddress { address, number } = *addresses.borrow_and_update();
         let request = request
-            .header(HOST, self.address.to_string())
+            .header(HOST, address.to_string())
             .body(Full::new(body))
             .map_err(|error| CallError::Failed(error.to_string()))?;
         // If this future is dropped, its connection must not serve the next call.
-        let idle = self.idle.borrow_mut().take().filter(Connection::is_ready);
-        let call = self.exchange(idle, request, timeout_ms);
-        let (answer, connection) = call.await?;
-        *self.idle.borrow_mut() = Some(connection);
+        let idle = self.idle.borrow_mut().take();
+        let idle = idle.filter(|(kept_number, _)| *kept_number == number);
+        let idle = idle.map(|(_, connection)| connection).filter(Connection::is_ready);
+        let call = Self::exchange_at(address, idle, request, timeout_ms);
+        let (answer, connection) = tokio::select! {
+            biased;
+            _ = addresses.changed() => {
+                return Err(CallError::Failed("the server has another address now".to_owned()));
+            }
+            result = call => result?,
+        };
+        *self.idle.borrow_mut() = Some((number, connection));
         Ok(answer)
     }
 
-    async fn exchange(
-        &self,
+    async fn exchange_at(
+        address: SocketAddr,
         idle: Option<Connection>,
         request: Request<Full<Bytes>>,
         timeout_ms: u64,
@@ -75,18 +137,18 @@
             let retry = (request.method() == Method::GET).then(|| request.clone());
             match (exchange(connection, request, timeout_ms).await, retry) {
                 (Err(CallError::Failed(_)), Some(retry)) => {
-                    return exchange(self.connect().await?, retry, timeout_ms).await;
+                    return exchange(connect_to(address).await?, retry, timeout_ms).await;
                 }
                 (result, _) => return result,
             }
         }
-        exchange(self.connect().await?, request, timeout_ms).await
+        exchange(connect_to(address).await?, request, timeout_ms).await
     }
+}
 
-    async fn connect(&self) -> Result<Connection, CallError> {
-        let opened = connect(self.address, BUFFER_BYTES).await;
-        opened.map_err(|error| CallError::Failed(error.to_string()))
-    }
+async fn connect_to(address: SocketAddr) -> Result<Connection, CallError> {
+    let opened = connect(address, BUFFER_BYTES).await;
+    opened.map_err(|error| CallError::Failed(error.to_string()))
 }
 
 /// Sends a request and reads the complete answer.
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -386,6 +386,7 @@
         ("cold_upstreams", state.cold_upstream_count(node.now_ms()) as u64),
         ("slow_upstreams", state.slow_upstream_count() as u64),
         ("prefill_tokens_per_ms", state.prefill_tokens_per_ms()),
+        ("settings_awaiting_restart", node.settings_awaiting_restart.get() as u64),
         ("blocked_segments", state.prompt_crashes.blocked_count() as u64),
         ("store_era", state.registry.era()),
         ("unrecorded_streams", state.origin_log.unwritten_len() as u64),
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -62,6 +62,8 @@
     pub(crate) open_requests: Cell<usize>,
     /// Whether the process ends now, so that open requests get no answer.
     pub(crate) has_ended: Cell<bool>,
+    /// Fields of the settings file whose new values wait for a restart.
+    pub(crate) settings_awaiting_restart: Cell<usize>,
     /// Accepted connections and the memory budget.
     pub(crate) connections: Rc<Connections>,
     /// Wakes the sender of load summaries after a change that the failure
@@ -115,6 +117,7 @@
             caller_connections: Rc::default(),
             open_requests: Cell::new(0),
             has_ended: Cell::new(false),
+            settings_awaiting_restart: Cell::new(0),
             connections,
             summary_trigger: Notify::new(),
             outbox: Outbox::default(),
@@ -136,16 +139,19 @@
         self.settings.borrow().clone()
     }
 
-    /// Applies settings that were read again, except for the addresses and the
-    /// instance. Returns whether these differ, which takes a restart to apply. What
-    /// was set up from the settings at the start stays: the record that other routers
-    /// have of this one, the backlogs and the limit on callers' connections.
-    pub(crate) fn apply_settings(&self, settings: Settings) -> bool {
+    /// Applies settings that were read again. Returns the names of the fields that differ from
+    /// those in use and take a restart to apply; their old values stay in use as a whole.
+    pub(crate) fn apply_settings(&self, settings: Settings) -> Vec<&'static str> {
         let old = self.settings();
-        let needs_restart = old.needs_restart_for(&settings);
-        let addresses = old.addresses;
-        let instance = old.instance.clone();
-        let settings = Settings { addresses, instance, ..settings };
+        let waiting = old.fields_needing_restart_for(&settings);
+        self.settings_awaiting_restart.set(waiting.len());
+        let settings = Settings {
+            instance: old.instance.clone(),
+            failure_domain: old.failure_domain.clone(),
+            addresses: old.addresses,
+            resources: old.resources,
+            ..settings
+        };
         let limit = retry_limit(&settings);
         let has_evacuations = settings.fleet_limits.evacuation_ms.is_some();
         *self.settings.borrow_mut() = Rc::new(settings);
@@ -159,7 +165,7 @@
             state.sync_upstreams(now_ms);
         }
         state.sync_cold_terms(self.now_ms(), &self.settings());
-        needs_restart
+        waiting
     }
 
     pub(crate) fn now_ms(&self) -> u64 {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -140,13 +140,14 @@
     spawn_local(record_sync::read_on_demand(node.clone(), store.clone()));
     spawn_local(record_sync::write_records(node.clone(), store));
     spawn_local(run_periodic_tasks(node.clone(), log));
+    let mut known = Settings::clone(&node.settings());
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(&node, &read_settings, true),
+            _ = hangup.recv() => reload(&node, &read_settings, &mut known, true),
             () = sleep(Duration::from_millis(SETTINGS_READ_INTERVAL_MS)) => {
-                reload(&node, &read_settings, false);
+                reload(&node, &read_settings, &mut known, false);
             }
         }
     }
@@ -154,18 +155,26 @@
     Ok(())
 }
 
-/// Reads the settings again and applies what can change without a restart.
-/// `is_signalled` says whether SIGHUP was the reason.
-fn reload(node: &Node, read_settings: &ReadSettings, is_signalled: bool) {
+/// Reads the settings again and applies what can change without a restart. `known` are those
+/// that were read last; `is_signalled` says whether SIGHUP was the reason.
+fn reload(node: &Node, read_settings: &ReadSettings, known: &mut Settings, is_signalled: bool) {
     match read_settings() {
-        Ok(settings) if settings == *node.settings() => {
+        Ok(settings) if settings == *known => {
             if is_signalled {
-                info!("settings read again; nothing has changed");
+                info!("settings read again; the router's own have not changed");
             }
         }
         Ok(settings) => {
-            let needs_restart = node.apply_settings(settings);
-            info!(told = is_signalled, needs_restart, "settings have changed");
+            *known = settings.clone();
+            let fields = node.apply_settings(settings).join(", ");
+            if fields.is_empty() {
+                info!(told = is_signalled, "settings have changed and are in force");
+            } else {
+                warn!(
+                    told = is_signalled,
+                    fields, "settings have changed; these fields need a restart"
+                );
+            }
         }
         Err(error) => warn!(error, "cannot read the settings; the old ones stay in force"),
     }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -79,13 +79,32 @@
 }
 
 impl Settings {
-    /// Whether `new` takes full effect only after a restart. The addresses, the
-    /// instance, its failure domain and its resources are used at the start: other
-    /// routers know them from this router's record, and limits are set up from them.
+    /// Whether `new` takes full effect only after a restart.
     pub fn needs_restart_for(&self, new: &Self) -> bool {
-        self.addresses != new.addresses
-            || self.instance != new.instance
-            || self.failure_domain != new.failure_domain
-            || self.resources != new.resources
+        !self.fields_needing_restart_for(new).is_empty()
+    }
+
+    /// Names of the fields whose value in `new` takes effect only after a restart. The
+    /// addresses, the instance, its failure domain and its resources are used at the start:
+    /// other routers know them from this router's record, and limits are set up from them.
+    pub fn fields_needing_restart_for(&self, new: &Self) -> Vec<&'static str> {
+        let Self { instance, failure_domain, addresses, resources, .. } = self;
+        let fields = [
+            ("instance", *instance != new.instance),
+            ("failure_domain", *failure_domain != new.failure_domain),
+            ("addresses.callers", addresses.callers != new.addresses.callers),
+            ("addresses.readiness", addresses.readiness != new.addresses.readiness),
+            ("addresses.directory", addresses.directory != new.addresses.directory),
+            ("addresses.peers", addresses.peers != new.addresses.peers),
+            ("addresses.heartbeats", addresses.heartbeats != new.addresses.heartbeats),
+            ("addresses.metrics", addresses.metrics != new.addresses.metrics),
+            (
+                "resources.processor_millicores",
+                resources.processor_millicores != new.resources.processor_millicores,
+            ),
+            ("resources.memory_bytes", resources.memory_bytes != new.resources.memory_bytes),
+            ("resources.max_sockets", resources.max_sockets != new.resources.max_sockets),
+        ];
+        fields.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 }
--- a/crates/edge/src/store_sync.rs
+++ b/crates/edge/src/store_sync.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use span_member::ListedInstance;
+use span_member::{ListedInstance, Router};
 use tokio::time::sleep;
 use tracing::{info, warn};
 
@@ -314,6 +314,11 @@
         let read = (store.read_routers)().await;
         record_result(&node, Purpose::Routers, &read, 0);
         if let Ok(routers) = read {
+            // The store may be another copy than the one that has the registration.
+            let is_own = |router: &Router| router.member.instance == own_router.member.instance;
+            if !routers.iter().any(is_own) {
+                registered_era = None;
+            }
             let listed =
                 routers.into_iter().map(|router| ListedInstance { router, leaving: false });
             node.state().view.set_listed_instances(listed.collect());
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -59,3 +59,45 @@
         assert_eq!(settings().needs_restart_for(&changed), case.needs_restart, "{}", case.name);
     }
 }
+
+/// Guards against a changed field that has no effect until a restart and is not named, and
+/// against one that is named although it is in force at once.
+#[test]
+fn each_field_that_needs_a_restart_is_named() {
+    struct Case {
+        change: fn(&mut Settings),
+        fields: &'static [&'static str],
+    }
+    let cases = [
+        Case { change: |s| s.instance = "r2".into(), fields: &["instance"] },
+        Case { change: |s| s.failure_domain = "x".into(), fields: &["failure_domain"] },
+        Case { change: |s| s.addresses.callers.set_port(2), fields: &["addresses.callers"] },
+        Case { change: |s| s.addresses.readiness.set_port(2), fields: &["addresses.readiness"] },
+        Case { change: |s| s.addresses.directory.set_port(2), fields: &["addresses.directory"] },
+        Case { change: |s| s.addresses.peers.set_port(2), fields: &["addresses.peers"] },
+        Case { change: |s| s.addresses.heartbeats.set_port(2), fields: &["addresses.heartbeats"] },
+        Case { change: |s| s.addresses.metrics.set_port(2), fields: &["addresses.metrics"] },
+        Case {
+            change: |s| s.resources.processor_millicores = 1,
+            fields: &["resources.processor_millicores"],
+        },
+        Case { change: |s| s.resources.memory_bytes = 1, fields: &["resources.memory_bytes"] },
+        Case { change: |s| s.resources.max_sockets = 1, fields: &["resources.max_sockets"] },
+        Case { change: |s| s.seeds.push(s.addresses.peers), fields: &[] },
+        Case { change: |s| s.fleet_limits.shutdown_grace_ms = 1, fields: &[] },
+        Case { change: |s| s.fleet_limits.evacuation_ms = Some(1), fields: &[] },
+        Case { change: |s| s.entry_renewal_interval_ms = 1, fields: &[] },
+        Case {
+            change: |s| {
+                s.failure_domain = "x".into();
+                s.resources.max_sockets = 1;
+            },
+            fields: &["failure_domain", "resources.max_sockets"],
+        },
+    ];
+    for case in cases {
+        let mut changed = settings();
+        (case.change)(&mut changed);
+        assert_eq!(settings().fields_needing_restart_for(&changed), case.fields);
+    }
+}
