Mend what a review of the planned stop found

The plan now begins at the last tick before which the signal cannot have come. * Any failed accept counted as the end of the backlog, so that a lack of descriptors reset the rest. It is tried again for a second. * A stream that breaks while answers are due is not sent to further upstreams, and with a very short grace period the listener is closed before the end.

Tests: open_requests_are_answered_if_the_signal_is_handled_late and internal_listeners_answer_until_the_process_ends failed before; connections_are_taken_once_a_descriptor_is_free and bytes_that_the_runtime_has_not_noticed_are_read are new.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -60,8 +60,8 @@
     /// What the bodies of each workspace use.
     groups: RefCell<HashMap<WorkspaceName, Group>>,
     late_heads_checked_ms: Cell<u64>,
-    /// Whether connections are closed as soon as they have no request.
-    ends_idle: Cell<bool>,
+    /// The listener whose connections are closed as soon as they have no request, if any.
+    ends_idle: Cell<Option<usize>>,
     /// Notified when that begins.
     pub(crate) idle_ends: Notify,
 }
@@ -74,7 +74,7 @@
             refusals: RefCell::default(),
             groups: RefCell::default(),
             late_heads_checked_ms: Cell::new(0),
-            ends_idle: Cell::new(false),
+            ends_idle: Cell::new(None),
             idle_ends: Notify::new(),
         }
     }
@@ -88,14 +88,14 @@
         self.refusals.borrow().counts().collect()
     }
 
-    /// Closes each connection as soon as it has no request and nothing to read.
-    pub(crate) fn end_idle(&self) {
-        self.ends_idle.set(true);
+    /// Closes each connection of a listener as soon as it has no request and nothing to read.
+    pub(crate) fn end_idle(&self, listener: usize) {
+        self.ends_idle.set(Some(listener));
         self.idle_ends.notify_waiters();
     }
 
     pub(crate) fn ends_idle(&self) -> bool {
-        self.ends_idle.get()
+        self.ends_idle.get().is_some()
     }
 
     /// Number of open connections of a listener in each activity.
@@ -220,6 +220,8 @@
 /// An accepted connection. It counts as open until this is dropped.
 pub(crate) struct OpenConnection {
     connections: Rc<Connections>,
+    /// The listener that accepted it.
+    listener: usize,
     pub(crate) id: ConnectionId,
     /// Notified when the connection has to be closed.
     pub(crate) close: Rc<Notify>,
@@ -257,6 +259,7 @@
         let id = connections.table.borrow_mut().add(listener, close.clone());
         Some(Rc::new(Self {
             connections: connections.clone(),
+            listener,
             id,
             close,
             charge: RefCell::new(charge),
@@ -339,7 +342,8 @@
     /// Whether the connection has to be closed if nothing has arrived on it.
     fn ends_if_quiet(&self) -> bool {
         let activity = || self.connections.table.borrow().activity(self.id);
-        self.connections.ends_idle() && activity() == Some(Activity::Idle)
+        self.connections.ends_idle.get() == Some(self.listener)
+            && activity() == Some(Activity::Idle)
     }
 
     fn written(&self, takes_bytes: bool) {
--- a/crates/edge/src/drain.rs
+++ b/crates/edge/src/drain.rs
@@ -35,17 +35,19 @@
 }
 
 impl DrainPlan {
-    /// The steps of a stop that begins now, with `grace_ms` until the process is killed.
-    pub fn new(now_ms: u64, grace_ms: u64) -> Self {
+    /// The steps of a stop of which the process was told at `begin_ms`, with `grace_ms` from then
+    /// until it is killed.
+    pub fn new(begin_ms: u64, grace_ms: u64) -> Self {
         let fraction_ms = |fraction: f64| (grace_ms as f64 * fraction) as u64;
-        let end_ms = now_ms + grace_ms.saturating_sub(END_MARGIN_MS);
+        let end_ms = begin_ms + grace_ms.saturating_sub(END_MARGIN_MS);
+        let answer_by_ms = end_ms.saturating_sub(ANSWER_MARGIN_MS).max(begin_ms);
         let accept_ms = fraction_ms(MAX_ACCEPT_FRACTION).min(MAX_ACCEPT_MS);
         let start_streams_ms = fraction_ms(MAX_START_STREAMS_FRACTION).min(MAX_START_STREAMS_MS);
         Self {
-            begin_ms: now_ms,
-            accept_until_ms: now_ms + accept_ms,
-            start_streams_until_ms: now_ms + start_streams_ms,
-            answer_by_ms: end_ms.saturating_sub(ANSWER_MARGIN_MS).max(now_ms),
+            begin_ms,
+            accept_until_ms: (begin_ms + accept_ms).min(answer_by_ms),
+            start_streams_until_ms: begin_ms + start_streams_ms,
+            answer_by_ms,
             end_ms,
         }
     }
--- a/crates/edge/src/forward/stream.rs
+++ b/crates/edge/src/forward/stream.rs
@@ -270,7 +270,7 @@
         let Some(last_event) = last_event.ok().filter(|_| splitter.can_continue()) else {
             return false;
         };
-        if now_ms >= resume.data.deadline_ms {
+        if now_ms >= resume.data.deadline_ms || self.node.answers_are_due() {
             return false;
         }
         if self.node.find_blocked_segment(&resume.data.shared_segments).is_some() {
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use span_http::{AnswerEnd, OrderlyCloseStream, drain_backlog};
+use span_http::{AnswerEnd, Backlog, OrderlyCloseStream};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -79,6 +79,11 @@
     (settings.resources.max_sockets as f64 * CALLER_SOCKETS_FRACTION) as usize
 }
 
+/// Closes callers' connections as soon as they have no request and nothing to read.
+pub(crate) fn end_idle_callers(node: &Node) {
+    node.connections.end_idle(CALLERS);
+}
+
 /// Number of callers' connections in each activity.
 pub(crate) fn count_caller_activities(node: &Node) -> BTreeMap<Activity, usize> {
     node.connections.count_activities(CALLERS)
@@ -145,7 +150,8 @@
         node.overload.borrow_mut().record_accept(node.now_ms());
         serve_caller(&node, stream).await;
     }
-    for (stream, _) in drain_backlog(listener) {
+    let mut backlog = Backlog::new(listener);
+    while let Some((stream, _)) = backlog.next().await {
         node.count(Counter::BacklogConnections);
         serve_caller(&node, stream).await;
     }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -51,6 +51,8 @@
     pub(crate) pool: Pool,
     /// The planned stop; none while the process is not told to stop.
     pub(crate) drain_plan: Cell<Option<DrainPlan>>,
+    /// Times of the last two runs of the periodic tasks, the earlier one first, in milliseconds.
+    ticks_ms: Cell<(u64, u64)>,
     /// Whether open requests have to be answered now, since the process ends.
     answers_are_due: Cell<bool>,
     /// Notified when that happens.
@@ -112,6 +114,7 @@
             clock: Clock::start(),
             pool: Pool::default(),
             drain_plan: Cell::new(None),
+            ticks_ms: Cell::new((0, 0)),
             answers_are_due: Cell::new(false),
             answers_become_due: Notify::new(),
             overload: RefCell::new(overload),
@@ -195,6 +198,17 @@
         self.drain_plan.get().is_some()
     }
 
+    /// Records a run of the periodic tasks.
+    pub(crate) fn record_tick(&self, now_ms: u64) {
+        self.ticks_ms.set((self.ticks_ms.get().1, now_ms));
+    }
+
+    /// Earliest time at which a signal can have come that is handled now. A process that stood
+    /// still handles it late, and may have run its periodic tasks once before.
+    pub(crate) fn earliest_signal_ms(&self) -> u64 {
+        self.ticks_ms.get().0
+    }
+
     /// Whether the process ends now, so that open requests have to be answered.
     pub(crate) fn answers_are_due(&self) -> bool {
         self.answers_are_due.get()
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -204,6 +204,7 @@
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
         let now_ms = node.now_ms();
+        node.record_tick(now_ms);
         let clock_offset_ms = clock::boot_ms().saturating_sub(now_ms);
         if clock_offset_ms > last_clock_offset_ms + MIN_LOGGED_SUSPENSION_MS {
             warn!(
@@ -242,7 +243,7 @@
     accepting: &JoinHandle<()>,
 ) {
     let grace_ms = node.settings().fleet_limits.shutdown_grace_ms;
-    let plan = DrainPlan::new(node.now_ms(), grace_ms);
+    let plan = DrainPlan::new(node.earliest_signal_ms(), grace_ms);
     node.leave(plan);
     peers.send_heartbeat_to_all();
     node.hand_over_stream_origins();
@@ -257,7 +258,7 @@
         if accepting.is_finished() {
             let accepted_ms = *accepted_ms.get_or_insert(now_ms);
             if now_ms >= accepted_ms + LAST_REQUESTS_MS && !node.connections.ends_idle() {
-                node.connections.end_idle();
+                listen::end_idle_callers(node);
             }
             // Each connection is closed after its last answer.
             let is_open = node.caller_connections.get() > 0 || node.open_requests.get() > 0;
--- a/crates/edge/tests/drain.rs
+++ b/crates/edge/tests/drain.rs
@@ -75,7 +75,7 @@
         let plan = DrainPlan::new(7, grace_ms);
         assert!(plan.begin_ms <= plan.answer_by_ms, "{grace_ms}: {plan:?}");
         assert!(plan.answer_by_ms <= plan.end_ms, "{grace_ms}: {plan:?}");
-        assert!(plan.accept_until_ms <= plan.begin_ms + grace_ms, "{grace_ms}: {plan:?}");
+        assert!(plan.accept_until_ms <= plan.answer_by_ms, "{grace_ms}: {plan:?}");
         assert!(plan.end_ms <= plan.begin_ms + grace_ms, "{grace_ms}: {plan:?}");
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP building blocks on top of hyper that the programs share: a server with
 //! limits, clients, body helpers, and what tells whether a body is complete.
 
+mod backlog;
 mod body;
 mod checked_events;
 mod client;
@@ -12,6 +13,7 @@
 mod server;
 mod write_timeout;
 
+pub use backlog::Backlog;
 pub use body::{
     Body, BodyError, ReadError, collect_body, collect_body_if, empty_body, full_body,
     json_response, read_json_body,
@@ -22,4 +24,4 @@
 pub use framing::Framing;
 pub use orderly_close::{AnswerEnd, OrderlyCloseStream};
 pub use pause::requested_pause_ms;
-pub use server::{Limits, Server, drain_backlog, serve, serve_listener};
+pub use server::{Limits, Server, serve, serve_listener};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    AnswerEnd, Body, OrderlyCloseStream,
+    AnswerEnd, Backlog, Body, OrderlyCloseStream,
     drained_stream::{ConnectionState, DrainedStream},
     json_response,
     write_timeout::WriteTimeoutStream,
@@ -170,31 +170,13 @@
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
-    for (stream, peer) in drain_backlog(listener) {
+    let mut backlog = Backlog::new(listener);
+    while let Some((stream, peer)) = backlog.next().await {
         connections.spawn(serve(stream, peer));
     }
     while connections.join_next().await.is_some() {}
 }
 
-/// Closes a listener and returns the connections that the kernel has accepted; their
-/// callers may have sent requests.
-pub fn drain_backlog(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(error) => {
-            tracing::warn!(%error, "connections that wait to be accepted are closed");
-            return Vec::new();
-        }
-    };
-    // The listener does not block, so that an empty backlog is an error.
-    let accepted = std::iter::from_fn(|| listener.accept().ok());
-    let connections = accepted.filter_map(|(stream, peer)| {
-        stream.set_nonblocking(true).ok()?;
-        Some((TcpStream::from_std(stream).ok()?, peer))
-    });
-    connections.collect()
-}
-
 fn handle_connection<F, Fut>(
     stream: TcpStream,
     limits: Limits,
