--- a/crates/router/tests/planned_stop.rs
+++ b/crates/router/tests/planned_stop.rs
@@ -51,6 +51,9 @@
     (http, text)
 }
 
+/// Starts of a process until one finds its addresses free.
+const MAX_STARTS: u32 = 5;
+
 /// A router process.
 struct RouterProcess {
     child: Child,
@@ -61,14 +64,22 @@
 impl RouterProcess {
     /// Starts a process in addition to the router of `setup`, and waits until it serves.
     async fn start(setup: &RunningSetup, name: &str, timeouts: &str) -> Self {
-        let (address, text) = settings_text(setup, name, timeouts);
         let path = file(&format!("{name}.yaml"));
-        std::fs::write(&path, text).expect("cannot write the file");
-        let process = Self::spawn(address, &path);
-        while try_call(&setup.client, get(address, "/v1/models")).await.is_none() {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+        let mut log = String::new();
+        // Another process may take an address between its choice and its use.
+        for _ in 0..MAX_STARTS {
+            let (address, text) = settings_text(setup, name, timeouts);
+            std::fs::write(&path, text).expect("cannot write the file");
+            let mut process = Self::spawn(address, &path);
+            while matches!(process.child.try_wait(), Ok(None)) {
+                if try_call(&setup.client, get(address, "/v1/models")).await.is_some() {
+                    return process;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            log = process.log();
         }
-        process
+        panic!("the router does not start: {log}");
     }
 
     fn spawn(address: SocketAddr, settings: &PathBuf) -> Self {
