Close the listener once its backlog is taken

In the product's router and the intent process, the listener stayed open until the last connection was closed: callers connected to a router that accepted nobody any more. Checked in backlog.rs too.

--- a/crates/http/src/backlog.rs
+++ b/crates/http/src/backlog.rs
@@ -10,10 +10,10 @@
 const MAX_FAILURES: u32 = 50;
 
 /// The connections that the kernel has accepted for a listener; their callers may have sent
-/// requests. The listener is closed when this is dropped, and the rest with it.
+/// requests. The listener is closed once none is left.
 #[derive(Debug)]
 pub struct Backlog {
-    /// None if it cannot be used without the runtime.
+    /// None once it is closed, or if it cannot be used without the runtime.
     listener: Option<std::net::TcpListener>,
 }
 
@@ -29,6 +29,15 @@
     /// The next connection; none once no more wait. Waits for a free descriptor if need be, but
     /// not without end.
     pub async fn next(&mut self) -> Option<(TcpStream, SocketAddr)> {
+        let next = self.accept().await;
+        if next.is_none() {
+            // Callers that come now have to learn at once that nobody listens.
+            self.listener = None;
+        }
+        next
+    }
+
+    async fn accept(&self) -> Option<(TcpStream, SocketAddr)> {
         let listener = self.listener.as_ref()?;
         let mut failures = 0;
         loop {
--- a/crates/http/tests/backlog.rs
+++ b/crates/http/tests/backlog.rs
@@ -49,7 +49,8 @@
         }
     };
     tokio::join!(release, take);
-    drop(backlog);
+    // Callers that come later do not wait in vain.
+    assert!(TcpStream::connect(address).is_err(), "the listener is open");
     let is_open = |mut caller: &TcpStream| {
         caller.set_nonblocking(true).expect("a socket");
         matches!(caller.read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
