Tell members of a large fleet which version there was before they started

What callers saw: in a fleet with collectors, a second version came as the store went away, and all routers were restarted.

Cause: a stream that nobody knows may go on if routers would know of it had they been told. A router that has just started counts as one of these if the history in the store named one version then. Only collectors read the history, so all members counted as routers that may have forgotten.

A member of a service with several versions now asks its collector, with the time for which it has run. The collector answers from a history that was read since then, if it is complete and names one version, and has it read otherwise. With one version nothing is asked, and a question costs a read only if there was none since the member started.

Datagrams between routers gain two kinds; earlier software logs them as unreadable and ignores them.

--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -8,12 +8,12 @@
     time::Duration,
 };
 
-use span_types::InstanceName;
+use span_types::{InstanceName, ServiceName, SoftwareVersion};
 use tokio::{
     sync::Notify,
     time::{timeout, timeout_at},
 };
-use tracing::warn;
+use tracing::{info, warn};
 
 use crate::{
     forward::RequestData,
@@ -154,6 +154,63 @@
         }
     }
 
+    /// Asks the collector of a member of a large fleet which versions services with several had
+    /// before it started. If there was one, streams from then that nobody knows began there.
+    pub(crate) fn ask_past(&self) {
+        let uptime_ms = self.now_ms();
+        let (keeper, services) = {
+            let state = self.state();
+            let Some(keeper) = state.record_keeper() else { return };
+            (keeper, state.services_without_past(uptime_ms))
+        };
+        for part in services.chunks(MAX_VERSIONS_PER_PACKET) {
+            let receivers = vec![keeper.peer_address.ip()];
+            self.outbox
+                .push(receivers, Packet::PastQuestion { uptime_ms, services: part.to_vec() });
+        }
+    }
+
+    /// Tells a member of a large fleet, which has run for `uptime_ms`, which of `services` had only
+    /// one version until it started. If the history was not read since, has it read: the member
+    /// asks again.
+    pub(crate) fn answer_past_question(
+        &self,
+        to: IpAddr,
+        uptime_ms: u64,
+        services: Vec<ServiceName>,
+    ) {
+        let started_ms = self.now_ms().checked_sub(uptime_ms);
+        if !self.has_read_records_since(started_ms) {
+            return;
+        }
+        let versions = {
+            let state = self.state();
+            if state.record_keeper().is_some() {
+                return;
+            }
+            let only_version = |service: ServiceName| {
+                let version = state.stream_history.only_version(&service).cloned();
+                (service, version)
+            };
+            services.into_iter().map(only_version).collect()
+        };
+        self.outbox.push(vec![to], Packet::OnlyVersions(versions));
+    }
+
+    /// Takes over which versions services had before this process, as the collector says.
+    pub(crate) fn learn_past(&self, versions: Vec<(ServiceName, Option<SoftwareVersion>)>) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        for (service, version) in versions {
+            info!(
+                service = service.as_str(),
+                version = version.as_ref().map(SoftwareVersion::as_str),
+                "the collector says where streams from before the start began"
+            );
+            state.stream_origins.set_only_version_before_start(now_ms, &service, version);
+        }
+    }
+
     /// Tells a member of a large fleet which of `versions` the history names.
     pub(crate) fn answer_version_question(&self, to: IpAddr, versions: Vec<StreamOrigin>) {
         let recorded = self.state().recorded_versions(versions);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -18,7 +18,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use span_member::{MemberChange, MemberUpdate, Router};
-use span_types::{FailureDomain, InstanceName};
+use span_types::{FailureDomain, InstanceName, ServiceName, SoftwareVersion};
 use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
 use tracing::{info, warn};
 
@@ -129,6 +129,17 @@
     VersionQuestion(Vec<StreamOrigin>),
     /// Answers a [`Packet::VersionQuestion`] with those that it names.
     RecordedVersions(Vec<StreamOrigin>),
+    /// From a router to the collector of its failure domain: asks which versions services had
+    /// before it started.
+    PastQuestion {
+        /// Time for which the sender has run, in milliseconds.
+        uptime_ms: u64,
+        /// The services.
+        services: Vec<ServiceName>,
+    },
+    /// Answers a [`Packet::PastQuestion`]: the only version of each service in the history in the
+    /// store, which was read since the router started; none if it names several or is incomplete.
+    OnlyVersions(Vec<(ServiceName, Option<SoftwareVersion>)>),
 }
 
 /// Routers that a summary covers.
@@ -597,6 +608,10 @@
                         self.node.answer_version_question(from.ip(), versions);
                     }
                     Ok(Packet::RecordedVersions(versions)) => self.node.versions_recorded(versions),
+                    Ok(Packet::PastQuestion { uptime_ms, services }) => {
+                        self.node.answer_past_question(from.ip(), uptime_ms, services);
+                    }
+                    Ok(Packet::OnlyVersions(versions)) => self.node.learn_past(versions),
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/record_sync.rs
+++ b/crates/edge/src/record_sync.rs
@@ -60,6 +60,17 @@
         read.is_ok_and(|read| read.has_succeeded)
     }
 
+    /// Whether the records have been read since `since_ms`, or at all if it is before the start of
+    /// this process. If not, has them read.
+    pub(crate) fn has_read_records_since(&self, since_ms: Option<u64>) -> bool {
+        let read = *self.record_reads.latest.borrow();
+        let is_recent = read.has_succeeded && read.started_ms >= since_ms;
+        if !is_recent {
+            self.record_reads.wanted.notify_one();
+        }
+        is_recent
+    }
+
     fn take_records(&self, records: &StreamRecords) {
         let now_ms = self.now_ms();
         let mut state = self.state();
@@ -152,6 +163,7 @@
         }
         node.resend_origins();
         node.ask_recorded_versions();
+        node.ask_past();
         node.state().refresh_stream_lifetime(now_ms);
         let mut result = write_history(&node, &store, &mut failures).await;
         if now_ms >= flushed_ms + FLUSH_INTERVAL_MS {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -458,6 +458,17 @@
         versions.filter(|origin| !self.stream_history.is_confirmed(origin)).collect()
     }
 
+    /// Services of which a member of a large fleet has to ask its collector which versions they had
+    /// before it started: those that have several now.
+    pub(crate) fn services_without_past(&self, now_ms: u64) -> Vec<ServiceName> {
+        let (origins, lifetime_ms) = (&self.stream_origins, self.stream_lifetime_ms);
+        let is_unknown = |name: &&ServiceName| {
+            origins.may_differ(now_ms, name, lifetime_ms)
+                && !origins.knows_versions_before_start(name)
+        };
+        self.services.keys().filter(is_unknown).cloned().collect()
+    }
+
     /// Those of `versions` that a collector can say the history names. One that has no upstream
     /// may be about to leave it.
     pub(crate) fn recorded_versions(&self, versions: Vec<StreamOrigin>) -> Vec<StreamOrigin> {
--- a/crates/edge/src/stream_history.rs
+++ b/crates/edge/src/stream_history.rs
@@ -11,6 +11,8 @@
     mem,
 };
 
+use span_types::{ServiceName, SoftwareVersion};
+
 use crate::{stream_origin::StreamOrigin, stream_records::HistoryRecord};
 
 /// Time from when a router learns of a further version until it is written to the record, in
@@ -57,6 +59,15 @@
         self.is_known() && self.record.as_ref().is_none_or(|record| names(record, origin))
     }
 
+    /// The only version of `service` that the record names; none if it is not complete, or names
+    /// several or none.
+    pub fn only_version(&self, service: &ServiceName) -> Option<&SoftwareVersion> {
+        let record = self.record.as_ref().filter(|_| self.is_known())?;
+        let is_complete = record.complete_era == Some(self.era);
+        let mut versions = record.versions.get(service).filter(|_| is_complete)?.iter();
+        versions.next().filter(|_| versions.next().is_none())
+    }
+
     /// Whether a router that starts now would take it from the record that no stream began at
     /// `origin`. One that the record does not name a version of counts as unknown.
     pub fn rules_out(&self, origin: &StreamOrigin) -> bool {
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -197,6 +197,9 @@
     /// Versions that services had before this process, as the first complete record says; none
     /// if this process has read none.
     versions_before_start: Option<BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>>,
+    /// The only version of services that had but one before this process, as the collector of a
+    /// member of a large fleet has read; none of a service that had several.
+    only_versions_before_start: BTreeMap<ServiceName, Option<SoftwareVersion>>,
     /// Whether there was nothing before this process: the whole system started for the first
     /// time, and the store had no record.
     had_nothing_before: bool,
@@ -328,7 +331,9 @@
         let had_one_version = |service: &ServiceName| {
             let before = self.versions_before_start.as_ref();
             let versions = before.and_then(|before| before.get(service));
-            self.had_nothing_before || versions.is_some_and(|versions| versions.len() == 1)
+            self.had_nothing_before
+                || versions.is_some_and(|versions| versions.len() == 1)
+                || matches!(self.only_versions_before_start.get(service), Some(Some(_)))
         };
         let nobody_was_told = services.len() == 1 && services.iter().all(had_one_version);
         lifetime_ms > 0 && (now_ms >= lifetime_ms || nobody_was_told)
@@ -370,6 +375,29 @@
         self.routes.add_record(now_ms, &record.routes, is_complete, lifetime_ms);
     }
 
+    /// Whether the collector of a member of a large fleet has said which versions `service` had
+    /// before this process.
+    pub fn knows_versions_before_start(&self, service: &ServiceName) -> bool {
+        self.only_versions_before_start.contains_key(service)
+    }
+
+    /// Takes over what the collector has read since this process started: all streams of `service`
+    /// from before then began at `only_version`, if it names one.
+    pub fn set_only_version_before_start(
+        &mut self,
+        now_ms: u64,
+        service: &ServiceName,
+        only_version: Option<SoftwareVersion>,
+    ) {
+        if self.knows_versions_before_start(service) {
+            return;
+        }
+        if let Some(version) = &only_version {
+            self.sole_versions.note(now_ms, service, version);
+        }
+        self.only_versions_before_start.insert(service.clone(), only_version);
+    }
+
     /// Forgets what was gone for `lifetime_ms`.
     pub fn expire_history(&mut self, now_ms: u64, lifetime_ms: u64) {
         self.versions.expire(now_ms, lifetime_ms);
--- a/crates/edge/tests/stream_origin.rs
+++ b/crates/edge/tests/stream_origin.rs
@@ -408,6 +408,28 @@
     }
 }
 
+/// Guards against streams of a large fleet that are refused after a restart of all routers:
+/// members have not read the history, but their collector says that there was one version.
+#[test]
+fn restarted_member_would_know_streams_if_its_collector_read_of_one_version() {
+    let told: [(Option<SoftwareVersion>, &[&str], bool); 2] =
+        [(Some("v1".into()), &["v1"], true), (None, &[], false)];
+    let services = BTreeSet::from([service()]);
+    for (only_version, untold, is_witness) in told {
+        let mut known = StreamOrigins::default();
+        known.set_lifetime(0, LIFETIME_MS);
+        known.set_versions(0, &service(), &versions(&["v1", "v2"]));
+        assert!(!known.knows_versions_before_start(&service()));
+        assert!(!known.is_witness(10, &services, LIFETIME_MS));
+        known.set_only_version_before_start(10, &service(), only_version);
+        assert!(known.knows_versions_before_start(&service()));
+        // What is read later says nothing of the time before the start.
+        known.set_only_version_before_start(20, &service(), Some("v2".into()));
+        assert_eq!(known.untold(1_000, &service(), LIFETIME_MS), origins(untold));
+        assert_eq!(known.is_witness(1_000, &services, LIFETIME_MS), is_witness);
+    }
+}
+
 /// Guards against a late notice of an earlier attempt that replaces what the router knows of
 /// the last one, and against a router that takes what it was told for the last attempt.
 #[test]
--- a/crates/edge/tests/version_history.rs
+++ b/crates/edge/tests/version_history.rs
@@ -260,3 +260,42 @@
         }
     }
 }
+
+/// Guards against a collector that tells its members of an only version although the record may
+/// lack another one.
+#[test]
+fn record_names_an_only_version_if_it_is_complete() {
+    struct Case {
+        name: &'static str,
+        versions: &'static [&'static str],
+        complete_era: Option<u64>,
+        only_version: Option<&'static str>,
+    }
+    let complete_era = Some(ERA);
+    let cases = [
+        Case { name: "one", versions: &["v1"], complete_era, only_version: Some("v1") },
+        Case { name: "two", versions: &["v1", "v2"], complete_era, only_version: None },
+        Case { name: "none", versions: &[], complete_era, only_version: None },
+        Case { name: "incomplete", versions: &["v1"], complete_era: None, only_version: None },
+        Case {
+            name: "from before a restore",
+            versions: &["v1"],
+            complete_era: Some(ERA + 1),
+            only_version: None,
+        },
+    ];
+    for case in cases {
+        let mut history = StreamHistory::default();
+        assert_eq!(history.only_version(&service()), None, "{}: not read", case.name);
+        let record = HistoryRecord {
+            versions: BTreeMap::from([(service(), versions(case.versions))]),
+            complete_era: case.complete_era,
+            ..HistoryRecord::default()
+        };
+        history.replace(ERA, Some(record));
+        let only_version = history.only_version(&service()).map(SoftwareVersion::as_str);
+        assert_eq!(only_version, case.only_version, "{}", case.name);
+        history.store_restored();
+        assert_eq!(history.only_version(&service()), None, "{}: restored", case.name);
+    }
+}
