Test that clumps of crashing prompts at few upstreams are blocked in time

The rule counts crashes of replicas, and one that has crashed is back after some seconds.

So nothing is changed in the routers. The new test plays clumps of one, three and five requests at one to three upstreams in virtual time, and counts ends of processes; it passes on the code as it is.

--- a/crates/edge/tests/prompt_crashes.rs
+++ b/crates/edge/tests/prompt_crashes.rs
@@ -511,6 +511,8 @@
     clump: usize,
     clump_pause_ms: u64,
     clumps: usize,
+    /// Upstreams that serve at the time to which bad prompts go, for their prefix; 0 for all.
+    bad_homes: usize,
     /// Whether upstreams crash before the first byte of their answer.
     before_first_byte: bool,
     /// Times at which upstreams end for another reason, one wave after the other, and how
@@ -530,6 +532,7 @@
     clump: 0,
     clump_pause_ms: 4_000,
     clumps: 0,
+    bad_homes: 0,
     before_first_byte: false,
     wave_pause_ms: 1_000,
     waves: 0,
@@ -590,15 +593,24 @@
         (0..self.back_ms.len()).filter(is_back).collect()
     }
 
-    /// Sends a prompt by a router to some upstream. Returns whether the router rejects it.
-    fn send(&mut self, router: usize, prompt: &[u64], first_byte_after_ms: u64) -> bool {
+    /// Sends a prompt by a router to one of the first `homes` upstreams that serve. Returns whether
+    /// the router rejects it.
+    fn send(
+        &mut self,
+        router: usize,
+        prompt: &[u64],
+        homes: usize,
+        first_byte_after_ms: u64,
+    ) -> bool {
         let now_ms = self.fleet.now_ms;
         let prompt = segments(prompt);
         if self.fleet.routers[router].find_blocked(now_ms, &prompt).is_some() {
             return true;
         }
         let first_byte_ms = now_ms + first_byte_after_ms;
-        if let Some(upstream) = self.living().choose(&mut self.rng).copied() {
+        let mut living = self.living();
+        living.truncate(homes);
+        if let Some(upstream) = living.choose(&mut self.rng).copied() {
             let sent_ms = now_ms;
             let running = Running { router, upstream, segments: prompt, sent_ms, first_byte_ms };
             self.running.push(running);
@@ -691,7 +703,8 @@
             }
             let first_byte_after_ms = play.rng.random_range(100..700);
             outcome.sound += 1;
-            outcome.rejected += usize::from(play.send(router, &prompt, first_byte_after_ms));
+            outcome.rejected +=
+                usize::from(play.send(router, &prompt, load.upstreams, first_byte_after_ms));
         }
         let Some(since_ms) = now_ms.checked_sub(start_ms) else {
             continue;
@@ -702,7 +715,8 @@
         if (clump as usize) < load.clumps && in_clump_ms % 20 == 0 && number < load.clump {
             let router = (clump as usize + number) % load.routers;
             let first_byte_after_ms = if load.before_first_byte { 5_000 } else { CRASH_AFTER_MS };
-            if !play.send(router, &[COMMON, BAD], first_byte_after_ms) {
+            let homes = if load.bad_homes == 0 { load.upstreams } else { load.bad_homes };
+            if !play.send(router, &[COMMON, BAD], homes, first_byte_after_ms) {
                 outcome.late +=
                     usize::from(fifth_ms.is_some_and(|fifth_ms| now_ms > fifth_ms + BOUND_MS));
                 let upstream = play.running.last().map(|running| running.upstream);
@@ -747,6 +761,39 @@
     assert!(failed.is_empty(), "{} plays:\n{}", failed.len(), failed.join("\n"));
 }
 
+/// Load pattern: the same clumps of one to five, at one to three upstreams each, 3 to 5 s apart. Guards
+/// against a count of crashes that depends on how many requests of a clump share an upstream: the
+/// end of a process is one crash, whatever it had (review/8).
+#[test]
+fn fifth_crash_counts_however_many_requests_meet_at_an_upstream() {
+    let mut failed = Vec::new();
+    for bad_homes in [1, 2, 3] {
+        for (clump, clump_pause_ms) in [(1, 3_000), (3, 4_000), (5, 5_000), (3, 3_000)] {
+            for before_first_byte in [true, false] {
+                for seed in 0..6 {
+                    let load = Load {
+                        clump,
+                        clump_pause_ms,
+                        clumps: 10,
+                        bad_homes,
+                        before_first_byte,
+                        ..CALM
+                    };
+                    let outcome = play(&load, seed);
+                    assert!(outcome.crashes >= 3, "{outcome:?}");
+                    if outcome.late > MAX_LATE_REQUESTS || outcome.rejected > 0 {
+                        failed.push(format!(
+                            "clumps of {clump} at {bad_homes} upstreams, {clump_pause_ms} ms apart, \
+                             before the first byte: {before_first_byte}, seed {seed}: {outcome:?}"
+                        ));
+                    }
+                }
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{} plays:\n{}", failed.len(), failed.join("\n"));
+}
+
 /// Load pattern: 40 sound prompts a second, and waves in which several upstreams end at one
 /// moment with what they had. Guards against blocking sound segments after a release or a
 /// lost failure domain: those of all prompts, of each twelfth, of a session, and one that no
