Wait for a configured router in the tests of its planned stop

Cause: in the test. It took a new router for one that serves as soon as GET /v1/models had any answer. A router that has not read its configuration answers 503, "not_configured". What followed was refused as well, so two tests failed, and others waited without end for a request to run. The wait is stricter; no check is changed. A router stays reachable before it is configured as designed, so nothing is changed in the product.

--- a/crates/router/tests/planned_stop.rs
+++ b/crates/router/tests/planned_stop.rs
@@ -72,7 +72,9 @@
             std::fs::write(&path, text).expect("cannot write the file");
             let mut process = Self::spawn(address, &path);
             while matches!(process.child.try_wait(), Ok(None)) {
-                if try_call(&setup.client, get(address, "/v1/models")).await.is_some() {
+                let answer = try_call(&setup.client, get(address, "/v1/models")).await;
+                // Until it has a configuration, it answers everything with 503.
+                if answer.is_some_and(|answer| answer.status == StatusCode::OK) {
                     return process;
                 }
                 tokio::time::sleep(Duration::from_millis(10)).await;
