Bring back no upstream that another router keeps while it recovers

Back again, they cannot tell a removal from an entry that lapsed in an outage of the store, and keep what is missing for 2.2 s. They share it at the newest position. Routers that had seen the removal took it over, used the upstream again (57 routers log "started" for one within 0.1 s, 1 s after "gone"), and dropped it as the next list came from another router, in turns.

Entries that another router keeps now bring back no upstream at a router that has a list without it. One that has just started still takes them, and one that still lists them lets them expire as before: after a real outage nothing is lost, since what a router lacks then has to register again anyway.

entry_that_another_router_keeps_brings_back_no_removed_upstream fails before and passes now.

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -226,6 +226,10 @@
     /// Replaces all entries by those of another router, if they are newer. A
     /// router that takes itself for the collector may have old entries, which
     /// would bring back upstreams that are leaving or removed.
+    ///
+    /// One that was cut off from the store keeps entries that are missing, since it cannot tell
+    /// whether they were removed. They bring back no upstream that this router lacks, unless it
+    /// has no list of its own yet.
     pub fn replace_if_newer(
         &mut self,
         now_ms: u64,
@@ -237,6 +241,11 @@
         if position <= self.position || is_older {
             return Vec::new();
         }
+        let has_list = self.kept_position > Position::default();
+        let is_taken = |shared: &SharedEntry| {
+            shared.expires_in_ms.is_none() || !has_list || self.upstreams.contains_key(&shared.name)
+        };
+        let shared: Vec<SharedEntry> = shared.into_iter().filter(is_taken).collect();
         self.begin_era(now_ms, position.era, renewal_interval_ms);
         self.set_position(position);
         let expiries: Vec<(UpstreamName, u64)> = shared
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -207,6 +207,48 @@
     assert_eq!(member.expire(7_300), [UpstreamChange::Removed("u1".into())]);
 }
 
+/// Guards against requests to upstreams that left while some routers were cut off from the store:
+/// those keep the entries when they are back, and others took them over though they had seen the
+/// removal.
+#[test]
+fn entry_that_another_router_keeps_brings_back_no_removed_upstream() {
+    struct Case {
+        name: &'static str,
+        /// What the receiver has seen when the list of the other router comes.
+        receiver: Registry,
+        ready: &'static [&'static str],
+    }
+    let mut back = registry_of_two();
+    back.store_failed(1_000);
+    back.store_answered(5_600, MIN_EXPIRY_MS);
+    back.replace_from_store(5_600, at(0, 9), vec![("u2".into(), entry(2))], RENEWAL_INTERVAL_MS);
+    assert_eq!(ready(&back), ["u1", "u2"]);
+    let mut behind = registry_of_two();
+    behind.set_position(at(0, 7));
+    let saw_removal = || {
+        let mut registry = registry_of_two();
+        registry.remove(3_000, &"u1".into());
+        registry.set_position(at(0, 8));
+        registry
+    };
+    let mut asks_again = saw_removal();
+    asks_again.set_position(Position::default());
+    let cases = [
+        Case { name: "saw the removal", receiver: saw_removal(), ready: &["u2"] },
+        Case { name: "and asks for a new list", receiver: asks_again, ready: &["u2"] },
+        Case { name: "has not heard of it", receiver: behind, ready: &["u1", "u2"] },
+        Case { name: "has just started", receiver: Registry::default(), ready: &["u1", "u2"] },
+    ];
+    for Case { name, mut receiver, ready: expected } in cases {
+        let shared = back.shared_entries(5_600);
+        receiver.replace_if_newer(5_600, at(0, 9), shared, RENEWAL_INTERVAL_MS);
+        assert_eq!(ready(&receiver), expected, "{name}");
+        assert_eq!(receiver.position(), at(0, 9), "{name}");
+        receiver.expire(7_900);
+        assert_eq!(ready(&receiver), ["u2"], "{name}: expired");
+    }
+}
+
 /// A process that stated in an answer that it is leaving must get no requests,
 /// whatever the store says of it before or after, and a new process under its name must.
 #[test]
