--- a/crates/edge/src/origin_exchange.rs
+++ b/crates/edge/src/origin_exchange.rs
@@ -156,24 +156,26 @@
 
     /// Asks the collector of a member of a large fleet which versions services with several had
     /// before it started. If there was one, streams from then that nobody knows began there.
-    pub(crate) fn ask_past(&self) {
+    pub(crate) fn ask_versions_before_start(&self) {
         let uptime_ms = self.now_ms();
         let (keeper, services) = {
             let state = self.state();
             let Some(keeper) = state.record_keeper() else { return };
-            (keeper, state.services_without_past(uptime_ms))
+            (keeper, state.services_with_unknown_earlier_versions(uptime_ms))
         };
         for part in services.chunks(MAX_VERSIONS_PER_PACKET) {
             let receivers = vec![keeper.peer_address.ip()];
-            self.outbox
-                .push(receivers, Packet::PastQuestion { uptime_ms, services: part.to_vec() });
+            self.outbox.push(
+                receivers,
+                Packet::EarlierVersionQuestion { uptime_ms, services: part.to_vec() },
+            );
         }
     }
 
     /// Tells a member of a large fleet, which has run for `uptime_ms`, which of `services` had only
     /// one version until it started. If the history was not read since, has it read: the member
     /// asks again.
-    pub(crate) fn answer_past_question(
+    pub(crate) fn answer_versions_before_start(
         &self,
         to: IpAddr,
         uptime_ms: u64,
@@ -198,7 +200,10 @@
     }
 
     /// Takes over which versions services had before this process, as the collector says.
-    pub(crate) fn learn_past(&self, versions: Vec<(ServiceName, Option<SoftwareVersion>)>) {
+    pub(crate) fn learn_versions_before_start(
+        &self,
+        versions: Vec<(ServiceName, Option<SoftwareVersion>)>,
+    ) {
         let now_ms = self.now_ms();
         let mut state = self.state();
         for (service, version) in versions {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -131,13 +131,13 @@
     RecordedVersions(Vec<StreamOrigin>),
     /// From a router to the collector of its failure domain: asks which versions services had
     /// before it started.
-    PastQuestion {
+    EarlierVersionQuestion {
         /// Time for which the sender has run, in milliseconds.
         uptime_ms: u64,
         /// The services.
         services: Vec<ServiceName>,
     },
-    /// Answers a [`Packet::PastQuestion`]: the only version of each service in the history in the
+    /// Answers a [`Packet::EarlierVersionQuestion`]: the only version of each service in the history in the
     /// store, which was read since the router started; none if it names several or is incomplete.
     OnlyVersions(Vec<(ServiceName, Option<SoftwareVersion>)>),
 }
@@ -608,10 +608,12 @@
                         self.node.answer_version_question(from.ip(), versions);
                     }
                     Ok(Packet::RecordedVersions(versions)) => self.node.versions_recorded(versions),
-                    Ok(Packet::PastQuestion { uptime_ms, services }) => {
-                        self.node.answer_past_question(from.ip(), uptime_ms, services);
+                    Ok(Packet::EarlierVersionQuestion { uptime_ms, services }) => {
+                        self.node.answer_versions_before_start(from.ip(), uptime_ms, services);
+                    }
+                    Ok(Packet::OnlyVersions(versions)) => {
+                        self.node.learn_versions_before_start(versions)
                     }
-                    Ok(Packet::OnlyVersions(versions)) => self.node.learn_past(versions),
                     Err(error) => warn!(%error, %from, "cannot decode a datagram; ignored"),
                 },
                 // Reports that the destination rejected an earlier datagram.
--- a/crates/edge/src/record_sync.rs
+++ b/crates/edge/src/record_sync.rs
@@ -163,7 +163,7 @@
         }
         node.resend_origins();
         node.ask_recorded_versions();
-        node.ask_past();
+        node.ask_versions_before_start();
         node.state().refresh_stream_lifetime(now_ms);
         let mut result = write_history(&node, &store, &mut failures).await;
         if now_ms >= flushed_ms + FLUSH_INTERVAL_MS {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -460,7 +460,7 @@
 
     /// Services of which a member of a large fleet has to ask its collector which versions they had
     /// before it started: those that have several now.
-    pub(crate) fn services_without_past(&self, now_ms: u64) -> Vec<ServiceName> {
+    pub(crate) fn services_with_unknown_earlier_versions(&self, now_ms: u64) -> Vec<ServiceName> {
         let (origins, lifetime_ms) = (&self.stream_origins, self.stream_lifetime_ms);
         let is_unknown = |name: &&ServiceName| {
             origins.may_differ(now_ms, name, lifetime_ms)
