Show that streams begun in a store outage are lost with a restart of all

The entry streams_that_begin_while_the_store_is_away_go_on_after_a_restart, with real processes: the store is away for 4.5 s while two versions serve, and three routers are killed meanwhile. The rig ends its processes on SIGTERM.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,150 +1,170 @@
-"""A crowd of clients sends bodies of legal size very slowly to one router. Does that router still
-take new connections of ordinary callers, as long as it says that it is ready?"""
+"""The store is away for some seconds while replicas of two software versions serve. All routers are
+killed meanwhile. Do the streams that began in the outage go on once all is back?"""
 
 import asyncio
 import os
 import random
-import resource
+import re
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from rig_3 import ROUTERS, CannotRun, Client, Replica, Router, Store, keep, now, run_case
+from rig_3 import ROUTERS, CannotRun, Replica, Router, Store, keep, now, run_case
 
-# The smallest machine and the bounds of the sheet of the booking fleet after it has grown.
-CONTACT_S = 4.0
-MEMORY_MB, DESCRIPTORS, CPU_SHARE = 160, 4100, 0.12
-CROWD = int(os.environ.get("CROWD", 3200))
-BODY_BYTES = 600
-PIECE_PAUSE_S = 1.0
-CALM_S = 5.0
-TROUBLE_S = 30.0
-CALLERS = 10
+CONTACT_S = 3.0
+OUTAGE_S = 4.5
+# Times after the beginning of the outage.
+BEGIN_S, KILL_S, START_S = (0.3, 2.8), 3.2, 4.0
+STREAMS, NEW_STREAMS = 60, 40
+TIME_LIMIT_S = 15.0
+# Clients abandon a stream after a gap of four times the objective.
+GAP_S = 2.4
+EVENTS, EVENT_GAP_S = 40, 0.25
 
 
 async def main(folder, network, record, trouble):
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if hard < DESCRIPTORS + 200:
-        raise CannotRun(f"a process may open {hard} descriptors only")
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 16_000), hard))
     store = Store((f"{network}.1", 8080))
     await store.start()
+    service = "m1"
     store.put("config", "main", {
         "version": 7,
-        "routes": [{"name": "r1", "host": "h.example", "pathPrefix": "/b/",
-                    "kind": "non_idempotent", "timeoutMs": 10000, "targetLatencyMs": 100,
-                    "priority": 2, "service": "desk", "maxAttempts": 1, "anonymous": False,
-                    "sessionAffinity": False, "streamResume": False}],
-        "services": [{"name": "desk", "healthPath": "/health", "maxConnections": 460,
-                      "protocol": "h1", "tls": False, "coldStartS": 0.0, "coldPerS": 0.0}],
+        "routes": [{"name": "r1", "host": "h.example", "pathPrefix": "/p/", "kind": "streaming",
+                    "timeoutMs": 15000, "targetLatencyMs": 600, "priority": 1, "service": service,
+                    "maxAttempts": 2, "anonymous": False, "sessionAffinity": True,
+                    "streamResume": True, "targetGapMs": 300}],
+        "services": [{"name": service, "healthPath": "/health", "maxConnections": 290,
+                      "protocol": "h1", "tls": False, "coldStartS": 0.0, "coldPerS": 0.0,
+                      "engine": {"slots": 48, "kvCapacityTokens": 729341, "kvTokenBytes": 35136}}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
-                   "idleTimeoutMs": 15000},
-        "tenants": [{"name": "t1", "apiKeys": ["key-1"], "priority": 1},
-                    {"name": "t2", "apiKeys": ["key-2"], "priority": 1}]})
+                   "idleTimeoutMs": 15000, "tokensPerS": 650000},
+        "tenants": [{"name": "t1", "apiKeys": ["key-1"], "priority": 1}]})
 
     async def answer(replica, request, writer):
-        record.add("runs", replica=replica.name, request=request["id"])
-        await asyncio.sleep(0.015)
-        await replica.reply(writer, request, 200, body=b"ok" * 400)
+        last = int(request["headers"].get("last-event-id") or 0)
+        record.add("runs", replica=replica.name, version=replica.spec["version"],
+                   request=request["id"], after=last)
+        await asyncio.sleep(0.1)
+        head = replica.head(request, 200, [("Content-Type", "text/event-stream"),
+                                           ("Transfer-Encoding", "chunked")])
+        writer.write(f"{head}\r\n".encode())
+        for number in range(last + 1, EVENTS + 1):
+            event = f"id: {number}\ndata: {replica.spec['version']}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            if writer.is_closing():
+                return
+            await asyncio.sleep(EVENT_GAP_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
 
-    replicas = [Replica(store, record, (f"{network}.{100 + number}", 8080), "desk", answer, 6)
-                for number in range(3)]
-    for replica in replicas:
+    replicas = []
+    for number in range(4):
+        replica = Replica(store, record, (f"{network}.{100 + number}", 8080), service, answer, 48)
+        replica.version = "v1" if number < 2 else "v2"
+        replicas.append(replica)
         await replica.start()
-    router = Router(1, network, folder, store, [1], limits={
-        "memoryMb": MEMORY_MB, "fileDescriptors": DESCRIPTORS, "cpuShare": CPU_SHARE},
-        bounds={"contactMs": int(CONTACT_S * 1000), "ackMs": 6000, "catchUpS": 6, "drainMs": 3000,
-                "configApplyMs": 3000, "maxSkewMs": 6000, "recoveryS": 15})
-    ROUTERS.append(router)
-    router.start()
-    await router.ready()
-    await asyncio.sleep(1.5)
-
-    outcomes, readiness, open_slow = [], [], 0
+    routers = [Router(number, network, folder, store, [1, 2, 3]) for number in (1, 2, 3)]
+    ROUTERS.extend(routers)
+    for router in routers:
+        router.start()
+    for router in routers:
+        await router.ready()
+        router.set_restarted()
+    await asyncio.sleep(5)
+
     serial = 0
 
-    async def slow(end):
-        nonlocal open_slow, serial
-        while now() < end:
-            serial += 1
-            writer = None
-            try:
-                reader, writer = await asyncio.open_connection(router.ip, 8783)
-                open_slow += 1
-                writer.write(
-                    f"POST /b/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: s-{serial}\r\n"
-                    f"Api-Key: key-2\r\nContent-Length: {BODY_BYTES}\r\n\r\n".encode())
-                gone = asyncio.ensure_future(reader.read(1))
-                try:
-                    while now() < end and not gone.done():
-                        writer.write(b"x")
-                        await asyncio.wait([gone], timeout=PIECE_PAUSE_S * random.uniform(0.7, 1.3))
-                finally:
-                    gone.cancel()
-                    open_slow -= 1
-            except OSError:
-                pass
-            finally:
-                if writer:
-                    writer.close()
-            await asyncio.sleep(random.uniform(0.05, 0.3))
-
-    async def ask_ready(end):
-        while now() < end:
-            try:
-                reader, writer = await asyncio.open_connection(router.ip, 8780)
-                writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                line = (await asyncio.wait_for(reader.read(), 1)).split(b"\r\n")[0]
-                writer.close()
-                readiness.append((now(), b" 200 " in line))
-            except (OSError, asyncio.TimeoutError):
-                readiness.append((now(), False))
-            await asyncio.sleep(1)
-
-    async def ordinary(caller, end):
+    async def send(leave_s, limit_s=TIME_LIMIT_S, fields=()):
+        """Sends a request for a stream and leaves after `leave_s`. Returns its name and status,
+        and the ids and versions of the events that came."""
         nonlocal serial
-        while now() < end:
-            serial += 1
-            number, begun = serial, now()
-            client = Client((router.ip, 8783))
-            status, _, _, complete = await client.send("POST", "/b/x", [
-                ("Host", "h.example"), ("X-Attempt-Id", f"o-{number}"), ("Api-Key", "key-1"),
-                ("X-Deadline-Ms", "1500")], b"y" * 100, 1.5)
-            client.close()
-            record.add("ordinary", caller=caller, request=f"o-{number}", status=status,
-                       complete=complete, slow_connections=open_slow)
-            outcomes.append((begun, caller, status))
-            await asyncio.sleep(random.uniform(0.2, 0.4))
-
-    end = now() + CALM_S + TROUBLE_S
-    tasks = [keep(ordinary(caller, end)) for caller in range(CALLERS)] + [keep(ask_ready(end))]
-    calm_until = now() + CALM_S
-    await asyncio.sleep(CALM_S)
+        serial += 1
+        name, body, end = f"q-{serial}", b"", now() + leave_s
+        head = [("Host", "h.example"), ("X-Attempt-Id", name), ("Api-Key", "key-1"), ("X-Model", "m"),
+                ("X-Token-Usage", "450,240"), ("X-Prefix-Hash", f"a11ce0:400,{serial:x}ff:50"),
+                ("X-Deadline-Ms", str(int(limit_s * 1000))), ("Content-Length", "0"), *fields]
+        record.add("sent", request=name, **{key.lower(): value for key, value in fields})
+        try:
+            reader, writer = await asyncio.open_connection(random.choice(routers).ip, 8783)
+            writer.write(("POST /p/x HTTP/1.1\r\n" + "".join(f"{key}: {value}\r\n"
+                                                            for key, value in head) + "\r\n").encode())
+            while now() < end:
+                part = await asyncio.wait_for(reader.read(65536), min(GAP_S, max(0.05, end - now())))
+                if not part:
+                    break
+                body += part
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            pass
+        status = int(body.split(b" ")[1]) if body else 0
+        numbers = [int(text) for text in re.findall(rb"id: (\d+)\ndata: v\d\n\n", body)]
+        versions = b",".join(sorted(set(re.findall(rb"data: (v\d)\n\n", body)))).decode()
+        record.add("answered", request=name, status=status, versions=versions,
+                   events=f"{numbers[0]}-{numbers[-1]}" if numbers else "none")
+        return name, status, numbers, versions
+
+    outage = now()
     if trouble:
-        for _ in range(CROWD):
-            keep(slow(end))
-            await asyncio.sleep(0.001)
-    await asyncio.gather(*tasks)
+        record.add("store-away")
+        store.is_up.clear()
+    in_touch = outage + OUTAGE_S + CONTACT_S + 0.3
+    taken_up, mixed, early = [], 0, []
+
+    async def stream(at):
+        nonlocal mixed
+        await asyncio.sleep(max(0, at - now()))
+        begun = now()
+        # Without the disruption, clients leave at the moment of the kill.
+        leave_s = TIME_LIMIT_S if trouble else outage + KILL_S - now()
+        name, _, numbers, versions = await send(leave_s)
+        if not numbers:
+            return
+        fields = [("Last-Event-Id", str(numbers[-1])), ("Resumes", name)]
+        # At once, and again when all machines are in touch, which alone is counted.
+        for when in (outage + START_S + 1.0, in_touch + random.uniform(0, 0.5)):
+            await asyncio.sleep(max(0, when - now()))
+            left_s = TIME_LIMIT_S - (now() - begun)
+            _, status, more, later = await send(1.0, left_s, fields)
+            goes_on = status == 200 and more[:1] == [numbers[-1] + 1]
+            if when >= in_touch:
+                taken_up.append(goes_on)
+            mixed += goes_on and later != versions
+            if goes_on and trouble:
+                early.append(when < in_touch)
+                return
+
+    async def restart():
+        await asyncio.sleep(max(0, outage + KILL_S - now()))
+        for router in routers:
+            router.kill()
+        record.add("routers-killed")
+        await asyncio.sleep(max(0, outage + START_S - now()))
+        for router in routers:
+            router.start()
+        await asyncio.sleep(max(0, outage + OUTAGE_S - now()))
+        store.is_up.set()
+        record.add("store-back")
 
-    # The longest time without a new connection of an ordinary caller that got any answer.
-    longest, since, worst = 0.0, None, None
-    answered = sorted(begun for begun, _, status in outcomes if status)
-    edges = [calm_until] + [at for at in answered if at > calm_until] + [end - 2]
-    for first, second in zip(edges, edges[1:]):
-        if second - first > longest:
-            longest, worst = second - first, (first, second)
-    tries = {caller for begun, caller, _ in outcomes if worst and worst[0] < begun < worst[1]}
-    ready = [good for at, good in readiness if worst and worst[0] < at < worst[1]]
-    calm = [status for begun, _, status in outcomes if begun < calm_until]
-    print(f"calm: {sum(status == 200 for status in calm)} of {len(calm)} served; longest time without "
-          f"an answer on a new connection: {longest:.1f} s, {len(tries)} callers tried, "
-          f"{sum(ready)} of {len(ready)} readiness checks good")
-    late = [status for begun, _, status in outcomes if begun >= calm_until + 5]
-    print(f"later: {sum(status == 200 for status in late)} of {len(late)} served")
-    if not calm or sum(status == 200 for status in calm) < len(calm) * 0.9:
-        raise CannotRun("ordinary callers are not served in calm")
-    held = not (longest > CONTACT_S and len(tries) >= 7 and ready and all(ready))
-    record.add("verdict", rule="RECOVER", held=held)
+    new = []
+
+    async def new_stream():
+        await asyncio.sleep(max(0, in_touch + random.uniform(0, 0.5) - now()))
+        _, _, numbers, _ = await send(1.0)
+        new.append(bool(numbers))
+
+    tasks = [keep(stream(outage + random.uniform(*BEGIN_S))) for _ in range(STREAMS)]
+    tasks += [keep(new_stream()) for _ in range(NEW_STREAMS)]
+    if trouble:
+        tasks.append(keep(restart()))
+    await asyncio.gather(*tasks)
+    share, new_share = sum(taken_up) / max(1, len(taken_up)), sum(new) / max(1, len(new))
+    print(f"{len(taken_up)} streams are taken up at machines in touch, {sum(taken_up)} go on "
+          f"({sum(early)} went on before); {sum(new)} of {len(new)} new streams begin; {mixed} hold "
+          "events of two versions")
+    if len(taken_up) + sum(early) < 12 or new_share < 0.5:
+        raise CannotRun("too few streams to judge")
+    held = len(taken_up) < 12 or share >= new_share / 2
+    record.add("verdict", rule="LOST", held=held)
     return held
 
 
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -84,6 +85,9 @@
         self.objects = {}
         self.events = []
         self.changed = asyncio.Event()
+        # While it is cleared, the store is away: it does nothing and answers nothing.
+        self.is_up = asyncio.Event()
+        self.is_up.set()
         self.server = None
 
     async def start(self):
@@ -117,7 +121,12 @@
     async def serve(self, reader, writer):
         try:
             while message := await read_message(reader):
-                status, body = await self.answer(*message)
+                answer = await self.answer(*message) if self.is_up.is_set() else None
+                if answer is None or not self.is_up.is_set():
+                    # The answer is lost, so the connection returns nothing further.
+                    await self.is_up.wait()
+                    return
+                status, body = answer
                 text = json.dumps(body).encode()
                 writer.write(
                     f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
@@ -175,13 +184,15 @@
         self.service, self.handle, self.slots, self.zone = service, answer, slots, zone
         self.lives = 0
         self.name = None
+        # Version of its software.
+        self.version = "v1"
         self.server = None
         self.running = 0
         self.writers = set()
 
     def entry(self, phase="ready"):
         return {"service": self.service, "address": "%s:%d" % self.address, "zone": self.zone,
-                "version": "v1", "slots": self.slots, "phase": phase, "coldRemainingMs": 0,
+                "version": self.version, "slots": self.slots, "phase": phase, "coldRemainingMs": 0,
                 "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
                 "sequence": 0, "born": int(time.time() * 1000)}
 
@@ -426,6 +437,8 @@
     if not PROGRAM.exists():
         print("the program of the deploy file is not built")
         sys.exit(2)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))
     code = 2
     with tempfile.TemporaryDirectory() as temporary:
         async def limited():
