--- a/review/14/case.py
+++ b/review/14/case.py
@@ -16,8 +16,8 @@
 # Times after the beginning of the outage.
 BEGIN_S, KILL_S, START_S = (0.3, 2.8), 3.2, 4.0
 STREAMS, NEW_STREAMS = 60, 40
-TIME_LIMIT_S = 15.0
-# Clients abandon a stream after a gap of four times the objective.
+TIME_LIMIT_S = 12.0
+# Clients abandon a stream after a gap of eight times the pause of the sheet.
 GAP_S = 2.4
 EVENTS, EVENT_GAP_S = 40, 0.25
 
@@ -29,7 +29,7 @@
     store.put("config", "main", {
         "version": 7,
         "routes": [{"name": "r1", "host": "h.example", "pathPrefix": "/p/", "kind": "streaming",
-                    "timeoutMs": 15000, "targetLatencyMs": 600, "priority": 1, "service": service,
+                    "timeoutMs": 12000, "targetLatencyMs": 400, "priority": 1, "service": service,
                     "maxAttempts": 2, "anonymous": False, "sessionAffinity": True,
                     "streamResume": True, "targetGapMs": 300}],
         "services": [{"name": service, "healthPath": "/health", "maxConnections": 290,
@@ -108,7 +108,7 @@
         record.add("store-away")
         store.is_up.clear()
     in_touch = outage + OUTAGE_S + CONTACT_S + 0.3
-    taken_up, mixed, early = [], 0, []
+    taken_up, mixed = [], 0
 
     async def stream(at):
         nonlocal mixed
@@ -120,18 +120,13 @@
         if not numbers:
             return
         fields = [("Last-Event-Id", str(numbers[-1])), ("Resumes", name)]
-        # At once, and again when all machines are in touch, which alone is counted.
-        for when in (outage + START_S + 1.0, in_touch + random.uniform(0, 0.5)):
-            await asyncio.sleep(max(0, when - now()))
-            left_s = TIME_LIMIT_S - (now() - begun)
-            _, status, more, later = await send(1.0, left_s, fields)
-            goes_on = status == 200 and more[:1] == [numbers[-1] + 1]
-            if when >= in_touch:
-                taken_up.append(goes_on)
-            mixed += goes_on and later != versions
-            if goes_on and trouble:
-                early.append(when < in_touch)
-                return
+        # Once, as the sheet has it, when all machines are in touch.
+        await asyncio.sleep(max(0, in_touch + random.uniform(0, 0.5) - now()))
+        left_s = TIME_LIMIT_S - (now() - begun)
+        _, status, more, later = await send(1.0, left_s, fields)
+        goes_on = status == 200 and more[:1] == [numbers[-1] + 1]
+        taken_up.append(goes_on)
+        mixed += goes_on and later != versions
 
     async def restart():
         await asyncio.sleep(max(0, outage + KILL_S - now()))
@@ -158,12 +153,12 @@
         tasks.append(keep(restart()))
     await asyncio.gather(*tasks)
     share, new_share = sum(taken_up) / max(1, len(taken_up)), sum(new) / max(1, len(new))
-    print(f"{len(taken_up)} streams are taken up at machines in touch, {sum(taken_up)} go on "
-          f"({sum(early)} went on before); {sum(new)} of {len(new)} new streams begin; {mixed} hold "
+    print(f"{len(taken_up)} streams are taken up at machines in touch, {sum(taken_up)} go on; "
+          f"{sum(new)} of {len(new)} new streams begin; {mixed} hold "
           "events of two versions")
-    if len(taken_up) + sum(early) < 12 or new_share < 0.5:
+    if len(taken_up) < 12 or new_share < 0.5:
         raise CannotRun("too few streams to judge")
-    held = len(taken_up) < 12 or share >= new_share / 2
+    held = share >= new_share / 2
     record.add("verdict", rule="LOST", held=held)
     return held
 
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -437,8 +437,16 @@
     if not PROGRAM.exists():
         print("the program of the deploy file is not built")
         sys.exit(2)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: sys.exit(2))
+    interrupts = (signal.SIGTERM, signal.SIGINT)
+
+    def interrupted(*_):
+        # `timeout` sends it twice; the second one must not keep the processes from being ended.
+        for number in interrupts:
+            signal.signal(number, signal.SIG_IGN)
+        sys.exit(2)
+
+    for number in interrupts:
+        signal.signal(number, interrupted)
     code = 2
     with tempfile.TemporaryDirectory() as temporary:
         async def limited():
